--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# make demo   installs what is missing, builds, shows an answer surviving the loss of its engine
+# make test   installs what is missing, builds, runs every test
+
+BUILD ?= build
+JOBS  ?= $(shell nproc)
+
+.PHONY: all deps build demo test test-asan test-tsan bench fuzz format format-check lint generate clean
+
+all: build
+
+deps:
+	scripts/install-deps
+
+build: deps
+	cmake -S . -B $(BUILD) -G Ninja $(CMAKE_FLAGS) >$(BUILD).configure.log 2>&1 || { cat $(BUILD).configure.log; exit 1; }
+	cmake --build $(BUILD) -j $(JOBS)
+
+demo: build
+	scripts/demo $(BUILD)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure
+
+test-asan:
+	$(MAKE) build BUILD=build-asan CMAKE_FLAGS="-DDOTTERELLOCK_SANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Debug"
+	ctest --test-dir build-asan --output-on-failure -R unit
+
+test-tsan:
+	$(MAKE) build BUILD=build-tsan CMAKE_FLAGS="-DDOTTERELLOCK_SANITIZE=thread -DCMAKE_BUILD_TYPE=Debug"
+	ctest --test-dir build-tsan --output-on-failure -R unit
+
+bench: build
+	scripts/bench $(BUILD)
+
+format:
+	git ls-files -co --exclude-standard '*.cpp' '*.hpp' | grep -v '^gen/' | xargs clang-format -i
+
+format-check:
+	git ls-files '*.cpp' '*.hpp' | grep -v '^gen/' | xargs clang-format --dry-run -Werror
+
+lint: build
+	scripts/check-core
+	scripts/lint $(BUILD)
+
+clean:
+	rm -rf build build-asan build-tsan
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
