--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,9 @@
 format-check:
 	git ls-files '*.cpp' '*.hpp' | grep -v '^gen/' | xargs clang-format --dry-run -Werror
 
+generate:
+	thrift --gen cpp:no_skeleton,moveable_types,no_ostream_operators,no_default_operators,templates -out gen src/wire/dotterellock.thrift
+
 lint: build
 	scripts/check-core
 	scripts/lint $(BUILD)
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,766 @@
+// Index
+//   conversions : one field at a time, towards or from the wire
+//   map_fields  : one function a message, used in both directions
+//   envelope    : version, kind and body of a frame
+#include "codec.hpp"
+
+#include <cmath>
+#include <limits>
+#include <memory>
+#include <type_traits>
+#include <utility>
+
+#include <thrift/TConfiguration.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include "dotterellock_types.h"
+#include "dotterellock_types.tcc"
+
+namespace dotterellock
+{
+
+namespace
+{
+
+namespace generated = wire::generated;
+namespace thrift = apache::thrift;
+
+using buffer_type = thrift::transport::TMemoryBuffer;
+using protocol_type = thrift::protocol::TCompactProtocolT<buffer_type>;
+
+// A larger buffer is given back after use, so that one prompt does not pin
+// megabytes in every thread.
+constexpr std::uint32_t kept_buffer_bytes = 64u << 10;
+constexpr std::int16_t hello_kind = 0;
+
+// Longer spans are refused: they would overflow sums of nanoseconds.
+constexpr std::int64_t max_milliseconds = 10'000'000'000;
+
+[[noreturn]] void refuse(std::string const& detail)
+{
+    throw error(error_code::protocol_error, "decode", "", detail);
+}
+
+// ---- conversions ----------------------------------------------------------
+
+template<typename Enum>
+constexpr int last_value()
+{
+    if constexpr (std::is_same_v<Enum, error_code>)
+        return static_cast<int>(error_code::internal_error);
+    else if constexpr (std::is_same_v<Enum, rank>)
+        return static_cast<int>(rank::background);
+    else if constexpr (std::is_same_v<Enum, work_kind>)
+        return static_cast<int>(work_kind::call);
+    else if constexpr (std::is_same_v<Enum, finish_reason>)
+        return static_cast<int>(finish_reason::length);
+    else
+    {
+        static_assert(std::is_same_v<Enum, call_outcome>);
+        return static_cast<int>(call_outcome::running);
+    }
+}
+
+template<typename Tag>
+void convert(std::string& wire, identifier<Tag> const& value)
+{
+    wire = value.value();
+}
+
+template<typename Tag>
+void convert(identifier<Tag>& value, std::string& wire)
+{
+    value = identifier<Tag>(std::move(wire));
+}
+
+void convert(std::string& to, std::string const& from)
+{
+    to = from;
+}
+
+void convert(std::string& to, std::string& from)
+{
+    to = std::move(from);
+}
+
+void convert(bool& to, bool const& from)
+{
+    to = from;
+}
+
+/// Integers and enumerations towards the wire.
+template<
+    typename Wire, typename Value,
+    typename = std::enable_if_t<
+        std::is_integral_v<Wire> &&
+        (std::is_integral_v<Value> || std::is_enum_v<Value>)>>
+void convert(Wire& wire, Value const& value)
+{
+    wire = static_cast<Wire>(value);
+}
+
+template<
+    typename Enum, typename = std::enable_if_t<std::is_enum_v<Enum>>,
+    typename = void>
+void convert(Enum& value, std::int32_t& wire)
+{
+    if (wire < 0 || wire > last_value<Enum>())
+        refuse("enumeration value " + std::to_string(wire));
+    value = static_cast<Enum>(wire);
+}
+
+void convert(std::int64_t& wire, milliseconds const& value)
+{
+    wire = value.count();
+}
+
+void convert(milliseconds& value, std::int64_t& wire)
+{
+    if (wire < 0 || wire > max_milliseconds)
+        refuse("time span of " + std::to_string(wire) + " ms");
+    value = milliseconds(wire);
+}
+
+void convert(double& wire, double const& value)
+{
+    wire = value;
+}
+
+void convert(double& to, double& from)
+{
+    if (!std::isfinite(from))
+        refuse("a number that is not finite");
+    to = from;
+}
+
+template<typename To, typename From>
+void convert(std::vector<To>& to, std::vector<From> const& from)
+{
+    to.assign(from.begin(), from.end());
+}
+
+void convert(std::vector<std::string>& to, std::vector<std::string>& from)
+{
+    to = std::move(from);
+}
+
+using rank_counts = std::array<std::uint32_t, rank_count>;
+
+void convert(std::vector<std::int32_t>& wire, rank_counts const& value)
+{
+    wire.assign(value.begin(), value.end());
+}
+
+void convert(rank_counts& value, std::vector<std::int32_t>& wire)
+{
+    if (wire.size() != value.size())
+        refuse("number of ranks " + std::to_string(wire.size()));
+    for (std::size_t i = 0; i < value.size(); ++i)
+        value[i] = static_cast<std::uint32_t>(wire[i]);
+}
+
+struct to_wire
+{
+    template<typename Wire, typename Value>
+    void operator()(Wire& wire, Value const& value) const
+    {
+        convert(wire, value);
+    }
+};
+
+struct from_wire
+{
+    template<typename Wire, typename Value>
+    void operator()(Wire& wire, Value& value) const
+    {
+        convert(value, wire);
+    }
+};
+
+// ---- map_fields -----------------------------------------------------------
+// V is the message type, const when encoding.
+
+template<typename X, typename V>
+void map_fields(X x, generated::model_ref& w, V& v)
+{
+    x(w.name, v.name);
+    x(w.adapter, v.adapter);
+    x(w.version, v.version);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::sampling& w, V& v)
+{
+    x(w.max_tokens, v.max_tokens);
+    x(w.temperature, v.temperature);
+    x(w.seed, v.seed);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::hello& w, V& v)
+{
+    x(w.peer, v.peer);
+    x(w.software_version, v.software_version);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::reserve& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.attempt, v.attempt);
+    x(w.epoch, v.epoch);
+    x(w.organisation, v.organisation);
+    x(w.rank, v.rank);
+    x(w.kind, v.kind);
+    map_fields(x, w.model, v.model);
+    x(w.service_name, v.service);
+    x(w.estimated_tokens, v.estimated_tokens);
+    x(w.waiting_budget_ms, v.waiting_budget);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::withdraw& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.attempt, v.attempt);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::offer& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.attempt, v.attempt);
+    x(w.permit, v.permit);
+    x(w.incarnation, v.incarnation);
+    x(w.valid_for_ms, v.valid_for);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::reserve_refused& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.attempt, v.attempt);
+    x(w.reason, v.reason);
+    x(w.retry_after_ms, v.retry_after);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::dispatch_generation& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.attempt, v.attempt);
+    x(w.epoch, v.epoch);
+    x(w.permit, v.permit);
+    x(w.incarnation, v.incarnation);
+    x(w.organisation, v.organisation);
+    x(w.rank, v.rank);
+    map_fields(x, w.model, v.model);
+    x(w.prompt, v.prompt);
+    x(w.resume_tokens, v.resume_tokens);
+    map_fields(x, w.sampling_settings, v.sampling);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::acknowledge& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.attempt, v.attempt);
+    x(w.epoch, v.epoch);
+    x(w.next_index, v.next_index);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::cancel& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.attempt, v.attempt);
+    x(w.epoch, v.epoch);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::attach& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.epoch, v.epoch);
+    x(w.next_index, v.next_index);
+    x(w.takeover, v.takeover);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::attach_result& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.found, v.found);
+    x(w.attempt, v.attempt);
+    x(w.epoch, v.epoch);
+    x(w.first_index, v.first_index);
+    x(w.next_index, v.next_index);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::token_batch& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.attempt, v.attempt);
+    x(w.epoch, v.epoch);
+    x(w.first_index, v.first_index);
+    x(w.tokens, v.tokens);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::generation_finished& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.attempt, v.attempt);
+    x(w.epoch, v.epoch);
+    x(w.next_index, v.next_index);
+    x(w.reason, v.reason);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::generation_failed& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.attempt, v.attempt);
+    x(w.epoch, v.epoch);
+    x(w.code, v.code);
+    x(w.step, v.step);
+    x(w.detail, v.detail);
+    x(w.retryable, v.retryable);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::dispatch_call& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.attempt, v.attempt);
+    x(w.permit, v.permit);
+    x(w.incarnation, v.incarnation);
+    x(w.organisation, v.organisation);
+    x(w.service_name, v.service);
+    x(w.operation, v.operation);
+    x(w.method, v.method);
+    x(w.path, v.path);
+    x(w.content_type, v.content_type);
+    x(w.body, v.body);
+    x(w.repeatable, v.repeatable);
+    x(w.timeout_ms, v.timeout);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::query_call& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.attempt, v.attempt);
+    x(w.incarnation, v.incarnation);
+    x(w.close_if_not_run, v.close_if_not_run);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::call_result& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.attempt, v.attempt);
+    x(w.incarnation, v.incarnation);
+    x(w.outcome, v.outcome);
+    x(w.status, v.status);
+    x(w.content_type, v.content_type);
+    x(w.body, v.body);
+    x(w.detail, v.detail);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::ping& w, V& v)
+{
+    x(w.sequence, v.sequence);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::pong& w, V& v)
+{
+    x(w.sequence, v.sequence);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::load_report& w, V& v)
+{
+    x(w.endpoint, v.endpoint);
+    x(w.incarnation, v.incarnation);
+    x(w.running, v.running);
+    x(w.capacity, v.capacity);
+    x(w.waiting, v.waiting);
+    x(w.waiting_tokens, v.waiting_tokens);
+    x(w.tokens_per_second, v.tokens_per_second);
+    x(w.tokens_per_second_per_stream, v.tokens_per_second_per_stream);
+    x(w.draining, v.draining);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::prefix_hint& w, V& v)
+{
+    x(w.endpoint, v.endpoint);
+    x(w.added, v.added);
+    x(w.removed, v.removed);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::journal_append& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.epoch, v.epoch);
+    x(w.endpoint, v.endpoint);
+    x(w.attempt, v.attempt);
+    x(w.first_index, v.first_index);
+    x(w.tokens, v.tokens);
+    x(w.finished, v.finished);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::journal_appended& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.epoch, v.epoch);
+    x(w.next_index, v.next_index);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::journal_read& w, V& v)
+{
+    x(w.request, v.request);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::journal_state& w, V& v)
+{
+    x(w.request, v.request);
+    x(w.found, v.found);
+    x(w.epoch, v.epoch);
+    x(w.endpoint, v.endpoint);
+    x(w.attempt, v.attempt);
+    x(w.tokens, v.tokens);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::configuration_digest& w, V& v)
+{
+    x(w.version, v.version);
+}
+
+template<typename X, typename V>
+void map_fields(X x, generated::configuration_push& w, V& v)
+{
+    x(w.version, v.version);
+    x(w.document, v.document);
+}
+
+// In the order of the alternatives of `message`.
+using wire_structs = std::tuple<
+    generated::reserve, generated::withdraw, generated::offer,
+    generated::reserve_refused, generated::dispatch_generation,
+    generated::acknowledge, generated::cancel, generated::attach,
+    generated::attach_result, generated::token_batch,
+    generated::generation_finished, generated::generation_failed,
+    generated::dispatch_call, generated::query_call, generated::call_result,
+    generated::ping, generated::pong, generated::load_report,
+    generated::prefix_hint, generated::journal_append,
+    generated::journal_appended, generated::journal_read,
+    generated::journal_state, generated::configuration_digest,
+    generated::configuration_push>;
+
+constexpr std::size_t kind_count = std::variant_size_v<message>;
+static_assert(std::tuple_size_v<wire_structs> == kind_count);
+
+// ---- envelope -------------------------------------------------------------
+
+struct encoder
+{
+    std::shared_ptr<buffer_type> buffer = std::make_shared<buffer_type>(1024);
+    protocol_type protocol{buffer};
+};
+
+struct decoder
+{
+    std::shared_ptr<thrift::TConfiguration> limits =
+        std::make_shared<thrift::TConfiguration>(
+            static_cast<int>(max_frame_bytes),
+            static_cast<int>(max_frame_bytes));
+    std::shared_ptr<buffer_type> buffer = std::make_shared<buffer_type>(limits);
+    protocol_type protocol{
+        buffer, static_cast<std::int32_t>(max_frame_bytes),
+        max_container_items};
+};
+
+// One of each a thread: their construction costs more than a small message.
+std::unique_ptr<encoder>& thread_encoder()
+{
+    thread_local std::unique_ptr<encoder> instance;
+    if (!instance)
+        instance = std::make_unique<encoder>();
+    return instance;
+}
+
+std::unique_ptr<decoder>& thread_decoder()
+{
+    thread_local std::unique_ptr<decoder> instance;
+    if (!instance)
+        instance = std::make_unique<decoder>();
+    return instance;
+}
+
+template<typename Wire>
+void write_envelope(protocol_type& out, std::int16_t kind, Wire const& body)
+{
+    out.writeStructBegin("frame");
+    out.writeFieldBegin("version", thrift::protocol::T_I16, 1);
+    out.writeI16(wire_version);
+    out.writeFieldEnd();
+    out.writeFieldBegin("kind", thrift::protocol::T_I16, 2);
+    out.writeI16(kind);
+    out.writeFieldEnd();
+    out.writeFieldBegin("body", thrift::protocol::T_STRUCT, 3);
+    body.write(&out);
+    out.writeFieldEnd();
+    out.writeFieldStop();
+    out.writeStructEnd();
+}
+
+/// Calls `use` with the encoded bytes, which are valid only inside the call.
+template<typename Wire, typename Value, typename Use>
+void with_encoded(std::int16_t kind, Value const& value, Use use)
+{
+    Wire wire;
+    map_fields(to_wire{}, wire, value);
+    auto& slot = thread_encoder();
+    // Taken out while in use: a failed write leaves the protocol unusable.
+    auto coder = std::move(slot);
+    write_envelope(coder->protocol, kind, wire);
+    std::uint8_t* bytes = nullptr;
+    std::uint32_t size = 0;
+    coder->buffer->getBuffer(&bytes, &size);
+    if (size > max_frame_bytes)
+    {
+        throw error(
+            error_code::payload_too_large, "encode", "",
+            std::to_string(size) + " bytes exceed the frame limit");
+    }
+    use(std::string_view(reinterpret_cast<char const*>(bytes), size));
+    if (coder->buffer->getBufferSize() > kept_buffer_bytes)
+        return;
+    coder->buffer->resetBuffer();
+    slot = std::move(coder);
+}
+
+template<typename Use, std::size_t... I>
+void with_encoded(message const& m, Use use, std::index_sequence<I...>)
+{
+    auto const encode_one = [&](auto index)
+    {
+        constexpr std::size_t i = decltype(index)::value;
+        if (m.index() == i)
+        {
+            with_encoded<std::tuple_element_t<i, wire_structs>>(
+                static_cast<std::int16_t>(i + 1), *std::get_if<i>(&m), use);
+        }
+    };
+    (encode_one(std::integral_constant<std::size_t, I>{}), ...);
+}
+
+template<typename Use>
+void with_encoded(message const& m, Use use)
+{
+    with_encoded(m, use, std::make_index_sequence<kind_count>{});
+}
+
+template<typename Use>
+void with_encoded(hello const& h, Use use)
+{
+    with_encoded<generated::hello>(hello_kind, h, use);
+}
+
+template<typename Value>
+void append(std::string& out, Value const& value)
+{
+    with_encoded(
+        value,
+        [&out](std::string_view body)
+        {
+            auto const size = static_cast<std::uint32_t>(body.size());
+            char const header[frame_header_bytes] = {
+                static_cast<char>(size >> 24), static_cast<char>(size >> 16),
+                static_cast<char>(size >> 8), static_cast<char>(size)};
+            out.append(header, frame_header_bytes);
+            out.append(body);
+        });
+}
+
+template<typename Value>
+std::string body_of(Value const& value)
+{
+    std::string out;
+    with_encoded(value, [&out](std::string_view body) { out = body; });
+    return out;
+}
+
+template<typename Wire, typename Value>
+Value read_body(protocol_type& in)
+{
+    Wire wire;
+    wire.read(&in);
+    Value value;
+    map_fields(from_wire{}, wire, value);
+    return value;
+}
+
+template<std::size_t... I>
+message
+read_message(protocol_type& in, std::int16_t kind, std::index_sequence<I...>)
+{
+    message result;
+    auto const decode_one = [&](auto index)
+    {
+        constexpr std::size_t i = decltype(index)::value;
+        if (kind != static_cast<std::int16_t>(i + 1))
+            return false;
+        result = read_body<
+            std::tuple_element_t<i, wire_structs>,
+            std::variant_alternative_t<i, message>>(in);
+        return true;
+    };
+    if (!(decode_one(std::integral_constant<std::size_t, I>{}) || ...))
+        refuse("message kind " + std::to_string(kind));
+    return result;
+}
+
+/// Reads fields up to the body. Throws unless version and kind precede it.
+std::int16_t read_kind(protocol_type& in)
+{
+    std::string name;
+    thrift::protocol::TType type{};
+    std::int16_t field = 0;
+    std::int16_t version = 0;
+    std::int16_t kind = -1;
+    in.readStructBegin(name);
+    for (;;)
+    {
+        in.readFieldBegin(name, type, field);
+        if (type == thrift::protocol::T_STOP)
+            refuse("frame without a body");
+        if (field == 1 && type == thrift::protocol::T_I16)
+            in.readI16(version);
+        else if (field == 2 && type == thrift::protocol::T_I16)
+            in.readI16(kind);
+        else if (field == 3 && type == thrift::protocol::T_STRUCT)
+            break;
+        else
+            in.skip(type);
+        in.readFieldEnd();
+    }
+    if (version != wire_version)
+        refuse("wire version " + std::to_string(version));
+    return kind;
+}
+
+/// Runs `read` over the body; every fault becomes a protocol_error.
+template<typename Read>
+auto with_decoder(std::string_view body, Read read)
+{
+    if (body.size() > max_frame_bytes)
+        refuse("frame of " + std::to_string(body.size()) + " bytes");
+    auto& slot = thread_decoder();
+    // Taken out while in use: a failed read leaves the protocol unusable.
+    auto coder = std::move(slot);
+    try
+    {
+        // The buffer only observes the bytes and is never written to.
+        coder->buffer->resetBuffer(
+            reinterpret_cast<std::uint8_t*>(const_cast<char*>(body.data())),
+            static_cast<std::uint32_t>(body.size()));
+        // Bounds container sizes by the bytes that are really there.
+        coder->buffer->updateKnownMessageSize(static_cast<long>(body.size()));
+        auto result = read(coder->protocol);
+        std::string name;
+        thrift::protocol::TType type{};
+        std::int16_t field = 0;
+        for (;;)
+        {
+            coder->protocol.readFieldEnd();
+            coder->protocol.readFieldBegin(name, type, field);
+            if (type == thrift::protocol::T_STOP)
+                break;
+            coder->protocol.skip(type);
+        }
+        coder->protocol.readStructEnd();
+        coder->buffer->readEnd(); // lifts the bound for the next use
+        if (body.size() <= kept_buffer_bytes)
+            slot = std::move(coder);
+        return result;
+    }
+    catch (thrift::TException const& e)
+    {
+        refuse(e.what());
+    }
+}
+
+} // namespace
+
+std::string encode(message const& m)
+{
+    return body_of(m);
+}
+
+std::string encode(hello const& h)
+{
+    return body_of(h);
+}
+
+void append_frame(std::string& out, message const& m)
+{
+    append(out, m);
+}
+
+void append_frame(std::string& out, hello const& h)
+{
+    append(out, h);
+}
+
+message decode(std::string_view body)
+{
+    return with_decoder(
+        body,
+        [](protocol_type& in)
+        {
+            std::int16_t const kind = read_kind(in);
+            return read_message(
+                in, kind, std::make_index_sequence<kind_count>{});
+        });
+}
+
+hello decode_hello(std::string_view body)
+{
+    return with_decoder(
+        body,
+        [](protocol_type& in)
+        {
+            std::int16_t const kind = read_kind(in);
+            if (kind != hello_kind)
+                refuse("message kind " + std::to_string(kind) + " as greeting");
+            return read_body<generated::hello, hello>(in);
+        });
+}
+
+std::size_t body_length(char const* header)
+{
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < frame_header_bytes; ++i)
+        length = length << 8 | static_cast<unsigned char>(header[i]);
+    if (length > max_frame_bytes)
+    {
+        throw error(
+            error_code::protocol_error, "read_frame", "",
+            "frame of " + std::to_string(length) + " bytes");
+    }
+    return length;
+}
+
+} // namespace dotterellock
