Add the TCP peer transport

Frames over Asio with one strand and one bounded send buffer a connection. Whatever waits leaves in one write. Answers follow the latest connection, so that agents need no addresses of routers.

--- /dev/null
+++ b/src/wire/tcp_peer_transport.cpp
@@ -0,0 +1,705 @@
+// Index
+//   implementation : peers, their addresses and connections
+//   connection     : one socket, its input and its send buffer
+//   tcp_peer_transport
+#include "tcp_peer_transport.hpp"
+
+#include <atomic>
+#include <cstring>
+#include <map>
+#include <mutex>
+#include <shared_mutex>
+#include <vector>
+
+#include <netinet/tcp.h>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+#include <asio/write.hpp>
+
+#include "codec.hpp"
+
+namespace dotterellock
+{
+
+namespace
+{
+
+using io_error = asio::error_code;
+using asio::ip::tcp;
+
+// Small at first, since most connections of a fleet are nearly idle.
+constexpr std::size_t first_input_bytes = 4u << 10;
+constexpr std::size_t largest_idle_input_bytes = 64u << 10;
+constexpr std::size_t kept_output_bytes = 16u << 10;
+
+// Unacknowledged bytes and unanswered keep-alive probes end a connection
+// within seconds; the kernel's default is a quarter of an hour or more.
+constexpr int user_timeout_ms = 10'000;
+constexpr int keepalive_idle_s = 10;
+constexpr int keepalive_interval_s = 5;
+constexpr int keepalive_probes = 3;
+
+constexpr milliseconds accept_retry_delay{100};
+
+tcp::endpoint parse_address(std::string const& text, char const* step)
+{
+    auto const colon = text.rfind(':');
+    io_error failure;
+    asio::ip::address address;
+    if (colon != std::string::npos)
+        address = asio::ip::make_address(text.substr(0, colon), failure);
+    std::string const port = colon == std::string::npos //
+                                 ? std::string{}
+                                 : text.substr(colon + 1);
+    bool const digits =
+        !port.empty() && port.size() <= 5 &&
+        port.find_first_not_of("0123456789") == std::string::npos;
+    if (failure || !digits || std::stoul(port) > 65535)
+    {
+        throw error(
+            error_code::invalid_argument, step, "",
+            "address \"" + text + "\" is not ip:port");
+    }
+    return {address, static_cast<std::uint16_t>(std::stoul(port))};
+}
+
+void set_option(tcp::socket& socket, int level, int name, int value)
+{
+    // A refused option only slows the detection of dead peers.
+    ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
+}
+
+void set_options(tcp::socket& socket)
+{
+    io_error ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+}
+
+class connection;
+using connection_ptr = std::shared_ptr<connection>;
+
+struct peer_state
+{
+    std::mutex mutex;
+    std::string address;     // empty: the peer dials us
+    connection_ptr outgoing; // opened by us
+    connection_ptr incoming; // opened by the peer
+    connection_ptr current;  // the later of the two; carries what we send
+};
+
+} // namespace
+
+// ---- implementation -------------------------------------------------------
+
+class tcp_peer_transport::implementation
+    : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(
+        asio::io_context& io, tcp_transport_settings settings,
+        message_callback on_message, disconnect_callback on_disconnected,
+        counter_registry& counters);
+
+    void accept_next();
+    void stop();
+    void set_address(peer_id const& peer, std::string const& ip_port);
+    void send(peer_id const& to, message m);
+    void reconnect(peer_id const& to);
+
+    /// A connection that the peer opened has named its sender.
+    void add_incoming(peer_id const& peer, connection_ptr const& c);
+
+    /// A connection failed; reported unless it was abandoned before.
+    void remove(peer_id const& peer, connection_ptr const& c);
+    void deliver(peer_id const& from, message m);
+    void log(char const* event, peer_id const& peer, std::string const& detail);
+
+    asio::io_context& io;
+    tcp_transport_settings const settings;
+    std::string const greeting; // frame of our hello
+    tcp::acceptor acceptor;
+    dotterellock::counter& sent;
+    dotterellock::counter& received;
+    dotterellock::counter& dropped;
+    dotterellock::counter& failed;
+
+private:
+    std::shared_ptr<peer_state> state_of(peer_id const& peer);
+    void listen();
+    void send_to_self(message m);
+    void report_lost(peer_id const& peer);
+
+    message_callback const on_message_;
+    disconnect_callback const on_disconnected_;
+    asio::strand<asio::io_context::executor_type> to_self_; // keeps order
+    asio::steady_timer accept_retry_;
+    std::atomic<bool> stopped_{false};
+    std::shared_mutex peers_mutex_; // guards the map, not the states
+    std::map<peer_id, std::shared_ptr<peer_state>> peers_;
+};
+
+// ---- connection -----------------------------------------------------------
+
+namespace
+{
+
+using implementation_ptr = std::shared_ptr<tcp_peer_transport::implementation>;
+
+/// All members are used on the strand of the socket, except enqueue, close
+/// and what output_mutex_ guards.
+class connection : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(implementation_ptr owner, tcp::socket socket, peer_id peer)
+        : owner_(std::move(owner)), socket_(std::move(socket)),
+          deadline_(socket_.get_executor()), peer_(std::move(peer)),
+          dialled_(!peer_.empty()), output_(owner_->greeting)
+    {
+    }
+
+    void dial(tcp::endpoint const& to)
+    {
+        asio::post(
+            socket_.get_executor(),
+            [self = shared_from_this(), to]
+            {
+                self->start_deadline();
+                self->socket_.async_connect(
+                    to,
+                    [self](io_error failure) { self->on_connected(failure); });
+            });
+    }
+
+    void start_accepted()
+    {
+        asio::post(
+            socket_.get_executor(),
+            [self = shared_from_this()]
+            {
+                self->start_deadline();
+                self->on_connected({});
+            });
+    }
+
+    /// False when too much waits.
+    bool enqueue(std::string const& frame)
+    {
+        std::lock_guard<std::mutex> const lock(output_mutex_);
+        if (output_.size() + frame.size() > owner_->settings.max_waiting_bytes)
+            return false;
+        output_ += frame;
+        if (connected_ && !writing_)
+        {
+            writing_ = true;
+            asio::post(
+                socket_.get_executor(),
+                [self = shared_from_this()] { self->write(); });
+        }
+        return true;
+    }
+
+    /// Nothing is delivered or reported afterwards, whatever arrives.
+    void close()
+    {
+        abandoned_ = true;
+        asio::post(
+            socket_.get_executor(),
+            [self = shared_from_this()] { self->close_socket(); });
+    }
+
+private:
+    void start_deadline()
+    {
+        deadline_.expires_after(owner_->settings.connect_timeout);
+        deadline_.async_wait(
+            [self = shared_from_this()](io_error cancelled)
+            {
+                if (!cancelled && !self->greeted_)
+                    self->fail("connect", "timeout");
+            });
+    }
+
+    void on_connected(io_error failure)
+    {
+        if (failure)
+        {
+            fail("connect", failure.message());
+            return;
+        }
+        set_options(socket_);
+        {
+            std::lock_guard<std::mutex> const lock(output_mutex_);
+            connected_ = true;
+            writing_ = true;
+        }
+        input_.resize(first_input_bytes);
+        write();
+        read();
+    }
+
+    /// Everything that waits leaves in one write.
+    void write()
+    {
+        {
+            std::lock_guard<std::mutex> const lock(output_mutex_);
+            if (in_flight_.capacity() > kept_output_bytes)
+                std::string().swap(in_flight_);
+            in_flight_.clear();
+            in_flight_.swap(output_);
+            if (in_flight_.empty())
+            {
+                writing_ = false;
+                return;
+            }
+        }
+        asio::async_write(
+            socket_, asio::buffer(in_flight_),
+            [self = shared_from_this()](io_error failure, std::size_t)
+            {
+                if (failure)
+                    self->fail("write", failure.message());
+                else
+                    self->write();
+            });
+    }
+
+    void read()
+    {
+        socket_.async_read_some(
+            asio::buffer(input_.data() + end_, input_.size() - end_),
+            [self = shared_from_this()](io_error failure, std::size_t n)
+            {
+                if (failure)
+                    self->fail("read", failure.message());
+                else
+                    self->on_read(n);
+            });
+    }
+
+    void on_read(std::size_t n)
+    {
+        end_ += n;
+        try
+        {
+            std::size_t begin = 0;
+            while (consume_frame(begin))
+            {
+            }
+            make_room(begin);
+        }
+        catch (error const& e)
+        {
+            fail(e.step().c_str(), e.detail());
+            return;
+        }
+        if (!abandoned_)
+            read();
+    }
+
+    bool consume_frame(std::size_t& begin)
+    {
+        if (abandoned_ || end_ - begin < frame_header_bytes)
+            return false;
+        char const* const frame = input_.data() + begin;
+        std::size_t const length = body_length(frame);
+        if (end_ - begin - frame_header_bytes < length)
+            return false;
+        begin += frame_header_bytes + length;
+        std::string_view const body(frame + frame_header_bytes, length);
+        if (greeted_)
+            owner_->deliver(peer_, decode(body));
+        else
+            on_greeting(decode_hello(body));
+        return true;
+    }
+
+    void on_greeting(hello const& h)
+    {
+        if (h.peer.empty() || (dialled_ && h.peer != peer_))
+        {
+            throw error(
+                error_code::protocol_error, "greet", "",
+                "peer calls itself \"" + h.peer.value() + "\"");
+        }
+        greeted_ = true;
+        deadline_.cancel();
+        if (dialled_)
+            return;
+        peer_ = h.peer;
+        owner_->add_incoming(peer_, shared_from_this());
+    }
+
+    /// Moves an incomplete frame to the front. The buffer grows with the bytes
+    /// that arrived, not with the length that a header announces.
+    void make_room(std::size_t begin)
+    {
+        bool const was_full = end_ == input_.size();
+        std::memmove(input_.data(), input_.data() + begin, end_ - begin);
+        end_ -= begin;
+        if (end_ == input_.size() ||
+            (was_full && input_.size() < largest_idle_input_bytes))
+        {
+            input_.resize(input_.size() * 2);
+        }
+        else if (end_ == 0 && input_.size() > largest_idle_input_bytes)
+        {
+            std::vector<char>(first_input_bytes).swap(input_);
+        }
+    }
+
+    void fail(char const* step, std::string const& detail)
+    {
+        if (abandoned_.exchange(true))
+            return;
+        close_socket();
+        owner_->log(step, peer_, detail);
+        owner_->remove(peer_, shared_from_this());
+    }
+
+    void close_socket()
+    {
+        io_error ignored;
+        socket_.close(ignored);
+        deadline_.cancel();
+    }
+
+    implementation_ptr const owner_;
+    tcp::socket socket_;
+    asio::steady_timer deadline_; // for connection and greeting
+    peer_id peer_;                // empty until an accepted peer names itself
+    bool const dialled_;
+    bool greeted_ = false;
+    std::atomic<bool> abandoned_{false};
+
+    std::vector<char> input_;
+    std::size_t end_ = 0; // of the bytes read
+
+    std::mutex output_mutex_; // guards the four below
+    bool connected_ = false;
+    bool writing_ = false;
+    std::string output_;    // frames that wait
+    std::string in_flight_; // frames being written
+};
+
+} // namespace
+
+tcp_peer_transport::implementation::implementation(
+    asio::io_context& context, tcp_transport_settings s,
+    message_callback on_message, disconnect_callback on_disconnected,
+    counter_registry& counters)
+    : io(context), settings(std::move(s)),
+      greeting(
+          [this]
+          {
+              std::string frame;
+              append_frame(frame, hello{settings.self, DOTTERELLOCK_VERSION});
+              return frame;
+          }()),
+      acceptor(context), sent(counters.counter("wire_messages_sent_total")),
+      received(counters.counter("wire_messages_received_total")),
+      dropped(counters.counter("wire_messages_dropped_total")),
+      failed(counters.counter("wire_connections_failed_total")),
+      on_message_(std::move(on_message)),
+      on_disconnected_(std::move(on_disconnected)),
+      to_self_(asio::make_strand(context)), accept_retry_(context)
+{
+    if (!settings.listen_address.empty())
+        listen();
+}
+
+void tcp_peer_transport::implementation::listen()
+{
+    auto const address = parse_address(settings.listen_address, "listen");
+    try
+    {
+        acceptor.open(address.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(address);
+        acceptor.listen();
+    }
+    catch (asio::system_error const& e)
+    {
+        throw error(
+            error_code::invalid_argument, "listen", "",
+            settings.listen_address + ": " + e.what());
+    }
+}
+
+void tcp_peer_transport::implementation::accept_next()
+{
+    acceptor.async_accept(
+        asio::make_strand(io),
+        [self = shared_from_this()](io_error failure, tcp::socket socket)
+        {
+            if (self->stopped_)
+                return;
+            if (!failure)
+            {
+                std::make_shared<connection>(self, std::move(socket), peer_id{})
+                    ->start_accepted();
+                self->accept_next();
+                return;
+            }
+            // Out of descriptors, most likely; some may be free soon.
+            self->log("accept", peer_id{}, failure.message());
+            self->accept_retry_.expires_after(accept_retry_delay);
+            self->accept_retry_.async_wait(
+                [self](io_error cancelled)
+                {
+                    if (!cancelled)
+                        self->accept_next();
+                });
+        });
+}
+
+void tcp_peer_transport::implementation::stop()
+{
+    stopped_ = true;
+    asio::post(
+        io,
+        [self = shared_from_this()]
+        {
+            io_error ignored;
+            self->acceptor.close(ignored);
+            self->accept_retry_.cancel();
+        });
+    std::unique_lock<std::shared_mutex> const lock(peers_mutex_);
+    for (auto& [id, state] : peers_)
+    {
+        std::lock_guard<std::mutex> const state_lock(state->mutex);
+        for (auto* slot : {&state->outgoing, &state->incoming})
+        {
+            if (*slot)
+                (*slot)->close();
+            slot->reset();
+        }
+        state->current.reset();
+    }
+}
+
+std::shared_ptr<peer_state>
+tcp_peer_transport::implementation::state_of(peer_id const& peer)
+{
+    {
+        std::shared_lock<std::shared_mutex> const lock(peers_mutex_);
+        auto const found = peers_.find(peer);
+        if (found != peers_.end())
+            return found->second;
+    }
+    std::unique_lock<std::shared_mutex> const lock(peers_mutex_);
+    auto& slot = peers_[peer];
+    if (!slot)
+        slot = std::make_shared<peer_state>();
+    return slot;
+}
+
+void tcp_peer_transport::implementation::set_address(
+    peer_id const& peer, std::string const& ip_port)
+{
+    parse_address(ip_port, "set_address");
+    auto const state = state_of(peer);
+    std::lock_guard<std::mutex> const lock(state->mutex);
+    if (state->address == ip_port)
+        return;
+    state->address = ip_port;
+    if (!state->outgoing)
+        return;
+    // The peer moved; the old connection leads to another process.
+    if (state->current == state->outgoing)
+        state->current = state->incoming;
+    state->outgoing->close();
+    state->outgoing.reset();
+}
+
+void tcp_peer_transport::implementation::send(peer_id const& to, message m)
+{
+    if (stopped_)
+        return;
+    if (to == settings.self)
+    {
+        send_to_self(std::move(m));
+        return;
+    }
+    std::string frame;
+    append_frame(frame, m);
+    auto const state = state_of(to);
+    std::lock_guard<std::mutex> const lock(state->mutex);
+    if (!state->current)
+    {
+        if (state->address.empty())
+        {
+            dropped.add();
+            report_lost(to);
+            return;
+        }
+        state->outgoing = std::make_shared<connection>(
+            shared_from_this(), tcp::socket(asio::make_strand(io)), to);
+        state->current = state->outgoing;
+        state->outgoing->dial(parse_address(state->address, "dial"));
+    }
+    if (state->current->enqueue(frame))
+    {
+        sent.add();
+        return;
+    }
+    dropped.add();
+    failed.add();
+    log("send", to, "too much waits; connection dropped");
+    auto& slot =
+        state->current == state->outgoing ? state->outgoing : state->incoming;
+    slot->close();
+    slot.reset();
+    state->current = state->outgoing ? state->outgoing : state->incoming;
+    report_lost(to);
+}
+
+void tcp_peer_transport::implementation::send_to_self(message m)
+{
+    sent.add();
+    asio::post(
+        to_self_, [self = shared_from_this(), m = std::move(m)]() mutable
+        { self->deliver(self->settings.self, std::move(m)); });
+}
+
+void tcp_peer_transport::implementation::reconnect(peer_id const& to)
+{
+    auto const state = state_of(to);
+    std::lock_guard<std::mutex> const lock(state->mutex);
+    for (auto* slot : {&state->outgoing, &state->incoming})
+    {
+        if (*slot)
+            (*slot)->close();
+        slot->reset();
+    }
+    state->current.reset();
+}
+
+void tcp_peer_transport::implementation::add_incoming(
+    peer_id const& peer, connection_ptr const& c)
+{
+    auto const state = state_of(peer);
+    std::lock_guard<std::mutex> const lock(state->mutex);
+    if (stopped_)
+    {
+        c->close();
+        return;
+    }
+    // The peer opens a second connection only after it gave up the first.
+    if (state->incoming)
+        state->incoming->close();
+    state->incoming = c;
+    state->current = c;
+}
+
+void tcp_peer_transport::implementation::remove(
+    peer_id const& peer, connection_ptr const& c)
+{
+    failed.add();
+    if (peer.empty())
+        return;
+    {
+        auto const state = state_of(peer);
+        std::lock_guard<std::mutex> const lock(state->mutex);
+        bool known = false;
+        for (auto* slot : {&state->outgoing, &state->incoming})
+        {
+            known = known || *slot == c;
+            if (*slot == c)
+                slot->reset();
+        }
+        if (!known)
+            return;
+        if (state->current == c)
+            state->current =
+                state->outgoing ? state->outgoing : state->incoming;
+    }
+    if (!stopped_)
+        on_disconnected_(peer);
+}
+
+void tcp_peer_transport::implementation::deliver(peer_id const& from, message m)
+{
+    received.add();
+    if (!stopped_)
+        on_message_(from, std::move(m));
+}
+
+void tcp_peer_transport::implementation::report_lost(peer_id const& peer)
+{
+    asio::post(
+        io,
+        [self = shared_from_this(), peer]
+        {
+            if (!self->stopped_)
+                self->on_disconnected_(peer);
+        });
+}
+
+void tcp_peer_transport::implementation::log(
+    char const* step, peer_id const& peer, std::string const& detail)
+{
+    if (settings.log && !stopped_)
+        settings.log(step, peer, detail);
+}
+
+// ---- tcp_peer_transport ---------------------------------------------------
+
+tcp_peer_transport::tcp_peer_transport(
+    asio::io_context& io, tcp_transport_settings settings,
+    message_callback on_message, disconnect_callback on_disconnected,
+    counter_registry& counters)
+    : implementation_(std::make_shared<implementation>(
+          io, std::move(settings), std::move(on_message),
+          std::move(on_disconnected), counters))
+{
+}
+
+tcp_peer_transport::~tcp_peer_transport()
+{
+    implementation_->stop();
+}
+
+void tcp_peer_transport::start()
+{
+    if (implementation_->acceptor.is_open())
+        implementation_->accept_next();
+}
+
+void tcp_peer_transport::stop()
+{
+    implementation_->stop();
+}
+
+void tcp_peer_transport::set_address(
+    peer_id const& peer, std::string const& ip_port)
+{
+    implementation_->set_address(peer, ip_port);
+}
+
+void tcp_peer_transport::send(peer_id const& to, message m)
+{
+    implementation_->send(to, std::move(m));
+}
+
+void tcp_peer_transport::reconnect(peer_id const& to)
+{
+    implementation_->reconnect(to);
+}
+
+std::string tcp_peer_transport::listening_on() const
+{
+    if (!implementation_->acceptor.is_open())
+        return {};
+    auto const local = implementation_->acceptor.local_endpoint();
+    return local.address().to_string() + ":" + std::to_string(local.port());
+}
+
+} // namespace dotterellock
