--- /dev/null
+++ b/src/platform/curl_executor.cpp
@@ -0,0 +1,260 @@
+#include "curl_executor.hpp"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterellock
+{
+
+namespace
+{
+
+constexpr int poll_interval_ms = 1000; // a wake-up ends the wait earlier
+constexpr long max_idle_connections = 64;
+
+struct curl_library
+{
+    curl_library() { curl_global_init(CURL_GLOBAL_DEFAULT); }
+};
+
+void initialise_curl()
+{
+    // libcurl wants one initialisation a process, before any thread uses it.
+    static curl_library const library;
+    (void)library;
+}
+
+struct header_list_deleter
+{
+    void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+
+struct easy_deleter
+{
+    void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
+};
+
+} // namespace
+
+struct curl_executor::transfer
+{
+    transfer_id id = 0;
+    http_request request;
+    http_handlers handlers;
+    std::string body;
+    std::unique_ptr<curl_slist, header_list_deleter> headers;
+    std::unique_ptr<CURL, easy_deleter> easy;
+
+    static std::size_t
+    receive(char* data, std::size_t size, std::size_t count, void* self)
+    {
+        auto& t = *static_cast<transfer*>(self);
+        std::size_t const n = size * count;
+        if (t.handlers.on_data)
+            t.handlers.on_data(std::string_view(data, n));
+        else
+            t.body.append(data, n);
+        return n;
+    }
+
+    void add_header(std::string const& line)
+    {
+        curl_slist* const extended =
+            curl_slist_append(headers.get(), line.c_str());
+        (void)headers.release();
+        headers.reset(extended);
+    }
+
+    void prepare();
+};
+
+void curl_executor::transfer::prepare()
+{
+    easy.reset(curl_easy_init());
+    CURL* const e = easy.get();
+    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(e, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(e, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, &transfer::receive);
+    curl_easy_setopt(e, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(
+        e, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
+    curl_easy_setopt(
+        e, CURLOPT_CONNECTTIMEOUT_MS,
+        static_cast<long>(request.connect_timeout.count()));
+    if (request.fresh_connection)
+    {
+        curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
+    }
+    if (!request.body.empty() || request.method == "POST")
+    {
+        curl_easy_setopt(e, CURLOPT_POSTFIELDS, request.body.c_str());
+        curl_easy_setopt(
+            e, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
+    }
+    add_header("Expect:"); // no 100-continue round trip for long prompts
+    add_header("Content-Type: " + request.content_type);
+    for (auto const& line : request.headers)
+        add_header(line);
+    curl_easy_setopt(e, CURLOPT_HTTPHEADER, headers.get());
+}
+
+curl_executor::curl_executor(counter_registry& counters)
+    : transfers_started_(counters.counter("http_client_transfers_total")),
+      transfers_failed_(counters.counter("http_client_failures_total")),
+      multi_(nullptr)
+{
+    initialise_curl();
+    multi_ = curl_multi_init();
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, max_idle_connections);
+    thread_ = std::thread([this] { run(); });
+}
+
+curl_executor::~curl_executor()
+{
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        stopping_ = true;
+    }
+    curl_multi_wakeup(multi_);
+    thread_.join();
+    for (auto const& entry : active_)
+        curl_multi_remove_handle(multi_, entry.second->easy.get());
+    active_.clear();
+    curl_multi_cleanup(multi_);
+}
+
+curl_executor::transfer_id
+curl_executor::submit(http_request request, http_handlers handlers)
+{
+    auto t = std::make_unique<transfer>();
+    t->request = std::move(request);
+    t->handlers = std::move(handlers);
+    transfer_id id = 0;
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        id = ++last_id_;
+        t->id = id;
+        pending_.push_back(std::move(t));
+    }
+    curl_multi_wakeup(multi_);
+    return id;
+}
+
+void curl_executor::abort(transfer_id id)
+{
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        aborts_.push_back(id);
+    }
+    curl_multi_wakeup(multi_);
+}
+
+void curl_executor::run()
+{
+    for (;;)
+    {
+        {
+            std::lock_guard<std::mutex> const lock(mutex_);
+            if (stopping_)
+                return;
+        }
+        start_pending();
+        int running = 0;
+        curl_multi_perform(multi_, &running);
+        finish_completed();
+        curl_multi_poll(multi_, nullptr, 0, poll_interval_ms, nullptr);
+    }
+}
+
+void curl_executor::start_pending()
+{
+    std::vector<std::unique_ptr<transfer>> starting;
+    std::vector<transfer_id> aborting;
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        starting.swap(pending_);
+        aborting.swap(aborts_);
+    }
+    for (auto& t : starting)
+    {
+        bool const aborted =
+            std::find(aborting.begin(), aborting.end(), t->id) !=
+            aborting.end();
+        if (aborted)
+            continue;
+        t->prepare();
+        curl_multi_add_handle(multi_, t->easy.get());
+        transfers_started_.add();
+        active_[t->id] = std::move(t);
+    }
+    for (transfer_id const id : aborting)
+        remove(id);
+}
+
+void curl_executor::remove(transfer_id id)
+{
+    auto const found = active_.find(id);
+    if (found == active_.end())
+        return;
+    curl_multi_remove_handle(multi_, found->second->easy.get());
+    active_.erase(found);
+}
+
+void curl_executor::finish_completed()
+{
+    int remaining = 0;
+    while (CURLMsg* const m = curl_multi_info_read(multi_, &remaining))
+    {
+        if (m->msg != CURLMSG_DONE)
+            continue;
+        CURLcode const code = m->data.result;
+        char* private_data = nullptr;
+        curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &private_data);
+        auto* const t = reinterpret_cast<transfer*>(private_data);
+        if (code != CURLE_OK)
+            transfers_failed_.add();
+        auto const on_done = std::move(t->handlers.on_done);
+        http_response response = response_of(*t, code);
+        remove(t->id);
+        if (on_done)
+            on_done(std::move(response));
+    }
+}
+
+http_response curl_executor::response_of(transfer& t, int curl_code)
+{
+    http_response r;
+    auto const code = static_cast<CURLcode>(curl_code);
+    bool const never_connected =
+        code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
+        code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL;
+    double connect_seconds = 0;
+    curl_easy_getinfo(t.easy.get(), CURLINFO_CONNECT_TIME, &connect_seconds);
+    // A timeout before the connection stood also means that nothing was sent.
+    bool const timed_out_connecting =
+        code == CURLE_OPERATION_TIMEDOUT && connect_seconds <= 0;
+    r.sent = !never_connected && !timed_out_connecting;
+    r.answered = code == CURLE_OK;
+
+    long status = 0;
+    curl_easy_getinfo(t.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+    r.status = static_cast<int>(status);
+    char* content_type = nullptr;
+    curl_easy_getinfo(t.easy.get(), CURLINFO_CONTENT_TYPE, &content_type);
+    if (content_type != nullptr)
+        r.content_type = content_type;
+    r.body = std::move(t.body);
+    if (code != CURLE_OK)
+        r.detail = curl_easy_strerror(code);
+    return r;
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/platform/http_engine.cpp
@@ -0,0 +1,268 @@
+#include "http_engine.hpp"
+
+#include <map>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "sse_parser.hpp"
+
+namespace dotterellock
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds order_timeout{30000};
+constexpr char const* stream_end = "[DONE]";
+
+char const* name_of(order_kind kind)
+{
+    switch (kind)
+    {
+    case order_kind::load:
+        return "load";
+    case order_kind::unload:
+        return "unload";
+    case order_kind::set_role:
+        return "set_role";
+    }
+    return "invalid";
+}
+
+json to_json(model_ref const& model)
+{
+    return {
+        {"name", model.name},
+        {"adapter", model.adapter},
+        {"version", model.version}};
+}
+
+std::string completion_body(dispatch_generation const& d)
+{
+    json const body = {
+        {"model", d.model.name},
+        {"adapter", d.model.adapter},
+        {"version", d.model.version},
+        {"prompt", d.prompt},
+        {"continue_tokens", d.resume_tokens},
+        {"max_tokens", d.sampling.max_tokens},
+        {"temperature", d.sampling.temperature},
+        {"seed", d.sampling.seed},
+        {"priority", index_of(d.rank)},
+        {"stream", true}};
+    return body.dump();
+}
+
+error engine_error(std::string const& peer, std::string const& detail)
+{
+    return {error_code::engine_failed, "engine_stream", peer, detail};
+}
+
+/// What one chunk of the stream says.
+struct stream_update
+{
+    std::vector<std::string> tokens;
+    std::optional<finish_reason> finished;
+};
+
+stream_update parse_chunk(std::string const& data)
+{
+    stream_update update;
+    json const chunk = json::parse(data);
+    json const& choice = chunk.at("choices").at(0);
+    std::string text = choice.at("text").get<std::string>();
+    if (!text.empty())
+        update.tokens.push_back(std::move(text));
+    json const& reason = choice.at("finish_reason");
+    if (!reason.is_null())
+    {
+        update.finished = reason.get<std::string>() == "length"
+                              ? finish_reason::length
+                              : finish_reason::stop;
+    }
+    return update;
+}
+
+} // namespace
+
+struct http_engine::state
+{
+    struct run
+    {
+        engine_events events;
+        curl_executor::transfer_id transfer = 0;
+    };
+
+    std::string peer;
+    engine_run_id last_run = 0;
+    std::map<engine_run_id, run> runs;
+
+    void apply(engine_run_id id, stream_update const& update)
+    {
+        auto found = runs.find(id);
+        if (found == runs.end())
+            return;
+        if (!update.tokens.empty())
+        {
+            // The handler may cancel the run, so it runs from a copy.
+            auto const on_tokens = found->second.events.on_tokens;
+            on_tokens(update.tokens);
+            found = runs.find(id);
+        }
+        if (!update.finished || found == runs.end())
+            return;
+        auto const on_finished = found->second.events.on_finished;
+        runs.erase(found);
+        on_finished(*update.finished);
+    }
+
+    void fail(engine_run_id id, std::string const& detail)
+    {
+        auto const found = runs.find(id);
+        if (found == runs.end())
+            return;
+        auto const on_failed = found->second.events.on_failed;
+        runs.erase(found);
+        on_failed(engine_error(peer, detail));
+    }
+};
+
+namespace
+{
+
+/// Collects what one piece of the stream holds into one update, so that
+/// tokens already waiting cross to the owner in one batch.
+stream_update parse_piece(sse_parser& parser, std::string_view bytes)
+{
+    stream_update all;
+    for (auto const& event : parser.feed(bytes))
+    {
+        if (event.data == stream_end)
+            continue;
+        stream_update one = parse_chunk(event.data);
+        for (auto& token : one.tokens)
+            all.tokens.push_back(std::move(token));
+        if (one.finished)
+            all.finished = one.finished;
+    }
+    return all;
+}
+
+} // namespace
+
+http_engine::http_engine(
+    std::string base_url, curl_executor& executor, poster post)
+    : base_url_(std::move(base_url)), executor_(executor),
+      post_(std::move(post)), state_(std::make_shared<state>())
+{
+    state_->peer = base_url_;
+}
+
+http_engine::~http_engine()
+{
+    for (auto const& entry : state_->runs)
+        executor_.abort(entry.second.transfer);
+}
+
+engine_run_id
+http_engine::start(dispatch_generation const& dispatch, engine_events events)
+{
+    engine_run_id const id = ++state_->last_run;
+    std::weak_ptr<state> const weak = state_;
+    auto const post_to_state = [post = post_, weak](auto action)
+    {
+        post(
+            [weak, action]
+            {
+                if (auto const s = weak.lock())
+                    action(*s);
+            });
+    };
+
+    http_request request;
+    request.method = "POST";
+    request.url = base_url_ + "/v1/completions";
+    request.content_type = "application/json";
+    request.body = completion_body(dispatch);
+    request.headers.push_back("X-Request-Id: " + dispatch.request.value());
+
+    auto const parser = std::make_shared<sse_parser>();
+    http_handlers handlers;
+    handlers.on_data = [post_to_state, parser, id](std::string_view bytes)
+    {
+        try
+        {
+            auto const update = parse_piece(*parser, bytes);
+            if (!update.tokens.empty() || update.finished)
+                post_to_state([id, update](state& s) { s.apply(id, update); });
+        }
+        catch (std::exception const& e)
+        {
+            std::string const detail = e.what();
+            post_to_state([id, detail](state& s) { s.fail(id, detail); });
+        }
+    };
+    handlers.on_done = [post_to_state, id](http_response const& response)
+    {
+        std::string const detail = response.answered
+                                       ? "stream ended early, status " +
+                                             std::to_string(response.status)
+                                       : response.detail;
+        post_to_state([id, detail](state& s) { s.fail(id, detail); });
+    };
+    auto const transfer =
+        executor_.submit(std::move(request), std::move(handlers));
+    state_->runs[id] = state::run{std::move(events), transfer};
+    return id;
+}
+
+void http_engine::cancel(engine_run_id run)
+{
+    auto const found = state_->runs.find(run);
+    if (found == state_->runs.end())
+        return;
+    executor_.abort(found->second.transfer);
+    state_->runs.erase(found);
+}
+
+void http_engine::order(
+    engine_order const& order, std::function<void(std::optional<error>)> done)
+{
+    json const body = {
+        {"order", name_of(order.kind)},
+        {"model", to_json(order.model)},
+        {"role", order.role},
+        {"fencing_token", order.token}};
+    http_request request;
+    request.method = "POST";
+    request.url = base_url_ + "/v1/orders";
+    request.content_type = "application/json";
+    request.body = body.dump();
+    request.timeout = order_timeout;
+
+    http_handlers handlers;
+    handlers.on_done =
+        [post = post_, peer = base_url_, done](http_response const& response)
+    {
+        std::optional<error> result;
+        if (!response.answered)
+            result = error(
+                error_code::connection_lost, "engine_order", peer,
+                response.detail);
+        else if (response.status == 409)
+            result = error(
+                error_code::stale_fencing_token, "engine_order", peer,
+                response.body);
+        else if (response.status != 200)
+            result = error(
+                error_code::engine_failed, "engine_order", peer,
+                "status " + std::to_string(response.status));
+        post([done, result] { done(result); });
+    };
+    executor_.submit(std::move(request), std::move(handlers));
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/platform/http_engine.hpp
@@ -0,0 +1,42 @@
+// Engine client: streams completions as server-sent events and sends orders.
+// All state is touched only in functions run by the poster or called by the
+// owner, that is, under the owner's mutex.
+#ifndef DOTTERELLOCK_PLATFORM_HTTP_ENGINE_HPP
+#define DOTTERELLOCK_PLATFORM_HTTP_ENGINE_HPP
+
+#include <memory>
+
+#include <dotterellock/platform.hpp>
+
+#include "curl_executor.hpp"
+
+namespace dotterellock
+{
+
+class http_engine : public engine
+{
+public:
+    http_engine(std::string base_url, curl_executor& executor, poster post);
+    ~http_engine() override;
+    http_engine(http_engine const&) = delete;
+    http_engine& operator=(http_engine const&) = delete;
+
+    engine_run_id
+    start(dispatch_generation const& dispatch, engine_events events) override;
+    void cancel(engine_run_id run) override;
+    void order(
+        engine_order const& order,
+        std::function<void(std::optional<error>)> done) override;
+
+private:
+    struct state;
+
+    std::string base_url_;
+    curl_executor& executor_;
+    poster post_;
+    std::shared_ptr<state> state_; // posted functions hold a weak reference
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/platform/http_plain_service.cpp
@@ -0,0 +1,42 @@
+#include "http_plain_service.hpp"
+
+#include <utility>
+
+namespace dotterellock
+{
+
+http_plain_service::http_plain_service(
+    std::string base_url, curl_executor& executor, poster post)
+    : base_url_(std::move(base_url)), executor_(executor),
+      post_(std::move(post))
+{
+}
+
+void http_plain_service::call(
+    dispatch_call const& call, std::function<void(service_answer)> done)
+{
+    http_request request;
+    request.method = call.method;
+    request.url = base_url_ + call.path;
+    request.content_type = call.content_type;
+    request.body = call.body;
+    request.timeout = call.timeout;
+    request.headers.push_back("X-Request-Id: " + call.request.value());
+    request.fresh_connection = !call.repeatable;
+
+    http_handlers handlers;
+    handlers.on_done = [post = post_, done](http_response response)
+    {
+        service_answer answer;
+        answer.sent = response.sent;
+        answer.answered = response.answered;
+        answer.status = response.status;
+        answer.content_type = std::move(response.content_type);
+        answer.body = std::move(response.body);
+        answer.detail = std::move(response.detail);
+        post([done, answer] { done(answer); });
+    };
+    executor_.submit(std::move(request), std::move(handlers));
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/platform/http_plain_service.hpp
@@ -0,0 +1,32 @@
+// Client of the plain service beside an agent. Calls that may not be repeated
+// use a connection of their own, since libcurl repeats a request by itself
+// when a reused connection turns out to be closed.
+#ifndef DOTTERELLOCK_PLATFORM_HTTP_PLAIN_SERVICE_HPP
+#define DOTTERELLOCK_PLATFORM_HTTP_PLAIN_SERVICE_HPP
+
+#include <dotterellock/platform.hpp>
+
+#include "curl_executor.hpp"
+
+namespace dotterellock
+{
+
+class http_plain_service : public plain_service
+{
+public:
+    http_plain_service(
+        std::string base_url, curl_executor& executor, poster post);
+
+    void call(
+        dispatch_call const& call,
+        std::function<void(service_answer)> done) override;
+
+private:
+    std::string base_url_;
+    curl_executor& executor_;
+    poster post_;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/platform/sse_parser.cpp
@@ -0,0 +1,68 @@
+#include "sse_parser.hpp"
+
+#include <utility>
+
+#include <dotterellock/error.hpp>
+
+namespace dotterellock
+{
+
+std::vector<sse_event> sse_parser::feed(std::string_view bytes)
+{
+    std::vector<sse_event> events;
+    buffer_.append(bytes);
+    std::size_t begin = 0;
+    for (;;)
+    {
+        std::size_t const end = buffer_.find('\n', begin);
+        if (end == std::string::npos)
+            break;
+        std::string_view line(buffer_.data() + begin, end - begin);
+        if (!line.empty() && line.back() == '\r')
+            line.remove_suffix(1);
+        take_line(line, events);
+        begin = end + 1;
+    }
+    buffer_.erase(0, begin);
+    if (buffer_.size() + current_.data.size() > max_event_bytes)
+    {
+        throw error(
+            error_code::protocol_error, "parse_event_stream", "",
+            "event exceeds " + std::to_string(max_event_bytes) + " bytes");
+    }
+    return events;
+}
+
+void sse_parser::take_line(
+    std::string_view line, std::vector<sse_event>& events)
+{
+    if (line.empty())
+    {
+        if (has_data_)
+            events.push_back(std::exchange(current_, {}));
+        current_ = {};
+        has_data_ = false;
+        return;
+    }
+    std::size_t const colon = line.find(':');
+    if (colon == 0)
+        return; // a comment, used as keep-alive
+    std::string_view const field = line.substr(0, colon);
+    std::string_view value =
+        colon == std::string_view::npos ? "" : line.substr(colon + 1);
+    if (!value.empty() && value.front() == ' ')
+        value.remove_prefix(1);
+    if (field == "data")
+    {
+        if (has_data_)
+            current_.data += '\n';
+        current_.data += value;
+        has_data_ = true;
+    }
+    else if (field == "id")
+    {
+        current_.id = value;
+    }
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/platform/sse_parser.hpp
@@ -0,0 +1,40 @@
+// Splits a stream of server-sent events into the data of its events. Bytes may
+// arrive in pieces of any size. One parser belongs to one stream.
+#ifndef DOTTERELLOCK_PLATFORM_SSE_PARSER_HPP
+#define DOTTERELLOCK_PLATFORM_SSE_PARSER_HPP
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dotterellock
+{
+
+struct sse_event
+{
+    std::string id;
+    std::string data;
+};
+
+class sse_parser
+{
+public:
+    /// An event longer than this is an error of the server.
+    static constexpr std::size_t max_event_bytes = 1 << 20;
+
+    /// Returns the events that these bytes complete.
+    /// Throws error(protocol_error) when an event is too long.
+    std::vector<sse_event> feed(std::string_view bytes);
+
+private:
+    void take_line(std::string_view line, std::vector<sse_event>& events);
+
+    std::string buffer_; // the incomplete last line
+    sse_event current_;
+    bool has_data_ = false;
+};
+
+} // namespace dotterellock
+
+#endif
