--- /dev/null
+++ b/standins/storage_standins.hpp
@@ -0,0 +1,119 @@
+// Stand-ins of the platform's storage and fleet view; protocols as in
+// src/platform/http_stores.hpp, faults by POST /admin/fault.
+#ifndef DOTTERELLOCK_STANDINS_STORAGE_STANDINS_HPP
+#define DOTTERELLOCK_STANDINS_STORAGE_STANDINS_HPP
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "standin.hpp"
+
+namespace dotterellock::standins
+{
+
+/// Rows under conditions. Faults: {"down":b,"silent":b,"lose_answers":b,
+/// "delay_ms":n,"apply_late_ms":n}. Rates above the limits are refused.
+class table_service_standin : public standin
+{
+public:
+    table_service_standin(
+        asio::io_context& context, std::uint32_t writes_per_second,
+        std::uint32_t reads_per_second);
+
+    void
+    handle(http_call const& call, std::shared_ptr<http_reply> reply) override;
+
+private:
+    struct stored_row
+    {
+        std::string value;
+        std::uint64_t version = 0;
+    };
+
+    /// Counts the operations of the present second.
+    struct rate_window
+    {
+        std::chrono::steady_clock::time_point start;
+        std::uint32_t used = 0;
+        std::uint32_t limit = 0;
+
+        bool take(std::uint32_t n);
+    };
+
+    void
+    commit(std::string const& body, std::shared_ptr<http_reply> const& reply);
+    std::pair<int, std::string> apply(std::string const& body);
+    void read(std::string const& body, http_reply& reply);
+    void scan(std::string const& body, http_reply& reply);
+    void take_fault(std::string const& body, http_reply& reply);
+    void report_stats(http_reply& reply);
+
+    asio::io_context& context_;
+    std::map<std::string, stored_row> rows_;
+    std::uint64_t last_version_ = 0;
+    std::vector<std::shared_ptr<http_reply>> held_; // answers being lost
+    rate_window writes_;
+    rate_window reads_;
+    std::uint64_t total_writes_ = 0;
+    std::uint64_t total_reads_ = 0;
+    std::uint64_t total_commits_ = 0;
+    std::uint64_t refused_ = 0;
+    bool down_ = false;
+    bool silent_ = false;
+    bool lose_answers_ = false;
+    milliseconds delay_{2};
+    milliseconds apply_late_{0};
+};
+
+/// PUT and GET under /v1/objects/.
+class object_store_standin : public standin
+{
+public:
+    void
+    handle(http_call const& call, std::shared_ptr<http_reply> reply) override;
+
+private:
+    std::map<std::string, std::string> objects_;
+    bool down_ = false;
+};
+
+/// Sizes of model weights: the same for every model.
+class weight_store_standin : public standin
+{
+public:
+    explicit weight_store_standin(std::uint64_t weight_bytes)
+        : weight_bytes_(weight_bytes)
+    {
+    }
+
+    void
+    handle(http_call const& call, std::shared_ptr<http_reply> reply) override;
+
+private:
+    std::uint64_t weight_bytes_;
+};
+
+/// The list put under /admin/hosts, shown `lag` later under /v1/hosts.
+class fleet_view_standin : public standin
+{
+public:
+    fleet_view_standin(asio::io_context& context, milliseconds lag)
+        : context_(context), lag_(lag)
+    {
+    }
+
+    void
+    handle(http_call const& call, std::shared_ptr<http_reply> reply) override;
+
+private:
+    asio::io_context& context_;
+    milliseconds lag_;
+    std::string hosts_ = R"({"hosts":[]})";
+};
+
+} // namespace dotterellock::standins
+
+#endif
