Add the checked YAML reader and the fleet document

Router, agent and operators' tool need one way to read settings whose errors name file, line, key and allowed values. yaml_reader bounds size, nesting and number of values before it builds a tree; yaml_configuration_parser reads defaults and exceptions into policy_settings and checks every exception on every node, so that all nodes agree whether a document is valid.

--- /dev/null
+++ b/src/settings/fleet_document.cpp
@@ -0,0 +1,443 @@
+#include "settings/fleet_document.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <set>
+
+#include <dotterellock/error.hpp>
+
+#include "settings/yaml_reader.hpp"
+
+// Index
+//   time          : parse_utc, format_utc
+//   policy fields : one read_ function a group
+//   exceptions    : header, scope, settings
+//   parser        : effective, exceptions
+
+namespace dotterellock
+{
+
+// ---- time -----------------------------------------------------------------
+
+namespace
+{
+
+constexpr std::int64_t seconds_per_day = 86400;
+
+/// Days since 1970-01-01 in the Gregorian calendar (Howard Hinnant,
+/// "chrono-compatible low-level date algorithms").
+std::int64_t days_from_civil(std::int64_t y, unsigned m, unsigned d)
+{
+    y -= m <= 2 ? 1 : 0;
+    std::int64_t const era = y / 400;
+    auto const yoe = static_cast<unsigned>(y - era * 400);
+    unsigned const doy = (153 * (m > 2 ? m - 3 : m + 9) + 2) / 5 + d - 1;
+    unsigned const doe = yoe * 365 + yoe / 4 - yoe / 100 + doy;
+    return era * 146097 + static_cast<std::int64_t>(doe) - 719468;
+}
+
+struct civil_date
+{
+    std::int64_t year;
+    unsigned month;
+    unsigned day;
+};
+
+civil_date civil_from_days(std::int64_t z)
+{
+    z += 719468;
+    std::int64_t const era = z / 146097;
+    auto const doe = static_cast<unsigned>(z - era * 146097);
+    unsigned const yoe = (doe - doe / 1460 + doe / 36524 - doe / 146096) / 365;
+    unsigned const doy = doe - (365 * yoe + yoe / 4 - yoe / 100);
+    unsigned const mp = (5 * doy + 2) / 153;
+    unsigned const month = mp < 10 ? mp + 3 : mp - 9;
+    std::int64_t const year = yoe + era * 400 + (month <= 2 ? 1 : 0);
+    return {year, month, doy - (153 * mp + 2) / 5 + 1};
+}
+
+bool is_utc_form(std::string const& text)
+{
+    std::string const form = "dddd-dd-ddTdd:dd:ddZ";
+    if (text.size() != form.size())
+        return false;
+    for (std::size_t i = 0; i < form.size(); ++i)
+    {
+        bool const digit = text[i] >= '0' && text[i] <= '9';
+        if (form[i] == 'd' ? !digit : text[i] != form[i])
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+wall_time parse_utc(std::string const& text)
+{
+    auto const refuse = [&text]
+    {
+        throw error(
+            error_code::invalid_argument, "parse_time", "",
+            "'" + text + "' is no time; allowed: UTC as YYYY-MM-DDThh:mm:ssZ");
+    };
+    if (!is_utc_form(text))
+        refuse();
+    auto const field = [&text](std::size_t at, std::size_t length)
+    { return static_cast<unsigned>(std::stoul(text.substr(at, length))); };
+    unsigned const year = field(0, 4);
+    unsigned const month = field(5, 2);
+    unsigned const day = field(8, 2);
+    unsigned const hour = field(11, 2);
+    unsigned const minute = field(14, 2);
+    unsigned const second = field(17, 2);
+    if (year < 1970 || month < 1 || month > 12 || day < 1 || hour > 23 ||
+        minute > 59 || second > 59)
+        refuse();
+    std::int64_t const days = days_from_civil(year, month, day);
+    civil_date const back = civil_from_days(days);
+    if (back.month != month || back.day != day) // such as 30 February
+        refuse();
+    std::int64_t const in_day = hour * 3600 + minute * 60 + second;
+    return wall_time{} + std::chrono::seconds(days * seconds_per_day + in_day);
+}
+
+std::string format_utc(wall_time time)
+{
+    std::int64_t const total = std::chrono::duration_cast<std::chrono::seconds>(
+                                   time.time_since_epoch())
+                                   .count();
+    civil_date const date = civil_from_days(total / seconds_per_day);
+    auto const in_day = static_cast<unsigned>(total % seconds_per_day);
+    char text[64];
+    std::snprintf(
+        text, sizeof(text), "%04lld-%02u-%02uT%02u:%02u:%02uZ",
+        static_cast<long long>(date.year), date.month, date.day, in_day / 3600,
+        in_day / 60 % 60, in_day % 60);
+    return text;
+}
+
+// ---- policy fields --------------------------------------------------------
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// Bounds catch slips of unit or of a digit; they are no tuning advice.
+constexpr milliseconds shortest{1};
+constexpr milliseconds longest{3600000};
+constexpr milliseconds none{0};
+constexpr double most = 1e12;
+constexpr std::uint32_t max_count = 1000000;
+
+std::vector<std::pair<std::string, rank>> const& rank_names()
+{
+    static std::vector<std::pair<std::string, rank>> const names = {
+        {to_string(rank::urgent), rank::urgent},
+        {to_string(rank::standard), rank::standard},
+        {to_string(rank::background), rank::background}};
+    return names;
+}
+
+void read_ranks(yaml_reader reader, policy_settings& policy)
+{
+    for (rank const r : all_ranks)
+    {
+        auto one = reader.child(to_string(r));
+        if (!one)
+            continue;
+        rank_policy& p = policy.ranks[index_of(r)];
+        one->optional(
+            "first_token_target_ms", p.first_token_target, shortest, longest);
+        one->optional("waiting_limit_ms", p.waiting_limit, shortest, longest);
+        one->optional("worth", p.worth, 1e-6, most);
+        one->optional("floor_share", p.floor_share, 0, 1);
+        one->finish();
+    }
+    reader.finish();
+}
+
+void read_organisation(yaml_reader& reader, organisation_policy& p)
+{
+    reader.optional("requests_per_second", p.requests_per_second, 0, most);
+    reader.optional("burst_requests", p.burst_requests, 1, most);
+    reader.optional("weight", p.weight, 1e-6, 1e6);
+    reader.choice("default_rank", p.default_rank, rank_names());
+    reader.choice("highest_rank", p.highest_rank, rank_names());
+    // The two are set together, so that no combination of defaults and
+    // exceptions can leave a default above the highest rank.
+    bool const has_default = reader.contains("default_rank");
+    if (has_default != reader.contains("highest_rank"))
+    {
+        reader.fail(
+            has_default ? "default_rank" : "highest_rank",
+            "is given without the other",
+            "default_rank and highest_rank together");
+    }
+    if (p.default_rank < p.highest_rank)
+    {
+        reader.fail(
+            "default_rank", "is more urgent than highest_rank",
+            std::string(to_string(p.highest_rank)) + " or less urgent");
+    }
+    reader.finish();
+}
+
+void read_organisations(yaml_reader reader, policy_settings& policy)
+{
+    for (auto const& key : reader.keys())
+    {
+        auto one = reader.child(key);
+        auto const entry = policy.organisations.emplace(
+            organisation_id(key), policy.organisation);
+        read_organisation(*one, entry.first->second);
+    }
+}
+
+void read_queue(yaml_reader reader, queue_policy& p)
+{
+    reader.optional<std::size_t>(
+        "max_reservations", p.max_reservations, 1, max_count);
+    reader.optional("quantum_tokens", p.quantum_tokens, 1u, max_count);
+    reader.optional("offer_validity_ms", p.offer_validity, shortest, longest);
+    reader.finish();
+}
+
+void read_dispatch(yaml_reader reader, dispatch_policy& p)
+{
+    constexpr std::uint32_t max_reservations = 64;
+    reader.optional("reservations", p.reservations, 1u, max_reservations);
+    reader.optional(
+        "extra_reservation_after_ms", p.extra_reservation_after, shortest,
+        longest);
+    reader.optional(
+        "max_reservations", p.max_reservations, 1u, max_reservations);
+    reader.optional(
+        "cross_region_bytes_per_second", p.cross_region_bytes_per_second, 0,
+        most);
+    reader.optional("straggler_pace", p.straggler_pace, 0, 1);
+    reader.optional(
+        "straggler_probe_after_ms", p.straggler_probe_after, shortest, longest);
+    reader.finish();
+}
+
+void read_retry(yaml_reader reader, retry_policy& p)
+{
+    reader.optional("budget_ratio", p.budget_ratio, 0, 1);
+    reader.optional(
+        "budget_minimum_per_second", p.budget_minimum_per_second, 0, 1e6);
+    reader.optional("max_attempts", p.max_attempts, 1u, 100u);
+    reader.finish();
+}
+
+void read_recovery(yaml_reader reader, recovery_policy& p)
+{
+    struct field
+    {
+        char const* key;
+        milliseconds recovery_policy::*target;
+        milliseconds low;
+    };
+    static field const fields[] = {
+        {"report_interval_ms", &recovery_policy::report_interval, shortest},
+        {"heartbeat_interval_ms", &recovery_policy::heartbeat_interval,
+         shortest},
+        {"silent_after_ms", &recovery_policy::silent_after, shortest},
+        {"stalled_after_ms", &recovery_policy::stalled_after, shortest},
+        {"prefill_stalled_after_ms", &recovery_policy::prefill_stalled_after,
+         shortest},
+        {"check_timeout_ms", &recovery_policy::check_timeout, shortest},
+        {"grace_period_ms", &recovery_policy::grace_period, none},
+        {"journal_after_ms", &recovery_policy::journal_after, none},
+        {"journal_interval_ms", &recovery_policy::journal_interval, shortest}};
+    for (field const& f : fields)
+        reader.optional(f.key, p.*f.target, f.low, longest);
+    reader.optional("journal_holders", p.journal_holders, 0u, 8u);
+    reader.optional("max_unsent_tokens", p.max_unsent_tokens, 1u, max_count);
+    reader.finish();
+}
+
+void read_call(yaml_reader reader, call_policy& p)
+{
+    constexpr milliseconds one_day{86400000};
+    reader.optional("default_timeout_ms", p.default_timeout, shortest, longest);
+    reader.optional(
+        "claim_batch_delay_ms", p.claim_batch_delay, none, milliseconds(1000));
+    reader.optional("store_timeout_ms", p.store_timeout, shortest, longest);
+    reader.optional("result_kept_for_ms", p.result_kept_for, none, one_day);
+    reader.finish();
+}
+
+void read_operations(yaml_reader reader, policy_settings& policy)
+{
+    for (auto const& key : reader.keys())
+    {
+        std::size_t const slash = key.find('/');
+        if (slash == 0 || slash == std::string::npos || slash + 1 == key.size())
+            reader.fail(key, "is no operation", "'service/operation'");
+        auto one = reader.child(key);
+        // Whether a call may be repeated is never guessed.
+        if (policy.operations.count(key) == 0)
+            one->require("repeatable");
+        operation_policy& p = policy.operations[key];
+        one->optional("repeatable", p.repeatable);
+        one->optional("timeout_ms", p.timeout, shortest, longest);
+        one->finish();
+    }
+}
+
+void read_policy(yaml_reader reader, policy_settings& policy)
+{
+    if (auto ranks = reader.child("ranks"))
+        read_ranks(*ranks, policy);
+    if (auto organisation = reader.child("organisation"))
+        read_organisation(*organisation, policy.organisation);
+    if (auto organisations = reader.child("organisations"))
+        read_organisations(*organisations, policy);
+    if (auto queue = reader.child("queue"))
+        read_queue(*queue, policy.queue);
+    if (auto dispatch = reader.child("dispatch"))
+        read_dispatch(*dispatch, policy.dispatch);
+    if (auto retry = reader.child("retry"))
+        read_retry(*retry, policy.retry);
+    if (auto recovery = reader.child("recovery"))
+        read_recovery(*recovery, policy.recovery);
+    if (auto call = reader.child("call"))
+        read_call(*call, policy.call);
+    if (auto operations = reader.child("operations"))
+        read_operations(*operations, policy);
+    reader.finish();
+}
+
+// ---- exceptions -----------------------------------------------------------
+
+configuration_exception read_exception_header(yaml_reader& reader)
+{
+    configuration_exception e;
+    reader.required("name", e.name, 200u);
+    reader.required("reason", e.reason, 1000u);
+    reader.required("owner", e.owner, 200u);
+    auto scope = reader.required_child("scope");
+    std::string region;
+    std::string zone;
+    std::string host;
+    scope.optional("region", region);
+    scope.optional("zone", zone);
+    scope.optional("host", host);
+    scope.finish();
+    e.scope = {region_id(region), zone_id(zone), host_id(host)};
+    std::string expires;
+    reader.optional("expires", expires);
+    if (expires.empty())
+        return e;
+    try
+    {
+        e.expires = parse_utc(expires);
+    }
+    catch (error const&)
+    {
+        reader.fail(
+            "expires", "'" + expires + "' is no time",
+            "UTC as YYYY-MM-DDThh:mm:ssZ");
+    }
+    return e;
+}
+
+template<typename Id>
+bool matches(Id const& wanted, Id const& present)
+{
+    return wanted.empty() || wanted == present;
+}
+
+bool applies(
+    configuration_exception const& e, node_location const& node, wall_time now)
+{
+    bool const expired = e.expires && *e.expires <= now;
+    return !expired && matches(e.scope.region, node.region) &&
+           matches(e.scope.zone, node.zone) && matches(e.scope.host, node.host);
+}
+
+struct document
+{
+    policy_settings policy;
+    std::vector<configuration_exception> exceptions;
+};
+
+/// Several exceptions may apply to one node, so the highest floor of each
+/// rank counts: then no combination can promise more than there is.
+class floor_check
+{
+public:
+    void add(policy_settings const& policy)
+    {
+        for (std::size_t r = 0; r < rank_count; ++r)
+            highest_[r] = std::max(highest_[r], policy.ranks[r].floor_share);
+    }
+
+    bool holds() const
+    {
+        double sum = 0;
+        for (double const share : highest_)
+            sum += share;
+        return sum <= 1;
+    }
+
+private:
+    std::array<double, rank_count> highest_{};
+};
+
+document read_document(
+    std::string const& text, std::string const& file, node_location const& node,
+    wall_time now)
+{
+    yaml_reader root = yaml_reader::parse(text, file);
+    document result;
+    read_policy(root.required_child("defaults"), result.policy);
+    policy_settings const defaults = result.policy;
+    floor_check floors;
+    floors.add(defaults);
+    std::set<std::string> names;
+    for (auto& reader : root.children("exceptions"))
+    {
+        configuration_exception const e = read_exception_header(reader);
+        if (!names.insert(e.name).second)
+            reader.fail("name", "'" + e.name + "' is given twice", "new name");
+        yaml_reader const settings = reader.required_child("settings");
+        reader.finish();
+        policy_settings alone = defaults;
+        read_policy(settings, alone);
+        floors.add(alone);
+        if (!floors.holds())
+            reader.fail("settings", "floors exceed 1", "a sum of 1 at most");
+        if (applies(e, node, now))
+            read_policy(settings, result.policy);
+        result.exceptions.push_back(e);
+    }
+    if (!floors.holds())
+        root.fail("defaults", "floors exceed 1", "a sum of 1 at most");
+    root.finish();
+    return result;
+}
+
+} // namespace
+
+// ---- parser ---------------------------------------------------------------
+
+yaml_configuration_parser::yaml_configuration_parser(std::string file)
+    : file_(std::move(file))
+{
+}
+
+policy_settings yaml_configuration_parser::effective(
+    std::string const& document, node_location const& node, wall_time now) const
+{
+    return read_document(document, file_, node, now).policy;
+}
+
+std::vector<configuration_exception>
+yaml_configuration_parser::exceptions(std::string const& document) const
+{
+    return read_document(document, file_, {}, {}).exceptions;
+}
+
+} // namespace dotterellock
