Add queueing and endpoint choice, fault-free path

The process shell needs complete headers of reservation_queue, token_bucket_admission, endpoint_directory, link_budget, retry_budget, rendezvous_journal_placement and late_binding_dispatcher. Adds them with fair_queue and prefix_hints, and a test that places one request.

--- /dev/null
+++ b/src/choice/late_binding_dispatcher.hpp
@@ -0,0 +1,131 @@
+// Finds a place for each attempt by late binding (after Sparrow, Ousterhout et
+// al. 2013): small reservations at several agents, the first offer wins, the
+// others are withdrawn. One per router shard, called under the shard's lock.
+// All state is soft; an agent that hears no more of a reservation drops it.
+#ifndef DOTTERELLOCK_CHOICE_LATE_BINDING_DISPATCHER_HPP
+#define DOTTERELLOCK_CHOICE_LATE_BINDING_DISPATCHER_HPP
+
+#include <map>
+
+#include <dotterellock/observability.hpp>
+#include <dotterellock/peer_transport.hpp>
+
+#include "endpoint_directory.hpp"
+#include "link_budget.hpp"
+#include "queueing/retry_budget.hpp"
+
+namespace dotterellock
+{
+
+class late_binding_dispatcher : public dispatcher, public message_handler
+{
+public:
+    late_binding_dispatcher(
+        peer_id self, node_location location, endpoint_directory& directory,
+        clock_source& clock, timer_service& timers, random_source& random,
+        peer_transport& transport, policy_source const& policy,
+        link_budget& link, retry_budget& retries, decision_log& log,
+        counter_registry& counters);
+    ~late_binding_dispatcher() override;
+    late_binding_dispatcher(late_binding_dispatcher const&) = delete;
+    late_binding_dispatcher& operator=(late_binding_dispatcher const&) = delete;
+
+    void place(
+        place_request request, std::function<void(placement)> placed,
+        std::function<void(error)> refused) override;
+    void withdraw(request_id const& request, attempt_number attempt) override;
+    void finished(
+        request_id const& request, attempt_number attempt, bool ok) override;
+
+    void on_message(peer_id const& from, message const& m) override;
+    void on_disconnected(peer_id const& peer) override;
+
+    std::size_t open_searches() const { return searches_.size(); }
+    std::size_t placed_work() const { return placed_.size(); }
+
+private:
+    /// A reservation at one agent.
+    struct held
+    {
+        endpoint_id endpoint;
+        peer_id agent;
+        steady_time sent;
+        byte_count link_bytes = 0; // taken from the link budget
+        bool probe = false;
+    };
+
+    struct search
+    {
+        place_request request;
+        std::function<void(placement)> placed;
+        std::function<void(error)> refused;
+        std::vector<held> reservations;
+        std::map<endpoint_id, std::uint32_t> failures; // refused or lost there
+        steady_time deadline;
+        steady_time next_extra;
+        duration extra_interval{};
+        timer_id timer = 0;
+        error_code reason = error_code::no_endpoint; // of the last refusal
+        milliseconds retry_after{0};                 // shortest advice
+    };
+
+    struct placed_at
+    {
+        endpoint_id endpoint;
+        peer_id agent;
+        permit_id permit = 0;
+    };
+
+    using key = std::pair<request_id, attempt_number>;
+    using searches = std::map<key, search>;
+    using candidates = std::vector<scored_endpoint>;
+
+    void start(key const& which);
+    void on_offer(peer_id const& from, offer const& o);
+    void on_refused(peer_id const& from, reserve_refused const& r);
+    void on_load_report(load_report const& report);
+    void lose_reservations(
+        std::function<bool(held const&)> const& lost, error_code reason);
+    void wake(key const& which);
+    void arm(key const& which, search& s);
+    void renew(search& s);
+
+    /// Reserves at up to n more agents; false when nowhere is left.
+    bool reserve_more(search& s, std::size_t n, std::string const& reason);
+    bool reserve_at(search& s, scored_endpoint const& at);
+    void reserve_probe(search& s, candidates const& all);
+    candidates open_candidates(search const& s, candidates const& all) const;
+    std::size_t choose(candidates const& open);
+    void send_reserve(search& s, held& h);
+    void give_up_unless_held(key const& which, search& s);
+    void refuse(key const& which, error e);
+    void withdraw_at(search const& s, held const& h);
+    void record(
+        char const* step, search const& s, candidates const& all,
+        std::string choice, std::string reason);
+
+    peer_id self_;
+    endpoint_directory& directory_;
+    clock_source& clock_;
+    timer_service& timers_;
+    random_source& random_;
+    peer_transport& transport_;
+    policy_source const& policy_;
+    link_budget& link_;
+    retry_budget& retries_;
+    decision_log& log_;
+    counter& placed_total_;
+    counter& refused_total_;
+    counter& extra_total_;
+    counter& late_offers_;
+    counter& cross_region_;
+    counter& link_refused_;
+    counter& retries_refused_;
+
+    searches searches_;
+    std::map<key, placed_at> placed_;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/choice/link_budget.cpp
@@ -0,0 +1,65 @@
+#include "link_budget.hpp"
+
+#include <algorithm>
+
+namespace dotterellock
+{
+
+namespace
+{
+
+// Seconds of the rate that may be sent at once; large enough for a pasted
+// dossier at one router's share of the rate.
+constexpr double burst_seconds = 10;
+
+} // namespace
+
+link_budget::link_budget(
+    clock_source& clock, policy_source const& policy, double share)
+    : clock_(clock), policy_(policy), share_(share), available_(0),
+      updated_(clock.now())
+{
+    available_ = burst();
+}
+
+void link_budget::set_share(double share)
+{
+    refill();
+    share_ = share;
+    available_ = std::min(available_, burst());
+}
+
+bool link_budget::try_take(byte_count bytes)
+{
+    refill();
+    double const wanted = static_cast<double>(bytes);
+    if (wanted > available_)
+        return false;
+    available_ -= wanted;
+    return true;
+}
+
+void link_budget::give_back(byte_count bytes)
+{
+    available_ = std::min(burst(), available_ + static_cast<double>(bytes));
+}
+
+void link_budget::refill()
+{
+    steady_time const now = clock_.now();
+    std::chrono::duration<double> const passed = now - updated_;
+    updated_ = now;
+    available_ = std::min(burst(), available_ + passed.count() * rate());
+}
+
+double link_budget::rate() const
+{
+    return policy_.current().dispatch.cross_region_bytes_per_second * share_;
+}
+
+double link_budget::burst() const
+{
+    return rate() * burst_seconds;
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/choice/prefix_hints.hpp
@@ -0,0 +1,39 @@
+// What the router believes an endpoint's prefix cache holds: block hashes from
+// the agent's hints and from the router's own dispatches. Late and incomplete,
+// so never more than a preference. Bounded; owned by the endpoint directory.
+#ifndef DOTTERELLOCK_CHOICE_PREFIX_HINTS_HPP
+#define DOTTERELLOCK_CHOICE_PREFIX_HINTS_HPP
+
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+namespace dotterellock
+{
+
+class prefix_hints
+{
+public:
+    // 40 endpoints of one router times 4096 blocks take about 10 MB.
+    static constexpr std::size_t max_blocks = 4096;
+
+    void add(std::vector<std::uint64_t> const& blocks);
+    void remove(std::vector<std::uint64_t> const& blocks);
+    void clear();
+
+    /// Number of leading blocks that may be cached.
+    std::size_t matching(std::vector<std::uint64_t> const& blocks) const;
+
+    std::size_t size() const { return index_.size(); }
+
+private:
+    using block_list = std::list<std::uint64_t>; // front: most recent
+
+    block_list recent_;
+    std::unordered_map<std::uint64_t, block_list::iterator> index_;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/queueing/admission.hpp
@@ -0,0 +1,62 @@
+// Refuses requests before anything is queued: over an organisation's rate, or
+// when the estimated wait exceeds the limit of the rank. One per router shard,
+// called under its lock; memory is bounded.
+#ifndef DOTTERELLOCK_QUEUEING_ADMISSION_HPP
+#define DOTTERELLOCK_QUEUEING_ADMISSION_HPP
+
+#include <list>
+#include <unordered_map>
+
+#include <dotterellock/admission.hpp>
+#include <dotterellock/observability.hpp>
+#include <dotterellock/policy.hpp>
+
+namespace dotterellock
+{
+
+/// How long new work of a rank would wait; implemented by the directory.
+class wait_estimator
+{
+public:
+    virtual ~wait_estimator() = default;
+    virtual duration estimated_wait(model_ref const& model, rank r) const = 0;
+};
+
+class token_bucket_admission : public admission_control
+{
+public:
+    token_bucket_admission(
+        clock_source& clock, policy_source const& policy,
+        wait_estimator const& waits, counter_registry& counters);
+
+    void admit(
+        organisation_id const& organisation, rank rank,
+        model_ref const& model) override;
+
+    std::size_t tracked() const { return buckets_.size(); }
+
+private:
+    struct bucket
+    {
+        organisation_id organisation;
+        double requests = 0; // that may still be made at once
+        steady_time updated;
+    };
+    using bucket_list = std::list<bucket>; // front: most recently used
+
+    bucket& bucket_of(
+        organisation_id const& organisation, organisation_policy const& limits);
+
+    clock_source& clock_;
+    policy_source const& policy_;
+    wait_estimator const& waits_;
+    counter& admitted_;
+    counter& rate_limited_;
+    counter& overloaded_;
+    bucket_list buckets_;
+    std::unordered_map<organisation_id, bucket_list::iterator> index_;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/queueing/reservation_queue.cpp
@@ -0,0 +1,481 @@
+#include "reservation_queue.hpp"
+
+#include <algorithm>
+
+namespace dotterellock
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds router_forgotten_after{10};
+constexpr milliseconds shortest_retry{100};
+constexpr milliseconds longest_retry{10000};
+
+// Weight of one completed stream in the mean pace; 10 completions replace 2/3.
+constexpr double pace_weight = 0.1;
+
+// Running work counts as evidence of a slow engine only when it is this much
+// slower than completed work, because estimates may be short by a factor.
+constexpr double stalled_pace_factor = 0.25;
+
+// Suspension waits for this part of the first-token target, so that the other
+// reservations of the same request, the extra one included, get a chance.
+constexpr int preemption_wait_divisor = 4;
+
+double seconds(duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+} // namespace
+
+reservation_queue::reservation_queue(
+    endpoint_id self, dotterellock::incarnation run, std::uint32_t capacity,
+    clock_source& clock, timer_service& timers, peer_transport& transport,
+    policy_source const& policy, decision_log& log, counter_registry& counters)
+    : self_(std::move(self)), incarnation_(run), capacity_(capacity),
+      clock_(clock), timers_(timers), transport_(transport), policy_(policy),
+      log_(log), offers_(counters.counter("queue_offers_total")),
+      expired_(counters.counter("queue_offers_expired_total")),
+      refused_(counters.counter("queue_refused_total")),
+      rejected_permits_(counters.counter("queue_permits_rejected_total")),
+      suspensions_(counters.counter("queue_suspensions_total")), queue_(policy)
+{
+    send_reports();
+}
+
+reservation_queue::~reservation_queue()
+{
+    timers_.cancel(deadline_timer_);
+    timers_.cancel(report_timer_);
+    timers_.cancel(preemption_timer_);
+}
+
+// ---- messages -------------------------------------------------------------
+
+void reservation_queue::on_message(peer_id const& from, message const& m)
+{
+    routers_[from] = clock_.now();
+    if (auto const* asked = std::get_if<reserve>(&m))
+        on_reserve(from, *asked);
+    else if (auto const* w = std::get_if<withdraw>(&m))
+        on_withdraw(from, *w);
+}
+
+void reservation_queue::on_reserve(peer_id const& from, reserve const& asked)
+{
+    run_deadlines();
+    auto const known = by_key_.find(key{from, asked.request, asked.attempt});
+    if (known != by_key_.end())
+    {
+        // Repeated because an answer may have been lost.
+        auto const& r = entries_.at(known->second);
+        if (r.state == phase::offered)
+            send_offer(known->second, r);
+        return;
+    }
+    if (draining_)
+    {
+        refuse(
+            from, asked.request, asked.attempt, error_code::endpoint_draining);
+        return;
+    }
+    permit_id const permit = ++last_permit_;
+    std::uint32_t const tokens =
+        std::max<std::uint32_t>(asked.estimated_tokens, 1);
+    auto const pushed = queue_.push(
+        queue_entry{permit, asked.organisation, asked.rank, tokens});
+    if (!pushed.accepted)
+    {
+        refuse(from, asked.request, asked.attempt, error_code::overloaded);
+        return;
+    }
+    if (pushed.evicted)
+        refuse_queued(*pushed.evicted, error_code::overloaded);
+    steady_time const now = clock_.now();
+    auto& r = entries_[permit];
+    r.router = from;
+    r.asked = asked;
+    r.since = now;
+    by_key_.emplace(key{from, asked.request, asked.attempt}, permit);
+    if (asked.waiting_budget.count() > 0)
+        set_deadline(permit, r, now + asked.waiting_budget);
+    offer_slots();
+    consider_preemption();
+}
+
+void reservation_queue::on_withdraw(peer_id const& from, withdraw const& w)
+{
+    auto const known = by_key_.find(key{from, w.request, w.attempt});
+    if (known == by_key_.end())
+        return;
+    auto const which = entries_.find(known->second);
+    if (which->second.state == phase::running)
+        return; // the dispatch arrived first; the gates handle cancel
+    drop(which);
+    offer_slots();
+}
+
+void reservation_queue::on_disconnected(peer_id const& peer)
+{
+    // Reservations of a lost router would each hold a slot until an offer
+    // expires. Offers stay: the dispatch may come over a new connection.
+    std::vector<permit_id> lost;
+    for (auto const& [permit, r] : entries_)
+    {
+        if (r.router == peer && r.state == phase::queued)
+            lost.push_back(permit);
+    }
+    for (auto const permit : lost)
+        refuse_queued(permit, error_code::connection_lost);
+    routers_.erase(peer);
+}
+
+void reservation_queue::refuse(
+    peer_id const& to, request_id const& request, attempt_number attempt,
+    error_code reason)
+{
+    refused_.add();
+    transport_.send(
+        to, reserve_refused{request, attempt, reason, retry_after()});
+}
+
+void reservation_queue::refuse_queued(permit_id permit, error_code reason)
+{
+    auto const which = entries_.find(permit);
+    auto const& r = which->second;
+    refuse(r.router, r.asked.request, r.asked.attempt, reason);
+    drop(which);
+}
+
+// ---- slots ----------------------------------------------------------------
+
+void reservation_queue::offer_slots()
+{
+    while (!draining_ && slots_in_use() < capacity_)
+    {
+        auto const next = queue_.pop();
+        if (!next)
+            return;
+        permit_id const permit = next->entry.id;
+        auto& r = entries_.at(permit);
+        clear_deadline(permit, r);
+        r.state = phase::offered;
+        r.served = *next;
+        r.since = clock_.now();
+        ++offered_;
+        set_deadline(
+            permit, r, r.since + policy_.current().queue.offer_validity);
+        send_offer(permit, r);
+    }
+}
+
+void reservation_queue::send_offer(permit_id permit, reservation const& r)
+{
+    offers_.add();
+    transport_.send(
+        r.router, offer{
+                      r.asked.request, r.asked.attempt, permit, incarnation_,
+                      std::chrono::duration_cast<milliseconds>(
+                          r.deadline - clock_.now())});
+}
+
+std::optional<error_code> reservation_queue::redeem(
+    permit_id permit, request_id const& request, attempt_number attempt,
+    dotterellock::incarnation issued_by)
+{
+    if (issued_by != incarnation_)
+    {
+        rejected_permits_.add();
+        return error_code::stale_incarnation;
+    }
+    run_deadlines(); // a paused agent's timers may be late
+    auto const found = entries_.find(permit);
+    bool const valid = found != entries_.end() &&
+                       found->second.state == phase::offered &&
+                       found->second.asked.request == request &&
+                       found->second.asked.attempt == attempt;
+    if (!valid)
+    {
+        rejected_permits_.add();
+        return error_code::permit_expired;
+    }
+    auto& r = found->second;
+    clear_deadline(permit, r);
+    r.state = phase::running;
+    r.since = clock_.now();
+    --offered_;
+    ++running_;
+    return std::nullopt;
+}
+
+void reservation_queue::release(permit_id permit, std::uint32_t tokens)
+{
+    auto const found = entries_.find(permit);
+    if (found == entries_.end() || found->second.state != phase::running)
+        return;
+    auto const& r = found->second;
+    double const ran = seconds(clock_.now() - r.since);
+    if (r.asked.kind == work_kind::generation && ran > 0 && tokens > 0)
+    {
+        double const measured = tokens / ran;
+        stream_pace_ =
+            stream_pace_ <= 0
+                ? measured
+                : stream_pace_ + pace_weight * (measured - stream_pace_);
+    }
+    queue_.correct(r.served, tokens);
+    if (r.suspending)
+        --suspending_;
+    --running_;
+    by_key_.erase(key{r.router, r.asked.request, r.asked.attempt});
+    entries_.erase(found);
+    offer_slots();
+}
+
+void reservation_queue::drop(reservations::iterator which)
+{
+    auto const& [permit, r] = *which;
+    clear_deadline(permit, r);
+    if (r.state == phase::offered)
+    {
+        --offered_;
+        queue_.correct(r.served, 0);
+    }
+    else
+        queue_.erase(permit);
+    by_key_.erase(key{r.router, r.asked.request, r.asked.attempt});
+    entries_.erase(which);
+}
+
+void reservation_queue::set_draining(bool draining)
+{
+    draining_ = draining;
+    if (!draining)
+    {
+        offer_slots();
+        return;
+    }
+    std::vector<permit_id> queued;
+    for (auto const& [permit, r] : entries_)
+    {
+        if (r.state == phase::queued)
+            queued.push_back(permit);
+    }
+    for (auto const permit : queued)
+        refuse_queued(permit, error_code::endpoint_draining);
+}
+
+// ---- preemption -----------------------------------------------------------
+
+void reservation_queue::set_preemption(suspend_function suspend)
+{
+    suspend_ = std::move(suspend);
+}
+
+void reservation_queue::consider_preemption()
+{
+    if (!suspend_ || draining_ || slots_free() != 0)
+        return;
+    auto const waiting = queue_.most_urgent();
+    if (!waiting || waiting->rank == rank::background)
+        return;
+    duration const patience =
+        policy_.current().ranks[index_of(waiting->rank)].first_token_target /
+        preemption_wait_divisor;
+    duration const waited = clock_.now() - entries_.at(waiting->id).since;
+    if (waited < patience)
+    {
+        timers_.cancel(preemption_timer_);
+        preemption_timer_ = timers_.schedule(
+            patience - waited, [this] { consider_preemption(); });
+        return;
+    }
+    if (suspending_ >= queue_.waiting(waiting->rank))
+        return;
+    auto const victim = preemption_victim(*waiting);
+    if (victim == entries_.end())
+        return;
+    victim->second.suspending = true;
+    ++suspending_;
+    suspensions_.add();
+    auto const& asked = victim->second.asked;
+    log_.record(decision{
+        "suspend",
+        asked.request,
+        asked.attempt,
+        asked.rank,
+        asked.organisation,
+        {},
+        self_.value(),
+        "more urgent work waits: " +
+            entries_.at(waiting->id).asked.request.value()});
+    suspend_(victim->first);
+}
+
+reservation_queue::reservations::iterator
+reservation_queue::preemption_victim(queue_entry const& waiting)
+{
+    auto const& ranks = policy_.current().ranks;
+    auto best = entries_.end();
+    double best_gain = 0;
+    double running_tokens = 0;
+    std::array<double, rank_count> rank_tokens{};
+    for (auto const& [permit, r] : entries_)
+    {
+        if (r.state != phase::running || r.suspending)
+            continue;
+        running_tokens += r.served.entry.tokens;
+        rank_tokens[index_of(r.asked.rank)] += r.served.entry.tokens;
+    }
+    for (auto i = entries_.begin(); i != entries_.end(); ++i)
+    {
+        auto const& r = i->second;
+        std::size_t const level = index_of(r.asked.rank);
+        if (r.state != phase::running || r.suspending ||
+            r.asked.kind != work_kind::generation ||
+            level <= index_of(waiting.rank))
+            continue;
+        double const tokens = r.served.entry.tokens;
+        // What the floor guarantees to a rank is not taken away again.
+        if (rank_tokens[level] - tokens <
+            ranks[level].floor_share * running_tokens)
+            continue;
+        // Value of the waiting work, less the value that the victim's tokens
+        // would have had in its place and that of its repeated prefill, for
+        // which the estimated tokens are an upper bound.
+        double const own_value_per_token = ranks[level].worth / tokens;
+        double const gain = ranks[index_of(waiting.rank)].worth -
+                            own_value_per_token * (waiting.tokens + tokens);
+        if (gain > best_gain)
+        {
+            best_gain = gain;
+            best = i;
+        }
+    }
+    return best;
+}
+
+// ---- deadlines ------------------------------------------------------------
+
+void reservation_queue::set_deadline(
+    permit_id permit, reservation& r, steady_time at)
+{
+    r.deadline = at;
+    deadlines_.insert({at, permit});
+    if (deadlines_.begin()->second == permit)
+        arm();
+}
+
+void reservation_queue::clear_deadline(permit_id permit, reservation const& r)
+{
+    deadlines_.erase({r.deadline, permit});
+}
+
+void reservation_queue::arm()
+{
+    timers_.cancel(deadline_timer_);
+    deadline_timer_ = 0;
+    if (deadlines_.empty())
+        return;
+    duration const left =
+        std::max(deadlines_.begin()->first - clock_.now(), duration{});
+    deadline_timer_ = timers_.schedule(left, [this] { run_deadlines(); });
+}
+
+void reservation_queue::run_deadlines()
+{
+    steady_time const now = clock_.now();
+    bool any = false;
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now)
+    {
+        any = true;
+        auto const which = entries_.find(deadlines_.begin()->second);
+        auto const& r = which->second;
+        if (r.state == phase::offered)
+        {
+            expired_.add();
+            transport_.send(
+                r.router, reserve_refused{
+                              r.asked.request, r.asked.attempt,
+                              error_code::permit_expired, milliseconds{0}});
+            drop(which);
+        }
+        else
+            refuse_queued(which->first, error_code::overloaded);
+    }
+    if (any)
+        offer_slots();
+    arm();
+}
+
+// ---- reports --------------------------------------------------------------
+
+load_report reservation_queue::report() const
+{
+    load_report report;
+    report.endpoint = self_;
+    report.incarnation = incarnation_;
+    report.running = slots_in_use();
+    report.capacity = capacity_;
+    for (auto const r : all_ranks)
+    {
+        report.waiting[index_of(r)] =
+            static_cast<std::uint32_t>(queue_.waiting(r));
+    }
+    report.waiting_tokens = queue_.waiting_tokens();
+    report.tokens_per_second_per_stream = pace();
+    report.tokens_per_second = report.tokens_per_second_per_stream * running_;
+    report.draining = draining_;
+    return report;
+}
+
+double reservation_queue::pace() const
+{
+    double tokens = 0;
+    double age = 0;
+    for (auto const& [permit, r] : entries_)
+    {
+        if (r.state != phase::running || r.asked.kind != work_kind::generation)
+            continue;
+        tokens += r.served.entry.tokens;
+        age += seconds(clock_.now() - r.since);
+    }
+    // A stalled engine completes nothing; running work then shows its pace.
+    bool const stalled =
+        age > 0 && tokens / age < stalled_pace_factor * stream_pace_;
+    return stalled ? tokens / age : stream_pace_;
+}
+
+milliseconds reservation_queue::retry_after() const
+{
+    double const rate = pace() * std::max<std::uint32_t>(running_, 1);
+    if (rate <= 0)
+        return shortest_retry;
+    double const wait_ms =
+        1000.0 * static_cast<double>(queue_.waiting_tokens()) / rate;
+    return milliseconds(static_cast<milliseconds::rep>(std::clamp(
+        wait_ms, double(shortest_retry.count()),
+        double(longest_retry.count()))));
+}
+
+void reservation_queue::send_reports()
+{
+    steady_time const now = clock_.now();
+    load_report const current = report();
+    for (auto i = routers_.begin(); i != routers_.end();)
+    {
+        if (now - i->second > router_forgotten_after)
+        {
+            i = routers_.erase(i);
+            continue;
+        }
+        transport_.send(i->first, current);
+        ++i;
+    }
+    report_timer_ = timers_.schedule(
+        policy_.current().recovery.report_interval, [this] { send_reports(); });
+}
+
+} // namespace dotterellock
