--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	cmake --build $(BUILD) -j $(JOBS)
 
 demo: build
-	scripts/demo $(BUILD)
+	$(BUILD)/dotterellock-demo $(BUILD)
 
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure
