--- a/src/choice/late_binding_dispatcher.cpp
+++ b/src/choice/late_binding_dispatcher.cpp
@@ -482,7 +482,7 @@
             s.retry_after.count() > 0 ? s.retry_after : no_endpoint_retry));
 }
 
-void late_binding_dispatcher::refuse(key const& which, error e)
+void late_binding_dispatcher::refuse(key const& which, error const& e)
 {
     auto const found = searches_.find(which);
     search const s = std::move(found->second);
--- a/src/choice/late_binding_dispatcher.hpp
+++ b/src/choice/late_binding_dispatcher.hpp
@@ -98,7 +98,7 @@
     std::size_t choose(candidates const& open);
     void send_reserve(search& s, held& h);
     void give_up_unless_held(key const& which, search& s);
-    void refuse(key const& which, error e);
+    void refuse(key const& which, error const& e);
     void withdraw_at(search const& s, held const& h);
     void record(
         char const* step, search const& s, candidates const& all,
--- a/src/queueing/fair_queue.cpp
+++ b/src/queueing/fair_queue.cpp
@@ -15,15 +15,20 @@
 // Debts of idle organisations; above the 5,200 organisations to design for.
 constexpr std::size_t max_debts = 8192;
 
+// One entry's cost is cut off here, so that a wrong estimate or a runaway
+// answer cannot exclude its organisation for hundreds of rounds.
+constexpr std::uint32_t max_entry_tokens = 1u << 20;
+
 // Credit of a floor is bounded by this many quanta, so that a rank cannot
 // save up service and then displace urgent work in one block.
 constexpr double max_credit_quanta = 16;
 
 } // namespace
 
-push_result fair_queue::push(queue_entry const& entry)
+push_result fair_queue::push(queue_entry entry)
 {
     push_result result;
+    entry.tokens = std::min(entry.tokens, max_entry_tokens);
     if (place_.count(entry.id) != 0)
         return result;
     if (size() >= policy_.current().queue.max_reservations)
@@ -147,7 +152,7 @@
             end_turn(from);
             continue;
         }
-        queue_entry const entry = b.entries.front();
+        queue_entry entry = b.entries.front();
         b.entries.pop_front();
         b.deficit -= entry.tokens;
         --from.count;
@@ -236,7 +241,8 @@
 {
     auto const& e = served.entry;
     std::int64_t const difference =
-        std::int64_t{actual_tokens} - std::int64_t{e.tokens};
+        std::int64_t{std::min(actual_tokens, max_entry_tokens)} -
+        std::int64_t{e.tokens};
     rank_level& l = level(e.rank);
     auto const found = l.waiting.find(e.organisation);
     if (found != l.waiting.end())
--- a/src/queueing/fair_queue.hpp
+++ b/src/queueing/fair_queue.hpp
@@ -52,7 +52,7 @@
 
     /// When the queue is full, the newest entry of the longest backlog may be
     /// evicted; a part of the places is kept for each rank.
-    push_result push(queue_entry const& entry);
+    push_result push(queue_entry entry);
 
     /// Takes the next entry and charges its estimated cost.
     std::optional<served_entry> pop();
--- a/src/queueing/reservation_queue.cpp
+++ b/src/queueing/reservation_queue.cpp
@@ -276,25 +276,25 @@
 
 void reservation_queue::consider_preemption()
 {
-    if (!suspend_ || draining_ || slots_free() != 0)
-        return;
+    timers_.cancel(preemption_timer_);
+    preemption_timer_ = 0;
     auto const waiting = queue_.most_urgent();
-    if (!waiting || waiting->rank == rank::background)
+    if (!suspend_ || !waiting || waiting->rank == rank::background)
         return;
     duration const patience =
         policy_.current().ranks[index_of(waiting->rank)].first_token_target /
         preemption_wait_divisor;
     duration const waited = clock_.now() - entries_.at(waiting->id).since;
-    if (waited < patience)
-    {
-        timers_.cancel(preemption_timer_);
-        preemption_timer_ = timers_.schedule(
-            patience - waited, [this] { consider_preemption(); });
-        return;
-    }
-    if (suspending_ >= queue_.waiting(waiting->rank))
-        return;
-    auto const victim = preemption_victim(*waiting);
+    if (waited >= patience && suspending_ < queue_.waiting(waiting->rank))
+        suspend_for(*waiting);
+    duration const next = waited < patience ? patience - waited : patience;
+    preemption_timer_ =
+        timers_.schedule(next, [this] { consider_preemption(); });
+}
+
+void reservation_queue::suspend_for(queue_entry const& waiting)
+{
+    auto const victim = preemption_victim(waiting);
     if (victim == entries_.end())
         return;
     victim->second.suspending = true;
@@ -310,8 +310,8 @@
         {},
         self_.value(),
         "more urgent work waits: " +
-            entries_.at(waiting->id).asked.request.value()});
-    suspend_(victim->first);
+            entries_.at(waiting.id).asked.request.value()});
+    suspend_(victim->first); // may call release()
 }
 
 reservation_queue::reservations::iterator
--- a/src/queueing/reservation_queue.hpp
+++ b/src/queueing/reservation_queue.hpp
@@ -91,6 +91,7 @@
     void refuse_queued(permit_id permit, error_code reason);
     void drop(reservations::iterator which);
     void consider_preemption();
+    void suspend_for(queue_entry const& waiting);
     reservations::iterator preemption_victim(queue_entry const& waiting);
     void set_deadline(permit_id permit, reservation& r, steady_time at);
     void clear_deadline(permit_id permit, reservation const& r);
--- a/tests/support/manual_scheduler.hpp
+++ b/tests/support/manual_scheduler.hpp
@@ -4,9 +4,11 @@
 #ifndef DOTTERELLOCK_TESTS_MANUAL_SCHEDULER_HPP
 #define DOTTERELLOCK_TESTS_MANUAL_SCHEDULER_HPP
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <random>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -31,19 +33,17 @@
     {
         timer_id const id = ++last_id_;
         events_.emplace(std::pair{now_ + delay, id}, std::move(callback));
+        due_.emplace(id, now_ + delay);
         return id;
     }
 
     void cancel(timer_id id) override
     {
-        for (auto i = events_.begin(); i != events_.end(); ++i)
-        {
-            if (i->first.second == id)
-            {
-                events_.erase(i);
-                return;
-            }
-        }
+        auto const found = due_.find(id);
+        if (found == due_.end())
+            return;
+        events_.erase({found->second, id});
+        due_.erase(found);
     }
 
     /// Runs every event due within `span`, then stands at its end.
@@ -52,7 +52,7 @@
         steady_time const end = now_ + span;
         while (!events_.empty() && events_.begin()->first.first <= end)
             run_next();
-        now_ = end;
+        now_ = std::max(now_, end); // a callback may have jumped
     }
 
     /// Moves the clock without running anything, like a paused process.
@@ -80,6 +80,7 @@
         if (first->first.first > now_)
             now_ = first->first.first;
         auto callback = std::move(first->second);
+        due_.erase(first->first.second);
         events_.erase(first);
         callback();
     }
@@ -87,6 +88,7 @@
     steady_time now_{std::chrono::hours(1)};
     timer_id last_id_ = 0;
     std::map<std::pair<steady_time, timer_id>, std::function<void()>> events_;
+    std::unordered_map<timer_id, steady_time> due_; // finds events to cancel
 };
 
 class seeded_random : public random_source
