--- /dev/null
+++ b/tests/choice/directory_test.cpp
@@ -0,0 +1,289 @@
+#include <catch2/catch.hpp>
+
+#include <set>
+
+#include "choice/rendezvous_journal_placement.hpp"
+#include "scheduling_fixture.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+using std::chrono::seconds;
+
+namespace
+{
+
+struct directory_under_test
+{
+    explicit directory_under_test(std::vector<endpoint_info> endpoints)
+    {
+        directory.set_viewpoint(
+            peer_id("router/a"), {region_id("r1"), zone_id("z1"), {}});
+        directory.set_endpoints(std::move(endpoints));
+    }
+
+    void
+    report(unsigned i, double pace, incarnation run = 1, bool draining = false)
+    {
+        load_report r;
+        r.endpoint = endpoint_id("e" + std::to_string(i));
+        r.incarnation = run;
+        r.capacity = 4;
+        r.tokens_per_second_per_stream = pace;
+        r.draining = draining;
+        directory.on_load_report(r);
+    }
+
+    std::set<std::string> candidates() const
+    {
+        std::set<std::string> names;
+        for (auto const& c : directory.candidates(test_work("org/1")))
+        {
+            if (!c.probe)
+                names.insert(c.info->endpoint.value());
+        }
+        return names;
+    }
+
+    bool probes(std::string const& endpoint) const
+    {
+        for (auto const& c : directory.candidates(test_work("org/1")))
+        {
+            if (c.probe && c.info->endpoint.value() == endpoint)
+                return true;
+        }
+        return false;
+    }
+
+    manual_scheduler scheduler;
+    fixed_policy policy;
+    endpoint_directory directory{scheduler, policy};
+};
+
+std::vector<endpoint_info> fleet(unsigned own, unsigned region, unsigned far)
+{
+    std::vector<endpoint_info> all;
+    for (unsigned i = 0; i < own; ++i)
+        all.push_back(test_endpoint(i));
+    for (unsigned i = 0; i < region; ++i)
+        all.push_back(test_endpoint(own + i, "z2"));
+    for (unsigned i = 0; i < far; ++i)
+        all.push_back(test_endpoint(own + region + i, "z9", "r2"));
+    return all;
+}
+
+} // namespace
+
+// Guards against a full mesh, a subset inside one zone that is lost with it,
+// and a small fleet that is not used in full.
+TEST_CASE("the subset of a model has 8 endpoints, near ones first")
+{
+    auto const [own, region, far, near_ones, far_ones] =
+        GENERATE(table<unsigned, unsigned, unsigned, unsigned, unsigned>({
+            {120, 120, 120, 6, 2},
+            {120, 0, 0, 8, 0},
+            {2, 100, 100, 6, 2},
+            {0, 0, 100, 0, 100}, // none near: the whole list
+            {3, 2, 2, 5, 2},     // few: the whole list
+        }));
+    directory_under_test t(fleet(own, region, far));
+    unsigned near_found = 0;
+    unsigned far_found = 0;
+    std::set<zone_id> zones;
+    for (auto const& c : t.directory.candidates(test_work("org/1")))
+    {
+        ++(c.other_region ? far_found : near_found);
+        if (!c.other_region)
+            zones.insert(c.info->zone);
+    }
+    CHECK(near_found == near_ones);
+    CHECK(far_found == far_ones);
+    if (own > 0 && region > 0)
+        CHECK(zones.size() == 2);
+}
+
+// Guards against subsets that change with every update of the endpoint list,
+// and against routers that all use the same endpoints.
+TEST_CASE("subsets are stable and differ between routers")
+{
+    auto endpoints = fleet(100, 0, 0);
+    directory_under_test t(endpoints);
+    auto const before = t.candidates();
+    endpoints.erase(endpoints.begin() + 50, endpoints.begin() + 60);
+    t.directory.set_endpoints(endpoints);
+    std::size_t kept = 0;
+    for (auto const& name : t.candidates())
+        kept += before.count(name);
+    CHECK(kept >= 8 - 3); // 10% of the endpoints are gone
+
+    std::set<std::string> used;
+    for (int i = 0; i < 360; ++i)
+    {
+        t.directory.set_viewpoint(
+            peer_id("router/" + std::to_string(i)),
+            {region_id("r1"), zone_id("z1"), {}});
+        for (auto const& name : t.candidates())
+            used.insert(name);
+    }
+    CHECK(used.size() == 90);
+}
+
+// Guards against new work for an endpoint that is silent, draining, failing or
+// slow, and against one that is never used again after it has recovered.
+TEST_CASE("unusable endpoints are set aside and come back")
+{
+    directory_under_test t(fleet(4, 0, 0));
+    for (unsigned i = 0; i < 4; ++i)
+        t.report(i, 30);
+    REQUIRE(t.candidates().size() == 4);
+    endpoint_id const e0("e0");
+    SECTION("silent, until it reports")
+    {
+        t.directory.on_silent(e0);
+        CHECK(t.candidates().count("e0") == 0);
+        t.report(0, 30);
+    }
+    SECTION("silent, for two report intervals")
+    {
+        t.directory.on_silent(e0);
+        t.scheduler.advance(seconds(2));
+    }
+    SECTION("draining, until it returns")
+    {
+        t.report(0, 30, 1, true);
+        CHECK(t.candidates().count("e0") == 0);
+        t.scheduler.advance(seconds(60));
+        CHECK(t.candidates().count("e0") == 0);
+        t.report(0, 30);
+    }
+    SECTION("straggler, probed, slow again, probed, recovered")
+    {
+        t.report(0, 14);
+        CHECK(t.candidates().count("e0") == 0);
+        CHECK_FALSE(t.probes("e0"));
+        t.scheduler.advance(seconds(10));
+        CHECK(t.probes("e0"));
+        for (int i = 0; i < 4; ++i)
+            t.directory.on_probe_sent(e0);
+        CHECK_FALSE(t.probes("e0"));
+        t.report(0, 14);
+        t.scheduler.advance(seconds(10));
+        CHECK(t.probes("e0"));
+        t.report(0, 16); // above half of the median of 30
+    }
+    SECTION("failing three times in a row, probed, recovered")
+    {
+        t.directory.on_finished(e0, false);
+        t.directory.on_finished(e0, false);
+        CHECK(t.candidates().count("e0") == 1);
+        t.directory.on_finished(e0, false);
+        t.report(0, 30);
+        CHECK(t.candidates().count("e0") == 0);
+        t.scheduler.advance(seconds(10));
+        CHECK(t.probes("e0"));
+        t.directory.on_finished(e0, true);
+    }
+    SECTION("a report from before the restart changes nothing")
+    {
+        t.report(0, 30, 2);
+        t.report(0, 30, 1, true);
+    }
+    CHECK(t.candidates().count("e0") == 1);
+}
+
+// Guards against refusing everything when each endpoint looks bad.
+TEST_CASE("stragglers and silent endpoints are the last resort")
+{
+    directory_under_test t(fleet(2, 0, 0));
+    t.directory.on_silent(endpoint_id("e0"));
+    for (int i = 0; i < 3; ++i)
+        t.directory.on_finished(endpoint_id("e1"), false);
+    CHECK(t.candidates().size() == 2);
+    t.report(0, 30, 1, true);
+    t.report(1, 30, 1, true);
+    CHECK(t.candidates().empty()); // draining ones never
+}
+
+// Guards against an estimate that ignores rank, floors or copies of requests.
+TEST_CASE("the estimated wait follows what is ahead of the rank")
+{
+    directory_under_test t(fleet(1, 0, 0));
+    load_report r;
+    r.endpoint = endpoint_id("e0");
+    r.incarnation = 1;
+    r.capacity = r.running = 4;
+    r.waiting = {30, 10, 10};
+    r.waiting_tokens = 50000;
+    r.tokens_per_second = 100;
+    t.directory.on_load_report(r);
+    auto const wait = [&](rank of)
+    {
+        return std::chrono::duration<double>(
+                   t.directory.estimated_wait(test_model, of))
+            .count();
+    };
+    // 50,000 tokens in 2 copies at 100/s; 60% of them urgent.
+    CHECK(wait(rank::urgent) == Approx(150));
+    CHECK(wait(rank::standard) == Approx(200));
+    CHECK(wait(rank::background) == Approx(250));
+    r.waiting = {49, 0, 1};
+    t.directory.on_load_report(r);
+    CHECK(wait(rank::background) == Approx(100)); // by its floor of 5%
+    r.running = 3;
+    t.directory.on_load_report(r);
+    CHECK(wait(rank::urgent) == 0);
+}
+
+// Guards against hints that fill the memory or survive a restart.
+TEST_CASE("prefix hints are bounded and end with the agent's incarnation")
+{
+    prefix_hints hints;
+    std::vector<std::uint64_t> blocks(2 * prefix_hints::max_blocks);
+    for (std::size_t i = 0; i < blocks.size(); ++i)
+        blocks[i] = i;
+    hints.add(blocks);
+    CHECK(hints.size() == prefix_hints::max_blocks);
+    CHECK(hints.matching(blocks) == prefix_hints::max_blocks);
+    hints.remove({1});
+    CHECK(hints.matching(blocks) == 1);
+
+    directory_under_test t(fleet(2, 0, 0));
+    auto work = test_work("org/1");
+    work.prefix_blocks = {1, 2, 3, 4};
+    auto const share = [&]
+    { return t.directory.candidates(work).front().prefix_share; };
+    t.report(1, 30);
+    t.directory.on_prefix_hint({endpoint_id("e1"), {1, 2, 4}, {}});
+    CHECK(share() == Approx(0.5)); // a gap ends the prefix
+    t.report(1, 30, 2);
+    CHECK(share() == 0);
+}
+
+// Guards against copies on this router, in another region, or all in the own
+// zone while there are others.
+TEST_CASE("journal holders are other routers, other zones first")
+{
+    std::vector<router_info> routers;
+    for (auto const* zone : {"z1", "z1", "z1", "z2", "z2"})
+    {
+        auto const n = std::to_string(routers.size());
+        routers.push_back({peer_id("r" + n), zone_id(zone), region_id("r1")});
+    }
+    routers.push_back({peer_id("far"), zone_id("z9"), region_id("r2")});
+    rendezvous_journal_placement const journal(
+        peer_id("r0"), zone_id("z1"), routers);
+    std::set<peer_id> first;
+    for (int i = 0; i < 50; ++i)
+    {
+        request_id const id("org/" + std::to_string(i));
+        auto const holders = journal.holders(id, 3);
+        REQUIRE(holders.size() == 3);
+        CHECK(
+            std::set<peer_id>{holders[0], holders[1]} ==
+            std::set<peer_id>{peer_id("r3"), peer_id("r4")});
+        CHECK((holders[2] == peer_id("r1") || holders[2] == peer_id("r2")));
+        CHECK(holders == journal.holders(id, 3));
+        CHECK(journal.holders(id, 10).size() == 4);
+        first.insert(holders[0]);
+    }
+    CHECK(first.size() == 2); // the requests are spread
+}
