Fill out the store client: budgets, retries, breaker, batches, read-back

Cause: the first version only forwarded to its backend. Change: all duties of the store client; the gate frees results by timer; claim rows name the router that wrote them.

--- a/src/claims/call_coordinator.cpp
+++ b/src/claims/call_coordinator.cpp
@@ -332,6 +332,7 @@
     c.claim = claim_row{};
     c.claim.request = c.request.request;
     c.claim.attempt = c.attempt;
+    c.claim.router = self_;
     c.claim.endpoint = c.place.endpoint;
     c.claim.agent = c.place.agent;
     c.claim.incarnation = c.place.incarnation;
@@ -436,8 +437,7 @@
     open_call const& c, claim_row const& present) const
 {
     return present.attempt == c.claim.attempt &&
-           present.agent == c.claim.agent &&
-           present.incarnation == c.claim.incarnation;
+           present.router == c.claim.router;
 }
 
 // ---- running --------------------------------------------------------------
@@ -658,9 +658,14 @@
     }
 }
 
+/// The agent beside the endpoint today: it may have another address than when
+/// the claim was made, and a new incarnation says at once that it cannot tell.
 peer_id call_coordinator::agent_of(open_call const& c) const
 {
-    return c.request.repeatable ? c.place.agent : c.claim.agent;
+    if (c.request.repeatable)
+        return c.place.agent;
+    auto const info = endpoints_.find(c.claim.endpoint);
+    return info && !info->agent.empty() ? info->agent : c.claim.agent;
 }
 
 // ---- closing --------------------------------------------------------------
--- a/src/claims/call_gate.cpp
+++ b/src/claims/call_gate.cpp
@@ -31,9 +31,13 @@
 {
 }
 
+call_gate::~call_gate()
+{
+    timers_.cancel(forget_timer_);
+}
+
 void call_gate::on_message(peer_id const& from, message const& m)
 {
-    forget_results();
     if (auto const* call = std::get_if<dispatch_call>(&m))
         dispatch(from, *call);
     else if (auto const* asked = std::get_if<query_call>(&m))
@@ -302,6 +306,15 @@
         records_.erase(found);
         finished_.pop_front();
     }
+    if (forget_timer_ != 0 || finished_.empty())
+        return;
+    forget_timer_ = timers_.schedule(
+        finished_.front().first - clock_.now(),
+        [this]
+        {
+            forget_timer_ = 0;
+            forget_results();
+        });
 }
 
 // ---- answers --------------------------------------------------------------
--- a/src/claims/call_gate.hpp
+++ b/src/claims/call_gate.hpp
@@ -40,6 +40,7 @@
         peer_transport& transport, plain_service& service,
         permit_issuer& permits, policy_source const& policy,
         counter_registry& counters);
+    ~call_gate() override;
 
     call_gate(call_gate const&) = delete;
     call_gate& operator=(call_gate const&) = delete;
@@ -98,6 +99,7 @@
     std::unordered_map<request_id, record> records_;
     std::deque<std::pair<steady_time, request_id>> finished_; // by expiry
     std::size_t finished_bytes_ = 0;
+    timer_id forget_timer_ = 0;
     std::set<attempt_key> running_repeatable_;
     std::size_t running_ = 0; // both kinds
 
--- a/src/claims/claim_row.cpp
+++ b/src/claims/claim_row.cpp
@@ -75,6 +75,7 @@
     json row = {
         {"request", text_or_bytes(claim.request.value())},
         {"attempt", claim.attempt},
+        {"router", claim.router.value()},
         {"endpoint", claim.endpoint.value()},
         {"agent", claim.agent.value()},
         {"incarnation", claim.incarnation},
@@ -100,6 +101,7 @@
         claim_row claim;
         claim.request = request_id(text_of(row.at("request")));
         claim.attempt = row.at("attempt").get<attempt_number>();
+        claim.router = peer_id(row.at("router").get<std::string>());
         claim.endpoint = endpoint_id(row.at("endpoint").get<std::string>());
         claim.agent = peer_id(row.at("agent").get<std::string>());
         claim.incarnation = row.at("incarnation").get<incarnation>();
--- a/src/claims/claim_row.hpp
+++ b/src/claims/claim_row.hpp
@@ -22,7 +22,8 @@
 struct claim_row
 {
     request_id request;
-    attempt_number attempt = 0; // random; says whose claim this is
+    attempt_number attempt = 0; // random; with the router says whose claim
+    peer_id router;             // that wrote it
     endpoint_id endpoint;
     peer_id agent;
     dotterellock::incarnation incarnation = 0;
--- a/src/store/callback_guard.hpp
+++ b/src/store/callback_guard.hpp
@@ -17,7 +17,7 @@
     auto wrap(Function function) const
     {
         return [weak = std::weak_ptr<char>(alive_),
-                function = std::move(function)](auto&&... arguments) mutable
+                function = std::move(function)](auto&&... arguments)
         {
             if (!weak.expired())
                 function(std::forward<decltype(arguments)>(arguments)...);
--- a/src/store/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -68,7 +68,110 @@
         std::function<void(read_result)> done) override;
 
 private:
+    /// One caller's commit, through batches and retries.
+    struct commit_op
+    {
+        std::vector<row_write> writes;
+        steady_time deadline;
+        timer_id timer = 0;
+        std::function<void(commit_result)> done; // empty once answered
+        std::uint32_t tries = 0;
+        bool in_flight = false;
+        bool in_doubt = false; // a lost answer; may have been applied
+    };
+    using batch = std::vector<std::shared_ptr<commit_op>>;
+
+    /// One caller's read or scan.
+    struct read_op
+    {
+        std::function<void(duration, std::function<void(read_result)>)> issue;
+        steady_time deadline;
+        timer_id timer = 0;
+        std::function<void(read_result)> done; // empty once answered
+        std::uint32_t tries = 0;
+    };
+    using read_ptr = std::shared_ptr<read_op>;
+
+    /// Work that waits for a slot and a token. `start` is false when nothing
+    /// was sent, so that neither is used up.
+    struct job
+    {
+        std::function<bool()> start;
+        std::function<void()> refuse;
+    };
+
+    /// Queue, slots and token bucket of the reads or of the writes.
+    struct lane
+    {
+        double rate = 0; // a second; 0: unlimited
+        std::deque<job> queued;
+        std::size_t running = 0;
+        double tokens = 0;
+        steady_time filled;
+        timer_id wake = 0;
+        counter* requests = nullptr;
+    };
+
+    enum class breaker_state
+    {
+        closed,
+        open,
+        probing // half open: one request is under way
+    };
+
+    void enqueue(lane& in, job j);
+    void pump(lane& in);
+    void refill(lane& in);
+    template<typename Result, typename Issue, typename Answered>
+    void request(lane& in, duration timeout, Issue issue, Answered answered);
+
+    bool breaker_permits();
+    void breaker_record(std::uint64_t era, store_status status);
+
+    bool may_batch(commit_op const& op) const;
+    void add_to_batch(std::shared_ptr<commit_op> op);
+    void flush_batch();
+    void send(batch const& ops);
+    void send_after(duration delay, batch const& ops);
+    bool issue(batch const& ops);
+    void on_commit_answer(batch const& ops, commit_result const& result);
+    void on_committed(batch const& ops, commit_result const& result);
+    void on_conflict(batch const& ops, commit_result const& result);
+    void on_unknown(batch const& ops);
+    void read_back(batch const& ops);
+    void compare(batch const& ops, std::vector<row> const& rows);
+    void answer(commit_op& op, commit_result result);
+    void give_up(commit_op& op);
+
+    void start_read(read_ptr const& op, duration timeout);
+    void send_read(read_ptr const& op);
+    void answer(read_op& op, read_result result);
+
+    duration backoff(std::uint32_t tries);
+    void later(duration delay, std::function<void()> action);
+
     table_service& backend_;
+    clock_source& clock_;
+    timer_service& timers_;
+    random_source& random_;
+    store_settings settings_;
+
+    lane writes_;
+    lane reads_;
+    batch pending_; // waiting for batch_delay
+    std::size_t pending_bytes_ = 0;
+    timer_id flush_timer_ = 0;
+
+    breaker_state breaker_ = breaker_state::closed;
+    std::uint32_t failures_ = 0; // consecutive
+    std::uint64_t era_ = 0;      // answers from before a change do not count
+    steady_time open_until_;
+
+    counter& retries_;
+    counter& refused_;
+    counter& read_backs_;
+    counter& breaker_opened_;
+    callback_guard guard_;
 };
 
 } // namespace dotterellock
