--- /dev/null
+++ b/src/recovery/event_id.cpp
@@ -0,0 +1,162 @@
+// The event id of an answer's SSE events: "<epoch>.<next index>.<tail>".
+#include <dotterellock/generation.hpp>
+
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+namespace dotterellock
+{
+
+namespace
+{
+
+constexpr char alphabet[] =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+
+[[noreturn]] void malformed(std::string const& id)
+{
+    throw error(
+        error_code::invalid_argument, "parse_event_id", "",
+        "malformed event id: " + id.substr(0, 64));
+}
+
+void append_base64url(std::string& out, std::string const& bytes)
+{
+    std::uint32_t bits = 0;
+    int count = 0;
+    for (unsigned char const c : bytes)
+    {
+        bits = (bits << 8) | c;
+        count += 8;
+        while (count >= 6)
+        {
+            count -= 6;
+            out += alphabet[(bits >> count) & 63];
+        }
+    }
+    if (count > 0)
+        out += alphabet[(bits << (6 - count)) & 63];
+}
+
+int value_of(char c)
+{
+    if (c >= 'A' && c <= 'Z')
+        return c - 'A';
+    if (c >= 'a' && c <= 'z')
+        return c - 'a' + 26;
+    if (c >= '0' && c <= '9')
+        return c - '0' + 52;
+    if (c == '-')
+        return 62;
+    return c == '_' ? 63 : -1;
+}
+
+std::string from_base64url(std::string const& id, std::size_t begin)
+{
+    std::string bytes;
+    std::uint32_t bits = 0;
+    int count = 0;
+    for (std::size_t i = begin; i < id.size(); ++i)
+    {
+        int const value = value_of(id[i]);
+        if (value < 0)
+            malformed(id);
+        bits = (bits << 6) | static_cast<std::uint32_t>(value);
+        count += 6;
+        if (count >= 8)
+        {
+            count -= 8;
+            bytes += static_cast<char>((bits >> count) & 0xff);
+        }
+    }
+    return bytes;
+}
+
+bool is_plain(std::string const& token)
+{
+    for (unsigned char const c : token)
+    {
+        if (c < 0x20 || c >= 0x7f || c == '"' || c == '\\')
+            return false;
+    }
+    return true;
+}
+
+// Engines may split a character over two tokens. Such a token is no UTF-8 text
+// and is written as an array of bytes instead of a string.
+std::string json_of(std::string const& token)
+{
+    if (is_plain(token))
+        return '"' + token + '"';
+    try
+    {
+        return nlohmann::json(token).dump();
+    }
+    catch (nlohmann::json::type_error const&)
+    {
+        return nlohmann::json(
+                   std::vector<std::uint8_t>(token.begin(), token.end()))
+            .dump();
+    }
+}
+
+std::string token_of(nlohmann::json const& element)
+{
+    if (element.is_string())
+        return element.get<std::string>();
+    auto const bytes = element.get<std::vector<std::uint8_t>>();
+    return std::string(bytes.begin(), bytes.end());
+}
+
+template<typename Number>
+std::size_t
+parse_number(std::string const& id, std::size_t begin, Number& value)
+{
+    char const* const end = id.data() + id.size();
+    auto const result = std::from_chars(id.data() + begin, end, value);
+    if (result.ec != std::errc{} || result.ptr == end || *result.ptr != '.')
+        malformed(id);
+    return static_cast<std::size_t>(result.ptr - id.data()) + 1;
+}
+
+} // namespace
+
+std::string encode_event_id(resume_point const& point)
+{
+    std::string json = "[";
+    for (auto const& token : point.tail)
+    {
+        if (json.size() > 1)
+            json += ',';
+        json += json_of(token);
+    }
+    json += ']';
+    std::string id = std::to_string(point.epoch) + '.' +
+                     std::to_string(point.next_index) + '.';
+    append_base64url(id, json);
+    return id;
+}
+
+resume_point decode_event_id(std::string const& id)
+{
+    resume_point point;
+    std::size_t const index = parse_number(id, 0, point.epoch);
+    std::size_t const tail = parse_number(id, index, point.next_index);
+    auto const json =
+        nlohmann::json::parse(from_base64url(id, tail), nullptr, false);
+    if (!json.is_array() || json.size() > point.next_index)
+        malformed(id);
+    try
+    {
+        for (auto const& element : json)
+            point.tail.push_back(token_of(element));
+    }
+    catch (nlohmann::json::exception const&)
+    {
+        malformed(id);
+    }
+    return point;
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/recovery/generation_gate.hpp
@@ -0,0 +1,147 @@
+// Runs attempts of generations on the engine beside this agent and keeps their
+// output until the owning router has acknowledged it. A run has one owner at a
+// time: a router and an owner epoch. Messages of earlier owners are refused, so
+// that a paused router that wakes does no harm.
+//
+// State: soft, in the agent process. Called under the agent's lock by the
+// threads of its transport, timers and engine client.
+#ifndef DOTTERELLOCK_RECOVERY_GENERATION_GATE_HPP
+#define DOTTERELLOCK_RECOVERY_GENERATION_GATE_HPP
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+#include <dotterellock/admission.hpp>
+#include <dotterellock/observability.hpp>
+#include <dotterellock/peer_transport.hpp>
+#include <dotterellock/platform.hpp>
+#include <dotterellock/policy.hpp>
+
+namespace dotterellock
+{
+
+class generation_gate : public message_handler
+{
+public:
+    generation_gate(
+        incarnation self, clock_source& clock, timer_service& timers,
+        peer_transport& transport, engine& engine, permit_issuer& permits,
+        policy_source const& policy, counter_registry& counters);
+    ~generation_gate() override;
+
+    generation_gate(generation_gate const&) = delete;
+    generation_gate& operator=(generation_gate const&) = delete;
+
+    void on_message(peer_id const& from, message const& m) override;
+    void on_disconnected(peer_id const& peer) override;
+
+    /// Runs that the engine still works on; for planned stops.
+    std::size_t active_runs() const;
+
+    /// Tokens kept for owners that have not acknowledged them.
+    std::size_t buffered_tokens() const;
+
+protected:
+    /// Whether a message of that owner may act on the run. Virtual so that a
+    /// test can break it and see the invariant checker fail.
+    struct run;
+    virtual bool
+    owned_by(run const& r, peer_id const& from, owner_epoch epoch) const;
+
+    struct run
+    {
+        std::uint64_t serial = 0; // tells engine events of replaced runs apart
+        dispatch_generation dispatch;
+        peer_id owner;
+        owner_epoch epoch = 0;
+        engine_run_id engine_run = 0; // 0: the engine is done with it
+        std::deque<std::string> buffer;
+        token_index first_index = 0; // of buffer
+        token_index sent = 0;        // tokens below went to the owner
+        bool end_sent = false;
+        std::optional<finish_reason> finished;
+        std::optional<generation_failed> failed;
+        steady_time ended_at{};
+        timer_id flush = 0;
+
+        token_index next_index() const
+        {
+            return first_index + static_cast<token_index>(buffer.size());
+        }
+        bool ended() const { return finished || failed; }
+    };
+
+private:
+    struct router_link
+    {
+        steady_time heard; // last message from the router
+        steady_time sent;  // last message to it
+    };
+
+    using attempt_key =
+        std::tuple<request_id, peer_id, owner_epoch, attempt_number>;
+
+    void dispatch(peer_id const& from, dispatch_generation const& d);
+    void acknowledged(peer_id const& from, acknowledge const& a);
+    void cancelled(peer_id const& from, cancel const& c);
+    void attached(peer_id const& from, attach const& a);
+
+    bool replaces(
+        peer_id const& from, dispatch_generation const& d, run const& r) const;
+    void start_run(peer_id const& from, dispatch_generation const& d);
+    engine_events events_of(request_id const& request, std::uint64_t serial);
+    run* find(request_id const& request);
+    run* find(request_id const& request, std::uint64_t serial);
+
+    void on_tokens(run& r, std::vector<std::string> tokens);
+    void on_ended(run& r);
+    void schedule_flush(run& r);
+    void flush(run& r);
+    void send_end(run& r);
+    void stop_engine(run& r);
+    void release(run& r);
+    void drop(request_id const& request);
+    void depose(run const& r);
+    void refuse(
+        peer_id const& to, request_id const& request, attempt_number attempt,
+        owner_epoch epoch, error_code code, bool retryable);
+    void send(peer_id const& to, message m);
+
+    void arm_tick();
+    void tick();
+    void send_heartbeats();
+    void drop_expired();
+
+    incarnation self_;
+    clock_source& clock_;
+    timer_service& timers_;
+    peer_transport& transport_;
+    engine& engine_;
+    permit_issuer& permits_;
+    policy_source const& policy_;
+
+    counter& started_;
+    counter& duplicates_;
+    counter& stale_;
+    counter& takeovers_;
+    counter& orphans_;
+
+    std::uint64_t last_serial_ = 0;
+    std::unordered_map<request_id, run> runs_;
+    std::unordered_map<peer_id, router_link> links_;
+    std::set<permit_id> used_; // of accepted dispatches
+    std::deque<std::pair<steady_time, permit_id>> used_order_;
+    std::map<attempt_key, steady_time> cancelled_; // may precede the dispatch
+    timer_id tick_timer_ = 0;
+    steady_time last_tick_{};
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/recovery/generation_relay_attempts.cpp
@@ -0,0 +1,775 @@
+// Attempts of generation_relay: placing, relaying, detecting losses.
+#include "recovery/generation_relay.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "recovery/prompt_blocks.hpp"
+
+namespace dotterellock
+{
+
+namespace
+{
+
+// Adds at most this to the time until a loss is noticed.
+constexpr milliseconds tick_interval{25};
+
+// While everything rests, only expiry is left to watch.
+constexpr milliseconds idle_tick_interval{1000};
+
+// Finds connections that lose what is sent to an agent that streams itself.
+constexpr milliseconds ping_interval{1000};
+
+// Waits at least this before a refused placement is asked for again.
+constexpr milliseconds min_retry_delay{250};
+
+// Copies earlier than journal_after when a fast engine has produced this many
+// tokens, so that the event id's tail stays complete.
+constexpr token_index max_uncopied_tokens = 128;
+
+// Acknowledges output this far behind the caller even when no holder has
+// confirmed it, so that the agent's buffer stays bounded.
+constexpr token_index max_unconfirmed_tokens = 256;
+
+} // namespace
+
+// ---- placing --------------------------------------------------------------
+
+/// Starts the next attempt unless one is under way.
+void generation_relay::ensure_attempt(generation& g, std::string const& reason)
+{
+    if (g.ended || g.finished || g.suspended || g.search || g.retry_at)
+        return;
+    bool const under_way = std::any_of(
+        g.attempts.begin(), g.attempts.end(),
+        [](attempt const& a) { return a.state != attempt_state::lost; });
+    if (under_way)
+        return;
+    record(g, "resume", reason);
+    retry_policy const& retry = policy_.current().retry;
+    if (g.failures >= retry.max_attempts)
+    {
+        fail(
+            g, error(
+                   error_code::engine_failed, "resume", g.endpoint.value(),
+                   "no success after " + std::to_string(g.failures) +
+                       " attempts; last: " + reason));
+        return;
+    }
+    if (g.first_known > 0)
+    {
+        fail(
+            g, error(
+                   error_code::connection_lost, "resume", "",
+                   "no copy is left of the beginning of the answer"));
+        return;
+    }
+    if (version_available(g))
+        start_attempt(g);
+}
+
+/// Outputs of two versions are never spliced: another version may only answer
+/// while the caller has nothing yet.
+bool generation_relay::version_available(generation& g)
+{
+    model_ref const wanted = g.request.model;
+    if (!endpoints_.serving(wanted).empty())
+        return true;
+    if (g.next_index() > 0)
+    {
+        fail(
+            g, error(
+                   error_code::model_version_gone, "resume", "",
+                   "no endpoint serves " + to_string(wanted) +
+                       " any more; ask again from the start"));
+        return false;
+    }
+    model_ref const any{wanted.name, wanted.adapter, ""};
+    for (auto const& endpoint : endpoints_.serving(any))
+    {
+        for (auto const& model : endpoint.models)
+        {
+            if (model.name != wanted.name || model.adapter != wanted.adapter)
+                continue;
+            g.request.model = model;
+            record(g, "restart", "version is gone: " + to_string(wanted));
+            return true;
+        }
+    }
+    fail(
+        g, error(
+               error_code::no_endpoint, "resume", "",
+               "no endpoint serves " + to_string(wanted)));
+    return false;
+}
+
+void generation_relay::start_attempt(generation& g)
+{
+    std::uint32_t const limit = g.request.sampling.max_tokens;
+    if (limit != 0 && g.next_index() >= limit)
+    {
+        finish(g, finish_reason::length, 0);
+        return;
+    }
+    attempts_.add();
+    attempt a;
+    a.number = ++g.last_attempt;
+    a.epoch = g.epoch;
+    request_id const id = g.request.request;
+    attempt_number const number = a.number;
+    place_request request = place_request_of(g, a);
+    g.attempts.push_back(std::move(a));
+    dispatcher_.place(
+        std::move(request),
+        [this, id, number](placement const& p) { placed(id, number, p); },
+        [this, id, number](error const& e) { refused(id, number, e); });
+}
+
+place_request
+generation_relay::place_request_of(generation& g, attempt const& a)
+{
+    auto const serving = endpoints_.serving(g.request.model);
+    bool const none_left = std::all_of(
+        serving.begin(), serving.end(),
+        [&g](endpoint_info const& e)
+        { return g.excluded.count(e.endpoint) != 0; });
+    // An endpoint that failed before is better than none.
+    if (none_left)
+        g.excluded.clear();
+    place_request request;
+    request.request = g.request.request;
+    request.attempt = a.number;
+    request.epoch = a.epoch;
+    request.organisation = g.request.organisation;
+    request.rank = g.request.rank;
+    request.kind = work_kind::generation;
+    request.model = g.request.model;
+    request.estimated_tokens =
+        estimated_tokens(g.request.prompt, g.request.sampling.max_tokens);
+    request.payload_bytes = g.request.prompt.size();
+    request.prefix_blocks = prefix_blocks(g.request.prompt);
+    request.excluded = g.excluded;
+    request.waiting_limit =
+        policy_.current().ranks[index_of(g.request.rank)].waiting_limit;
+    request.is_retry = a.number > 1;
+    return request;
+}
+
+void generation_relay::placed(
+    request_id const& r, attempt_number number, placement const& p)
+{
+    auto const g = find(r);
+    attempt* const a = g ? find_placing(*g, number) : nullptr;
+    if (a == nullptr)
+    {
+        dispatcher_.finished(r, number, false);
+        return;
+    }
+    steady_time const now = clock_.now();
+    a->place = p;
+    a->state = attempt_state::running;
+    a->last_token = now;
+    agent_link& link = links_[p.agent];
+    link.heard = std::max(link.heard, now);
+    transport_.send(
+        p.agent, dispatch_generation{
+                     r, number, a->epoch, p.permit, p.incarnation,
+                     g->request.organisation, g->request.rank, g->request.model,
+                     g->request.prompt, g->tokens, g->request.sampling});
+}
+
+void generation_relay::refused(
+    request_id const& r, attempt_number number, error const& e)
+{
+    auto const g = find(r);
+    if (!g || find_placing(*g, number) == nullptr)
+        return;
+    end_attempt(*g, number, false);
+    if (g->attempts.empty() && g->next_index() == 0)
+    {
+        if (endpoints_.serving(g->request.model).empty())
+            ensure_attempt(*g, e.what());
+        else
+            fail(*g, e);
+        return;
+    }
+    ++g->failures;
+    g->excluded.clear();
+    duration const delay = std::max(e.retry_after(), min_retry_delay);
+    g->retry_at = clock_.now() + delay;
+}
+
+// ---- attempts -------------------------------------------------------------
+
+generation_relay::attempt* generation_relay::find_attempt(
+    generation& g, peer_id const& from, attempt_number number,
+    owner_epoch epoch)
+{
+    for (auto& a : g.attempts)
+    {
+        if (a.number == number && a.epoch == epoch && a.place.agent == from &&
+            a.state != attempt_state::placing)
+            return &a;
+    }
+    return nullptr;
+}
+
+generation_relay::attempt*
+generation_relay::find_placing(generation& g, attempt_number number)
+{
+    for (auto& a : g.attempts)
+    {
+        if (a.number == number && a.state == attempt_state::placing)
+            return &a;
+    }
+    return nullptr;
+}
+
+/// The attempt is over at its agent, or never got there.
+void generation_relay::end_attempt(
+    generation& g, attempt_number number, bool ok)
+{
+    auto const found = std::find_if(
+        g.attempts.begin(), g.attempts.end(),
+        [number](attempt const& a) { return a.number == number; });
+    if (found == g.attempts.end())
+        return;
+    bool const dispatched = found->state != attempt_state::placing;
+    endpoint_id const endpoint = found->place.endpoint;
+    g.attempts.erase(found);
+    if (!dispatched)
+        return;
+    if (!ok)
+        g.excluded.insert(endpoint);
+    dispatcher_.finished(g.request.request, number, ok);
+}
+
+void generation_relay::cancel_attempt(generation& g, attempt_number number)
+{
+    for (auto const& a : g.attempts)
+    {
+        if (a.number != number)
+            continue;
+        if (a.state == attempt_state::placing)
+            dispatcher_.withdraw(g.request.request, number);
+        else
+            transport_.send(
+                a.place.agent, cancel{g.request.request, number, a.epoch});
+        break;
+    }
+    end_attempt(g, number, false);
+}
+
+void generation_relay::cancel_all_but(generation& g, attempt_number number)
+{
+    std::vector<attempt_number> others;
+    for (auto const& a : g.attempts)
+    {
+        if (a.number != number)
+            others.push_back(a.number);
+    }
+    for (attempt_number const other : others)
+        cancel_attempt(g, other);
+}
+
+/// Stops the engine's work for a caller that takes too little of it.
+void generation_relay::suspend(generation& g)
+{
+    record(g, "suspend", "the caller is slower than the engine");
+    g.suspended = true;
+    cancel_all_but(g, 0);
+    g.excluded.clear();
+}
+
+// ---- messages of agents ---------------------------------------------------
+
+void generation_relay::on_message(peer_id const& from, message const& m)
+{
+    auto const link = links_.find(from);
+    if (link != links_.end())
+        link->second.heard = clock_.now();
+    if (search_message(from, m))
+        return;
+    if (auto const* batch = std::get_if<token_batch>(&m))
+        on_tokens(from, *batch);
+    else if (auto const* finished = std::get_if<generation_finished>(&m))
+        on_finished(from, *finished);
+    else if (auto const* failed = std::get_if<generation_failed>(&m))
+        on_failed(from, *failed);
+    else if (auto const* result = std::get_if<attach_result>(&m))
+        on_attached(from, *result);
+    else if (auto const* appended = std::get_if<journal_appended>(&m))
+        on_appended(from, *appended);
+    else if (auto const* p = std::get_if<pong>(&m))
+        on_pong(from, *p);
+}
+
+bool generation_relay::continues(
+    generation const& g, attempt const&, token_index first) const
+{
+    return first <= g.next_index();
+}
+
+void generation_relay::on_tokens(peer_id const& from, token_batch const& batch)
+{
+    auto const g = find(batch.request);
+    if (!g)
+    {
+        dropped_.add();
+        return;
+    }
+    attempt* const a = find_attempt(*g, from, batch.attempt, batch.epoch);
+    if (a == nullptr)
+    {
+        dropped_.add();
+        // The attempt lost against another and its cancel was lost too.
+        transport_.send(
+            from, cancel{batch.request, batch.attempt, batch.epoch});
+        return;
+    }
+    if (!continues(*g, *a, batch.first_index))
+    {
+        check_attempt(*g, *a, check_cause::gap);
+        return;
+    }
+    token_index const skip = g->next_index() - batch.first_index;
+    if (skip >= batch.tokens.size())
+    {
+        dropped_.add();
+        return;
+    }
+    accept(*g, *a, batch, skip);
+}
+
+void generation_relay::accept(
+    generation& g, attempt& a, token_batch const& batch, token_index skip)
+{
+    steady_time const now = clock_.now();
+    bool const resumed = !a.produced && g.next_index() > 0;
+    if (resumed)
+        resume_latency_.record(
+            std::chrono::duration_cast<std::chrono::microseconds>(
+                now - g.last_token));
+    if (g.next_index() == 0)
+        g.first_token = now;
+    a.produced = true;
+    a.state = attempt_state::running;
+    a.checking.reset();
+    a.last_token = now;
+    g.last_token = now;
+    g.endpoint = a.place.endpoint;
+    g.tokens.insert(
+        g.tokens.end(), batch.tokens.begin() + skip, batch.tokens.end());
+    // From here on no other attempt may continue the answer.
+    if (g.attempts.size() > 1)
+        cancel_all_but(g, batch.attempt);
+    g.retry_at.reset();
+    std::uint32_t const window = policy_.current().recovery.max_unsent_tokens;
+    if (g.next_index() - g.progress > 2 * window)
+        suspend(g);
+    deliver(g);
+}
+
+void generation_relay::on_finished(
+    peer_id const& from, generation_finished const& m)
+{
+    auto const g = find(m.request);
+    attempt* const a = g ? find_attempt(*g, from, m.attempt, m.epoch) : nullptr;
+    if (a == nullptr || m.next_index < g->next_index())
+    {
+        dropped_.add();
+        return;
+    }
+    if (m.next_index > g->next_index())
+    {
+        check_attempt(*g, *a, check_cause::gap);
+        return;
+    }
+    finish(*g, m.reason, m.attempt);
+}
+
+void generation_relay::on_failed(
+    peer_id const& from, generation_failed const& m)
+{
+    auto const g = find(m.request);
+    if (!g)
+        return;
+    if (m.code == error_code::stale_epoch)
+    {
+        bool const mine = std::any_of(
+            g->attempts.begin(), g->attempts.end(),
+            [&](attempt const& a)
+            {
+                return a.place.agent == from && a.epoch == m.epoch &&
+                       (a.number == m.attempt || m.attempt == 0);
+            });
+        if (!mine)
+            return;
+        stale_.add();
+        fail(
+            *g, error(
+                    error_code::stale_epoch, m.step, from.value(),
+                    "another router owns the generation"));
+        return;
+    }
+    if (find_attempt(*g, from, m.attempt, m.epoch) == nullptr)
+    {
+        dropped_.add();
+        return;
+    }
+    end_attempt(*g, m.attempt, false);
+    ++g->failures;
+    if (!m.retryable && g->attempts.empty())
+        fail(*g, error(m.code, m.step, from.value(), m.detail));
+    else
+        ensure_attempt(*g, m.step + ": " + m.detail);
+}
+
+void generation_relay::on_attached(peer_id const& from, attach_result const& m)
+{
+    auto const g = find(m.request);
+    if (!g || g->finished)
+        return;
+    bool known = false;
+    for (auto& a : g->attempts)
+    {
+        if (a.place.agent != from || !a.checking)
+            continue;
+        known = true;
+        if (m.found && (m.attempt != a.number || m.epoch != a.epoch))
+            continue;
+        attached(*g, a, m);
+        return;
+    }
+    // An agent that answered too late for the takeover it was asked for.
+    bool const handed_over =
+        m.found && !known &&
+        find_attempt(*g, from, m.attempt, m.epoch) == nullptr;
+    if (handed_over)
+        transport_.send(from, cancel{m.request, m.attempt, m.epoch});
+}
+
+void generation_relay::attached(
+    generation& g, attempt& a, attach_result const& m)
+{
+    bool const usable = m.found && m.first_index <= g.next_index();
+    if (!usable)
+    {
+        ++g.failures;
+        end_attempt(g, a.number, false);
+        ensure_attempt(g, "the agent no longer has the run");
+        return;
+    }
+    // A stall ends with a token only. After a silence the answer is enough:
+    // the engine may still be at the prompt.
+    if (a.checking->cause == check_cause::silence)
+    {
+        a.checking.reset();
+        if (a.state == attempt_state::lost && g.attempts.size() == 1)
+            a.state = attempt_state::running;
+    }
+}
+
+void generation_relay::on_pong(peer_id const& from, pong const& m)
+{
+    auto const link = links_.find(from);
+    if (link != links_.end() && m.sequence == link->second.last_ping)
+        link->second.ping_answered = true;
+}
+
+void generation_relay::on_appended(
+    peer_id const& from, journal_appended const& m)
+{
+    auto const g = find(m.request);
+    if (!g || m.epoch < g->epoch)
+        return;
+    if (m.epoch == g->epoch)
+    {
+        g->journal.appended(from, m.next_index);
+        return;
+    }
+    // Another router writes under the same epoch: both took over at once from
+    // different agents.
+    g->epoch = epoch_after(m.epoch);
+    g->journal.restart();
+}
+
+// ---- detection ------------------------------------------------------------
+
+/// Asks the agent for the tokens from the next index on.
+void generation_relay::check_attempt(
+    generation& g, attempt& a, check_cause cause)
+{
+    if (a.checking)
+        return;
+    checks_.add();
+    steady_time const now = clock_.now();
+    a.checking = check{now, cause};
+    agent_link& link = links_[a.place.agent];
+    // One new connection serves all generations that notice the same silence.
+    duration const pause = policy_.current().recovery.check_timeout;
+    bool const fresh = now - link.reconnected < pause;
+    if (cause != check_cause::gap && !fresh)
+    {
+        link.reconnected = now;
+        transport_.reconnect(a.place.agent);
+    }
+    transport_.send(
+        a.place.agent,
+        attach{g.request.request, a.epoch, g.next_index(), false});
+}
+
+/// Lets a hedged attempt start; this one may still deliver first.
+void generation_relay::give_up_on(generation& g, attempt_number number)
+{
+    for (auto& a : g.attempts)
+    {
+        if (a.number != number || a.state != attempt_state::running)
+            continue;
+        a.state = attempt_state::lost;
+        ++g.failures;
+        g.excluded.insert(a.place.endpoint);
+        hedged_.add();
+        std::string const reason = "no progress at " + a.place.endpoint.value();
+        ensure_attempt(g, reason);
+        return;
+    }
+}
+
+void generation_relay::on_disconnected(peer_id const& peer)
+{
+    std::vector<generation_ptr> all;
+    for (auto const& [request, g] : generations_)
+        all.push_back(g);
+    for (auto const& g : all)
+    {
+        g->journal.lost(peer);
+        if (g->search)
+        {
+            g->search->gone(peer);
+            watch_search(*g);
+            continue;
+        }
+        for (auto& a : g->attempts)
+        {
+            if (a.place.agent != peer || a.state != attempt_state::running)
+                continue;
+            // A new connection failed too: the agent is gone.
+            if (a.checking)
+                give_up_on(*g, a.number);
+            else
+                check_attempt(*g, a, check_cause::silence);
+            break;
+        }
+    }
+}
+
+void generation_relay::arm_tick()
+{
+    if (tick_timer_ != 0 || generations_.empty())
+        return;
+    bool const active = std::any_of(
+        generations_.begin(), generations_.end(),
+        [](auto const& entry) { return !entry.second->finished; });
+    last_tick_ = clock_.now();
+    tick_delay_ = active ? tick_interval : idle_tick_interval;
+    tick_timer_ = timers_.schedule(tick_delay_, [this] { tick(); });
+}
+
+/// A new generation needs close attention.
+void generation_relay::wake_tick()
+{
+    if (tick_timer_ != 0 && tick_delay_ == idle_tick_interval)
+    {
+        timers_.cancel(tick_timer_);
+        tick_timer_ = 0;
+    }
+    arm_tick();
+}
+
+void generation_relay::tick()
+{
+    tick_timer_ = 0;
+    steady_time const now = clock_.now();
+    recovery_policy const& policy = policy_.current().recovery;
+    duration const passed = now - last_tick_;
+    if (passed > tick_delay_ + policy.heartbeat_interval)
+        forgive_pause(passed);
+    std::vector<generation_ptr> all;
+    for (auto const& [request, g] : generations_)
+        all.push_back(g);
+    bool const housekeeping =
+        now - last_housekeeping_ >= policy.journal_interval;
+    if (housekeeping)
+        last_housekeeping_ = now;
+    for (auto const& g : all)
+    {
+        if (housekeeping)
+            keep_house(*g);
+        tick_generation(*g);
+    }
+    ping_agents();
+    arm_tick();
+}
+
+/// This process stood still and has not read what agents sent meanwhile, so
+/// their silence means nothing.
+void generation_relay::forgive_pause(duration passed)
+{
+    pauses_.add();
+    steady_time const now = clock_.now();
+    for (auto& [peer, link] : links_)
+    {
+        link.heard = now;
+        link.pinged = now;
+    }
+    for (auto const& [request, g] : generations_)
+    {
+        g->search_deadline += passed;
+        for (auto& a : g->attempts)
+        {
+            a.last_token = now;
+            if (a.checking)
+                a.checking->since = now;
+        }
+    }
+}
+
+void generation_relay::tick_generation(generation& g)
+{
+    steady_time const now = clock_.now();
+    bool const expired =
+        !g.listener &&
+        now - g.idle_since >= policy_.current().recovery.grace_period;
+    if (expired)
+    {
+        erase(g);
+        return;
+    }
+    if (g.search)
+    {
+        watch_search(g);
+        return;
+    }
+    if (g.finished || g.ended)
+        return;
+    if (g.retry_at && *g.retry_at <= now)
+    {
+        g.retry_at.reset();
+        ensure_attempt(g, "placement was refused before");
+    }
+    watch_attempts(g);
+}
+
+void generation_relay::watch_attempts(generation& g)
+{
+    recovery_policy const& policy = policy_.current().recovery;
+    steady_time const now = clock_.now();
+    for (auto& a : g.attempts)
+    {
+        if (a.state != attempt_state::running)
+            continue;
+        if (a.checking)
+        {
+            if (now - a.checking->since < policy.check_timeout)
+                continue;
+            give_up_on(g, a.number);
+            return; // the attempts have changed
+        }
+        milliseconds const patience =
+            a.produced ? policy.stalled_after : policy.prefill_stalled_after;
+        bool const silent =
+            now - links_[a.place.agent].heard >= policy.silent_after;
+        if (silent)
+            check_attempt(g, a, check_cause::silence);
+        else if (now - a.last_token >= patience)
+            check_attempt(g, a, check_cause::stall);
+    }
+}
+
+/// An agent may stream to this router over a connection that loses everything
+/// in the other direction, acknowledgements among it.
+void generation_relay::ping_agents()
+{
+    std::set<peer_id> in_use;
+    std::set<peer_id> deaf;
+    steady_time const now = clock_.now();
+    for (auto const& [request, g] : generations_)
+    {
+        for (auto const& a : g->attempts)
+        {
+            if (a.state != attempt_state::placing)
+                in_use.insert(a.place.agent);
+        }
+    }
+    for (auto i = links_.begin(); i != links_.end();)
+        i = in_use.count(i->first) == 0 ? links_.erase(i) : std::next(i);
+    for (auto& [peer, link] : links_)
+    {
+        if (now - link.pinged < ping_interval)
+            continue;
+        if (!link.ping_answered)
+            deaf.insert(peer);
+        link.pinged = now;
+        link.ping_answered = false;
+        transport_.send(peer, ping{++link.last_ping});
+    }
+    if (deaf.empty())
+        return;
+    for (auto const& [request, g] : generations_)
+    {
+        for (auto& a : g->attempts)
+        {
+            if (a.state == attempt_state::running &&
+                deaf.count(a.place.agent) != 0)
+                check_attempt(*g, a, check_cause::silence);
+        }
+    }
+}
+
+// ---- copies and acknowledgements ------------------------------------------
+
+/// Copies output to the journal holders, then lets the agent forget what is
+/// safe: what has left towards the caller and is copied.
+void generation_relay::keep_house(generation& g)
+{
+    if (g.search || g.first_known > 0)
+        return;
+    recovery_policy const& policy = policy_.current().recovery;
+    steady_time const now = clock_.now();
+    token_index const next = g.next_index();
+    bool const old = next > 0 && now - g.first_token >= policy.journal_after;
+    bool const fast =
+        next - std::min(next, g.journal.confirmed()) >= max_uncopied_tokens;
+    bool const copying = g.journal.has_holders();
+    if (policy.journal_holders > 0 && (old || fast || copying))
+    {
+        attempt_number const number =
+            g.attempts.empty() ? g.last_attempt : g.attempts.front().number;
+        g.journal.copy(
+            journal_source{
+                g.request.request, g.epoch, g.endpoint, number, g.tokens,
+                g.finished.has_value()},
+            policy, now);
+    }
+    if (g.attempts.size() != 1)
+        return;
+    attempt& a = g.attempts.front();
+    if (a.state != attempt_state::running || !a.produced)
+        return;
+    token_index const bounded = next - std::min(next, max_unconfirmed_tokens);
+    bool const no_holders = old && !g.journal.has_holders();
+    token_index const safe =
+        no_holders ? next : std::max(g.journal.confirmed(), bounded);
+    token_index const until = std::min(safe, g.progress);
+    if (until > a.acknowledged)
+    {
+        a.acknowledged = until;
+        transport_.send(
+            a.place.agent,
+            acknowledge{g.request.request, a.number, a.epoch, until});
+    }
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/recovery/generation_relay_takeover.cpp
@@ -0,0 +1,169 @@
+// Takeover of generations by generation_relay, after their router was lost.
+#include "recovery/generation_relay.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterellock
+{
+
+/// Asks the journal holders. The holders were chosen by another router, which
+/// does not count itself, so this router asks one more and itself.
+void generation_relay::begin_search(generation& g, resume_point const& from)
+{
+    takeovers_.add();
+    recovery_policy const& policy = policy_.current().recovery;
+    g.search = std::make_unique<takeover_search>(from);
+    g.search_deadline = clock_.now() + policy.check_timeout;
+    auto peers = journals_.holders(
+        g.request.request, std::size_t{policy.journal_holders} + 1);
+    if (std::find(peers.begin(), peers.end(), self_) == peers.end())
+        peers.push_back(self_);
+    for (auto const& peer : peers)
+    {
+        g.search->expect_journal(peer);
+        transport_.send(peer, journal_read{g.request.request});
+    }
+}
+
+/// Asks every agent that may run the generation to hand it over.
+void generation_relay::ask_agents(generation& g)
+{
+    recovery_policy const& policy = policy_.current().recovery;
+    g.search->resolve_prefix();
+    g.search_deadline = clock_.now() + policy.check_timeout;
+    std::set<peer_id> agents;
+    for (auto const& endpoint : endpoints_.serving(g.request.model))
+        agents.insert(endpoint.agent);
+    if (auto const endpoint = endpoints_.find(g.search->endpoint()))
+        agents.insert(endpoint->agent);
+    for (auto const& agent : agents)
+    {
+        g.search->expect_agent(agent);
+        transport_.send(agent, attach{g.request.request, 0, 0, true});
+    }
+}
+
+void generation_relay::watch_search(generation& g)
+{
+    bool const due = clock_.now() >= g.search_deadline;
+    if (!g.search->prefix_resolved())
+    {
+        if (!due && !g.search->journals_answered())
+            return;
+        ask_agents(g);
+    }
+    if (g.search->agents_answered())
+    {
+        conclude_search(g);
+        return;
+    }
+    if (clock_.now() < g.search_deadline)
+        return;
+    if (g.search_repeated)
+    {
+        conclude_search(g);
+        return;
+    }
+    // The present connections to silent agents may be broken.
+    g.search_repeated = true;
+    g.search_deadline = clock_.now() + policy_.current().recovery.check_timeout;
+    for (auto const& agent : g.search->silent_agents())
+    {
+        transport_.reconnect(agent);
+        transport_.send(agent, attach{g.request.request, 0, 0, true});
+    }
+}
+
+/// Takes the messages that belong to a search; true when it was one.
+bool generation_relay::search_message(peer_id const& from, message const& m)
+{
+    bool const relevant = std::holds_alternative<journal_state>(m) ||
+                          std::holds_alternative<attach_result>(m) ||
+                          std::holds_alternative<token_batch>(m) ||
+                          std::holds_alternative<generation_finished>(m) ||
+                          std::holds_alternative<generation_failed>(m);
+    if (!relevant)
+        return false;
+    auto const g = find(*request_of(m));
+    if (!g || !g->search)
+        return std::holds_alternative<journal_state>(m);
+    if (auto const* state = std::get_if<journal_state>(&m))
+        g->search->add_journal(from, *state);
+    else if (auto const* result = std::get_if<attach_result>(&m))
+        g->search->add_result(from, *result);
+    else
+        g->search->add_message(from, m);
+    watch_search(*g);
+    return true;
+}
+
+void generation_relay::conclude_search(generation& g)
+{
+    auto const search = std::move(g.search);
+    g.search.reset();
+    known_prefix const& prefix = search->prefix();
+    g.first_known = prefix.first;
+    g.tokens = prefix.tokens;
+    g.journal.inherit(prefix.journaled);
+    g.delivered = search->from().next_index;
+    g.progress = g.delivered;
+    g.last_attempt = search->highest_attempt();
+    g.epoch = epoch_after(search->highest_epoch());
+    g.endpoint = search->endpoint();
+    g.first_token = clock_.now();
+    g.last_token = clock_.now();
+    auto const chosen = search->choose();
+    // The agent has numbered this takeover, unless it missed earlier ones.
+    if (chosen &&
+        search->candidates().at(*chosen).result.epoch > search->highest_epoch())
+        g.epoch = search->candidates().at(*chosen).result.epoch;
+    for (auto const& [agent, c] : search->candidates())
+    {
+        if (agent != chosen)
+            transport_.send(
+                agent,
+                cancel{g.request.request, c.result.attempt, c.result.epoch});
+    }
+    if (chosen)
+    {
+        record(g, "takeover", "run at " + chosen->value());
+        adopt(g, *chosen, search->candidates().at(*chosen));
+    }
+    deliver(g);
+    if (!chosen)
+        ensure_attempt(g, "no agent has the run to take over");
+}
+
+void generation_relay::adopt(
+    generation& g, peer_id const& agent, takeover_search::candidate const& c)
+{
+    steady_time const now = clock_.now();
+    attempt a;
+    a.number = c.result.attempt;
+    a.epoch = c.result.epoch;
+    a.state = attempt_state::running;
+    a.place.agent = agent;
+    a.produced = c.result.next_index > 0;
+    a.last_token = now;
+    a.acknowledged = c.result.first_index;
+    for (auto const& endpoint : endpoints_.serving(g.request.model))
+    {
+        if (endpoint.agent == agent)
+            a.place.endpoint = endpoint.endpoint;
+    }
+    links_[agent].heard = now;
+    g.attempts.push_back(std::move(a));
+    for (auto const& m : c.messages)
+        on_message(agent, m);
+}
+
+/// Two routers that take over at once without an agent to number them differ
+/// in the random part.
+owner_epoch generation_relay::epoch_after(owner_epoch highest)
+{
+    constexpr std::uint64_t spread = std::uint64_t{1} << 32;
+    return highest + 1 + random_.below(spread);
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/recovery/journal_holder.cpp
@@ -0,0 +1,116 @@
+#include "recovery/journal_holder.hpp"
+
+#include <iterator>
+
+namespace dotterellock
+{
+
+namespace
+{
+
+// Concurrent takeovers of one request; earlier owners are long gone.
+constexpr std::size_t max_epochs = 4;
+
+// Expiry need not be exact.
+constexpr milliseconds expiry_interval{1000};
+
+} // namespace
+
+journal_holder::journal_holder(
+    clock_source& clock, timer_service& timers, peer_transport& transport,
+    policy_source const& policy, counter_registry& counters)
+    : clock_(clock), timers_(timers), transport_(transport), policy_(policy),
+      bytes_(counters.counter("journal_bytes_received")),
+      expired_(counters.counter("journal_entries_expired"))
+{
+}
+
+journal_holder::~journal_holder()
+{
+    timers_.cancel(expiry_timer_);
+}
+
+void journal_holder::on_message(peer_id const& from, message const& m)
+{
+    if (auto const* a = std::get_if<journal_append>(&m))
+        append(from, *a);
+    else if (auto const* r = std::get_if<journal_read>(&m))
+        read(from, *r);
+}
+
+// Copies stay when their writer is gone: that is when they are needed.
+void journal_holder::on_disconnected(peer_id const&) {}
+
+void journal_holder::append(peer_id const& from, journal_append const& a)
+{
+    journal& j = journals_[a.request];
+    j.changed = clock_.now();
+    arm_expiry();
+    copy& c = j.copies[a.epoch];
+    if (c.writer.empty())
+        c.writer = from;
+    // Two writers of one epoch would mix two answers.
+    if (c.writer != from)
+    {
+        transport_.send(from, journal_appended{a.request, a.epoch + 1, 0});
+        return;
+    }
+    c.endpoint = a.endpoint;
+    c.attempt = a.attempt;
+    if (a.first_index <= c.tokens.size())
+    {
+        for (std::size_t i = c.tokens.size() - a.first_index;
+             i < a.tokens.size(); ++i)
+        {
+            bytes_.add(a.tokens[i].size());
+            c.tokens.push_back(a.tokens[i]);
+        }
+    }
+    transport_.send(
+        from,
+        journal_appended{
+            a.request, a.epoch, static_cast<token_index>(c.tokens.size())});
+    while (j.copies.size() > max_epochs)
+        j.copies.erase(j.copies.begin());
+}
+
+void journal_holder::read(peer_id const& from, journal_read const& r)
+{
+    auto const found = journals_.find(r.request);
+    if (found == journals_.end())
+    {
+        transport_.send(from, journal_state{r.request, false, 0, {}, 0, {}});
+        return;
+    }
+    for (auto const& [epoch, c] : found->second.copies)
+    {
+        transport_.send(
+            from, journal_state{
+                      r.request, true, epoch, c.endpoint, c.attempt, c.tokens});
+    }
+}
+
+void journal_holder::arm_expiry()
+{
+    if (expiry_timer_ == 0)
+        expiry_timer_ = timers_.schedule(expiry_interval, [this] { expire(); });
+}
+
+// The writer appends at least every third of the grace period while its
+// generation lives.
+void journal_holder::expire()
+{
+    expiry_timer_ = 0;
+    steady_time const oldest =
+        clock_.now() - policy_.current().recovery.grace_period;
+    for (auto i = journals_.begin(); i != journals_.end();)
+    {
+        bool const old = i->second.changed <= oldest;
+        expired_.add(old ? 1 : 0);
+        i = old ? journals_.erase(i) : std::next(i);
+    }
+    if (!journals_.empty())
+        arm_expiry();
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/recovery/journal_writer.cpp
@@ -0,0 +1,143 @@
+#include "recovery/journal_writer.hpp"
+
+#include <algorithm>
+
+namespace dotterellock
+{
+
+namespace
+{
+
+// Keeps an append far below the frame limit of 8 MiB.
+constexpr token_index max_append_tokens = 8192;
+
+// A holder that confirms nothing for this many intervals is taken for gone or
+// its connection for silent: it gets everything unconfirmed again, and another
+// holder may take its place.
+constexpr int unconfirmed_intervals = 4;
+
+} // namespace
+
+journal_writer::journal_writer(
+    peer_transport& transport, journal_placement const& placement,
+    counter& bytes)
+    : transport_(transport), placement_(placement), bytes_(bytes)
+{
+}
+
+void journal_writer::copy(
+    journal_source const& source, recovery_policy const& policy,
+    steady_time now)
+{
+    auto const next = static_cast<token_index>(source.tokens.size());
+    if (choose_again_)
+        choose_holders(source, policy.journal_holders);
+    for (auto& [peer, h] : holders_)
+    {
+        if (h.confirmed == h.sent || h.changed == steady_time{})
+            h.changed = now;
+        if (now - h.changed >= unconfirmed_intervals * policy.journal_interval)
+        {
+            h.sent = h.confirmed;
+            h.changed = now;
+            h.told_end = false;
+            choose_again_ = true;
+            transport_.reconnect(peer);
+        }
+        bool const end = source.finished && !h.told_end;
+        bool const idle = now - h.appended >= policy.grace_period / 3;
+        if (h.sent < next || end || idle)
+        {
+            h.appended = now;
+            append(peer, h, source);
+        }
+    }
+}
+
+void journal_writer::choose_holders(
+    journal_source const& source, std::size_t count)
+{
+    choose_again_ = false;
+    auto const chosen = placement_.holders(source.request, count);
+    std::map<peer_id, holder> holders;
+    for (auto const& peer : chosen)
+        holders[peer] = holders_[peer];
+    for (auto const& [peer, h] : holders_)
+    {
+        if (holders.count(peer) == 0)
+            inherited_ = std::max(inherited_, h.confirmed);
+    }
+    holders_ = std::move(holders);
+}
+
+void journal_writer::append(
+    peer_id const& peer, holder& h, journal_source const& source)
+{
+    auto const next = static_cast<token_index>(source.tokens.size());
+    do
+    {
+        token_index const end = std::min(next, h.sent + max_append_tokens);
+        journal_append a{
+            source.request,
+            source.epoch,
+            source.endpoint,
+            source.attempt,
+            h.sent,
+            {},
+            source.finished && end == next};
+        a.tokens.assign(
+            source.tokens.begin() + h.sent, source.tokens.begin() + end);
+        for (auto const& token : a.tokens)
+            bytes_.add(token.size());
+        h.sent = end;
+        h.told_end = a.finished;
+        transport_.send(peer, std::move(a));
+    } while (h.sent < next);
+}
+
+void journal_writer::appended(peer_id const& peer, token_index next_index)
+{
+    auto const found = holders_.find(peer);
+    if (found == holders_.end())
+        return;
+    holder& h = found->second;
+    // A holder that restarted has less than it confirmed before.
+    if (next_index < h.confirmed)
+        h.sent = next_index;
+    if (next_index != h.confirmed)
+        h.changed = steady_time{};
+    h.confirmed = next_index;
+    h.sent = std::max(h.sent, next_index);
+}
+
+void journal_writer::lost(peer_id const& peer)
+{
+    auto const found = holders_.find(peer);
+    if (found == holders_.end())
+        return;
+    found->second.sent = found->second.confirmed;
+    found->second.told_end = false;
+    choose_again_ = true;
+}
+
+void journal_writer::inherit(token_index confirmed)
+{
+    inherited_ = confirmed;
+}
+
+void journal_writer::restart()
+{
+    inherited_ = confirmed();
+    holders_.clear();
+    choose_again_ = true;
+}
+
+token_index journal_writer::confirmed() const
+{
+    token_index most = inherited_;
+    for (auto const& [peer, h] : holders_)
+        most = std::max(most, h.confirmed);
+    return most;
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/recovery/takeover_search.cpp
@@ -0,0 +1,187 @@
+#include "recovery/takeover_search.hpp"
+
+#include <algorithm>
+
+namespace dotterellock
+{
+
+// ---- journal holders ------------------------------------------------------
+
+void takeover_search::add_journal(
+    peer_id const& peer, journal_state const& state)
+{
+    journals_.erase(peer);
+    if (!state.found || resolved_)
+        return;
+    if (state.epoch >= highest_epoch())
+        endpoint_ = state.endpoint;
+    copies_.push_back(state);
+}
+
+token_index takeover_search::tail_start() const
+{
+    return from_.next_index - static_cast<token_index>(from_.tail.size());
+}
+
+bool takeover_search::agrees_with_tail(journal_state const& copy) const
+{
+    for (std::size_t i = tail_start();
+         i < copy.tokens.size() && i < from_.next_index; ++i)
+    {
+        if (copy.tokens[i] != from_.tail[i - tail_start()])
+            return false;
+    }
+    return true;
+}
+
+// Only a copy that was made for this caller may be continued. The copy of the
+// epoch in the event id was. Without it, the router that sent the event relied
+// on an earlier copy, and copies of different epochs may differ: two routers
+// may have taken over at once. The beginning is then taken only when all
+// copies agree on it.
+journal_state const* takeover_search::usable_copy() const
+{
+    journal_state const* exact = nullptr;
+    journal_state const* any = nullptr;
+    token_index const start = tail_start();
+    for (auto const& copy : copies_)
+    {
+        if (copy.tokens.size() < start)
+            continue;
+        if (copy.epoch == from_.epoch && agrees_with_tail(copy) &&
+            (exact == nullptr || copy.tokens.size() > exact->tokens.size()))
+            exact = &copy;
+        if (any != nullptr &&
+            !std::equal(
+                copy.tokens.begin(), copy.tokens.begin() + start,
+                any->tokens.begin()))
+            return exact;
+        any = &copy;
+    }
+    return exact != nullptr ? exact : any;
+}
+
+void takeover_search::resolve_prefix()
+{
+    resolved_ = true;
+    token_index const start = tail_start();
+    journal_state const* const copy = usable_copy();
+    if (start > 0 && copy == nullptr)
+    {
+        prefix_ = known_prefix{start, from_.tail, start};
+        return;
+    }
+    prefix_ = known_prefix{};
+    prefix_.journaled = start;
+    if (copy != nullptr)
+        prefix_.tokens.assign(
+            copy->tokens.begin(), copy->tokens.begin() + start);
+    prefix_.tokens.insert(
+        prefix_.tokens.end(), from_.tail.begin(), from_.tail.end());
+    if (copy == nullptr || copy->epoch != from_.epoch ||
+        !agrees_with_tail(*copy))
+        return;
+    // The router of that epoch had relayed more than the caller received.
+    prefix_.journaled = static_cast<token_index>(copy->tokens.size());
+    for (std::size_t i = from_.next_index; i < copy->tokens.size(); ++i)
+        prefix_.tokens.push_back(copy->tokens[i]);
+}
+
+// ---- agents ---------------------------------------------------------------
+
+void takeover_search::add_result(
+    peer_id const& peer, attach_result const& result)
+{
+    agents_.erase(peer);
+    // The answer to a repeated request starts the hand-over anew.
+    if (result.found)
+        candidates_[peer] = candidate{result, {}, {}};
+}
+
+void takeover_search::add_message(peer_id const& peer, message const& m)
+{
+    auto const found = candidates_.find(peer);
+    if (found == candidates_.end())
+        return;
+    candidate& c = found->second;
+    if (auto const* batch = std::get_if<token_batch>(&m))
+    {
+        if (batch->attempt != c.result.attempt ||
+            batch->epoch != c.result.epoch ||
+            batch->first_index != c.result.first_index + c.tokens.size())
+            return;
+        c.tokens.insert(
+            c.tokens.end(), batch->tokens.begin(), batch->tokens.end());
+    }
+    c.messages.push_back(m);
+}
+
+bool takeover_search::ready(candidate const& c) const
+{
+    return c.result.first_index + c.tokens.size() >=
+           std::min(c.result.next_index, prefix_.next_index());
+}
+
+bool takeover_search::agents_answered() const
+{
+    return agents_.empty() &&
+           std::all_of(
+               candidates_.begin(), candidates_.end(),
+               [this](auto const& entry) { return ready(entry.second); });
+}
+
+// An attempt that lost against a hedged one has the same tokens up to the
+// point where the other won, and the agent keeps its output from there on,
+// because nothing behind that point was acknowledged. So a run whose kept
+// output agrees with the prefix is the one the caller saw, or equal to it.
+bool takeover_search::continues_prefix(candidate const& c) const
+{
+    token_index const kept = c.result.first_index;
+    if (!ready(c) || kept < prefix_.first || kept > prefix_.next_index())
+        return false;
+    if (c.result.next_index < prefix_.next_index())
+        return false;
+    auto const overlap = prefix_.tokens.begin() + (kept - prefix_.first);
+    return std::equal(overlap, prefix_.tokens.end(), c.tokens.begin());
+}
+
+std::optional<peer_id> takeover_search::choose() const
+{
+    std::optional<peer_id> best;
+    for (auto const& [peer, c] : candidates_)
+    {
+        if (!continues_prefix(c))
+            continue;
+        if (!best || c.result.attempt > candidates_.at(*best).result.attempt)
+            best = peer;
+    }
+    return best;
+}
+
+// ---- both -----------------------------------------------------------------
+
+void takeover_search::gone(peer_id const& peer)
+{
+    journals_.erase(peer);
+    agents_.erase(peer);
+}
+
+owner_epoch takeover_search::highest_epoch() const
+{
+    owner_epoch highest = from_.epoch;
+    for (auto const& copy : copies_)
+        highest = std::max(highest, copy.epoch);
+    return highest;
+}
+
+attempt_number takeover_search::highest_attempt() const
+{
+    attempt_number highest = 0;
+    for (auto const& copy : copies_)
+        highest = std::max(highest, copy.attempt);
+    for (auto const& [peer, c] : candidates_)
+        highest = std::max(highest, c.result.attempt);
+    return highest;
+}
+
+} // namespace dotterellock
