--- a/src/recovery/generation_relay.cpp
+++ b/src/recovery/generation_relay.cpp
@@ -54,10 +54,10 @@
 void generation_relay::start(
     generation_request request, std::shared_ptr<generation_listener> listener)
 {
-    if (auto const g = find(request.request))
+    // A key that is already known asks for its answer again.
+    if (find(request.request))
     {
-        if (!refuse_reused_key(*g, request, listener))
-            reattach(*g, 0, std::move(listener));
+        resume(std::move(request), resume_point{}, std::move(listener));
         return;
     }
     auto const g = create(std::move(request), std::move(listener));
--- a/tests/support/fake_network.hpp
+++ b/tests/support/fake_network.hpp
@@ -94,6 +94,11 @@
 
     void heal() { cut_.clear(); }
 
+    bool is_cut(peer_id const& a, peer_id const& b) const
+    {
+        return cut_.count({a, b}) != 0;
+    }
+
     void set_rule(rule r) { rule_ = std::move(r); }
     void set_delay(duration delay) { delay_ = delay; }
 
--- /dev/null
+++ b/tests/support/invariant_checker.hpp
@@ -0,0 +1,224 @@
+// Checks the guarantees on what callers, engines and services observed. It
+// knows nothing of how the system works: every token that an engine produces
+// must be a text of its own, so that each token a caller receives can be
+// traced to one run.
+#ifndef DOTTERELLOCK_TESTS_INVARIANT_CHECKER_HPP
+#define DOTTERELLOCK_TESTS_INVARIANT_CHECKER_HPP
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <dotterellock/types.hpp>
+
+namespace dotterellock::testing
+{
+
+enum class violation
+{
+    missing_token,
+    repeated_token,
+    spliced_version,
+    spliced_generation,
+    swapped_answer,
+    invented_token,
+    run_twice,
+    run_after_not_run,
+    cut_by_planned_stop
+};
+
+class invariant_checker
+{
+public:
+    using run_number = std::size_t;
+
+    // ---- engines ----------------------------------------------------------
+    run_number engine_started(
+        request_id const& request, model_ref const& model,
+        std::vector<std::string> const& resume_tokens)
+    {
+        runs_.push_back(run{request, model, resume_tokens, 0, false});
+        return runs_.size() - 1;
+    }
+
+    /// A text for the run's next token that no other token has.
+    std::string engine_produces(run_number number)
+    {
+        run& r = runs_[number];
+        auto const index =
+            static_cast<token_index>(r.resume_tokens.size() + r.produced++);
+        std::string const text =
+            'r' + std::to_string(number) + '#' + std::to_string(index) + ' ';
+        tokens_[text] = token{number, index};
+        return text;
+    }
+
+    void engine_finished(run_number number) { runs_[number].finished = true; }
+
+    // ---- callers ----------------------------------------------------------
+    /// The caller keeps its tokens below `from` and asks for the rest.
+    void connected(request_id const& request, token_index from)
+    {
+        answer& a = answers_[request];
+        a.tokens.resize(from);
+    }
+
+    void delivered(
+        request_id const& request, token_index first,
+        std::vector<std::string> const& tokens)
+    {
+        answer& a = answers_[request];
+        if (first > a.tokens.size())
+            report(violation::missing_token, request);
+        if (first < a.tokens.size())
+            report(violation::repeated_token, request);
+        for (auto const& text : tokens)
+        {
+            check_token(request, a, text);
+            a.tokens.push_back(text);
+        }
+    }
+
+    void finished(request_id const& request, token_index total)
+    {
+        answer& a = answers_[request];
+        a.complete = true;
+        if (a.tokens.size() != total)
+            report(violation::missing_token, request);
+        auto const last =
+            a.tokens.empty() ? tokens_.end() : tokens_.find(a.tokens.back());
+        bool const ended =
+            last != tokens_.end() && runs_[last->second.run].finished &&
+            last->second.index + 1 == end_of(runs_[last->second.run]);
+        // A run that starts behind the last token may find nothing to add.
+        bool const ended_by_other = std::any_of(
+            runs_.begin(), runs_.end(),
+            [&](run const& r)
+            {
+                return r.finished && r.produced == 0 && r.request == request &&
+                       r.resume_tokens == a.tokens;
+            });
+        if (!ended && !ended_by_other)
+            report(violation::missing_token, request);
+    }
+
+    bool complete(request_id const& request) const
+    {
+        auto const found = answers_.find(request);
+        return found != answers_.end() && found->second.complete;
+    }
+
+    std::vector<std::string> const& received(request_id const& request)
+    {
+        return answers_[request].tokens;
+    }
+
+    // ---- services ---------------------------------------------------------
+    void service_ran(request_id const& request, bool repeatable)
+    {
+        unsigned const runs = ++service_runs_[request];
+        if (!repeatable && runs > 1)
+            report(violation::run_twice, request);
+        if (not_run_.count(request) != 0)
+            report(violation::run_after_not_run, request);
+    }
+
+    void told_not_run(request_id const& request)
+    {
+        not_run_.insert(request);
+        if (service_runs_.count(request) != 0)
+            report(violation::run_after_not_run, request);
+    }
+
+    // ---- planned stops ----------------------------------------------------
+    /// A process that was asked to stop has exited; `open` requests were cut.
+    void stopped_as_planned(std::vector<request_id> const& open)
+    {
+        for (auto const& request : open)
+            report(violation::cut_by_planned_stop, request);
+    }
+
+    // ---- verdict ----------------------------------------------------------
+    std::set<violation> const& violations() const { return violations_; }
+    std::string const& report_text() const { return text_; }
+
+private:
+    struct run
+    {
+        request_id request;
+        model_ref model;
+        std::vector<std::string> resume_tokens;
+        std::size_t produced = 0;
+        bool finished = false;
+    };
+
+    struct token
+    {
+        run_number run = 0;
+        token_index index = 0;
+    };
+
+    struct answer
+    {
+        std::vector<std::string> tokens;
+        bool complete = false;
+    };
+
+    static token_index end_of(run const& r)
+    {
+        return static_cast<token_index>(r.resume_tokens.size() + r.produced);
+    }
+
+    void check_token(
+        request_id const& request, answer const& a, std::string const& text)
+    {
+        auto const found = tokens_.find(text);
+        if (found == tokens_.end())
+        {
+            report(violation::invented_token, request);
+            return;
+        }
+        token const& t = found->second;
+        run const& r = runs_[t.run];
+        if (r.request != request)
+            report(violation::swapped_answer, request);
+        if (t.index > a.tokens.size())
+            report(violation::missing_token, request);
+        if (t.index < a.tokens.size())
+            report(violation::repeated_token, request);
+        auto const before =
+            a.tokens.empty() ? tokens_.end() : tokens_.find(a.tokens.back());
+        if (before == tokens_.end())
+            return;
+        if (runs_[before->second.run].model != r.model)
+            report(violation::spliced_version, request);
+        // Another run may go on only from exactly what the caller has.
+        if (before->second.run != t.run && r.resume_tokens != a.tokens)
+            report(violation::spliced_generation, request);
+    }
+
+    void report(violation v, request_id const& request)
+    {
+        static char const* const names[] = {
+            "missing token",      "repeated token",    "spliced version",
+            "spliced generation", "swapped answer",    "invented token",
+            "run twice",          "run after not run", "cut by planned stop"};
+        violations_.insert(v);
+        text_ += names[static_cast<int>(v)];
+        text_ += " in " + request.value() + "; ";
+    }
+
+    std::vector<run> runs_;
+    std::map<std::string, token> tokens_;
+    std::map<request_id, answer> answers_;
+    std::map<request_id, unsigned> service_runs_;
+    std::set<request_id> not_run_;
+    std::set<violation> violations_;
+    std::string text_;
+};
+
+} // namespace dotterellock::testing
+
+#endif
