--- /dev/null
+++ b/src/front/http_front.cpp
@@ -0,0 +1,327 @@
+#include "http_front.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+
+#include <restinio/all.hpp>
+
+namespace dotterellock
+{
+
+namespace
+{
+
+// RESTinio closes a response on which nothing is written for this long (10 s
+// by default). A long prefill or a wait in a queue is no fault; the relay and
+// the callers' own time limits end what never will be answered.
+constexpr std::chrono::hours handling_timeout{24};
+
+// A caller that takes nothing for this long is treated as gone; its
+// generation waits for the grace period.
+constexpr std::chrono::seconds write_timeout{30};
+constexpr std::chrono::seconds idle_timeout{75};
+
+// With two, RESTinio reads on while a response is under way and so notices
+// that a caller has closed its connection.
+constexpr std::size_t pipelined_requests = 2;
+
+// Last-Event-ID carries the tokens that no journal holder has confirmed.
+constexpr std::size_t max_header_bytes = 64u << 10;
+
+using connection_id = restinio::connection_id_t;
+
+/// Knows which exchanges each connection carries, to tell them when it ends.
+class connection_watch
+{
+public:
+    void add(connection_id id, std::shared_ptr<exchange> e)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        auto& open = exchanges_[id];
+        // At most `pipelined_requests` are under way; older ones are over.
+        if (open.size() == pipelined_requests)
+            open.erase(open.begin());
+        open.push_back(std::move(e));
+    }
+
+    void state_changed(restinio::connection_state::notice_t const& n) noexcept
+    {
+        if (!restinio::holds_alternative<restinio::connection_state::closed_t>(
+                n.cause()))
+            return;
+        std::vector<std::shared_ptr<exchange>> ended;
+        {
+            std::lock_guard<std::mutex> const lock(mutex_);
+            auto const found = exchanges_.find(n.connection_id());
+            if (found == exchanges_.end())
+                return;
+            ended = std::move(found->second);
+            exchanges_.erase(found);
+        }
+        for (auto const& e : ended)
+            e->caller_gone();
+    }
+
+private:
+    std::mutex mutex_;
+    std::unordered_map<connection_id, std::vector<std::shared_ptr<exchange>>>
+        exchanges_;
+};
+
+struct front_traits : restinio::default_traits_t
+{
+    using connection_state_listener_t = connection_watch;
+};
+
+using server_type = restinio::http_server_t<front_traits>;
+using stream_builder = restinio::response_builder_t<restinio::chunked_output_t>;
+using open_count = std::shared_ptr<std::atomic<std::size_t>>;
+
+char const* reason_phrase(int status)
+{
+    switch (status)
+    {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 404:
+        return "Not Found";
+    case 409:
+        return "Conflict";
+    case 413:
+        return "Content Too Large";
+    case 422:
+        return "Unprocessable Content";
+    case 429:
+        return "Too Many Requests";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return status < 400 ? "Success" : "Error";
+    }
+}
+
+restinio::http_status_line_t status_line(int status)
+{
+    auto const code = static_cast<std::uint16_t>(
+        status >= 100 && status <= 999 ? status : 502);
+    return {restinio::http_status_code_t(code), reason_phrase(code)};
+}
+
+class restinio_sink : public response_sink
+{
+public:
+    restinio_sink(restinio::request_handle_t request, open_count open)
+        : request_(std::move(request)), open_(std::move(open))
+    {
+        ++*open_;
+    }
+
+    ~restinio_sink() override { --*open_; }
+
+    void respond(http_output output) override
+    {
+        auto response = request_->create_response(status_line(output.status));
+        response.append_header_date_field();
+        if (!output.content_type.empty())
+        {
+            response.append_header(
+                restinio::http_field::content_type,
+                std::move(output.content_type));
+        }
+        for (auto& [name, value] : output.headers)
+            response.append_header(std::move(name), std::move(value));
+        response.set_body(std::move(output.body));
+        response.done();
+    }
+
+    void begin_stream(http_headers headers) override
+    {
+        stream_ = std::make_unique<stream_builder>(
+            request_->create_response<restinio::chunked_output_t>());
+        stream_->append_header_date_field();
+        for (auto& [name, value] : headers)
+            stream_->append_header(std::move(name), std::move(value));
+    }
+
+    void write(std::string bytes, std::function<void()> written) override
+    {
+        stream_->append_chunk(std::move(bytes));
+        if (!written)
+        {
+            stream_->flush();
+            return;
+        }
+        stream_->flush(
+            [written = std::move(written)](asio::error_code const& failure)
+            {
+                if (!failure)
+                    written();
+            });
+    }
+
+    void end() override
+    {
+        stream_->done();
+        stream_.reset();
+    }
+
+private:
+    restinio::request_handle_t request_;
+    std::unique_ptr<stream_builder> stream_;
+    open_count const open_;
+};
+
+http_input describe(restinio::request_t const& request)
+{
+    http_input input;
+    auto const& header = request.header();
+    input.method = header.method().c_str();
+    input.path = std::string(header.path());
+    input.query = std::string(header.query());
+    header.for_each_field(
+        [&input](auto const& field)
+        {
+            std::string name = field.name();
+            std::transform(
+                name.begin(), name.end(), name.begin(),
+                [](unsigned char c)
+                { return static_cast<char>(std::tolower(c)); });
+            input.headers[std::move(name)] = field.value();
+        });
+    input.body = request.body();
+    return input;
+}
+
+struct ip_and_port
+{
+    std::string ip;
+    std::uint16_t port = 0;
+};
+
+ip_and_port split(std::string const& address)
+{
+    auto const colon = address.rfind(':');
+    std::string const port =
+        colon == std::string::npos ? "" : address.substr(colon + 1);
+    bool const valid =
+        !port.empty() && port.size() <= 5 &&
+        port.find_first_not_of("0123456789") == std::string::npos &&
+        std::stoul(port) <= 65535;
+    if (!valid)
+    {
+        throw error(
+            error_code::invalid_argument, "listen", "",
+            "address \"" + address + "\" is not ip:port");
+    }
+    return {
+        address.substr(0, colon), static_cast<std::uint16_t>(std::stoul(port))};
+}
+
+} // namespace
+
+struct http_front::implementation
+{
+    std::string address;
+    std::shared_ptr<connection_watch> watch =
+        std::make_shared<connection_watch>();
+    open_count open = std::make_shared<std::atomic<std::size_t>>(0);
+    std::unique_ptr<server_type> server;
+};
+
+http_front::http_front(
+    asio::io_context& io, http_front_settings const& settings,
+    request_path& path)
+    : implementation_(std::make_unique<implementation>())
+{
+    auto const on_request =
+        [&path, watch = implementation_->watch,
+         open = implementation_->open](restinio::request_handle_t request)
+    {
+        auto const id = request->connection_id();
+        http_input input = describe(*request);
+        auto e = path.handle(
+            std::move(input),
+            std::make_shared<restinio_sink>(std::move(request), open));
+        if (e)
+            watch->add(id, std::move(e));
+        return restinio::request_accepted();
+    };
+    auto const listen = split(settings.listen_address);
+    auto* const chosen = &implementation_->address;
+    auto const configure = [&](auto& s)
+    {
+        s.address(listen.ip)
+            .port(listen.port)
+            .request_handler(on_request)
+            .connection_state_listener(implementation_->watch)
+            .handle_request_timeout(handling_timeout)
+            .write_http_response_timelimit(write_timeout)
+            .read_next_http_message_timelimit(idle_timeout)
+            .max_pipelined_requests(pipelined_requests)
+            .concurrent_accepts_count(8)
+            .incoming_http_msg_limits(
+                restinio::incoming_http_msg_limits_t{}
+                    .max_url_size(8u << 10)
+                    .max_field_name_size(1u << 10)
+                    .max_field_value_size(max_header_bytes)
+                    .max_field_count(100)
+                    .max_body_size(settings.max_body_bytes))
+            .acceptor_options_setter(
+                [](auto& options) {
+                    options.set_option(
+                        asio::ip::tcp::acceptor::reuse_address(true));
+                })
+            .socket_options_setter(
+                [](auto& options)
+                { options.set_option(asio::ip::tcp::no_delay(true)); })
+            .acceptor_post_bind_hook(
+                [chosen](asio::ip::tcp::acceptor& acceptor)
+                {
+                    auto const at = acceptor.local_endpoint();
+                    *chosen = at.address().to_string() + ":" +
+                              std::to_string(at.port());
+                });
+    };
+    try
+    {
+        implementation_->server = std::make_unique<server_type>(
+            restinio::external_io_context(io), configure);
+        implementation_->server->open_sync();
+    }
+    catch (std::exception const& e)
+    {
+        throw error(
+            error_code::invalid_argument, "listen", "",
+            settings.listen_address + ": " + e.what());
+    }
+}
+
+http_front::~http_front() = default;
+
+std::string http_front::listening_on() const
+{
+    return implementation_->address;
+}
+
+void http_front::stop_accepting()
+{
+    implementation_->server->close_async([] {}, [](std::exception_ptr) {});
+}
+
+std::size_t http_front::open_requests() const
+{
+    return *implementation_->open;
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/front/http_front.hpp
@@ -0,0 +1,48 @@
+// The HTTP server of a router. The only user of RESTinio. Runs on the threads
+// of the io_context; owns the open connections.
+#ifndef DOTTERELLOCK_FRONT_HTTP_FRONT_HPP
+#define DOTTERELLOCK_FRONT_HTTP_FRONT_HPP
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include <asio/io_context.hpp>
+
+#include "pipeline/request_path.hpp"
+
+namespace dotterellock
+{
+
+struct http_front_settings
+{
+    std::string listen_address; // "ip:port"; port 0: the system chooses
+    std::size_t max_body_bytes = 0;
+};
+
+class http_front
+{
+public:
+    /// Listens at once; throws error(invalid_argument, "listen"). The threads
+    /// of the io_context must have ended before this object is destroyed.
+    http_front(
+        asio::io_context& io, http_front_settings const& settings,
+        request_path& path);
+    ~http_front();
+
+    std::string listening_on() const;
+
+    /// New connections are refused; open ones stay.
+    void stop_accepting();
+
+    /// Requests whose response is not complete.
+    std::size_t open_requests() const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/pipeline/classify.cpp
@@ -0,0 +1,93 @@
+#include "classify.hpp"
+
+#include <algorithm>
+
+namespace dotterellock
+{
+
+namespace
+{
+
+constexpr char const* step = "classify";
+
+/// The longest listed operation that is the path or a part of it up to a
+/// slash, so that "lookup" covers "lookup/123".
+std::string const* listed_operation(
+    policy_settings const& policy, std::string const& service,
+    std::string const& path)
+{
+    std::string candidate = service + "/" + path;
+    while (candidate.size() > service.size())
+    {
+        auto const found = policy.operations.find(candidate);
+        if (found != policy.operations.end())
+            return &found->first;
+        candidate.resize(candidate.rfind('/'));
+    }
+    return nullptr;
+}
+
+} // namespace
+
+void classify_filter::apply(request_context& context)
+{
+    rank const r = rank_for(context);
+    context.generation.rank = r;
+    context.call.rank = r;
+    if (context.kind == work_kind::generation)
+        classify_generation(context);
+    else
+        classify_call(context);
+}
+
+/// A caller that asks for more than its organisation's highest rank gets that
+/// one; a refusal would lose work over a wish.
+rank classify_filter::rank_for(request_context const& context) const
+{
+    auto const& organisation = policy_.current().of(context.organisation);
+    rank const wanted = context.requested_rank.value_or(
+        context.settings_rank.value_or(organisation.default_rank));
+    return std::max(wanted, organisation.highest_rank);
+}
+
+void classify_filter::classify_generation(request_context& context) const
+{
+    model_ref& model = context.generation.model;
+    if (!model.version.empty())
+        return;
+    model.version = models_.version_of(model.name, model.adapter);
+    context.version_chosen = true;
+    if (model.version.empty())
+    {
+        throw error(
+            error_code::unknown_model, step, "",
+            "no endpoint serves model " + model.name);
+    }
+}
+
+void classify_filter::classify_call(request_context& context) const
+{
+    call_request& call = context.call;
+    policy_settings const& policy = policy_.current();
+    std::string const* const name =
+        listed_operation(policy, call.service.value(), call.operation);
+    if (name == nullptr)
+    {
+        throw error(
+            error_code::unknown_service, step, "",
+            "operation " + call.service.value() + "/" + call.operation +
+                " is not in the configuration");
+    }
+    operation_policy const& operation = policy.operations.at(*name);
+    call.operation = name->substr(call.service.value().size() + 1);
+    call.repeatable = operation.repeatable;
+    call.timeout = operation.timeout;
+    if (!call.repeatable && !context.key_given)
+    {
+        throw error(
+            error_code::invalid_argument, step, "",
+            "operation " + *name + " needs an Idempotency-Key");
+    }
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/pipeline/classify.hpp
@@ -0,0 +1,46 @@
+// Third filter: what the policy in force says about the request: its rank, the
+// model version when the caller named none, and whether a call may be
+// repeated. One per router shard, called under its lock.
+#ifndef DOTTERELLOCK_PIPELINE_CLASSIFY_HPP
+#define DOTTERELLOCK_PIPELINE_CLASSIFY_HPP
+
+#include <dotterellock/policy.hpp>
+
+#include "filter.hpp"
+
+namespace dotterellock
+{
+
+/// Which version of a model a request gets that names none.
+class model_catalogue
+{
+public:
+    virtual ~model_catalogue() = default;
+
+    /// Empty when no endpoint serves the model.
+    virtual std::string
+    version_of(std::string const& name, std::string const& adapter) const = 0;
+};
+
+class classify_filter : public filter
+{
+public:
+    classify_filter(policy_source const& policy, model_catalogue const& models)
+        : policy_(policy), models_(models)
+    {
+    }
+
+    void apply(request_context& context) override;
+
+private:
+    rank rank_for(request_context const& context) const;
+    void classify_generation(request_context& context) const;
+    void classify_call(request_context& context) const;
+
+    policy_source const& policy_;
+    model_catalogue const& models_;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/pipeline/generation_response.cpp
@@ -0,0 +1,224 @@
+#include "generation_response.hpp"
+
+#include <utility>
+
+#include "error_response.hpp"
+#include "identify.hpp"
+
+namespace dotterellock
+{
+
+namespace
+{
+
+char const* name_of(finish_reason reason)
+{
+    return reason == finish_reason::length ? "length" : "stop";
+}
+
+std::string joined(std::vector<std::string> const& tokens)
+{
+    std::string text;
+    for (auto const& token : tokens)
+        text += token;
+    return text;
+}
+
+} // namespace
+
+generation_response::generation_response(
+    request_context const& context, std::shared_ptr<response_sink> sink,
+    generation_service& service, timer_service& timers, wall_time created,
+    shard_poster post)
+    : sink_(std::move(sink)), service_(service), timers_(timers),
+      post_(std::move(post)), request_(context.generation.request),
+      key_(context.key), model_(to_string(context.generation.model)),
+      chosen_version_(
+          context.version_chosen ? context.generation.model.version : ""),
+      chat_(context.chat), stream_(context.stream),
+      created_(std::chrono::duration_cast<std::chrono::seconds>(
+                   created.time_since_epoch())
+                   .count())
+{
+}
+
+void generation_response::start()
+{
+    if (stream_)
+        arm_keep_alive();
+}
+
+void generation_response::on_tokens(
+    token_index first, std::vector<std::string> const& tokens,
+    std::string const& event_id)
+{
+    if (closed_ || tokens.empty())
+        return;
+    auto const next = first + static_cast<token_index>(tokens.size());
+    if (!stream_)
+    {
+        text_ += joined(tokens);
+        on_written(next);
+        return;
+    }
+    std::string const id =
+        chosen_version_.empty()
+            ? event_id
+            : event_id_with_version(chosen_version_, event_id);
+    write(
+        "id: " + id + "\ndata: " + chunk(joined(tokens), nullptr) + "\n\n",
+        next);
+}
+
+void generation_response::on_finished(finish_reason reason, token_index total)
+{
+    if (closed_)
+        return;
+    if (stream_)
+    {
+        write(
+            "data: " + chunk("", name_of(reason)) + "\n\ndata: [DONE]\n\n",
+            total);
+        sink_->end();
+    }
+    else
+    {
+        sink_->respond(
+            {200, "application/json", headers(),
+             whole(name_of(reason), total)});
+    }
+    close();
+}
+
+void generation_response::on_error(error const& e)
+{
+    if (closed_)
+        return;
+    if (begun_)
+    {
+        write("event: error\ndata: " + error_json(e) + "\n\n", written_);
+        sink_->end();
+    }
+    else
+    {
+        http_output output = error_response(e);
+        for (auto& header : headers())
+            output.headers.push_back(std::move(header));
+        sink_->respond(std::move(output));
+    }
+    close();
+}
+
+void generation_response::caller_gone()
+{
+    if (closed_)
+        return;
+    close();
+    service_.detach(request_, *this);
+}
+
+std::string generation_response::head() const
+{
+    return R"({"id":)" + json_string(key_) + R"(,"created":)" +
+           std::to_string(created_) + R"(,"model":)" + json_string(model_);
+}
+
+std::string
+generation_response::chunk(std::string const& text, char const* reason) const
+{
+    std::string const object =
+        chat_ ? "chat.completion.chunk" : "text_completion";
+    std::string const content =
+        chat_ ? R"("delta":{"content":)" + json_string(text) + "}"
+              : R"("text":)" + json_string(text);
+    std::string const finish = reason == nullptr ? "null" : json_string(reason);
+    return head() + R"(,"object":")" + object + R"(","choices":[{"index":0,)" +
+           content + R"(,"finish_reason":)" + finish + "}]}";
+}
+
+std::string
+generation_response::whole(char const* reason, token_index total) const
+{
+    std::string const object = chat_ ? "chat.completion" : "text_completion";
+    std::string const content =
+        chat_ ? R"("message":{"role":"assistant","content":)" +
+                    json_string(text_) + "}"
+              : R"("text":)" + json_string(text_);
+    return head() + R"(,"object":")" + object + R"(","choices":[{"index":0,)" +
+           content + R"(,"finish_reason":)" + json_string(reason) +
+           R"(}],"usage":{"completion_tokens":)" + std::to_string(total) + "}}";
+}
+
+http_headers generation_response::headers() const
+{
+    return {{"X-Request-Id", key_}};
+}
+
+/// Not before there is something to write, so that a refusal can still have
+/// its own HTTP status.
+void generation_response::begin_stream()
+{
+    begun_ = true;
+    auto all = headers();
+    all.emplace_back("Content-Type", "text/event-stream");
+    all.emplace_back("Cache-Control", "no-store");
+    sink_->begin_stream(std::move(all));
+}
+
+void generation_response::write(std::string bytes, token_index next)
+{
+    if (!begun_)
+        begin_stream();
+    quiet_ = false;
+    sink_->write(
+        std::move(bytes),
+        [self = shared_from_this(), next] { self->on_written(next); });
+}
+
+/// Posts one report at a time; it covers what was written in the meantime.
+void generation_response::on_written(token_index next)
+{
+    written_ = next;
+    if (report_posted_.exchange(true))
+        return;
+    post_([self = shared_from_this()] { self->report_progress(); });
+}
+
+void generation_response::report_progress()
+{
+    report_posted_ = false;
+    if (!closed_)
+        service_.caller_progress(request_, written_);
+}
+
+void generation_response::arm_keep_alive()
+{
+    keep_alive_ = timers_.schedule(
+        keep_alive_interval,
+        [weak = weak_from_this()]
+        {
+            if (auto const self = weak.lock())
+                self->on_keep_alive();
+        });
+}
+
+void generation_response::on_keep_alive()
+{
+    if (closed_)
+        return;
+    if (std::exchange(quiet_, true))
+    {
+        if (!begun_)
+            begin_stream();
+        sink_->write(": keep-alive\n\n", {});
+    }
+    arm_keep_alive();
+}
+
+void generation_response::close()
+{
+    closed_ = true;
+    timers_.cancel(keep_alive_);
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/pipeline/http_types.hpp
@@ -0,0 +1,61 @@
+// HTTP requests and responses as the pipeline sees them, free of any server
+// library. Values, and one interface that the HTTP front implements.
+#ifndef DOTTERELLOCK_PIPELINE_HTTP_TYPES_HPP
+#define DOTTERELLOCK_PIPELINE_HTTP_TYPES_HPP
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace dotterellock
+{
+
+struct http_input
+{
+    std::string method;
+    std::string path;                           // decoded by nobody
+    std::string query;                          // without '?'
+    std::map<std::string, std::string> headers; // names in lower case
+    std::string body;
+
+    /// Empty when the header is absent.
+    std::string const& header(std::string const& name) const
+    {
+        static std::string const none;
+        auto const found = headers.find(name);
+        return found == headers.end() ? none : found->second;
+    }
+};
+
+using http_headers = std::vector<std::pair<std::string, std::string>>;
+
+struct http_output
+{
+    int status = 200;
+    std::string content_type;
+    http_headers headers;
+    std::string body;
+};
+
+/// Where one response goes: either respond() once, or begin_stream(), any
+/// number of write() and end(). Never blocks; usable from any thread, one call
+/// at a time.
+class response_sink
+{
+public:
+    virtual ~response_sink() = default;
+    virtual void respond(http_output output) = 0;
+    virtual void begin_stream(http_headers headers) = 0;
+
+    /// @param written  called once the bytes have left towards the caller, on
+    ///                 an I/O thread and never inside this call; not called
+    ///                 when the connection fails. May be empty.
+    virtual void write(std::string bytes, std::function<void()> written) = 0;
+    virtual void end() = 0;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/pipeline/request_path.hpp
@@ -0,0 +1,83 @@
+// The request path from HTTP to the generation or call service: runs the
+// filters in their order, hands over, and maps results to responses. Shared by
+// all I/O threads; what belongs to a shard runs under that shard's lock.
+#ifndef DOTTERELLOCK_PIPELINE_REQUEST_PATH_HPP
+#define DOTTERELLOCK_PIPELINE_REQUEST_PATH_HPP
+
+#include <atomic>
+#include <memory>
+#include <vector>
+
+#include <dotterellock/observability.hpp>
+#include <dotterellock/runtime.hpp>
+
+#include "filter.hpp"
+#include "generation_response.hpp"
+
+namespace dotterellock
+{
+
+/// What the request path uses of one router shard.
+struct request_shard
+{
+    shard_poster post;
+    clock_source& clock;
+    timer_service& timers;
+    std::vector<filter*> filters; // classify, admit
+    generation_service& generations;
+    call_service& calls;
+};
+
+/// Shard of a request; the same in every part of the process.
+std::size_t shard_of(request_id const& request, std::size_t shards);
+
+/// One HTTP request under way, as the HTTP front sees it.
+class exchange
+{
+public:
+    virtual ~exchange() = default;
+
+    /// The connection ended before the response did; any thread.
+    virtual void caller_gone() = 0;
+};
+
+class request_path
+{
+public:
+    /// @param edge  filters for the I/O thread: parse, identify
+    request_path(
+        std::vector<filter*> edge, std::vector<request_shard> shards,
+        counter_registry& counters);
+
+    /// Never blocks and never throws; answers through the sink.
+    std::shared_ptr<exchange>
+    handle(http_input input, std::shared_ptr<response_sink> sink);
+
+    /// /readyz fails and new requests are refused from now on.
+    void begin_shutdown() { shutting_down_ = true; }
+
+    /// Answers of /readyz before shutdown.
+    void set_ready(bool ready) { ready_ = ready; }
+
+private:
+    class open_exchange;
+
+    bool answer_operators(http_input const& input, response_sink& sink) const;
+    void hand_over(
+        request_shard& shard, std::shared_ptr<request_context> context,
+        std::shared_ptr<response_sink> sink,
+        std::shared_ptr<open_exchange> opened);
+    void fail(response_sink& sink, error const& e);
+
+    std::vector<filter*> const edge_;
+    std::vector<request_shard> shards_;
+    counter_registry& counters_;
+    counter& requests_;
+    counter& refused_;
+    std::atomic<bool> shutting_down_{false};
+    std::atomic<bool> ready_{false};
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/process/agent_node.hpp
@@ -0,0 +1,56 @@
+// The object graph of an agent: the queue of reservations and the gate to its
+// engine or plain service. Called under the agent's lock.
+#ifndef DOTTERELLOCK_PROCESS_AGENT_NODE_HPP
+#define DOTTERELLOCK_PROCESS_AGENT_NODE_HPP
+
+#include <optional>
+
+#include <dotterellock/platform.hpp>
+
+#include "claims/call_gate.hpp"
+#include "queueing/reservation_queue.hpp"
+#include "recovery/generation_gate.hpp"
+#include "runtime_services.hpp"
+
+namespace dotterellock
+{
+
+struct agent_identity
+{
+    endpoint_id endpoint;
+    dotterellock::incarnation incarnation = 0;
+    std::uint32_t capacity = 1; // requests served at one time
+};
+
+class agent_node : public message_handler
+{
+public:
+    agent_node(
+        agent_identity const& identity, runtime_services runtime,
+        engine& engine, policy_source const& policy);
+    agent_node(
+        agent_identity const& identity, runtime_services runtime,
+        plain_service& service, policy_source const& policy);
+
+    agent_node(agent_node const&) = delete;
+    agent_node& operator=(agent_node const&) = delete;
+
+    void on_message(peer_id const& from, message const& m) override;
+    void on_disconnected(peer_id const& peer) override;
+
+    /// Nothing new is offered; work in flight goes on.
+    void begin_drain() { queue_.set_draining(true); }
+
+    /// Runs and calls that have not ended, and offers that may become some.
+    std::size_t open_work() const;
+
+private:
+    peer_transport& transport_;
+    reservation_queue queue_;
+    std::optional<generation_gate> generations_;
+    std::optional<call_gate> calls_;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/process/logging.hpp
@@ -0,0 +1,55 @@
+// Structured logging through log4cplus: one line an event, as key=value pairs
+// or as JSON. Usable from any thread.
+#ifndef DOTTERELLOCK_PROCESS_LOGGING_HPP
+#define DOTTERELLOCK_PROCESS_LOGGING_HPP
+
+#include <initializer_list>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <dotterellock/error.hpp>
+#include <dotterellock/observability.hpp>
+
+namespace dotterellock
+{
+
+enum class log_level
+{
+    debug,
+    info,
+    warn,
+    error
+};
+
+struct log_settings
+{
+    bool json = false;
+    log_level level = log_level::info;
+    bool decisions = true; // log routing and placement decisions
+};
+
+using log_field = std::pair<char const*, std::string>;
+
+/// Sends log lines to standard error; called once, before the first event.
+void start_logging(log_settings const& settings);
+
+void log_event(
+    log_level level, char const* event, std::vector<log_field> const& fields);
+
+/// Fields code, step, peer and detail.
+std::vector<log_field> fields_of(error const& e);
+
+/// The text of one line, without time and level; for log_event and tests.
+std::string format_event(
+    bool json, char const* event, std::vector<log_field> const& fields);
+
+class log4cplus_decision_log : public decision_log
+{
+public:
+    void record(decision const& d) override;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/process/program_settings.hpp
@@ -0,0 +1,77 @@
+// Settings of the router and agent programs, read from one YAML file each.
+// Values, made once at start and immutable afterwards.
+#ifndef DOTTERELLOCK_PROCESS_PROGRAM_SETTINGS_HPP
+#define DOTTERELLOCK_PROCESS_PROGRAM_SETTINGS_HPP
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <dotterellock/configuration.hpp>
+
+#include "choice/rendezvous_journal_placement.hpp"
+#include "pipeline/identify.hpp"
+#include "pipeline/parse.hpp"
+#include "process/logging.hpp"
+
+namespace dotterellock
+{
+
+struct router_entry
+{
+    router_info info;
+    std::string address; // "ip:port" for peers
+};
+
+struct router_settings
+{
+    router_id router;
+    node_location location;
+    std::string http_listen;
+    std::string peer_listen;
+    std::uint32_t shards = 1;
+    std::uint32_t threads = 2;
+    std::string table_service_url; // empty: no calls that may not be repeated
+    std::string object_store_url;
+    std::vector<router_entry> routers; // this one may be included
+    std::vector<endpoint_info> endpoints;
+    identify_settings identify;
+    parse_limits limits;
+    std::optional<policy_settings> policy; // empty: from the fleet document
+    log_settings log;
+
+    peer_id self() const { return peer_id("router/" + router.value()); }
+};
+
+struct agent_settings
+{
+    endpoint_id endpoint;
+    node_location location;
+    std::string peer_listen;
+    std::uint32_t capacity = 1;
+    std::string engine_url;  // exactly one of
+    std::string service_url; // the two
+    bool engine_checks_fencing_token = false;
+    std::vector<model_ref> models;
+    std::vector<service_name> services;
+    std::string table_service_url;
+    std::optional<policy_settings> policy;
+    log_settings log;
+
+    peer_id self() const { return peer_id("agent/" + endpoint.value()); }
+};
+
+/// Both throw error(invalid_argument) whose detail names file, line, key and
+/// what is allowed.
+router_settings
+read_router_settings(std::string const& text, std::string const& file);
+agent_settings
+read_agent_settings(std::string const& text, std::string const& file);
+
+/// YAML with every value in force; API keys are masked.
+std::string effective_text(router_settings const& settings);
+std::string effective_text(agent_settings const& settings);
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/process/router_shard.cpp
@@ -0,0 +1,146 @@
+#include "router_shard.hpp"
+
+#include <algorithm>
+
+#include "pipeline/request_path.hpp"
+
+namespace dotterellock
+{
+
+namespace
+{
+
+/// Share of one shard in what its region may send over the link.
+double link_share(
+    node_location const& location, shard_position position,
+    std::vector<router_info> const& routers)
+{
+    auto const in_region = std::count_if(
+        routers.begin(), routers.end(),
+        [&](router_info const& r) { return r.region == location.region; });
+    auto const sharers = std::max<std::int64_t>(in_region, 1);
+    return 1.0 / (static_cast<double>(sharers) * position.count);
+}
+
+/// The store's budget for the fleet is divided among routers and shards.
+store_settings store_settings_for(
+    shard_position position, std::vector<router_info> const& routers)
+{
+    // A lone shard of a large fleet must still be able to write a claim.
+    constexpr double least_per_second = 1;
+    store_settings s;
+    double const sharers =
+        static_cast<double>(std::max<std::size_t>(routers.size(), 1)) *
+        position.count;
+    s.writes_per_second =
+        std::max(s.writes_per_second / sharers, least_per_second);
+    s.reads_per_second =
+        std::max(s.reads_per_second / sharers, least_per_second);
+    return s;
+}
+
+} // namespace
+
+void endpoint_catalogue::set_endpoints(
+    std::vector<endpoint_info> const& endpoints)
+{
+    versions_.clear();
+    for (auto const& e : endpoints)
+    {
+        for (auto const& m : e.models)
+            ++versions_[{m.name, m.adapter}][m.version];
+    }
+}
+
+std::string endpoint_catalogue::version_of(
+    std::string const& name, std::string const& adapter) const
+{
+    auto const found = versions_.find({name, adapter});
+    if (found == versions_.end())
+        return {};
+    auto const best = std::max_element(
+        found->second.begin(), found->second.end(),
+        [](auto const& a, auto const& b)
+        { return std::tie(a.second, a.first) < std::tie(b.second, b.first); });
+    return best->first;
+}
+
+router_shard::router_shard(
+    peer_id const& self, node_location const& location, shard_position position,
+    std::vector<router_info> const& routers, runtime_services r,
+    table_service& store_backend, policy_source const& policy)
+    : position_(position), transport_(r.transport, position),
+      directory_(r.clock, policy),
+      link_(r.clock, policy, link_share(location, position, routers)),
+      retries_(r.clock, policy, 1.0 / position.count),
+      dispatcher_(
+          self, location, directory_, r.clock, r.timers, r.random, transport_,
+          policy, link_, retries_, r.log, r.counters),
+      journals_(self, location.zone, routers),
+      relay_(
+          self, r.clock, r.timers, r.random, transport_, dispatcher_,
+          directory_, journals_, policy, r.log, r.counters),
+      holder_(r.clock, r.timers, transport_, policy, r.counters),
+      store_(
+          store_backend, r.clock, r.timers, r.random,
+          store_settings_for(position, routers), r.counters),
+      coordinator_(
+          self, r.clock, r.timers, r.random, transport_, dispatcher_,
+          directory_, store_, policy, r.log, r.counters),
+      admission_(r.clock, policy, directory_, r.counters),
+      classify_(policy, catalogue_), admit_(admission_)
+{
+    directory_.set_viewpoint(self, location);
+}
+
+void router_shard::set_endpoints(std::vector<endpoint_info> const& endpoints)
+{
+    catalogue_.set_endpoints(endpoints);
+    directory_.set_endpoints(endpoints);
+}
+
+void router_shard::on_message(peer_id const& from, message const& m)
+{
+    if (auto const* const p = std::get_if<pong>(&m))
+    {
+        relay_.on_message(from, pong{p->sequence / position_.count});
+        return;
+    }
+    if (std::holds_alternative<journal_append>(m) ||
+        std::holds_alternative<journal_read>(m))
+    {
+        holder_.on_message(from, m);
+        return;
+    }
+    if (!std::holds_alternative<token_batch>(m))
+    {
+        dispatcher_.on_message(from, m);
+        coordinator_.on_message(from, m);
+    }
+    relay_.on_message(from, m); // takes each message as a sign of life
+}
+
+void router_shard::on_disconnected(peer_id const& peer)
+{
+    dispatcher_.on_disconnected(peer);
+    coordinator_.on_disconnected(peer);
+    relay_.on_disconnected(peer);
+    holder_.on_disconnected(peer);
+}
+
+std::size_t router_shard::open_work() const
+{
+    return relay_.open_generations() + coordinator_.open_calls();
+}
+
+std::optional<std::uint32_t>
+destination_shard(message const& m, std::uint32_t shards)
+{
+    if (request_id const* const request = request_of(m))
+        return static_cast<std::uint32_t>(shard_of(*request, shards));
+    if (auto const* const p = std::get_if<pong>(&m))
+        return static_cast<std::uint32_t>(p->sequence % shards);
+    return std::nullopt;
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/process/shard_executor.hpp
@@ -0,0 +1,77 @@
+// Runs functions of one object graph, one at a time, under the mutex of that
+// graph. Functions are queued on a strand, so that threads of the io_context
+// seldom wait for the mutex; it is there for callers that must run at once,
+// such as construction and destruction of the graph.
+#ifndef DOTTERELLOCK_PROCESS_SHARD_EXECUTOR_HPP
+#define DOTTERELLOCK_PROCESS_SHARD_EXECUTOR_HPP
+
+#include <functional>
+#include <mutex>
+#include <utility>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/strand.hpp>
+
+namespace dotterellock
+{
+
+class shard_executor
+{
+public:
+    using fault_handler = std::function<void(std::exception const&)>;
+
+    /// @param on_fault  told of exceptions that posted functions throw; they
+    ///                  end that function only
+    shard_executor(asio::io_context& io, fault_handler on_fault)
+        : strand_(asio::make_strand(io)), on_fault_(std::move(on_fault))
+    {
+    }
+
+    /// Runs `f` later, after what was posted before.
+    template<typename Function>
+    void post(Function f)
+    {
+        asio::post(strand_, [this, f = std::move(f)]() mutable { guarded(f); });
+    }
+
+    /// Runs `f` now, under the mutex.
+    template<typename Function>
+    auto run(Function&& f)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        return f();
+    }
+
+    std::function<void(std::function<void()>)> poster()
+    {
+        return [this](std::function<void()> f) { post(std::move(f)); };
+    }
+
+    using strand_type = asio::strand<asio::io_context::executor_type>;
+    strand_type const& strand() const { return strand_; }
+
+    /// Runs `f` under the mutex; for handlers that are on the strand already.
+    template<typename Function>
+    void guarded(Function&& f)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        try
+        {
+            f();
+        }
+        catch (std::exception const& e)
+        {
+            on_fault_(e);
+        }
+    }
+
+private:
+    strand_type strand_;
+    std::mutex mutex_;
+    fault_handler on_fault_;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/process/system_runtime.hpp
@@ -0,0 +1,32 @@
+// The real clock and the kernel's random numbers. Stateless; usable from any
+// thread.
+#ifndef DOTTERELLOCK_PROCESS_SYSTEM_RUNTIME_HPP
+#define DOTTERELLOCK_PROCESS_SYSTEM_RUNTIME_HPP
+
+#include <dotterellock/runtime.hpp>
+
+namespace dotterellock
+{
+
+class monotonic_clock : public clock_source
+{
+public:
+    steady_time now() const override
+    {
+        return std::chrono::steady_clock::now();
+    }
+    wall_time wall_now() const override
+    {
+        return std::chrono::system_clock::now();
+    }
+};
+
+class system_random : public random_source
+{
+public:
+    std::uint64_t next() override;
+};
+
+} // namespace dotterellock
+
+#endif
--- a/src/settings/fleet_document.cpp
+++ b/src/settings/fleet_document.cpp
@@ -440,4 +440,15 @@
     return read_document(document, file_, {}, {}).exceptions;
 }
 
+policy_settings read_inline_policy(yaml_reader const& mapping)
+{
+    policy_settings policy;
+    read_policy(mapping, policy);
+    floor_check floors;
+    floors.add(policy);
+    if (!floors.holds())
+        mapping.fail("ranks", "floors exceed 1", "a sum of 1 at most");
+    return policy;
+}
+
 } // namespace dotterellock
--- a/src/settings/fleet_document.hpp
+++ b/src/settings/fleet_document.hpp
@@ -32,6 +32,12 @@
     std::string file_;
 };
 
+class yaml_reader;
+
+/// Reads a mapping as under `defaults` over the built-in defaults; for the
+/// settings of programs that run without a fleet document.
+policy_settings read_inline_policy(yaml_reader const& mapping);
+
 /// "2026-12-04T06:55:00Z". Throws error(invalid_argument).
 wall_time parse_utc(std::string const& text);
 std::string format_utc(wall_time time);
