--- a/standins/child_process.cpp
+++ b/standins/child_process.cpp
@@ -57,6 +57,7 @@
     std::vector<std::string> words{binary};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> argv;
+    argv.reserve(words.size() + 1);
     for (auto& word : words)
         argv.push_back(word.data());
     argv.push_back(nullptr);
--- a/standins/local_fleet.cpp
+++ b/standins/local_fleet.cpp
@@ -131,7 +131,7 @@
 }
 
 local_fleet::member local_fleet::start_standin(
-    std::string const& name, std::vector<std::string> arguments)
+    std::string const& name, std::vector<std::string> const& arguments)
 {
     member m;
     m.process = std::make_unique<child_process>(
--- a/standins/local_fleet.hpp
+++ b/standins/local_fleet.hpp
@@ -73,8 +73,8 @@
         std::string peer_address; // ip:port between our processes
     };
 
-    member
-    start_standin(std::string const& name, std::vector<std::string> arguments);
+    member start_standin(
+        std::string const& name, std::vector<std::string> const& arguments);
     void start_agent(std::size_t number, bool is_engine, std::size_t index);
     void start_router(std::size_t index);
     void wait_until_ready() const;
