--- /dev/null
+++ b/src/store/store_client.hpp
@@ -0,0 +1,179 @@
+// A table service with the client's duties around it: deadlines, concurrency
+// and rate budgets with a bounded queue, retries, a circuit breaker, group
+// commit of small conditional writes, and resolution of unknown commits by
+// reading back. Soft state only. Called under the lock of the object graph
+// that owns it.
+#ifndef DOTTERELLOCK_STORE_STORE_CLIENT_HPP
+#define DOTTERELLOCK_STORE_STORE_CLIENT_HPP
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <dotterellock/observability.hpp>
+#include <dotterellock/platform.hpp>
+#include <dotterellock/runtime.hpp>
+
+#include "store/callback_guard.hpp"
+
+namespace dotterellock
+{
+
+struct store_settings
+{
+    std::size_t max_concurrent = 32; // requests under way; reads and writes
+                                     // are counted apart
+    std::size_t max_queued = 1024;   // waiting; reads and writes apart
+    double writes_per_second = 200;  // transactions; 0: unlimited
+    double reads_per_second = 1000;  // 0: unlimited
+    double burst_seconds = 0.25;     // of unused budget that may be saved
+    std::chrono::milliseconds request_timeout{1000}; // of one request
+    std::chrono::milliseconds retry_delay{20};       // first; then doubled
+    std::chrono::milliseconds max_retry_delay{1000};
+    std::uint32_t breaker_failures = 5; // consecutive, until it opens
+    std::chrono::milliseconds breaker_open_for{1000}; // until a probe
+    std::chrono::milliseconds batch_delay{5};         // 0: no group commit
+    std::size_t max_batch_writes = 64;
+    std::size_t max_batch_value_bytes = 16 * 1024; // larger goes alone
+};
+
+class store_client : public table_service
+{
+public:
+    store_client(
+        table_service& backend, clock_source& clock, timer_service& timers,
+        random_source& random, store_settings settings,
+        counter_registry& counters);
+    ~store_client() override;
+
+    store_client(store_client const&) = delete;
+    store_client& operator=(store_client const&) = delete;
+
+    /// A commit whose writes all have a value and a condition is resolved by
+    /// reading back when its answer is lost; the caller makes these values
+    /// unique, or an equal value of another writer counts as its own.
+    void commit(
+        std::vector<row_write> writes, duration timeout,
+        std::function<void(commit_result)> done) override;
+
+    void read(
+        std::vector<std::string> keys, duration timeout,
+        std::function<void(read_result)> done) override;
+
+    void scan(
+        std::string prefix, duration timeout,
+        std::function<void(read_result)> done) override;
+
+private:
+    /// One caller's commit, through batches and retries.
+    struct commit_op
+    {
+        std::vector<row_write> writes;
+        steady_time deadline;
+        timer_id timer = 0;
+        std::function<void(commit_result)> done; // empty once answered
+        std::uint32_t tries = 0;
+        bool in_flight = false;
+        bool in_doubt = false; // a lost answer; may have been applied
+    };
+    using batch = std::vector<std::shared_ptr<commit_op>>;
+
+    /// One caller's read or scan.
+    struct read_op
+    {
+        std::function<void(duration, std::function<void(read_result)>)> issue;
+        steady_time deadline;
+        timer_id timer = 0;
+        std::function<void(read_result)> done; // empty once answered
+        std::uint32_t tries = 0;
+    };
+    using read_ptr = std::shared_ptr<read_op>;
+
+    /// Work that waits for a slot and a token. `start` is false when nothing
+    /// was sent, so that neither is used up.
+    struct job
+    {
+        std::function<bool()> start;
+        std::function<void()> refuse;
+    };
+
+    /// Queue, slots and token bucket of the reads or of the writes.
+    struct lane
+    {
+        double rate = 0; // a second; 0: unlimited
+        std::deque<job> queued;
+        std::size_t running = 0;
+        double tokens = 0;
+        steady_time filled;
+        timer_id wake = 0;
+        counter* requests = nullptr;
+    };
+
+    enum class breaker_state
+    {
+        closed,
+        open,
+        probing // half open: one request is under way
+    };
+
+    void enqueue(lane& in, job j);
+    void pump(lane& in);
+    void refill(lane& in);
+    template<typename Result, typename Issue, typename Answered>
+    void request(lane& in, duration timeout, Issue issue, Answered answered);
+
+    bool breaker_permits();
+    void breaker_record(std::uint64_t era, store_status status);
+
+    bool may_batch(commit_op const& op) const;
+    void add_to_batch(std::shared_ptr<commit_op> op);
+    void flush_batch();
+    void send(batch const& ops);
+    void send_after(duration delay, batch const& ops);
+    bool issue(batch const& ops);
+    void on_commit_answer(batch const& ops, commit_result const& result);
+    void on_committed(batch const& ops, commit_result const& result);
+    void on_conflict(batch const& ops, commit_result const& result);
+    void on_unknown(batch const& ops);
+    void read_back(batch const& ops);
+    void compare(batch const& ops, std::vector<row> const& rows);
+    void answer(commit_op& op, commit_result result);
+    void give_up(commit_op& op);
+
+    void start_read(read_ptr const& op, duration timeout);
+    void send_read(read_ptr const& op);
+    void answer(read_op& op, read_result result);
+
+    duration backoff(std::uint32_t tries);
+    void later(duration delay, std::function<void()> action);
+
+    table_service& backend_;
+    clock_source& clock_;
+    timer_service& timers_;
+    random_source& random_;
+    store_settings settings_;
+
+    lane writes_;
+    lane reads_;
+    batch pending_; // waiting for batch_delay
+    std::size_t pending_bytes_ = 0;
+    timer_id flush_timer_ = 0;
+
+    breaker_state breaker_ = breaker_state::closed;
+    std::uint32_t failures_ = 0; // consecutive
+    std::uint64_t era_ = 0;      // answers from before a change do not count
+    steady_time open_until_;
+
+    counter& retries_;
+    counter& refused_;
+    counter& read_backs_;
+    counter& breaker_opened_;
+    callback_guard guard_;
+};
+
+} // namespace dotterellock
+
+#endif
