--- a/tests/choice/dispatcher_test.cpp
+++ b/tests/choice/dispatcher_test.cpp
@@ -6,18 +6,58 @@
 using namespace dotterellock::testing;
 using std::chrono::seconds;
 
-// Guards against a dispatcher that does not bind on the fault-free path.
+namespace
+{
+
+struct dispatcher_fixture : scheduling_fixture
+{
+    dispatcher_fixture()
+    {
+        network.set_observer(
+            [this](peer_id const&, peer_id const& to, message const& m)
+            {
+                if (std::holds_alternative<reserve>(m))
+                    reserved.push_back(to);
+                if (std::holds_alternative<withdraw>(m))
+                    withdrawn.push_back(to);
+            });
+    }
+
+    /// Occupies every slot of an agent, directly.
+    void fill(std::size_t agent, std::uint32_t slots)
+    {
+        for (std::uint32_t i = 0; i < slots; ++i)
+        {
+            reserve asked;
+            asked.request = request_id("fill/" + std::to_string(i));
+            asked.attempt = 1;
+            asked.organisation = organisation_id("filler");
+            asked.estimated_tokens = 100;
+            agents[agent]->on_message(peer_id("filler"), asked);
+            REQUIRE_FALSE(agents[agent]->redeem(i + 1, asked.request, 1, 1));
+        }
+    }
+
+    std::vector<peer_id> reserved;
+    std::vector<peer_id> withdrawn;
+};
+
+} // namespace
+
+// Guards against a dispatcher that does not bind on the fault-free path, or
+// that keeps more than one place.
 TEST_CASE("a request is placed at the first offer and the others withdrawn")
 {
-    scheduling_fixture f;
+    dispatcher_fixture f;
     for (unsigned i = 0; i < 3; ++i)
         f.add_agent(test_endpoint(i), 2);
     auto& router = f.add_router("router/a");
     auto const result = router.place(test_work("org/1"));
-    REQUIRE(result->answers == 0);
+    REQUIRE(result->answers == 0); // never inside the call
     f.scheduler.advance(milliseconds(20));
     REQUIRE(result->answers == 1);
     REQUIRE(result->placed);
+    CHECK(f.reserved.size() == 2);
     auto const p = *result->placed;
     auto& agent = f.agent_of(p);
     REQUIRE_FALSE(
@@ -25,6 +65,204 @@
     REQUIRE(agent.slots_in_use() == 1);
     agent.release(p.permit, 100);
     router.dispatcher.finished(request_id("org/1"), 1, true);
+    CHECK(router.dispatcher.placed_work() == 0);
     for (auto const& a : f.agents)
-        REQUIRE(a->idle());
+        CHECK(a->idle());
+}
+
+// Guards against waiting at busy agents while another one is free, against
+// reservations without bound, and against ones that outlive the waiting limit.
+TEST_CASE("more reservations follow while no offer arrives, up to the limit")
+{
+    dispatcher_fixture f;
+    for (unsigned i = 0; i < 10; ++i)
+    {
+        f.add_agent(test_endpoint(i), 1);
+        f.fill(i, 1);
+    }
+    f.policy.settings.dispatch.max_reservations = 4;
+    auto& router = f.add_router("router/a");
+    auto work = test_work("org/1");
+    work.waiting_limit = seconds(9);
+    auto const result = router.place(work);
+    f.scheduler.advance(milliseconds(249));
+    CHECK(f.reserved.size() == 2);
+    f.scheduler.advance(milliseconds(10));
+    CHECK(f.reserved.size() == 3);
+    f.scheduler.advance(milliseconds(700));
+    CHECK(f.reserved.size() == 4);
+    CHECK(result->answers == 0);
+    f.scheduler.advance(seconds(9));
+    REQUIRE(result->refused);
+    CHECK(result->refused->code() == error_code::overloaded);
+    CHECK(result->refused->retry_after() > milliseconds(0));
+    CHECK(std::set<peer_id>(f.reserved.begin(), f.reserved.end()).size() == 4);
+    for (std::size_t i = 0; i < f.agents.size(); ++i)
+        CHECK(f.agents[i]->report().waiting == load_report{}.waiting);
+    CHECK(router.dispatcher.open_searches() == 0);
+}
+
+// Guards against a refusal with the wrong code or without advice, and against
+// a callback that runs inside place().
+TEST_CASE("a request that cannot be placed is refused once, with advice")
+{
+    struct row
+    {
+        std::string name;
+        std::function<void(dispatcher_fixture&, place_request&)> given;
+        error_code code;
+    };
+    auto const r = GENERATE(
+        row{"unknown model",
+            [](auto&, place_request& w) { w.model.version = "2"; },
+            error_code::no_endpoint},
+        row{"every endpoint excluded",
+            [](auto& f, place_request& w)
+            {
+                for (auto const& i : f.infos)
+                    w.excluded.insert(i.endpoint);
+            },
+            error_code::no_endpoint},
+        row{"every agent drains",
+            [](auto& f, auto&)
+            {
+                for (auto& a : f.agents)
+                    a->set_draining(true);
+            },
+            error_code::no_endpoint},
+        row{"every agent is dead",
+            [](auto& f, auto&)
+            {
+                for (auto const& i : f.infos)
+                    f.network.kill(i.agent);
+            },
+            error_code::no_endpoint},
+        row{"every queue is full",
+            [](auto& f, auto&)
+            { f.policy.settings.queue.max_reservations = 0; },
+            error_code::overloaded},
+        row{"retry budget is used up",
+            [](auto& f, place_request& w)
+            {
+                w.is_retry = true;
+                while (f.routers[0]->retries.try_retry(w.rank))
+                {
+                }
+            },
+            error_code::overloaded});
+    INFO(r.name);
+    dispatcher_fixture f;
+    for (unsigned i = 0; i < 3; ++i)
+        f.add_agent(test_endpoint(i), 1);
+    auto& router = f.add_router("router/a");
+    auto work = test_work("org/1");
+    r.given(f, work);
+    auto const result = router.place(work);
+    CHECK(result->answers == 0);
+    f.scheduler.advance(seconds(3));
+    REQUIRE(result->answers == 1);
+    REQUIRE(result->refused);
+    CHECK(result->refused->code() == r.code);
+    CHECK(result->refused->retry_after() > milliseconds(0));
+    CHECK(f.log.decisions.back().choice.empty());
+    CHECK(f.reserved.size() <= 3 * 3); // at most 3 tries per agent
+}
+
+// Guards against use of the billed link while this region can serve, beyond
+// its budget, or without a reason in the log.
+TEST_CASE("the other region is used last, under the link budget")
+{
+    struct row
+    {
+        std::string name;
+        bool near_drains;
+        byte_count payload;
+        std::string endpoint; // empty: refused
+        std::string reason;
+    };
+    auto const r = GENERATE(
+        row{"this region serves", false, 1000, "e0", ""},
+        row{"nothing is left here", true, 1000, "e1", "no endpoint of this"},
+        row{"beyond the budget", true, 100000000, "", "link budget"});
+    INFO(r.name);
+    dispatcher_fixture f;
+    f.add_agent(test_endpoint(0), 4);
+    f.add_agent(test_endpoint(1, "z9", "r2"), 4);
+    f.agents[0]->set_draining(r.near_drains);
+    auto& router = f.add_router("router/a");
+    auto work = test_work("org/1");
+    work.payload_bytes = r.payload;
+    double const before = router.link.available();
+    auto const result = router.place(work);
+    f.scheduler.advance(milliseconds(200));
+    REQUIRE(result->answers == 1);
+    REQUIRE(result->placed.has_value() == !r.endpoint.empty());
+    if (result->placed)
+        CHECK(result->placed->endpoint.value() == r.endpoint);
+    CHECK((router.link.available() < before) == (r.endpoint == "e1"));
+    bool reason_logged = false;
+    for (auto const& d : f.log.decisions)
+        reason_logged |= d.reason.find(r.reason) != std::string::npos;
+    CHECK(reason_logged);
+}
+
+// Guards against a lost slot after an offer that nobody waits for, and against
+// a repeated offer that takes the permit from the dispatch.
+TEST_CASE("late offers are declined and repeated ones ignored")
+{
+    dispatcher_fixture f;
+    f.add_agent(test_endpoint(0), 1);
+    auto& router = f.add_router("router/a");
+    auto const result = router.place(test_work("org/1"));
+    f.scheduler.advance(milliseconds(10));
+    REQUIRE(result->placed);
+    auto const p = *result->placed;
+    offer repeated{request_id("org/1"), 1, p.permit, 1, milliseconds(400)};
+    router.dispatcher.on_message(p.agent, repeated);
+    CHECK(f.withdrawn.empty());
+    repeated.request = request_id("org/unknown");
+    router.dispatcher.on_message(p.agent, repeated);
+    CHECK(f.withdrawn.size() == 1);
+}
+
+// Guards against decisions that leave no trace of what was compared.
+TEST_CASE("every choice records its candidates with scores")
+{
+    dispatcher_fixture f;
+    for (unsigned i = 0; i < 4; ++i)
+        f.add_agent(test_endpoint(i, i % 2 == 0 ? "z1" : "z2"), 1);
+    auto const result = f.add_router("router/a").place(test_work("org/1"));
+    f.scheduler.advance(milliseconds(10));
+    REQUIRE(f.log.decisions.size() == 2);
+    CHECK(f.log.decisions[0].step == "reserve");
+    CHECK(f.log.decisions[0].candidates.size() == 4);
+    CHECK(f.log.decisions[0].candidates[0].find(':') != std::string::npos);
+    auto const& d = f.log.decisions[1];
+    CHECK(d.step == "choose_endpoint");
+    CHECK(d.candidates.size() == 2);
+    CHECK(d.choice == result->placed->endpoint.value());
+    CHECK_FALSE(d.reason.empty());
+}
+
+// Guards against affinity that is ignored, or that waits for a busy endpoint.
+TEST_CASE("a prefix hit gets a head start but does not hold the request up")
+{
+    bool const busy = GENERATE(false, true);
+    dispatcher_fixture f;
+    for (unsigned i = 0; i < 4; ++i)
+        f.add_agent(test_endpoint(i), 1);
+    auto& router = f.add_router("router/a");
+    for (unsigned i = 0; i < 4; ++i)
+        router.directory.on_load_report(f.agents[i]->report());
+    if (busy)
+        f.fill(2, 1); // after the report
+    auto work = test_work("org/1");
+    work.payload_bytes = 40000;
+    work.prefix_blocks = {1, 2, 3};
+    router.dispatcher.on_message(
+        agent_peer(2), prefix_hint{endpoint_id("e2"), {1, 2, 3}, {}});
+    auto const result = router.place(work);
+    f.scheduler.advance(milliseconds(40));
+    REQUIRE(result->placed);
+    CHECK((result->placed->endpoint == endpoint_id("e2")) == !busy);
 }
--- /dev/null
+++ b/tests/choice/scheduling_matrix_test.cpp
@@ -0,0 +1,463 @@
+// The fault matrix of scheduling: every fault at every step of a request's way
+// through dispatcher and reservation queue, alone, twice and in pairs.
+// docs/fault-matrix-scheduling.md names the rows.
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include "scheduling_fixture.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+using std::chrono::seconds;
+
+namespace
+{
+
+enum class step
+{
+    reserve,
+    wait,
+    offer,
+    redeem,
+    run,
+    release
+};
+enum class fault
+{
+    lost,
+    late,
+    repeated,
+    crossed,
+    router_dies,
+    router_pauses,
+    agent_drains,
+    agent_dies,
+    agent_restarts,
+    clock_jump
+};
+
+constexpr std::array<char const*, 6> step_names = {
+    "reserve", "wait", "offer", "redeem", "run", "release"};
+constexpr std::array<char const*, 10> fault_names = {
+    "lost",           "late",          "repeated",     "crossed",
+    "router dies",    "router pauses", "agent drains", "agent dies",
+    "agent restarts", "clock jump"};
+
+struct injected
+{
+    step at;
+    fault what;
+};
+
+std::string name_of(injected const& f)
+{
+    return std::string(step_names[std::size_t(f.at)]) + "/" +
+           fault_names[std::size_t(f.what)];
+}
+
+/// While work waits or runs no message of it is under way.
+bool can_occur(injected const& f)
+{
+    bool const silent_step = f.at == step::wait || f.at == step::run;
+    return !silent_step || f.what > fault::crossed;
+}
+
+std::vector<injected> all_faults()
+{
+    std::vector<injected> all;
+    for (int s = 0; s < 6; ++s)
+    {
+        for (int f = 0; f < 10; ++f)
+        {
+            if (can_occur({step(s), fault(f)}))
+                all.push_back({step(s), fault(f)});
+        }
+    }
+    return all;
+}
+
+duration const run_time = milliseconds(300);
+request_id const victim("org/victim");
+
+/// The message of a step for the observed request; run has none.
+std::optional<step> step_of(message const& m)
+{
+    auto const* const id = request_of(m);
+    if (id == nullptr || *id != victim)
+        return std::nullopt;
+    if (std::holds_alternative<reserve>(m))
+        return step::reserve;
+    if (std::holds_alternative<offer>(m))
+        return step::offer;
+    if (std::holds_alternative<dispatch_call>(m))
+        return step::redeem;
+    if (std::holds_alternative<call_result>(m))
+        return step::release;
+    return std::nullopt;
+}
+
+/// Two routers, three agents with one slot each, and a fault at each step that
+/// is named. Router a asks for the observed request while router b's work
+/// holds every slot, so that the request waits first.
+class matrix_run : scheduling_fixture
+{
+public:
+    explicit matrix_run(std::vector<injected> faults) : faults_(faults)
+    {
+        for (unsigned i = 0; i < 3; ++i)
+            add_agent(test_endpoint(i), 1);
+        for (auto const* name : {"router/a", "router/b"})
+            add_router(name);
+        for (unsigned i = 0; i < 3; ++i)
+            connect_agent(i);
+        for (unsigned i = 0; i < 2; ++i)
+            connect_router(i);
+        network.set_rule([this](auto const& from, auto const& to, auto const& m)
+                         { return treat(from, to, m); });
+    }
+
+    void run()
+    {
+        for (int i = 0; i < 3; ++i)
+            ask(1, request_id("org/blocker" + std::to_string(i)), 1);
+        scheduler.advance(milliseconds(50));
+        ask(0, victim, 1);
+        scheduler.schedule(
+            milliseconds(100), [this] { trigger(step::wait, agent_peer(0)); });
+        scheduler.advance(seconds(40));
+    }
+
+    void check()
+    {
+        for (auto const& [permit, times] : redeemed_)
+            CHECK(times == 1);
+        for (std::size_t i = 0; i < agents.size(); ++i)
+        {
+            INFO("agent " << i);
+            CHECK(most_running_[i] <= 1);
+            CHECK(agents[i]->slots_free() == 1);
+            CHECK(agents[i]->idle());
+            CHECK_FALSE(new_work_while_draining_);
+        }
+        CHECK(routers[1]->dispatcher.open_searches() == 0);
+        CHECK(routers[1]->dispatcher.placed_work() == 0);
+        for (int i = 0; i < 3; ++i)
+            CHECK(done_.count(request_id("org/blocker" + std::to_string(i))));
+        if (!router_dead_)
+        {
+            CHECK(routers[0]->dispatcher.open_searches() == 0);
+            CHECK(routers[0]->dispatcher.placed_work() == 0);
+            CHECK((done_.count(victim) != 0 || gave_up_));
+        }
+        check_still_serving();
+    }
+
+    /// Every fault was injected, or the step never came because of an
+    /// earlier one.
+    bool injected_all() const { return faults_.empty(); }
+
+private:
+    /// Stand-in for the agent's gate: redeems, runs, releases.
+    struct agent_side : message_handler
+    {
+        agent_side(matrix_run& t, std::size_t index) : run(t), i(index) {}
+        void on_message(peer_id const& from, message const& m) override
+        {
+            if (auto const* d = std::get_if<dispatch_call>(&m))
+                run.on_dispatch(i, from, *d);
+            else
+                run.agents[i]->on_message(from, m);
+        }
+        void on_disconnected(peer_id const& peer) override
+        {
+            run.agents[i]->on_disconnected(peer);
+        }
+        matrix_run& run;
+        std::size_t i;
+    };
+
+    /// Stand-in for the relay: dispatches, and retries what did not run.
+    struct router_side : message_handler
+    {
+        router_side(matrix_run& t, std::size_t index) : run(t), i(index) {}
+        void on_message(peer_id const& from, message const& m) override
+        {
+            if (auto const* r = std::get_if<call_result>(&m))
+                run.on_result(i, *r);
+            else
+                run.routers[i]->dispatcher.on_message(from, m);
+        }
+        void on_disconnected(peer_id const& peer) override
+        {
+            run.routers[i]->dispatcher.on_disconnected(peer);
+        }
+        matrix_run& run;
+        std::size_t i;
+    };
+
+    void connect_agent(std::size_t i)
+    {
+        sides_.push_back(std::make_unique<agent_side>(*this, i));
+        network.attach(infos[i].agent, *sides_.back());
+    }
+
+    void connect_router(std::size_t i)
+    {
+        sides_.push_back(std::make_unique<router_side>(*this, i));
+        network.attach(routers[i]->self, *sides_.back());
+    }
+
+    // ---- router side ------------------------------------------------------
+
+    void ask(std::size_t router, request_id const& id, attempt_number attempt)
+    {
+        auto work = test_work(id.value());
+        work.attempt = attempt;
+        work.kind = work_kind::generation;
+        routers[router]->dispatcher.place(
+            work,
+            [this, router, id, attempt](placement const& p)
+            { on_placed(router, id, attempt, p); },
+            [this, router, id](error const&)
+            {
+                ended_.insert({router, id});
+                gave_up_ = gave_up_ || id == victim;
+            });
+    }
+
+    void on_placed(
+        std::size_t router, request_id const& id, attempt_number attempt,
+        placement const& p)
+    {
+        dispatch_call d;
+        d.request = id;
+        d.attempt = attempt;
+        d.permit = p.permit;
+        d.incarnation = p.incarnation;
+        network.transport_of(routers[router]->self).send(p.agent, d);
+        scheduler.schedule(
+            seconds(2), [this, router, id, attempt]
+            { attempt_ended(router, id, attempt, false); });
+    }
+
+    void on_result(std::size_t router, call_result const& r)
+    {
+        attempt_ended(
+            router, r.request, r.attempt, r.outcome == call_outcome::done);
+    }
+
+    void attempt_ended(
+        std::size_t router, request_id const& id, attempt_number attempt,
+        bool ok)
+    {
+        auto& last = ended_attempts_[{router, id}];
+        if (attempt <= last)
+            return;
+        last = attempt;
+        routers[router]->dispatcher.finished(id, attempt, ok);
+        if (ok)
+            done_.insert(id);
+        else if (done_.count(id) == 0 && ended_.count({router, id}) == 0)
+            ask(router, id, attempt + 1);
+    }
+
+    // ---- agent side -------------------------------------------------------
+
+    void on_dispatch(std::size_t i, peer_id const& from, dispatch_call const& d)
+    {
+        auto const refused =
+            agents[i]->redeem(d.permit, d.request, d.attempt, d.incarnation);
+        auto& out = network.transport_of(infos[i].agent);
+        call_result result;
+        result.request = d.request;
+        result.attempt = d.attempt;
+        if (refused)
+        {
+            result.outcome = call_outcome::not_run;
+            out.send(from, result);
+            return;
+        }
+        ++redeemed_[{i, d.incarnation, d.permit}];
+        if (drained_at_.count(i) != 0 &&
+            scheduler.now() >=
+                drained_at_[i] + policy.settings.queue.offer_validity)
+            new_work_while_draining_ = true;
+        most_running_[i] = std::max(most_running_[i], ++running_[i]);
+        auto const run = d.incarnation;
+        if (d.request == victim)
+            scheduler.schedule(
+                run_time / 2,
+                [this, i] { trigger(step::run, infos[i].agent); });
+        scheduler.schedule(
+            run_time,
+            [this, i, run, d, from, result]
+            {
+                if (incarnation_[i] != run)
+                    return; // died with its agent
+                --running_[i];
+                agents[i]->release(d.permit, 100);
+                auto done = result;
+                done.outcome = call_outcome::done;
+                network.transport_of(infos[i].agent).send(from, done);
+            });
+    }
+
+    // ---- faults -----------------------------------------------------------
+
+    std::optional<fault> next_fault(step at)
+    {
+        if (faults_.empty() || faults_.front().at != at)
+            return std::nullopt;
+        fault const f = faults_.front().what;
+        faults_.erase(faults_.begin());
+        return f;
+    }
+
+    void trigger(step at, peer_id const& agent)
+    {
+        if (auto const f = next_fault(at))
+            scheduler.schedule(
+                duration{}, [this, f, agent] { strike(*f, agent); });
+    }
+
+    fake_network::treatment
+    treat(peer_id const& from, peer_id const& to, message const& m)
+    {
+        auto const at = step_of(m);
+        auto const f = at ? next_fault(*at) : std::nullopt;
+        if (!f)
+            return {};
+        bool const from_router = from == routers[0]->self;
+        switch (*f)
+        {
+        case fault::lost:
+            return {0, duration{}};
+        case fault::late: // past the validity of offers
+            return {1, milliseconds(700)};
+        case fault::repeated:
+            return {2, duration{}};
+        case fault::crossed: // the caller leaves, a new attempt begins
+            scheduler.schedule(duration{}, [this] { change_mind(); });
+            return {1, milliseconds(5)};
+        default:
+            scheduler.schedule(
+                duration{}, [this, f, agent = from_router ? to : from]
+                { strike(*f, agent); });
+            return {};
+        }
+    }
+
+    void change_mind()
+    {
+        auto const last = ended_attempts_[{0, victim}];
+        routers[0]->dispatcher.withdraw(victim, last + 1);
+        attempt_ended(0, victim, last + 1, false);
+    }
+
+    void strike(fault f, peer_id const& agent)
+    {
+        std::size_t i = 0;
+        while (infos[i].agent != agent)
+            ++i;
+        switch (f)
+        {
+        case fault::router_dies:
+            router_dead_ = true;
+            network.kill(routers[0]->self);
+            break;
+        case fault::router_pauses:
+            network.pause(routers[0]->self);
+            scheduler.schedule(
+                milliseconds(1200),
+                [this] { network.resume(routers[0]->self); });
+            break;
+        case fault::agent_drains:
+            drained_at_[i] = scheduler.now();
+            agents[i]->set_draining(true);
+            break;
+        case fault::agent_dies:
+            network.kill(agent);
+            scheduler.schedule(seconds(5), [this, i] { restart(i); });
+            break;
+        case fault::agent_restarts:
+            network.kill(agent);
+            restart(i);
+            break;
+        default:
+            scheduler.jump(seconds(3));
+        }
+    }
+
+    void restart(std::size_t i)
+    {
+        running_[i] = 0;
+        drained_at_.erase(i);
+        restart_agent(i, ++incarnation_[i], 1);
+        connect_agent(i);
+    }
+
+    void check_still_serving()
+    {
+        faults_.clear();
+        for (auto& a : agents)
+            a->set_draining(false);
+        drained_at_.clear();
+        scheduler.advance(seconds(3));
+        for (auto& router : routers)
+        {
+            for (auto& a : agents)
+                router->directory.on_load_report(a->report());
+        }
+        for (int i = 0; i < 3; ++i)
+            ask(1, request_id("org/after" + std::to_string(i)), 1);
+        scheduler.advance(seconds(10));
+        for (int i = 0; i < 3; ++i)
+            CHECK(done_.count(request_id("org/after" + std::to_string(i))));
+    }
+
+    std::vector<injected> faults_; // still to come, in order
+    std::vector<std::unique_ptr<message_handler>> sides_;
+    std::map<std::tuple<std::size_t, incarnation, permit_id>, unsigned>
+        redeemed_;
+    std::map<std::pair<std::size_t, request_id>, attempt_number>
+        ended_attempts_;
+    std::set<std::pair<std::size_t, request_id>> ended_;
+    std::set<request_id> done_;
+    std::array<unsigned, 3> running_{};
+    std::array<unsigned, 3> most_running_{};
+    std::array<incarnation, 3> incarnation_ = {1, 1, 1};
+    std::map<std::size_t, steady_time> drained_at_;
+    bool new_work_while_draining_ = false;
+    bool router_dead_ = false;
+    bool gave_up_ = false;
+};
+
+} // namespace
+
+// Guards against a lost or doubled slot, a permit redeemed twice, new work for
+// a draining agent, and a search that never ends, after one fault or the same
+// fault twice.
+TEST_CASE("scheduling survives each fault at each step")
+{
+    auto const f = GENERATE(from_range(all_faults()));
+    auto const times = GENERATE(1u, 2u);
+    INFO(name_of(f) << " x" << times);
+    matrix_run run(std::vector<injected>(times, f));
+    run.run();
+    CHECK((run.injected_all() || times == 2));
+    run.check();
+}
+
+// Guards against two faults that each are survived alone.
+TEST_CASE("scheduling survives each pair of faults")
+{
+    auto const first = GENERATE(from_range(all_faults()));
+    for (auto const& second : all_faults())
+    {
+        INFO(name_of(first) << " then " << name_of(second));
+        matrix_run run({first, second});
+        run.run();
+        run.check();
+    }
+}
