--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -527,8 +527,7 @@
             later(duration{}, refuse);
             return false;
         }
-        auto const timeout = std::min<duration>(
-            op->deadline - clock_.now(), settings_.request_timeout);
+        auto const timeout = request_timeout(op->deadline, op->tries);
         request<read_result>(
             reads_, timeout,
             [&](auto const& settle) { op->issue(timeout, settle); },
@@ -556,6 +555,14 @@
 
 // ---- helpers --------------------------------------------------------------
 
+duration
+store_client::request_timeout(steady_time deadline, std::uint32_t tries) const
+{
+    return std::min<duration>(
+        {deadline - clock_.now(), settings_.max_request_timeout,
+         settings_.request_timeout * (1 << std::min(tries, max_doublings))});
+}
+
 /// Doubles with each try; half of the delay is random.
 duration store_client::backoff(std::uint32_t tries)
 {
--- a/src/store/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -30,8 +30,12 @@
     double writes_per_second = 200;  // transactions; 0: unlimited
     double reads_per_second = 1000;  // 0: unlimited
     double burst_seconds = 0.25;     // of unused budget that may be saved
-    std::chrono::milliseconds request_timeout{1000}; // of one request
-    std::chrono::milliseconds retry_delay{20};       // first; then doubled
+    // Of an operation's first request, doubled for each further one. Half of
+    // the default validity of an offer, so that a claim whose answer was lost
+    // is read back while the permit can still be used.
+    std::chrono::milliseconds request_timeout{250};
+    std::chrono::milliseconds max_request_timeout{4000};
+    std::chrono::milliseconds retry_delay{20}; // first; then doubled
     std::chrono::milliseconds max_retry_delay{1000};
     std::uint32_t breaker_failures = 5; // consecutive, until it opens
     std::chrono::milliseconds breaker_open_for{1000}; // until a probe
@@ -147,6 +151,7 @@
     void send_read(read_ptr const& op);
     void answer(read_op& op, read_result result);
 
+    duration request_timeout(steady_time deadline, std::uint32_t tries) const;
     duration backoff(std::uint32_t tries);
     void later(duration delay, std::function<void()> action);
 
--- /dev/null
+++ b/tests/claims/call_rig.hpp
@@ -0,0 +1,596 @@
+// Two routers, two agents, one store and one service around the real claim
+// classes, with a hook at every step of a call and a switch for each fault.
+#ifndef DOTTERELLOCK_TESTS_CALL_RIG_HPP
+#define DOTTERELLOCK_TESTS_CALL_RIG_HPP
+
+#include <array>
+#include <list>
+#include <memory>
+
+#include <dotterellock/admission.hpp>
+
+#include "claims/call_coordinator.hpp"
+#include "claims/call_gate.hpp"
+#include "fake_network.hpp"
+#include "fake_platform.hpp"
+#include "store/store_client.hpp"
+
+namespace dotterellock::testing
+{
+
+using namespace std::chrono_literals;
+
+/// One process: what it would do is held while it is paused and dropped once
+/// it is dead.
+class process : public timer_service
+{
+public:
+    explicit process(manual_scheduler& scheduler) : scheduler_(scheduler) {}
+
+    timer_id schedule(duration delay, std::function<void()> action) override
+    {
+        auto const id = std::make_shared<timer_id>();
+        *id = scheduler_.schedule(
+            delay, [this, id, action] { run(action, *id); });
+        return *id;
+    }
+
+    void cancel(timer_id id) override
+    {
+        scheduler_.cancel(id);
+        held_.remove_if([id](auto const& h) { return h.first == id; });
+    }
+
+    void run(std::function<void()> const& action, timer_id id = 0)
+    {
+        if (paused_ && !dead)
+            held_.emplace_back(id, action);
+        else if (!dead)
+            action();
+    }
+
+    void pause() { paused_ = true; }
+    void resume()
+    {
+        paused_ = false;
+        while (!held_.empty() && !paused_)
+        {
+            auto const action = held_.front().second;
+            held_.pop_front();
+            if (!dead)
+                action();
+        }
+    }
+    bool responsive() const { return !dead && !paused_; }
+
+    bool dead = false;
+
+private:
+    manual_scheduler& scheduler_;
+    bool paused_ = false;
+    std::list<std::pair<timer_id, std::function<void()>>> held_;
+};
+
+enum class step
+{
+    place,
+    claim_write,
+    claim_answer,
+    dispatch,
+    redeem,
+    run,
+    service_answer,
+    result,
+    row_completion,
+    ask_again
+};
+constexpr std::array step_names = {
+    "place", "claim write",    "claim answer", "dispatch", "redeem",
+    "run",   "service answer", "result",       "row",      "ask again"};
+
+/// Deliberate defects; the checks must notice each. Expired permits are
+/// accepted in those that a permit would otherwise save; that alone is safe.
+enum class mutant
+{
+    none,
+    permits_unchecked,
+    gate_forgets_closed,       // promises never to run, then runs
+    gate_runs_duplicates,      // has no memory at all
+    gate_accepts_any_dispatch, // of another incarnation
+    dispatch_after_unknown,    // takes an unknown claim for written
+    gate_keeps_incarnation,    // restarts under its old identity
+    conflict_ignored,          // takes another's claim for its own
+    not_run_on_timeout,        // says not_run where it does not know
+    answers_swapped,           // result of another request
+    replies_twice
+};
+
+class call_rig
+{
+    struct permit_book : permit_issuer
+    {
+        struct entry
+        {
+            request_id request;
+            attempt_number attempt;
+            steady_time expires;
+        };
+        explicit permit_book(call_rig& r) : rig(r) {}
+        std::optional<error_code> redeem(
+            permit_id permit, request_id const& request, attempt_number attempt,
+            incarnation) override
+        {
+            rig.reach(step::redeem, request);
+            auto const e = permits.find(permit);
+            if (accept_all)
+                return std::nullopt;
+            if (e == permits.end() || e->second.request != request ||
+                e->second.attempt != attempt ||
+                e->second.expires < rig.scheduler.now())
+                return error_code::permit_expired;
+            permits.erase(e);
+            return std::nullopt;
+        }
+        void release(permit_id, std::uint32_t) override {}
+        call_rig& rig;
+        std::map<permit_id, entry> permits;
+        bool accept_all = false;
+    };
+
+    /// Sends for one process, after the hook of the step.
+    struct hooked_transport : peer_transport
+    {
+        hooked_transport(call_rig& r, process& p, peer_id s)
+            : rig(r), owner(p), self(std::move(s))
+        {
+        }
+        void send(peer_id const& to, message m) override
+        {
+            if (std::holds_alternative<dispatch_call>(m))
+                rig.reach(step::dispatch, *request_of(m));
+            else if (std::holds_alternative<query_call>(m))
+                rig.reach(step::ask_again, *request_of(m));
+            else if (auto* const result = std::get_if<call_result>(&m))
+            {
+                rig.reach(step::result, result->request);
+                rig.mutate(*result);
+            }
+            owner.run([this, to, m]
+                      { rig.network.transport_of(self).send(to, m); });
+        }
+        void reconnect(peer_id const& to) override
+        {
+            rig.network.transport_of(self).reconnect(to);
+        }
+        call_rig& rig;
+        process& owner;
+        peer_id self;
+    };
+
+    /// Delivers to one process.
+    struct hooked_handler : message_handler
+    {
+        hooked_handler(call_rig& r, process& p) : rig(r), owner(p) {}
+        void on_message(peer_id const& from, message const& m) override
+        {
+            owner.run([this, from, m] { deliver(from, m); });
+        }
+        void on_disconnected(peer_id const& peer) override
+        {
+            owner.run([this, peer] { inner->on_disconnected(peer); });
+        }
+        void deliver(peer_id const& from, message m)
+        {
+            if (auto* const q = std::get_if<query_call>(&m))
+                q->close_if_not_run = q->close_if_not_run &&
+                                      rig.defect != mutant::gate_forgets_closed;
+            auto* const d = std::get_if<dispatch_call>(&m);
+            if (d && rig.defect == mutant::gate_accepts_any_dispatch)
+                d->incarnation = self;
+            if (d && rig.defect == mutant::gate_runs_duplicates)
+                renew();
+            inner->on_message(from, m);
+        }
+        call_rig& rig;
+        process& owner;
+        incarnation self = 0;
+        std::function<void()> renew;
+        message_handler* inner = nullptr;
+    };
+
+    struct hooked_service : plain_service
+    {
+        hooked_service(call_rig& r, process& p) : rig(r), owner(p) {}
+        void call(
+            dispatch_call const& call,
+            std::function<void(service_answer)> done) override
+        {
+            rig.reach(step::run, call.request);
+            owner.run(
+                [this, call, done]
+                {
+                    rig.service.call(
+                        call,
+                        [this, call, done](service_answer const& a)
+                        {
+                            owner.run(
+                                [this, call, done, a]
+                                {
+                                    rig.reach(
+                                        step::service_answer, call.request);
+                                    owner.run([done, a] { done(a); });
+                                });
+                        });
+                });
+        }
+        call_rig& rig;
+        process& owner;
+    };
+
+    /// One process's connection to the store.
+    struct hooked_store : table_service
+    {
+        hooked_store(call_rig& r, process& p) : rig(r), owner(p) {}
+        void commit(
+            std::vector<row_write> writes, duration timeout,
+            std::function<void(commit_result)> done) override
+        {
+            bool claims = false;
+            for (auto const& w : writes)
+            {
+                auto const row = decode_claim(*w.value);
+                claims = claims || row->state == claim_state::claimed;
+                if (row->state == claim_state::claimed)
+                    rig.reach(step::claim_write, row->request);
+                if (row->state == claim_state::done)
+                    rig.reach(step::row_completion, row->request);
+            }
+            auto const request = decode_claim(*writes.at(0).value)->request;
+            auto const answered =
+                [this, claims, request, done](commit_result const& result)
+            {
+                owner.run(
+                    [this, claims, request, done, result]
+                    {
+                        if (claims)
+                            rig.reach(step::claim_answer, request);
+                        if (request == request_id("org/k") &&
+                            std::exchange(rig.lose_answer, false))
+                            return;
+                        owner.run([done, result] { done(result); });
+                    });
+            };
+            owner.run([this, writes, timeout, answered]
+                      { rig.store.commit(writes, timeout, answered); });
+        }
+        void read(
+            std::vector<std::string> keys, duration timeout,
+            std::function<void(read_result)> done) override
+        {
+            rig.store.read(
+                keys, timeout,
+                [this, done](read_result const& result)
+                { owner.run([done, result] { done(result); }); });
+        }
+        void
+        scan(std::string, duration, std::function<void(read_result)>) override
+        {
+        }
+        call_rig& rig;
+        process& owner;
+    };
+
+    /// What a coordinator with a defect would take the store's answers for.
+    struct mutating_store : table_service
+    {
+        mutating_store(call_rig& r, table_service& i) : rig(r), inner(i) {}
+        void commit(
+            std::vector<row_write> writes, duration timeout,
+            std::function<void(commit_result)> done) override
+        {
+            inner.commit(
+                writes, timeout,
+                [this, done](commit_result result)
+                {
+                    bool const hide =
+                        (result.status == store_status::unknown &&
+                         rig.defect == mutant::dispatch_after_unknown) ||
+                        (result.status == store_status::conflict &&
+                         rig.defect == mutant::conflict_ignored);
+                    if (hide)
+                        result = {store_status::ok, {}, {1}};
+                    done(result);
+                });
+        }
+        void read(
+            std::vector<std::string> keys, duration timeout,
+            std::function<void(read_result)> done) override
+        {
+            inner.read(keys, timeout, done);
+        }
+        void
+        scan(std::string, duration, std::function<void(read_result)>) override
+        {
+        }
+        call_rig& rig;
+        table_service& inner;
+    };
+
+    /// Offers a permit of the first agent that answers.
+    struct quick_dispatcher : dispatcher
+    {
+        quick_dispatcher(call_rig& r, process& p) : rig(r), owner(p) {}
+        void place(
+            place_request wanted, std::function<void(placement)> placed,
+            std::function<void(error)> refused) override
+        {
+            rig.reach(step::place, wanted.request);
+            owner.schedule(2ms, [=] { offer(wanted, placed, refused); });
+        }
+        void offer(
+            place_request const& wanted,
+            std::function<void(placement)> const& placed,
+            std::function<void(error)> const& refused)
+        {
+            for (auto const& a : rig.agents)
+            {
+                endpoint_id const endpoint(a->self.value());
+                if (!a->p.responsive() || a->draining ||
+                    wanted.excluded.count(endpoint) != 0)
+                    continue;
+                permit_id const id = ++rig.last_permit;
+                a->permits.permits[id] = {
+                    wanted.request, wanted.attempt,
+                    rig.scheduler.now() + 500ms};
+                placed({endpoint, a->self, id, a->handler.self});
+                return;
+            }
+            refused(
+                error(error_code::no_endpoint, "place", "", "none answers"));
+        }
+        void withdraw(request_id const&, attempt_number) override {}
+        void finished(request_id const&, attempt_number, bool) override {}
+        call_rig& rig;
+        process& owner;
+    };
+
+    struct endpoints : endpoint_lookup
+    {
+        std::vector<endpoint_info> serving(model_ref const&) const override
+        {
+            return {};
+        }
+        std::vector<endpoint_info> offering(service_name const&) const override
+        {
+            return {};
+        }
+        std::optional<endpoint_info> find(endpoint_id const&) const override
+        {
+            return std::nullopt;
+        }
+    };
+
+public:
+    struct router
+    {
+        router(call_rig& rig, std::string const& name, std::uint64_t seed)
+            : self(name), p(rig.scheduler), random(seed), to_store(rig, p),
+              client(
+                  to_store, rig.scheduler, p, random, store_settings{},
+                  rig.counters),
+              store(rig, client), placing(rig, p), transport(rig, p, self),
+              coordinator(
+                  self, rig.scheduler, p, random, transport, placing,
+                  rig.lookup, store, rig.policy, rig.log, rig.counters),
+              handler(rig, p)
+        {
+            handler.inner = &coordinator;
+            rig.network.attach(self, handler);
+        }
+        peer_id self;
+        process p;
+        seeded_random random;
+        hooked_store to_store;
+        store_client client;
+        mutating_store store;
+        quick_dispatcher placing;
+        hooked_transport transport;
+        call_coordinator coordinator;
+        hooked_handler handler;
+        bool stopping = false;
+    };
+
+    struct agent
+    {
+        agent(call_rig& rig, peer_id name, incarnation number)
+            : self(std::move(name)), p(rig.scheduler), permits(rig),
+              service(rig, p), transport(rig, p, self), handler(rig, p)
+        {
+            permits.accept_all = rig.defect >= mutant::permits_unchecked &&
+                                 rig.defect <= mutant::dispatch_after_unknown;
+            handler.self = number;
+            handler.renew = [this, &rig, number]
+            {
+                gates.push_back(std::make_unique<call_gate>(
+                    number, rig.scheduler, p, transport, service, permits,
+                    rig.policy, rig.counters));
+                handler.inner = gates.back().get();
+            };
+            handler.renew();
+            rig.network.attach(self, handler);
+        }
+        peer_id self;
+        process p;
+        permit_book permits;
+        hooked_service service;
+        hooked_transport transport;
+        hooked_handler handler;
+        std::vector<std::unique_ptr<call_gate>> gates;
+        bool draining = false;
+    };
+
+    /// One caller's submission and what it was told.
+    struct submission
+    {
+        router* at;
+        std::string key;
+        std::vector<call_reply> replies;
+    };
+
+    explicit call_rig(mutant m = mutant::none, std::uint64_t seed = 1)
+        : defect(m)
+    {
+        for (auto const* name : {"r1", "r2"})
+            routers.push_back(std::make_unique<router>(*this, name, seed++));
+        for (auto const* name : {"a1", "a2"})
+            agents.push_back(
+                std::make_unique<agent>(*this, peer_id(name), next_number++));
+    }
+
+    submission& submit(
+        std::size_t router_index, std::string const& key,
+        bool repeatable = false, std::string const& body = "body")
+    {
+        router& r = *routers[router_index];
+        submissions.push_back({&r, key, {}});
+        submission& s = submissions.back();
+        call_request c;
+        c.request = request_id(key);
+        c.organisation = organisation_id("org");
+        c.service = service_name("bookings");
+        c.operation = "book";
+        c.body = body;
+        c.repeatable = repeatable;
+        c.timeout = 4s;
+        r.p.run(
+            [this, &r, &s, c] {
+                r.coordinator.call(
+                    c, [this, &s](call_reply reply) { told(s, reply); });
+            });
+        return s;
+    }
+
+    void told(submission& s, call_reply reply)
+    {
+        if (s.at->p.dead)
+            return;
+        if (defect == mutant::not_run_on_timeout &&
+            reply.outcome == call_outcome::unknown)
+        {
+            reply.outcome = call_outcome::not_run;
+            reply.retry_after = {};
+        }
+        s.replies.push_back(reply);
+        if (defect == mutant::replies_twice)
+            s.replies.push_back(reply);
+    }
+
+    void mutate(call_result& result)
+    {
+        if (defect == mutant::gate_forgets_closed &&
+            result.detail == "not seen")
+            result.outcome = call_outcome::not_run;
+        if (defect == mutant::answers_swapped &&
+            result.outcome == call_outcome::done)
+            std::swap(result.body, last_body);
+    }
+
+    /// Every hook comes through here; the test injects its faults.
+    void reach(step at, request_id const& request)
+    {
+        if (on_step && request == request_id("org/k"))
+            on_step(at);
+    }
+
+    void kill_agent(std::size_t i)
+    {
+        agents[i]->p.dead = true;
+        network.kill(agents[i]->self);
+    }
+
+    void restart_agent(std::size_t i)
+    {
+        kill_agent(i);
+        auto const number = defect == mutant::gate_keeps_incarnation
+                                ? agents[i]->handler.self
+                                : next_number++;
+        scheduler.schedule(
+            100ms,
+            [this, i, number]
+            {
+                retired.push_back(std::move(agents[i]));
+                agents[i] = std::make_unique<agent>(
+                    *this, retired.back()->self, number);
+            });
+    }
+
+    void kill_router(std::size_t i)
+    {
+        routers[i]->p.dead = true;
+        network.kill(routers[i]->self);
+    }
+
+    /// What the promises of the product are, over everything observed. Empty
+    /// when they hold, else the first broken one.
+    std::string broken_promise(std::string const& key, bool repeatable) const
+    {
+        auto const ran = service.runs.find(request_id(key));
+        unsigned const runs = ran == service.runs.end() ? 0 : ran->second;
+        bool done = false;
+        bool closed = false;
+        for (auto const& s : submissions)
+        {
+            if (s.key != key)
+                continue;
+            if (s.replies.size() > 1)
+                return "more than one reply";
+            if (s.replies.empty() && !s.at->p.dead)
+                return "no reply";
+            for (auto const& r : s.replies)
+            {
+                done = done || r.outcome == call_outcome::done;
+                closed = closed || is_final(r);
+                if (r.outcome == call_outcome::done &&
+                    r.body != "result of " + key)
+                    return "another request's result: " + r.body;
+            }
+        }
+        if (repeatable)
+            return "";
+        if (runs > 1)
+            return "ran " + std::to_string(runs) + " times";
+        if (closed && runs != 0)
+            return "not_run was said of a call that ran";
+        if (done && runs != 1)
+            return "a result without a run";
+        return "";
+    }
+
+    static bool is_final(call_reply const& r)
+    {
+        return r.outcome == call_outcome::not_run && r.retry_after.count() == 0;
+    }
+
+    manual_scheduler scheduler;
+    fake_network network{scheduler};
+    fake_table_service store{scheduler};
+    fake_plain_service service{scheduler};
+    fixed_policy policy;
+    counter_registry counters;
+    recording_decision_log log;
+    endpoints lookup;
+    mutant defect;
+    std::function<void(step)> on_step;
+    bool lose_answer = false; // of the store to the call, the next one
+    permit_id last_permit = 0;
+    incarnation next_number = 1;
+    std::string last_body;
+    std::vector<std::unique_ptr<router>> routers;
+    std::vector<std::unique_ptr<agent>> agents;
+    std::vector<std::unique_ptr<agent>> retired;
+    std::list<submission> submissions;
+};
+
+} // namespace dotterellock::testing
+
+#endif
