Serve a generation end to end

apps/router and apps/agent assemble transport, shards, HTTP front and platform clients; SIGTERM ends them once every response has left.

Checked by hand with one router of two shards, two agents and the stand-ins: a streaming completion of 5 tokens, a whole chat completion, a booking with a key (runs once) and a lookup are answered; a booking without a key is 400.

--- a/src/choice/endpoint_directory.cpp
+++ b/src/choice/endpoint_directory.cpp
@@ -145,6 +145,22 @@
     take(1, subset_size);
 }
 
+std::set<peer_id> endpoint_directory::subset_agents() const
+{
+    std::set<peer_id> agents;
+    auto const add = [&](auto const& groups)
+    {
+        for (auto const& [what, g] : groups)
+        {
+            for (auto const i : g.subset)
+                agents.insert(states_[i].info.agent);
+        }
+    };
+    add(models_);
+    add(services_);
+    return agents;
+}
+
 endpoint_directory::state*
 endpoint_directory::state_of(endpoint_id const& endpoint)
 {
--- a/src/choice/endpoint_directory.hpp
+++ b/src/choice/endpoint_directory.hpp
@@ -62,6 +62,9 @@
 
     std::optional<endpoint_id> endpoint_of(peer_id const& agent) const;
 
+    /// Agents of all subsets, whose load reports this router needs.
+    std::set<peer_id> subset_agents() const;
+
     std::vector<endpoint_info> serving(model_ref const& model) const override;
     std::vector<endpoint_info>
     offering(service_name const& service) const override;
--- a/src/configuration/rendezvous.hpp
+++ b/src/configuration/rendezvous.hpp
@@ -10,7 +10,6 @@
 #include <utility>
 #include <vector>
 
-
 #include <dotterellock/types.hpp>
 
 #include "choice/rendezvous.hpp"
--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -47,6 +47,14 @@
         open.push_back(std::move(e));
     }
 
+    /// Connections that end from now on are not reported; those who would be
+    /// told are being destroyed.
+    void disable()
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        exchanges_.clear();
+    }
+
     void state_changed(restinio::connection_state::notice_t const& n) noexcept
     {
         if (!restinio::holds_alternative<restinio::connection_state::closed_t>(
@@ -80,6 +88,22 @@
 using stream_builder = restinio::response_builder_t<restinio::chunked_output_t>;
 using open_count = std::shared_ptr<std::atomic<std::size_t>>;
 
+/// Counts one request until its response has left or cannot leave any more.
+class open_request
+{
+public:
+    explicit open_request(open_count open) : open_(std::move(open))
+    {
+        ++*open_;
+    }
+    ~open_request() { --*open_; }
+    open_request(open_request const&) = delete;
+    open_request& operator=(open_request const&) = delete;
+
+private:
+    open_count const open_;
+};
+
 char const* reason_phrase(int status)
 {
     switch (status)
@@ -122,13 +146,11 @@
 {
 public:
     restinio_sink(restinio::request_handle_t request, open_count open)
-        : request_(std::move(request)), open_(std::move(open))
+        : request_(std::move(request)),
+          open_(std::make_shared<open_request>(std::move(open)))
     {
-        ++*open_;
     }
 
-    ~restinio_sink() override { --*open_; }
-
     void respond(http_output output) override
     {
         auto response = request_->create_response(status_line(output.status));
@@ -142,7 +164,7 @@
         for (auto& [name, value] : output.headers)
             response.append_header(std::move(name), std::move(value));
         response.set_body(std::move(output.body));
-        response.done();
+        response.done([open = open_](asio::error_code const&) {});
     }
 
     void begin_stream(http_headers headers) override
@@ -172,14 +194,14 @@
 
     void end() override
     {
-        stream_->done();
+        stream_->done([open = open_](asio::error_code const&) {});
         stream_.reset();
     }
 
 private:
     restinio::request_handle_t request_;
     std::unique_ptr<stream_builder> stream_;
-    open_count const open_;
+    std::shared_ptr<open_request> const open_;
 };
 
 http_input describe(restinio::request_t const& request)
@@ -307,7 +329,10 @@
     }
 }
 
-http_front::~http_front() = default;
+http_front::~http_front()
+{
+    implementation_->watch->disable();
+}
 
 std::string http_front::listening_on() const
 {
--- /dev/null
+++ b/src/process/message_distribution.hpp
@@ -0,0 +1,52 @@
+// Hands messages from the transport to the shards of a router: those about a
+// request to its shard, all others to every shard. Called on I/O threads,
+// without locks; never waits for a shard.
+#ifndef DOTTERELLOCK_PROCESS_MESSAGE_DISTRIBUTION_HPP
+#define DOTTERELLOCK_PROCESS_MESSAGE_DISTRIBUTION_HPP
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <shared_mutex>
+#include <vector>
+
+#include <dotterellock/peer_transport.hpp>
+#include <dotterellock/runtime.hpp>
+
+namespace dotterellock
+{
+
+class message_distribution
+{
+public:
+    /// A shard: runs a function later under its lock and has a handler.
+    struct target
+    {
+        std::function<void(std::function<void()>)> post;
+        message_handler& handler;
+    };
+
+    message_distribution(std::vector<target> shards, clock_source& clock)
+        : shards_(std::move(shards)), clock_(clock)
+    {
+    }
+
+    void deliver(peer_id const& from, message m);
+    void disconnected(peer_id const& peer);
+
+private:
+    using last_heard = std::vector<std::atomic<duration::rep>>; // one a shard
+
+    void pass_on_sign_of_life(peer_id const& from, std::size_t shard);
+    last_heard& heard_by_shards(peer_id const& peer);
+
+    std::vector<target> const shards_;
+    clock_source& clock_;
+    std::shared_mutex mutex_; // guards the map, not the values
+    std::map<peer_id, std::unique_ptr<last_heard>> heard_;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/process/process_frame.cpp
@@ -0,0 +1,82 @@
+#include "process_frame.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <thread>
+#include <vector>
+
+#include "logging.hpp"
+
+namespace dotterellock
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds end_poll_interval{50};
+
+} // namespace
+
+process_frame::process_frame(unsigned threads)
+    : threads_(threads), io_(static_cast<int>(threads)),
+      signals_(io_, SIGTERM, SIGINT), end_timer_(io_)
+{
+}
+
+void process_frame::run(
+    std::function<void()> begin_shutdown, std::function<bool()> finished)
+{
+    begin_shutdown_ = std::move(begin_shutdown);
+    finished_ = std::move(finished);
+    wait_for_signal();
+    auto const work = asio::make_work_guard(io_);
+    std::vector<std::thread> threads;
+    for (unsigned i = 1; i < threads_; ++i)
+        threads.emplace_back([this] { io_.run(); });
+    io_.run();
+    for (auto& t : threads)
+        t.join();
+}
+
+void process_frame::wait_for_signal()
+{
+    signals_.async_wait(
+        [this](asio::error_code failure, int signal)
+        {
+            if (failure)
+                return;
+            if (stopping_)
+            {
+                log_event(log_level::warn, "stopped_at_once", {});
+                io_.stop();
+                return;
+            }
+            stopping_ = true;
+            log_event(
+                log_level::info, "shutdown_begins",
+                {{"signal", std::to_string(signal)}});
+            begin_shutdown_();
+            wait_for_signal();
+            wait_for_end();
+        });
+}
+
+void process_frame::wait_for_end()
+{
+    end_timer_.expires_after(end_poll_interval);
+    end_timer_.async_wait(
+        [this](asio::error_code failure)
+        {
+            if (failure)
+                return;
+            if (!finished_())
+            {
+                wait_for_end();
+                return;
+            }
+            log_event(log_level::info, "shutdown_complete", {});
+            io_.stop();
+        });
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/process/process_frame.hpp
@@ -0,0 +1,44 @@
+// What router and agent processes have in common: the io_context with its
+// threads, signals, and the wait for open work at the end. The main thread
+// calls run(); everything else runs on the I/O threads.
+#ifndef DOTTERELLOCK_PROCESS_PROCESS_FRAME_HPP
+#define DOTTERELLOCK_PROCESS_PROCESS_FRAME_HPP
+
+#include <atomic>
+#include <functional>
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace dotterellock
+{
+
+class process_frame
+{
+public:
+    explicit process_frame(unsigned threads);
+
+    asio::io_context& io() { return io_; }
+
+    /// Runs until SIGTERM or SIGINT. Then calls `begin_shutdown` and ends once
+    /// `finished` holds; a second signal ends the process at once.
+    void
+    run(std::function<void()> begin_shutdown, std::function<bool()> finished);
+
+private:
+    void wait_for_signal();
+    void wait_for_end();
+
+    unsigned const threads_;
+    asio::io_context io_;
+    asio::signal_set signals_;
+    asio::steady_timer end_timer_;
+    bool stopping_ = false; // in handlers of signals_ only
+    std::function<void()> begin_shutdown_;
+    std::function<bool()> finished_;
+};
+
+} // namespace dotterellock
+
+#endif
--- a/src/process/router_shard.hpp
+++ b/src/process/router_shard.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include <dotterellock/configuration.hpp>
@@ -99,6 +100,12 @@
     /// The filters that run inside the shard, in their order.
     std::vector<filter*> filters() { return {&classify_, &admit_}; }
 
+    /// Agents to ping, so that they keep sending load reports.
+    std::set<peer_id> subscribed_agents() const
+    {
+        return directory_.subset_agents();
+    }
+
     /// Generations and calls whose callers still wait.
     std::size_t open_work() const;
 
--- /dev/null
+++ b/src/process/unavailable_store.hpp
@@ -0,0 +1,57 @@
+// A table service for processes whose settings name none: answers that it is
+// unavailable. Stateless; answers through the poster.
+#ifndef DOTTERELLOCK_PROCESS_UNAVAILABLE_STORE_HPP
+#define DOTTERELLOCK_PROCESS_UNAVAILABLE_STORE_HPP
+
+#include <utility>
+
+#include <dotterellock/platform.hpp>
+
+namespace dotterellock
+{
+
+class unavailable_store : public table_service
+{
+public:
+    using poster_type = std::function<void(std::function<void()>)>;
+
+    explicit unavailable_store(poster_type post) : post_(std::move(post)) {}
+
+    void commit(
+        std::vector<row_write>, duration,
+        std::function<void(commit_result)> done) override
+    {
+        post_(
+            [done = std::move(done)] {
+                done({store_status::unavailable, {}, {}});
+            });
+    }
+
+    void read(
+        std::vector<std::string>, duration,
+        std::function<void(read_result)> done) override
+    {
+        refuse(std::move(done));
+    }
+
+    void
+    scan(std::string, duration, std::function<void(read_result)> done) override
+    {
+        refuse(std::move(done));
+    }
+
+private:
+    void refuse(std::function<void(read_result)> done)
+    {
+        post_(
+            [done = std::move(done)] {
+                done({store_status::unavailable, {}});
+            });
+    }
+
+    poster_type const post_;
+};
+
+} // namespace dotterellock
+
+#endif
