--- a/standins/engine_standin.cpp
+++ b/standins/engine_standin.cpp
@@ -37,6 +37,24 @@
     return json{{"error", reason}}.dump();
 }
 
+struct model_version
+{
+    std::string name;
+    std::string version;
+};
+
+/// Takes "name" with a separate version, and "name@version" as callers of the
+/// system write it, so that a bench can also call an engine directly.
+model_version
+requested_model(json const& request, engine_settings const& settings)
+{
+    auto const model = request.at("model").get<std::string>();
+    auto const at = model.find('@');
+    if (at != std::string::npos)
+        return {model.substr(0, at), model.substr(at + 1)};
+    return {model, request.value("version", settings.version)};
+}
+
 } // namespace
 
 engine_standin::engine_standin(
@@ -78,9 +96,8 @@
     std::string const& body, std::shared_ptr<http_reply> const& reply)
 {
     json const request = json::parse(body);
-    std::string const version = request.value("version", settings_.version);
-    std::string const wanted =
-        request.at("model").get<std::string>() + "@" + version;
+    auto const [name, version] = requested_model(request, settings_);
+    std::string const wanted = name + "@" + version;
     if (loaded_.count(wanted) == 0)
     {
         reply->send_json(404, refusal("model is not loaded: " + wanted));
--- a/standins/local_fleet.cpp
+++ b/standins/local_fleet.cpp
@@ -51,6 +51,18 @@
     return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
 }
 
+constexpr char const* any_port = "127.0.0.1:0";
+
+std::string address_of(std::string const& url)
+{
+    return url.substr(std::string("http://").size());
+}
+
+std::string endpoint_name(std::size_t number)
+{
+    return "e" + std::to_string(number + 1);
+}
+
 std::string zone_of(std::size_t index)
 {
     return "zone-" + std::to_string(index % 2 + 1);
@@ -93,26 +105,25 @@
     auto objects = start_standin("objects", {"--kind", "objects"});
     objects_ = std::move(objects.process);
     object_url_ = objects.url;
+    agents_.resize(options_.engines + options_.services);
     for (std::size_t i = 0; i < options_.engines; ++i)
     {
         engines_.push_back(start_standin(
-            "engine-" + std::to_string(i + 1),
-            {"--kind", "engine", "--model", model, "--model-version",
-             model_version, "--answer-tokens",
-             std::to_string(options_.answer_tokens), "--step-ms",
-             std::to_string(options_.step_ms), "--max-running",
-             std::to_string(options_.capacity)}));
-        start_agent(agents_.size(), true, i);
+            "engine-" + std::to_string(i + 1), engine_arguments(any_port)));
+        start_agent(i);
     }
     for (std::size_t i = 0; i < options_.services; ++i)
     {
         services_.push_back(start_standin(
             "service-" + std::to_string(i + 1), {"--kind", "service"}));
-        start_agent(agents_.size(), false, i);
+        start_agent(options_.engines + i);
     }
     routers_.resize(options_.routers);
     for (auto& r : routers_)
+    {
+        r.url = std::string("http://") + any_port;
         r.peer_address = free_address();
+    }
     for (std::size_t i = 0; i < options_.routers; ++i)
         start_router(i);
     wait_until_ready();
@@ -141,20 +152,30 @@
     return m;
 }
 
-void local_fleet::start_agent(
-    std::size_t number, bool is_engine, std::size_t index)
+std::vector<std::string>
+local_fleet::engine_arguments(std::string const& listen) const
 {
-    std::string const endpoint = "e" + std::to_string(number + 1);
-    std::string const file = write_settings(
-        "agent-" + endpoint, agent_settings(endpoint, is_engine, index));
-    member m;
+    return {"--kind",          "engine",
+            "--listen",        listen,
+            "--model",         model,
+            "--model-version", model_version,
+            "--answer-tokens", std::to_string(options_.answer_tokens),
+            "--step-ms",       std::to_string(options_.step_ms),
+            "--max-running",   std::to_string(options_.capacity)};
+}
+
+void local_fleet::start_agent(std::size_t number)
+{
+    std::string const name = "agent-" + endpoint_name(number);
+    member& m = agents_[number];
+    if (m.peer_address.empty())
+        m.peer_address = any_port;
+    std::string const file = write_settings(name, agent_settings(number));
     m.process = std::make_unique<child_process>(
         binary_directory_ + "/dotterellock-agent",
         std::vector<std::string>{"--config", file},
-        directory_ + "/agent-" + endpoint + ".log");
+        directory_ + "/" + name + ".log");
     m.peer_address = m.process->logged_value("peer", start_limit);
-    endpoints_.push_back(endpoint);
-    agents_.push_back(std::move(m));
 }
 
 void local_fleet::start_router(std::size_t index)
@@ -193,13 +214,16 @@
     return file;
 }
 
-std::string local_fleet::agent_settings(
-    std::string const& endpoint, bool is_engine, std::size_t index) const
+std::string local_fleet::agent_settings(std::size_t number) const
 {
+    bool const is_engine = number < options_.engines;
+    std::size_t const index = is_engine ? number : number - options_.engines;
+    std::string const endpoint = endpoint_name(number);
     std::ostringstream y;
     y << "endpoint: " << endpoint << "\nhost: host-" << endpoint
       << "\nzone: " << zone_of(index) << "\nregion: region-1\n"
-      << "peer_listen: 127.0.0.1:0\ncapacity: " << options_.capacity
+      << "peer_listen: " << agents_[number].peer_address
+      << "\ncapacity: " << options_.capacity
       << "\ntable_service_url: " << table_url_ << "\n";
     if (is_engine)
         y << "engine_url: " << engines_[index].url
@@ -218,8 +242,9 @@
     std::ostringstream y;
     y << "router: r" << index + 1 << "\nhost: host-r" << index + 1
       << "\nzone: " << zone_of(index) << "\nregion: region-1\n"
-      << "http_listen: 127.0.0.1:0\npeer_listen: "
-      << routers_[index].peer_address << "\nshards: " << options_.shards
+      << "http_listen: " << address_of(routers_[index].url)
+      << "\npeer_listen: " << routers_[index].peer_address
+      << "\nshards: " << options_.shards
       << "\ntable_service_url: " << table_url_
       << "\nobject_store_url: " << object_url_ << "\nrouters:\n";
     for (std::size_t i = 0; i < routers_.size(); ++i)
@@ -231,9 +256,9 @@
     {
         bool const is_engine = i < options_.engines;
         std::size_t const local = is_engine ? i : i - options_.engines;
-        y << "  - endpoint: " << endpoints_[i]
+        y << "  - endpoint: " << endpoint_name(i)
           << "\n    address: " << agents_[i].peer_address << "\n    host: host-"
-          << endpoints_[i] << "\n    zone: " << zone_of(local)
+          << endpoint_name(i) << "\n    zone: " << zone_of(local)
           << "\n    region: region-1\n";
         if (is_engine)
             y << "    models:\n      - name: " << model
@@ -286,6 +311,26 @@
     throw std::runtime_error("no engine runs a stream");
 }
 
+void local_fleet::restart_engine(std::size_t i)
+{
+    std::string const address = address_of(engines_.at(i).url);
+    engines_[i].process.reset(); // frees the port
+    engines_[i] = start_standin(
+        "engine-" + std::to_string(i + 1), engine_arguments(address));
+}
+
+void local_fleet::restart_agent(std::size_t i)
+{
+    agents_.at(i).process.reset();
+    start_agent(i);
+}
+
+void local_fleet::restart_router(std::size_t i)
+{
+    routers_.at(i).process.reset();
+    start_router(i);
+}
+
 bool local_fleet::stop(milliseconds limit)
 {
     std::vector<child_process*> order;
--- a/standins/local_fleet.hpp
+++ b/standins/local_fleet.hpp
@@ -59,6 +59,11 @@
     /// does within the limit.
     std::size_t busy_engine(std::chrono::milliseconds limit) const;
 
+    /// Starts a process that has ended again, at the address it had.
+    void restart_engine(std::size_t i);
+    void restart_agent(std::size_t i);
+    void restart_router(std::size_t i);
+
     /// SIGTERM to routers, then agents, then stand-ins; true when each ended
     /// with status 0 in time.
     bool stop(std::chrono::milliseconds limit);
@@ -75,13 +80,13 @@
 
     member start_standin(
         std::string const& name, std::vector<std::string> const& arguments);
-    void start_agent(std::size_t number, bool is_engine, std::size_t index);
+    std::vector<std::string> engine_arguments(std::string const& listen) const;
+    void start_agent(std::size_t number);
     void start_router(std::size_t index);
     void wait_until_ready() const;
     std::string
     write_settings(std::string const& name, std::string const& text) const;
-    std::string agent_settings(
-        std::string const& endpoint, bool is_engine, std::size_t index) const;
+    std::string agent_settings(std::size_t number) const;
     std::string router_settings(std::size_t index) const;
 
     std::string binary_directory_;
@@ -94,7 +99,6 @@
     std::vector<member> engines_;
     std::vector<member> services_;
     std::vector<member> agents_; // engines first, then services
-    std::vector<std::string> endpoints_;
     std::vector<member> routers_;
 };
 
