Test results, key reuse, retries and rows of calls

Cause: cases that no cell of the fault matrix reaches. Change: tables for key reuse, the source of a result, asking without the store, bounded retries; properties of the row encoding and the digest set.

--- a/tests/claims/call_rig.hpp
+++ b/tests/claims/call_rig.hpp
@@ -84,7 +84,7 @@
     row_completion,
     ask_again
 };
-constexpr std::array step_names = {
+inline constexpr std::array step_names = {
     "place", "claim write",    "claim answer", "dispatch", "redeem",
     "run",   "service answer", "result",       "row",      "ask again"};
 
--- /dev/null
+++ b/tests/claims/call_test.cpp
@@ -0,0 +1,186 @@
+// Cases of the claim classes that the fault matrix does not reach.
+#include <catch2/catch.hpp>
+
+#include "call_rig.hpp"
+#include "claims/digest_set.hpp"
+#include "properties.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+
+namespace
+{
+
+call_reply reply_of(call_rig& rig, call_rig::submission const& s)
+{
+    rig.scheduler.run_until([&] { return !s.replies.empty(); }, 10s);
+    REQUIRE(s.replies.size() == 1);
+    return s.replies[0];
+}
+
+} // namespace
+
+// Guards against the result of another body under one key, on the router that
+// has the call open, on another one, and after the call has ended.
+TEST_CASE("a key with another body is refused")
+{
+    auto const [router, wait] = GENERATE(
+        table<std::size_t, duration>({{0, 0ms}, {1, 0ms}, {0, 1s}, {1, 1s}}));
+    call_rig rig;
+    auto const& first = rig.submit(0, "org/k", false, "one");
+    rig.scheduler.advance(wait);
+    auto const reused =
+        reply_of(rig, rig.submit(router, "org/k", false, "two"));
+    REQUIRE(reused.outcome == call_outcome::not_run);
+    REQUIRE(reused.status == http_status(error_code::key_reused));
+    REQUIRE(reply_of(rig, first).outcome == call_outcome::done);
+    REQUIRE(rig.service.runs[request_id("org/k")] == 1);
+}
+
+// Guards against a result that is lost because it is too large for the row,
+// and against one in the row that still needs its agent.
+TEST_CASE("where a finished call's result comes from")
+{
+    auto const [size, agent_lives, expected] =
+        GENERATE(table<std::size_t, bool, call_outcome>(
+            {{10, true, call_outcome::done},
+             {10, false, call_outcome::done},
+             {call_coordinator::max_row_result_bytes + 1, true,
+              call_outcome::done},
+             {call_coordinator::max_row_result_bytes + 1, false,
+              call_outcome::unknown}}));
+    std::string const key = "org/" + std::string(size, 'k');
+    call_rig rig;
+    rig.submit(0, key);
+    rig.scheduler.advance(1s);
+    if (!agent_lives)
+        rig.kill_agent(0);
+    auto const again = reply_of(rig, rig.submit(1, key));
+    REQUIRE(again.outcome == expected);
+    if (expected == call_outcome::done)
+        REQUIRE(again.body == "result of " + key);
+}
+
+// Guards against a second run or a false "not run" once the agent has
+// forgotten a result.
+TEST_CASE("a forgotten result is unknown, never run again")
+{
+    call_rig rig;
+    std::string const key =
+        "org/" + std::string(call_coordinator::max_row_result_bytes, 'k');
+    rig.submit(0, key);
+    rig.scheduler.advance(rig.policy.settings.call.result_kept_for + 1s);
+    auto const again = reply_of(rig, rig.submit(1, key));
+    REQUIRE(again.outcome == call_outcome::unknown);
+    REQUIRE(rig.service.runs[request_id(key)] == 1);
+}
+
+// Guards against a router that forgets a claim it holds when the store is
+// down, and against "not run" for a call that it knows to be in doubt.
+TEST_CASE("a router asks again for its own claim without the store")
+{
+    call_rig rig;
+    rig.service.delay = 5s; // beyond the caller's timeout
+    REQUIRE(
+        reply_of(rig, rig.submit(0, "org/k")).outcome == call_outcome::unknown);
+    rig.store.current = fake_table_service::mode::down;
+    rig.scheduler.advance(2s);
+    auto const again = reply_of(rig, rig.submit(0, "org/k"));
+    REQUIRE(again.outcome == call_outcome::done);
+    auto const fresh = reply_of(rig, rig.submit(0, "org/new"));
+    REQUIRE(fresh.outcome == call_outcome::not_run);
+    REQUIRE(fresh.retry_after.count() > 0);
+}
+
+// Guards against two runs or a missing reply when one router gets a key twice.
+TEST_CASE("submissions of one key at one router share its call")
+{
+    call_rig rig;
+    auto const& first = rig.submit(0, "org/k");
+    auto const& second = rig.submit(0, "org/k");
+    REQUIRE(rig.routers[0]->coordinator.open_calls() == 1);
+    REQUIRE(reply_of(rig, first).outcome == call_outcome::done);
+    REQUIRE(reply_of(rig, second).outcome == call_outcome::done);
+    REQUIRE(rig.broken_promise("org/k", false) == "");
+}
+
+// Guards against retries without end, and against a retry of a call whose
+// service answered.
+TEST_CASE("retries of repeatable calls are bounded")
+{
+    auto const [lost, attempts] =
+        GENERATE(table<bool, std::uint32_t>({{true, 3}, {false, 1}}));
+    call_rig rig;
+    rig.policy.settings.retry.max_attempts = 3;
+    rig.service.lose_answers = lost;
+    auto const reply = reply_of(rig, rig.submit(0, "org/k", true));
+    REQUIRE(
+        reply.outcome == (lost ? call_outcome::unknown : call_outcome::done));
+    REQUIRE(rig.service.runs[request_id("org/k")] == attempts);
+}
+
+// Guards against outcomes that do not follow from what the service did.
+TEST_CASE("what the service did decides the outcome")
+{
+    auto const [refuses, loses, outcome] =
+        GENERATE(table<bool, bool, call_outcome>(
+            {{false, false, call_outcome::done},
+             {true, false, call_outcome::not_run},
+             {false, true, call_outcome::unknown}}));
+    call_rig rig;
+    rig.service.refuse_connections = refuses;
+    rig.service.lose_answers = loses;
+    REQUIRE(reply_of(rig, rig.submit(0, "org/k")).outcome == outcome);
+    rig.service.refuse_connections = rig.service.lose_answers = false;
+    auto const again = reply_of(rig, rig.submit(1, "org/k"));
+    REQUIRE(again.outcome == outcome);
+    REQUIRE(rig.broken_promise("org/k", false) == "");
+}
+
+// Guards against rows that cannot be read back, whatever bytes they carry.
+TEST_CASE("claim rows survive encoding")
+{
+    REQUIRE(rc::check(
+        "round trip",
+        [](std::string const& key, std::string const& body, bool kept)
+        {
+            claim_row row;
+            row.request = request_id(key);
+            row.attempt = *rc::gen::arbitrary<attempt_number>();
+            row.body_hash = *rc::gen::arbitrary<std::uint64_t>();
+            row.state = claim_state::done;
+            row.result_kept = kept;
+            row.body = row.detail = body;
+            auto const read = decode_claim(encode_claim(row));
+            RC_ASSERT(read.has_value());
+            RC_ASSERT(read->request == row.request);
+            RC_ASSERT(read->attempt == row.attempt);
+            RC_ASSERT(read->body_hash == row.body_hash);
+            RC_ASSERT(read->body == body);
+            RC_ASSERT(read->detail == body);
+        }));
+    REQUIRE(!decode_claim("{\"request\":1}"));
+    REQUIRE(!decode_claim("no row"));
+}
+
+// Guards against a decision that is lost when the set grows.
+TEST_CASE("the digest set agrees with std::set")
+{
+    REQUIRE(rc::check(
+        "same members",
+        [](std::vector<std::uint8_t> const& in)
+        {
+            digest_set set;
+            std::set<std::uint64_t> reference;
+            // Multiples collide in the low bits, where the set looks first.
+            for (auto const n : in)
+            {
+                set.insert(std::uint64_t{n} * 1024);
+                reference.insert(std::uint64_t{n} * 1024);
+            }
+            RC_ASSERT(set.size() == reference.size());
+            for (std::uint64_t n = 0; n < 256; ++n)
+                RC_ASSERT(
+                    set.contains(n * 1024) == (reference.count(n * 1024) == 1));
+        }));
+}
