--- a/src/queueing/reservation_queue.cpp
+++ b/src/queueing/reservation_queue.cpp
@@ -206,7 +206,7 @@
     r.state = phase::running;
     r.since = clock_.now();
     --offered_;
-    ++running_;
+    running_permits_.insert(permit);
     return std::nullopt;
 }
 
@@ -228,7 +228,7 @@
     queue_.correct(r.served, tokens);
     if (r.suspending)
         --suspending_;
-    --running_;
+    running_permits_.erase(permit);
     by_key_.erase(key{r.router, r.asked.request, r.asked.attempt});
     entries_.erase(found);
     offer_slots();
@@ -322,19 +322,20 @@
     double best_gain = 0;
     double running_tokens = 0;
     std::array<double, rank_count> rank_tokens{};
-    for (auto const& [permit, r] : entries_)
+    for (auto const permit : running_permits_)
     {
-        if (r.state != phase::running || r.suspending)
+        auto const& r = entries_.at(permit);
+        if (r.suspending)
             continue;
         running_tokens += r.served.entry.tokens;
         rank_tokens[index_of(r.asked.rank)] += r.served.entry.tokens;
     }
-    for (auto i = entries_.begin(); i != entries_.end(); ++i)
+    for (auto const permit : running_permits_)
     {
+        auto const i = entries_.find(permit);
         auto const& r = i->second;
         std::size_t const level = index_of(r.asked.rank);
-        if (r.state != phase::running || r.suspending ||
-            r.asked.kind != work_kind::generation ||
+        if (r.suspending || r.asked.kind != work_kind::generation ||
             level <= index_of(waiting.rank))
             continue;
         double const tokens = r.served.entry.tokens;
@@ -426,7 +427,7 @@
     }
     report.waiting_tokens = queue_.waiting_tokens();
     report.tokens_per_second_per_stream = pace();
-    report.tokens_per_second = report.tokens_per_second_per_stream * running_;
+    report.tokens_per_second = report.tokens_per_second_per_stream * running();
     report.draining = draining_;
     return report;
 }
@@ -435,9 +436,10 @@
 {
     double tokens = 0;
     double age = 0;
-    for (auto const& [permit, r] : entries_)
+    for (auto const permit : running_permits_)
     {
-        if (r.state != phase::running || r.asked.kind != work_kind::generation)
+        auto const& r = entries_.at(permit);
+        if (r.asked.kind != work_kind::generation)
             continue;
         tokens += r.served.entry.tokens;
         age += seconds(clock_.now() - r.since);
@@ -450,7 +452,7 @@
 
 milliseconds reservation_queue::retry_after() const
 {
-    double const rate = pace() * std::max<std::uint32_t>(running_, 1);
+    double const rate = pace() * std::max<std::uint32_t>(running(), 1);
     if (rate <= 0)
         return shortest_retry;
     double const wait_ms =
--- a/src/queueing/reservation_queue.hpp
+++ b/src/queueing/reservation_queue.hpp
@@ -56,7 +56,7 @@
 
     load_report report() const;
     bool idle() const { return entries_.empty(); }
-    std::uint32_t slots_in_use() const { return offered_ + running_; }
+    std::uint32_t slots_in_use() const { return offered_ + running(); }
     std::uint32_t slots_free() const { return capacity_ - slots_in_use(); }
 
 private:
@@ -78,6 +78,11 @@
         bool suspending = false;
     };
 
+    std::uint32_t running() const
+    {
+        return static_cast<std::uint32_t>(running_permits_.size());
+    }
+
     using key = std::tuple<peer_id, request_id, attempt_number>;
     using reservations = std::map<permit_id, reservation>;
 
@@ -118,11 +123,11 @@
     fair_queue queue_;
     reservations entries_;
     std::map<key, permit_id> by_key_;
+    std::set<permit_id> running_permits_;
     std::set<std::pair<steady_time, permit_id>> deadlines_;
     std::unordered_map<peer_id, steady_time> routers_; // last message of each
     permit_id last_permit_ = 0;
     std::uint32_t offered_ = 0;
-    std::uint32_t running_ = 0;
     std::uint32_t suspending_ = 0;
     bool draining_ = false;
     double stream_pace_ = 0; // tokens/s, mean of completed work; 0: unknown
