--- a/tests/support/fake_network.hpp
+++ b/tests/support/fake_network.hpp
@@ -59,6 +59,13 @@
             notify_disconnect(peer, self);
     }
 
+    /// The host is gone and nothing tells its peers.
+    void vanish(peer_id const& self)
+    {
+        handlers_.erase(self);
+        held_.erase(self);
+    }
+
     /// The process stands still; what arrives is delivered after resume().
     void pause(peer_id const& self) { paused_.insert(self); }
 
@@ -94,6 +101,11 @@
 
     void heal() { cut_.clear(); }
 
+    bool is_cut(peer_id const& a, peer_id const& b) const
+    {
+        return cut_.count({a, b}) != 0;
+    }
+
     void set_rule(rule r) { rule_ = std::move(r); }
     void set_delay(duration delay) { delay_ = delay; }
 
