--- a/src/store/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -37,9 +37,9 @@
     std::chrono::milliseconds max_request_timeout{4000};
     std::chrono::milliseconds retry_delay{20}; // first; then doubled
     std::chrono::milliseconds max_retry_delay{1000};
-    std::uint32_t breaker_failures = 5; // consecutive, until it opens
-    std::chrono::milliseconds breaker_open_for{1000}; // until a probe
-    std::chrono::milliseconds batch_delay{5};         // 0: no group commit
+    std::uint32_t breaker_failures = 10; // consecutive, until it opens
+    std::chrono::milliseconds breaker_open_for{500}; // until a probe
+    std::chrono::milliseconds batch_delay{5};        // 0: no group commit
     std::size_t max_batch_writes = 64;
     std::size_t max_batch_value_bytes = 16 * 1024; // larger goes alone
 };
