--- /dev/null
+++ b/tests/process/fault_test.cpp
@@ -0,0 +1,253 @@
+// Real processes on loopback: kills, pauses and graceful stops in the middle
+// of streams. Each check waits for a state, bounded by a limit.
+#include <chrono>
+#include <csignal>
+#include <functional>
+#include <string>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "../../src/load/streaming_caller.hpp"
+#include "../../standins/expected_answer.hpp"
+#include "../../standins/local_fleet.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::standins;
+using load::caller_request;
+using load::streaming_caller;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds limit{40000};
+constexpr unsigned answer_tokens = 150;
+constexpr std::size_t mid_stream = 40;
+
+fleet_options small_fleet()
+{
+    fleet_options options;
+    options.answer_tokens = answer_tokens;
+    options.step_ms = 15;
+    return options;
+}
+
+caller_request request_to(local_fleet const& fleet, std::string const& key)
+{
+    caller_request r;
+    r.routers = {fleet.router_url(0), fleet.router_url(1)};
+    r.api_key = local_fleet::api_key;
+    r.idempotency_key = key;
+    r.model =
+        std::string(local_fleet::model) + "@" + local_fleet::model_version;
+    r.prompt = "prompt of " + key;
+    r.max_tokens = answer_tokens;
+    return r;
+}
+
+void require_whole(streaming_caller& caller, std::string const& key)
+{
+    bool const ended = caller.wait(limit);
+    auto const result = caller.result();
+    INFO("error code: " << result.error_code);
+    REQUIRE(ended);
+    expected_answer const expected(
+        local_fleet::model_version, "prompt of " + key);
+    REQUIRE(result.text == expected.text(answer_tokens));
+}
+
+unsigned runs_of(local_fleet const& fleet, std::string const& key)
+{
+    unsigned runs = 0;
+    json const stats =
+        json::parse(http_get(fleet.service_url(0) + "/admin/runs").body);
+    for (auto const& item : stats.at("runs").items())
+    {
+        if (item.key().find(key) != std::string::npos)
+            runs += item.value().get<unsigned>();
+    }
+    return runs;
+}
+
+struct stream_fault
+{
+    char const* name;
+    std::function<void(local_fleet&, streaming_caller&)> inject;
+    std::function<void(local_fleet&)> undo; // before the end is awaited
+};
+
+void nothing(local_fleet&) {}
+
+} // namespace
+
+// Guards against tokens that are lost, repeated or spliced when a process is
+// killed or paused in the middle of a stream.
+TEST_CASE("a stream survives the loss or pause of a process")
+{
+    auto const fault = GENERATE(values<stream_fault>({
+        {"engine killed",
+         [](local_fleet& f, streaming_caller&)
+         { f.engine(f.busy_engine(limit)).signal(SIGKILL); },
+         nothing},
+        {"engine paused for good",
+         [](local_fleet& f, streaming_caller&)
+         { f.engine(f.busy_engine(limit)).signal(SIGSTOP); },
+         nothing},
+        {"agent killed",
+         [](local_fleet& f, streaming_caller&)
+         { f.agent(f.busy_engine(limit)).signal(SIGKILL); },
+         nothing},
+        {"agent paused for good",
+         [](local_fleet& f, streaming_caller&)
+         { f.agent(f.busy_engine(limit)).signal(SIGSTOP); },
+         nothing},
+        {"agent and engine killed",
+         [](local_fleet& f, streaming_caller&)
+         {
+             std::size_t const busy = f.busy_engine(limit);
+             f.agent(busy).signal(SIGKILL);
+             f.engine(busy).signal(SIGKILL);
+         },
+         nothing},
+        {"router killed",
+         [](local_fleet& f, streaming_caller&) { f.router(0).signal(SIGKILL); },
+         nothing},
+        {"router paused, caller reconnects, router returns",
+         [](local_fleet& f, streaming_caller& c)
+         {
+             f.router(0).signal(SIGSTOP);
+             c.cut_connection();
+             REQUIRE(c.wait_for_tokens(mid_stream + 20, limit));
+             f.router(0).signal(SIGCONT);
+         },
+         nothing},
+        {"caller's connection cut",
+         [](local_fleet&, streaming_caller& c) { c.cut_connection(); },
+         nothing},
+        {"router, agent and engine killed together",
+         [](local_fleet& f, streaming_caller&)
+         {
+             std::size_t const busy = f.busy_engine(limit);
+             f.router(0).signal(SIGKILL);
+             f.agent(busy).signal(SIGKILL);
+             f.engine(busy).signal(SIGKILL);
+         },
+         nothing},
+    }));
+    INFO(fault.name);
+    local_fleet fleet(DOTTERELLOCK_BINARY_DIR, small_fleet());
+    streaming_caller caller(request_to(fleet, "stream"));
+    REQUIRE(caller.wait_for_tokens(mid_stream, limit));
+    fault.inject(fleet, caller);
+    require_whole(caller, "stream");
+}
+
+// Guards against an agent that wakes from a pause and delivers old tokens.
+TEST_CASE("an agent that returns from a pause changes nothing")
+{
+    local_fleet fleet(DOTTERELLOCK_BINARY_DIR, small_fleet());
+    streaming_caller caller(request_to(fleet, "returning"));
+    REQUIRE(caller.wait_for_tokens(mid_stream, limit));
+    std::size_t const busy = fleet.busy_engine(limit);
+    fleet.agent(busy).signal(SIGSTOP);
+    REQUIRE(caller.wait_for_tokens(mid_stream + 20, limit));
+    fleet.agent(busy).signal(SIGCONT);
+    require_whole(caller, "returning");
+    REQUIRE(caller.result().reconnects == 0);
+}
+
+// Guards against a graceful stop that cuts a stream, or that never ends.
+TEST_CASE("a graceful stop finishes the streams in flight")
+{
+    auto const [name, stops_router] = GENERATE(table<std::string, bool>(
+        {{"router stops", true}, {"agent stops", false}}));
+    INFO(name);
+    local_fleet fleet(DOTTERELLOCK_BINARY_DIR, small_fleet());
+    streaming_caller caller(request_to(fleet, "graceful"));
+    REQUIRE(caller.wait_for_tokens(mid_stream, limit));
+    auto& stopping =
+        stops_router ? fleet.router(0) : fleet.agent(fleet.busy_engine(limit));
+    stopping.signal(SIGTERM);
+    require_whole(caller, "graceful");
+    REQUIRE(caller.result().reconnects == 0);
+    REQUIRE(stopping.wait(limit) == 0);
+}
+
+// Guards against a second run of a call that may not be repeated.
+TEST_CASE("a non-repeatable call runs at most once")
+{
+    struct call_fault
+    {
+        char const* name;
+        char const* service_fault; // body for /admin/fault
+        char const* table_fault;
+        int status;
+        unsigned runs;
+    };
+    auto const row = GENERATE(values<call_fault>({
+        {"no fault", "{}", "{}", 200, 1},
+        {"answer lost after the run", R"({"lose_answers":true})", "{}", 504, 1},
+        {"store down", "{}", R"({"down":true})", 503, 0},
+        {"store silent", "{}", R"({"silent":true})", 503, 0},
+    }));
+    INFO(row.name);
+    local_fleet fleet(DOTTERELLOCK_BINARY_DIR, small_fleet());
+    http_post(fleet.service_url(0) + "/admin/fault", row.service_fault);
+    http_post(fleet.table_url() + "/admin/fault", row.table_fault);
+    std::vector<std::string> const headers = {
+        std::string("Authorization: Bearer ") + local_fleet::api_key,
+        "Idempotency-Key: once"};
+    std::string const path = "/v1/services/orders/book";
+    auto const first = http_post(fleet.router_url(0) + path, "{}", headers);
+    INFO(first.body);
+    REQUIRE(first.status == row.status);
+    auto const again = http_post(fleet.router_url(1) + path, "{}", headers);
+    REQUIRE(again.status == row.status);
+    REQUIRE(runs_of(fleet, "once") == row.runs);
+}
+
+// Guards against one key that gives its answer to another organisation.
+TEST_CASE("equal keys of two organisations are different requests")
+{
+    local_fleet fleet(DOTTERELLOCK_BINARY_DIR, small_fleet());
+    auto request = request_to(fleet, "shared");
+    streaming_caller first(request);
+    request.api_key = local_fleet::other_api_key;
+    request.prompt = "another prompt";
+    streaming_caller second(request);
+    require_whole(first, "shared");
+    REQUIRE(second.wait(limit));
+    expected_answer const expected(
+        local_fleet::model_version, "another prompt");
+    REQUIRE(second.result().text == expected.text(answer_tokens));
+}
+
+// Guards against bad input that crashes a router or gets an unclear answer.
+TEST_CASE("bad input gets a stable error code and the router lives on")
+{
+    static local_fleet fleet(DOTTERELLOCK_BINARY_DIR, small_fleet());
+    std::string const good_key =
+        std::string("Authorization: Bearer ") + local_fleet::api_key;
+    auto const [path, body, authorization, status, code] = GENERATE_REF(
+        table<std::string, std::string, std::string, int, std::string>({
+            {"/v1/completions", "{", good_key, 400, "invalid_argument"},
+            {"/v1/completions", "[]", good_key, 400, "invalid_argument"},
+            {"/v1/completions", R"({"model":"m@1","prompt":7})", good_key, 400,
+             "invalid_argument"},
+            {"/v1/completions", R"({"model":"x@1","prompt":"p"})", good_key,
+             404, "unknown_model"},
+            {"/v1/completions", R"({"model":"m@1","prompt":"p"})",
+             "Authorization: Bearer nobody", 401, "unauthorised"},
+            {"/v1/services/none/op", "{}", good_key, 404, "unknown_service"},
+            {"/v1/services/orders/book", "{}", good_key, 400,
+             "invalid_argument"}, // no idempotency key
+        }));
+    auto const answer =
+        http_post(fleet.router_url(0) + path, body, {authorization});
+    INFO(answer.body);
+    REQUIRE(answer.status == status);
+    REQUIRE(json::parse(answer.body)["error"]["code"] == code);
+    REQUIRE(http_get(fleet.router_url(0) + "/healthz").status == 200);
+}
