Test the request path without sockets; let abandoned connections drain

Cause: a reconnect for one request closed a connection that other requests share, so that their tokens in flight were lost although it was healthy. An abandoned connection now goes on for up to 1 s.

make test: the pipeline suite (refusals, streams, calls, resume, 5000 damaged requests) and the reconnect case pass.

--- a/src/pipeline/request_path.cpp
+++ b/src/pipeline/request_path.cpp
@@ -68,8 +68,8 @@
 {
 }
 
-std::shared_ptr<exchange>
-request_path::handle(http_input input, std::shared_ptr<response_sink> sink)
+std::shared_ptr<exchange> request_path::handle(
+    http_input input, std::shared_ptr<response_sink> const& sink)
 {
     if (answer_operators(input, *sink))
         return nullptr;
@@ -132,8 +132,9 @@
 }
 
 void request_path::hand_over(
-    request_shard& shard, std::shared_ptr<request_context> context,
-    std::shared_ptr<response_sink> sink, std::shared_ptr<open_exchange> opened)
+    request_shard& shard, std::shared_ptr<request_context> const& context,
+    std::shared_ptr<response_sink> const& sink,
+    std::shared_ptr<open_exchange> const& opened)
 {
     if (opened->gone())
         return;
--- a/src/pipeline/request_path.hpp
+++ b/src/pipeline/request_path.hpp
@@ -51,7 +51,7 @@
 
     /// Never blocks and never throws; answers through the sink.
     std::shared_ptr<exchange>
-    handle(http_input input, std::shared_ptr<response_sink> sink);
+    handle(http_input input, std::shared_ptr<response_sink> const& sink);
 
     /// /readyz fails and new requests are refused from now on.
     void begin_shutdown() { shutting_down_ = true; }
@@ -64,9 +64,9 @@
 
     bool answer_operators(http_input const& input, response_sink& sink) const;
     void hand_over(
-        request_shard& shard, std::shared_ptr<request_context> context,
-        std::shared_ptr<response_sink> sink,
-        std::shared_ptr<open_exchange> opened);
+        request_shard& shard, std::shared_ptr<request_context> const& context,
+        std::shared_ptr<response_sink> const& sink,
+        std::shared_ptr<open_exchange> const& opened);
     void fail(response_sink& sink, error const& e);
 
     std::vector<filter*> const edge_;
--- a/src/wire/tcp_peer_transport.cpp
+++ b/src/wire/tcp_peer_transport.cpp
@@ -44,6 +44,10 @@
 
 constexpr milliseconds accept_retry_delay{100};
 
+// An abandoned connection may be healthy; what is under way on it, also for
+// other requests, still has this long to arrive.
+constexpr milliseconds linger_time{1000};
+
 tcp::endpoint parse_address(std::string const& text, char const* step)
 {
     auto const colon = text.rfind(':');
@@ -206,6 +210,25 @@
         return true;
     }
 
+    /// Nothing more is enqueued. What is under way may still arrive for a
+    /// while; how the connection ends is not reported.
+    void retire()
+    {
+        asio::post(
+            socket_.get_executor(),
+            [self = shared_from_this()]
+            {
+                self->retired_ = true;
+                self->deadline_.expires_after(linger_time);
+                self->deadline_.async_wait(
+                    [self](io_error cancelled)
+                    {
+                        if (!cancelled)
+                            self->close();
+                    });
+            });
+    }
+
     /// Nothing is delivered or reported afterwards, whatever arrives.
     void close()
     {
@@ -330,7 +353,8 @@
                 "peer calls itself \"" + h.peer.value() + "\"");
         }
         greeted_ = true;
-        deadline_.cancel();
+        if (!retired_)
+            deadline_.cancel();
         if (dialled_)
             return;
         peer_ = h.peer;
@@ -377,6 +401,7 @@
     peer_id peer_;                // empty until an accepted peer names itself
     bool const dialled_;
     bool greeted_ = false;
+    bool retired_ = false;
     std::atomic<bool> abandoned_{false};
 
     std::vector<char> input_;
@@ -576,7 +601,7 @@
     for (auto* slot : {&state->outgoing, &state->incoming})
     {
         if (*slot)
-            (*slot)->close();
+            (*slot)->retire();
         slot->reset();
     }
     state->current.reset();
@@ -594,7 +619,7 @@
     }
     // The peer opens a second connection only after it gave up the first.
     if (state->incoming)
-        state->incoming->close();
+        state->incoming->retire();
     state->incoming = c;
     state->current = c;
 }
@@ -602,7 +627,6 @@
 void tcp_peer_transport::implementation::remove(
     peer_id const& peer, connection_ptr const& c)
 {
-    failed.add();
     if (peer.empty())
         return;
     {
@@ -617,6 +641,7 @@
         }
         if (!known)
             return;
+        failed.add();
         if (state->current == c)
             state->current =
                 state->outgoing ? state->outgoing : state->incoming;
--- /dev/null
+++ b/tests/pipeline/request_path_test.cpp
@@ -0,0 +1,456 @@
+#include <catch2/catch.hpp>
+
+#include "pipeline_fixture.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+
+namespace
+{
+
+using change = std::function<void(http_input&)>;
+
+change header(std::string const& name, std::string const& value)
+{
+    return [=](http_input& i) { i.headers[name] = value; };
+}
+
+change without(std::string const& name)
+{
+    return [=](http_input& i) { i.headers.erase(name); };
+}
+
+change body(std::string const& text)
+{
+    return [=](http_input& i) { i.body = text; };
+}
+
+change path(std::string const& text)
+{
+    return [=](http_input& i) { i.path = text; };
+}
+
+std::string nested(unsigned depth)
+{
+    return R"({"model":"m","prompt":"p","x":)" + std::string(depth, '[') +
+           std::string(depth, ']') + "}";
+}
+
+struct refusal
+{
+    char const* what;
+    bool is_call;
+    change apply;
+    int status;
+    char const* code;
+};
+
+} // namespace
+
+// Guards against a malformed, foreign or unaffordable request that reaches a
+// service, or that is refused without saying why.
+TEST_CASE("requests that are refused get a status and a stable code")
+{
+    auto const row = GENERATE(values<refusal>({
+        {"no key", false, without("authorization"), 401, "unauthorised"},
+        {"wrong key", false, header("authorization", "Bearer x"), 401,
+         "unauthorised"},
+        {"unknown path", false, path("/v1/other"), 400, "invalid_argument"},
+        {"method", false, [](http_input& i) { i.method = "GET"; }, 400,
+         "invalid_argument"},
+        {"no JSON", false, body("{"), 400, "invalid_argument"},
+        {"no object", false, body("[]"), 400, "invalid_argument"},
+        {"too deep", false, body(nested(17)), 400, "invalid_argument"},
+        {"too large", false, body(std::string(5000, ' ')), 413,
+         "payload_too_large"},
+        {"no prompt", false, body(R"({"model":"m"})"), 400, "invalid_argument"},
+        {"no model", false, body(R"({"prompt":"p"})"), 400, "invalid_argument"},
+        {"unknown model", false, body(R"({"model":"x","prompt":"p"})"), 404,
+         "unknown_model"},
+        {"max_tokens 0", false,
+         body(R"({"model":"m","prompt":"p","max_tokens":0})"), 400,
+         "invalid_argument"},
+        {"max_tokens -1", false,
+         body(R"({"model":"m","prompt":"p","max_tokens":-1})"), 400,
+         "invalid_argument"},
+        {"max_tokens too many", false,
+         body(R"({"model":"m","prompt":"p","max_tokens":1001})"), 400,
+         "invalid_argument"},
+        {"temperature", false,
+         body(R"({"model":"m","prompt":"p","temperature":3})"), 400,
+         "invalid_argument"},
+        {"n", false, body(R"({"model":"m","prompt":"p","n":2})"), 400,
+         "invalid_argument"},
+        {"stop", false, body(R"({"model":"m","prompt":"p","stop":"x"})"), 400,
+         "invalid_argument"},
+        {"rank", false, header("x-rank", "first"), 400, "invalid_argument"},
+        {"key with a space", false, header("idempotency-key", "a b"), 400,
+         "invalid_argument"},
+        {"long key", false, header("idempotency-key", std::string(201, 'k')),
+         400, "invalid_argument"},
+        {"event id", false, header("last-event-id", "x"), 400,
+         "invalid_argument"},
+        {"operation not listed", true, path("/v1/services/svc/other"), 404,
+         "unknown_service"},
+        {"operation of a longer name", true, path("/v1/services/svc/lookup"),
+         404, "unknown_service"},
+        {"no operation", true, path("/v1/services/svc/"), 400,
+         "invalid_argument"},
+        {"way around the listed operation", true,
+         path("/v1/services/svc/look/../book"), 400, "invalid_argument"},
+        {"the same, encoded", true, path("/v1/services/svc/look/%2e%2E/book"),
+         400, "invalid_argument"},
+        {"non-repeatable without key", true, without("idempotency-key"), 400,
+         "invalid_argument"},
+    }));
+    INFO(row.what);
+    pipeline_fixture f;
+    http_input input = row.is_call ? f.call("book") : f.completion();
+    row.apply(input);
+    auto const sink = f.send(std::move(input));
+    REQUIRE(sink->output.status == row.status);
+    REQUIRE(sink->error_code() == row.code);
+    REQUIRE(sink->responses == 1);
+    REQUIRE(f.generations.started.empty());
+    REQUIRE(f.calls.calls.empty());
+}
+
+// Guards against an advice to retry that is lost on the way to the caller.
+TEST_CASE("a refusal by admission control advises when to retry")
+{
+    pipeline_fixture f;
+    f.admission.refuse = true;
+    auto const sink = f.send(f.completion());
+    REQUIRE(sink->output.status == 429);
+    REQUIRE(sink->error_code() == "rate_limited");
+    REQUIRE(sink->header("Retry-After") == "2");
+}
+
+// Guards against fields that do not reach the engine, and against a key of one
+// organisation that meets another's request.
+TEST_CASE("a completion reaches the generation service with its fields")
+{
+    pipeline_fixture f;
+    f.send(f.completion(
+        R"(,"max_tokens":9,"temperature":0.5,"seed":3,"stream":true)"));
+    f.send(f.completion());
+    auto other = f.completion();
+    other.headers["authorization"] = "Bearer key-b";
+    f.send(other);
+    REQUIRE(f.generations.started.size() == 3);
+    auto const& g = f.generations.started[0];
+    REQUIRE(g.request.value() == "a/k");
+    REQUIRE(to_string(g.model) == "m@7");
+    REQUIRE(g.prompt == "p");
+    REQUIRE(g.sampling.max_tokens == 9);
+    REQUIRE(g.sampling.temperature == 0.5);
+    REQUIRE(g.sampling.seed == 3);
+    // A repeated request must sample alike on every router.
+    auto const& repeated = f.generations.started[1];
+    REQUIRE(repeated.sampling.max_tokens == 100);
+    REQUIRE(repeated.sampling.seed != 0);
+    REQUIRE(f.generations.started[2].request.value() == "b/k");
+    REQUIRE(f.generations.started[2].sampling.seed != repeated.sampling.seed);
+}
+
+// Guards against a caller that raises its own rank, and a rank that is lost.
+TEST_CASE("the rank comes from the caller, its settings, then the policy")
+{
+    auto const [key, wanted, expected] =
+        GENERATE(table<std::string, std::string, rank>({
+            {"key-a", "", rank::urgent},
+            {"key-a", "background", rank::background},
+            {"key-b", "", rank::background},
+            {"key-b", "standard", rank::standard},
+            {"key-b", "urgent", rank::standard},
+        }));
+    pipeline_fixture f;
+    auto input = f.completion();
+    input.headers["authorization"] = "Bearer " + key;
+    if (!wanted.empty())
+        input.headers["x-rank"] = wanted;
+    f.send(input);
+    REQUIRE(f.generations.started.at(0).rank == expected);
+    REQUIRE(f.admission.last == expected);
+}
+
+// Guards against a stream whose events, ids or end callers cannot use.
+TEST_CASE("tokens are streamed as events with ids")
+{
+    pipeline_fixture f;
+    auto input = f.completion(R"(,"stream":true,"version":"7")");
+    bool const chat = GENERATE(false, true);
+    if (chat)
+    {
+        input.path = "/v1/chat/completions";
+        input.body =
+            R"({"model":"m@7","stream":true,"messages":[{"role":"user","content":"p"}]})";
+    }
+    auto const sink = f.send(input);
+    REQUIRE(sink->responses == 0);
+    f.generations.listener->on_tokens(0, {"x", "\"\n"}, "1.2.tail");
+    f.generations.listener->on_finished(finish_reason::stop, 2);
+    REQUIRE(sink->responses == 1);
+    REQUIRE(sink->ends == 1);
+    REQUIRE(sink->stream.find("id: 1.2.tail\ndata: {") == 0);
+    std::string const text =
+        chat ? R"("delta":{"content":"x\"\n"})" : R"("text":"x\"\n")";
+    REQUIRE(sink->stream.find(text) != std::string::npos);
+    REQUIRE(
+        sink->stream.find(R"("finish_reason":"stop")") != std::string::npos);
+    std::string const end = "\n\ndata: [DONE]\n\n";
+    REQUIRE(sink->stream.rfind(end) == sink->stream.size() - end.size());
+    if (chat)
+    {
+        REQUIRE(f.generations.started.at(0).prompt == "user: p\nassistant:");
+    }
+}
+
+// Guards against an answer that is split, cut or answered twice.
+TEST_CASE("a whole answer is one JSON body")
+{
+    pipeline_fixture f;
+    auto const sink = f.send(f.completion());
+    f.generations.listener->on_tokens(0, {"a", "b"}, "id");
+    f.generations.listener->on_tokens(2, {"c"}, "id");
+    REQUIRE(sink->responses == 0);
+    f.generations.listener->on_finished(finish_reason::length, 3);
+    REQUIRE(sink->responses == 1);
+    auto const answer = nlohmann::json::parse(sink->output.body);
+    REQUIRE(answer["choices"][0]["text"] == "abc");
+    REQUIRE(answer["choices"][0]["finish_reason"] == "length");
+    REQUIRE(answer["usage"]["completion_tokens"] == 3);
+}
+
+// Guards against an error that callers cannot tell from a complete answer.
+TEST_CASE("errors are a status before the first token, an event after it")
+{
+    pipeline_fixture f;
+    error const failure(error_code::no_endpoint, "place", "agent/e", "none");
+    bool const begun = GENERATE(false, true);
+    auto const sink = f.send(f.completion(R"(,"stream":true)"));
+    if (begun)
+        f.generations.listener->on_tokens(0, {"x"}, "id");
+    f.generations.listener->on_error(failure);
+    REQUIRE(sink->responses == 1);
+    if (!begun)
+    {
+        REQUIRE(sink->output.status == 503);
+        REQUIRE(sink->error_code() == "no_endpoint");
+        REQUIRE(sink->ends == 0);
+        return;
+    }
+    REQUIRE(sink->ends == 1);
+    REQUIRE(
+        sink->stream.find("event: error\ndata: {\"error\":{\"code\":"
+                          "\"no_endpoint\"") != std::string::npos);
+    REQUIRE(sink->stream.find("[DONE]") == std::string::npos);
+}
+
+// Guards against proxies that cut a quiet stream, and against comments in the
+// midst of a busy one.
+TEST_CASE("a quiet stream gets a comment each five seconds")
+{
+    pipeline_fixture f;
+    auto const sink = f.send(f.completion(R"(,"stream":true)"));
+    f.scheduler.advance(milliseconds(4999));
+    REQUIRE(sink->stream.empty());
+    f.scheduler.advance(milliseconds(1));
+    REQUIRE(sink->stream == ": keep-alive\n\n");
+    f.generations.listener->on_tokens(0, {"x"}, "id");
+    auto const length = sink->stream.size();
+    f.scheduler.advance(milliseconds(5000));
+    REQUIRE(sink->stream.size() == length);
+    f.scheduler.advance(milliseconds(5000));
+    REQUIRE(sink->stream.size() > length);
+    f.generations.listener->on_finished(finish_reason::stop, 1);
+    auto const total = sink->stream.size();
+    f.scheduler.advance(milliseconds(20000));
+    REQUIRE(sink->stream.size() == total);
+}
+
+// Guards against buffers that grow for a caller that does not read: progress
+// is what has left, not what was handed to the connection.
+TEST_CASE("progress is reported when bytes have left, not before")
+{
+    pipeline_fixture f;
+    auto const sink = f.send(f.completion(R"(,"stream":true)"));
+    f.generations.listener->on_tokens(0, {"x"}, "id");
+    f.generations.listener->on_tokens(1, {"y", "z"}, "id");
+    f.scheduler.advance(duration{});
+    REQUIRE(f.generations.progress.empty());
+    sink->flush();
+    f.scheduler.advance(duration{});
+    REQUIRE(f.generations.progress == std::vector<token_index>{3});
+}
+
+// Guards against an engine that runs on for a caller that has gone, and
+// against writes to its closed connection.
+TEST_CASE("a caller that goes is detached once")
+{
+    pipeline_fixture f;
+    bool const early = GENERATE(false, true); // before the shard was reached
+    auto const sink = std::make_shared<recording_sink>();
+    auto const e = f.path.handle(f.completion(R"(,"stream":true)"), sink);
+    if (early)
+        e->caller_gone();
+    f.scheduler.advance(duration{});
+    e->caller_gone();
+    e->caller_gone();
+    f.scheduler.advance(duration{});
+    if (!early)
+        f.generations.listener->on_tokens(0, {"x"}, "id");
+    REQUIRE(sink->stream.empty());
+    REQUIRE(f.generations.started.size() == 1);
+    REQUIRE(f.generations.detached.size() == 1);
+}
+
+// Guards against a resumed answer that goes on with another model version, or
+// from another place, than the one the caller has.
+TEST_CASE("Last-Event-ID resumes the same version at the next token")
+{
+    pipeline_fixture f;
+    auto const sink = f.send(f.completion(R"(,"stream":true)"));
+    f.generations.listener->on_tokens(
+        0, {"x", "y"}, encode_event_id({2, {"y"}, 5}));
+    std::string const stream = sink->stream;
+    std::string const id = stream.substr(4, stream.find('\n') - 4);
+
+    auto again = f.completion(R"(,"stream":true)");
+    again.headers["last-event-id"] = id;
+    f.admission.refuse = true; // it was admitted before
+    f.send(again);
+    REQUIRE(f.generations.resumed_from.size() == 1);
+    auto const& from = f.generations.resumed_from[0];
+    REQUIRE(from.next_index == 2);
+    REQUIRE(from.tail == std::vector<std::string>{"y"});
+    REQUIRE(from.epoch == 5);
+    REQUIRE(f.generations.started[1].model.version == "7");
+
+    again.body = R"({"model":"m@8","prompt":"p","stream":true})";
+    REQUIRE(f.send(again)->error_code() == "invalid_argument");
+    again.body = f.completion().body;
+    again.headers.erase("idempotency-key");
+    REQUIRE(f.send(again)->error_code() == "invalid_argument");
+}
+
+// Guards against an outcome that a caller could take for another one.
+TEST_CASE("outcomes of calls map to statuses")
+{
+    auto const [outcome, inner, retry, status, code, advice] =
+        GENERATE(table<call_outcome, int, int, int, std::string, std::string>({
+            {call_outcome::done, 201, 0, 201, "", ""},
+            {call_outcome::done, 500, 0, 500, "", ""},
+            {call_outcome::not_run, 0, 0, 503, "not_run", ""},
+            {call_outcome::not_run, 0, 100, 503, "not_run", "1"},
+            {call_outcome::not_run, 422, 0, 422, "key_reused", ""},
+            {call_outcome::unknown, 0, 0, 504, "outcome_unknown", "1"},
+            {call_outcome::unknown, 0, 3000, 504, "outcome_unknown", "3"},
+        }));
+    pipeline_fixture f;
+    auto const sink = f.send(f.call("book"));
+    call_reply reply;
+    reply.outcome = outcome;
+    reply.status = inner;
+    reply.retry_after = milliseconds(retry);
+    reply.body = "answer";
+    f.calls.done(reply);
+    REQUIRE(sink->output.status == status);
+    REQUIRE(sink->error_code() == code);
+    REQUIRE(sink->header("Retry-After") == advice);
+    REQUIRE((outcome != call_outcome::done || sink->output.body == "answer"));
+}
+
+// Guards against a non-repeatable call that is retried as a repeatable one.
+TEST_CASE("calls carry what the configuration says of their operation")
+{
+    auto const [operation, name, repeatable, timeout] =
+        GENERATE(table<std::string, std::string, bool, int>({
+            {"book", "book", false, 700},
+            {"book/5", "book", false, 700},
+            {"look", "look", true, 300},
+            {"look/5/6", "look", true, 300},
+        }));
+    pipeline_fixture f;
+    auto input = f.call(operation);
+    input.query = "q=1";
+    input.method = "PUT";
+    f.send(input);
+    auto const& c = f.calls.calls.at(0);
+    REQUIRE(c.request.value() == "a/k");
+    REQUIRE(c.operation == name);
+    REQUIRE(c.path == "/" + operation + "?q=1");
+    REQUIRE(c.method == "PUT");
+    REQUIRE(c.repeatable == repeatable);
+    REQUIRE(c.timeout == milliseconds(timeout));
+}
+
+// Guards against new work on a router that is about to end, and against
+// traffic sent to a router that is not ready.
+TEST_CASE("readiness ends when a shutdown begins")
+{
+    pipeline_fixture f;
+    http_input probe;
+    probe.method = "GET";
+    probe.path = "/readyz";
+    f.path.set_ready(false);
+    REQUIRE(f.send(probe)->output.status == 503);
+    f.path.set_ready(true);
+    REQUIRE(f.send(probe)->output.status == 200);
+    f.path.begin_shutdown();
+    REQUIRE(f.send(probe)->output.status == 503);
+    REQUIRE(f.send(f.completion())->error_code() == "shutting_down");
+    probe.path = "/healthz";
+    REQUIRE(f.send(probe)->output.status == 200);
+    probe.path = "/metrics";
+    REQUIRE(
+        f.send(probe)->output.body.find("http_requests_total 1") !=
+        std::string::npos);
+}
+
+// Guards against a crash, a hang or a lost response for hostile input.
+TEST_CASE("random and damaged requests always get exactly one response")
+{
+    pipeline_fixture f;
+    seeded_random random(42);
+    std::vector<std::string> const seeds = {
+        f.completion(R"(,"stream":true,"max_tokens":5,"temperature":0.1)").body,
+        R"({"model":"m","messages":[{"role":"u","content":"c"}],"seed":-1})",
+        nested(3)};
+    std::vector<std::string> const paths = {
+        "/v1/completions",
+        "/v1/chat/completions",
+        "/v1/services/svc/look",
+        "/v1/services/",
+        "/",
+        ""};
+    auto const garble = [&](std::string text)
+    {
+        for (auto n = random.below(4); n > 0 && !text.empty(); --n)
+        {
+            auto const at = random.below(text.size());
+            if (random.below(2) == 0)
+                text[at] = static_cast<char>(random.below(256));
+            else
+                text.insert(at, text.substr(random.below(text.size())));
+        }
+        return text;
+    };
+    for (int i = 0; i < 5000; ++i)
+    {
+        auto input = f.completion();
+        input.body = garble(seeds[random.below(seeds.size())]);
+        input.path = garble(paths[random.below(paths.size())]);
+        for (char const* name :
+             {"idempotency-key", "last-event-id", "x-rank", "authorization"})
+        {
+            if (random.below(4) == 0)
+                input.headers[name] = garble("31~1.2.WyJ4Il0");
+        }
+        auto const before = f.generations.started.size() + f.calls.calls.size();
+        auto const sink = f.send(input);
+        bool const accepted =
+            f.generations.started.size() + f.calls.calls.size() > before;
+        REQUIRE(sink->responses + (accepted ? 1 : 0) == 1);
+    }
+}
--- a/tests/wire/tcp_peer_transport_test.cpp
+++ b/tests/wire/tcp_peer_transport_test.cpp
@@ -164,6 +164,28 @@
     REQUIRE(nodes.a->lost.empty());
 }
 
+// Guards against a reconnect for one request that loses the tokens of all the
+// others, when the connection was healthy.
+TEST_CASE("what is under way when a peer reconnects still arrives")
+{
+    pair_of_nodes nodes;
+    nodes.r->transport.send(agent, ping{1});
+    REQUIRE(nodes.run_until([&] { return nodes.a->last_sequence() == 1; }));
+    call_result large;
+    large.body.assign(4u << 20, 'b');
+    nodes.a->transport.send(router, large);
+    nodes.a->transport.send(router, ping{9});
+    nodes.r->transport.reconnect(agent);
+    nodes.r->transport.send(agent, ping{2});
+    REQUIRE(nodes.run_until(
+        [&] {
+            return nodes.r->received.size() == 2 &&
+                   nodes.a->last_sequence() == 2;
+        }));
+    REQUIRE(nodes.r->last_sequence() == 9);
+    REQUIRE(nodes.r->lost.empty());
+}
+
 // Guards against a peer's death that nobody is told of, and against a
 // connection that is never opened again.
 TEST_CASE("a lost peer is reported once and dialled again")
