--- a/src/configuration/configuration_node.cpp
+++ b/src/configuration/configuration_node.cpp
@@ -5,7 +5,7 @@
 #include <dotterellock/error.hpp>
 
 #include "configuration/configuration_rows.hpp"
-#include "configuration/rendezvous.hpp"
+#include "configuration/peer_order.hpp"
 
 // Index
 //   life cycle    : constructor, start, set_peers, tick, pause detection
@@ -268,7 +268,7 @@
     };
     store_.read(
         {current_configuration_key}, store_timeout,
-        lifetime_.guard(std::move(on_row)));
+        guard_.wrap(std::move(on_row)));
 }
 
 void configuration_node::read_document(
@@ -286,8 +286,7 @@
         done(found);
     };
     store_.read(
-        {document_key(version)}, store_timeout,
-        lifetime_.guard(std::move(on_row)));
+        {document_key(version)}, store_timeout, guard_.wrap(std::move(on_row)));
 }
 
 // ---- messages -------------------------------------------------------------
@@ -429,7 +428,7 @@
         announce();
     };
     if (on_change_)
-        on_change_(version_, policy_, lifetime_.guard(in_force));
+        on_change_(version_, policy_, guard_.wrap(in_force));
     else
         in_force();
 }
@@ -574,7 +573,7 @@
     };
     store_.read(
         {in_force_key(location_.zone, self_)}, store_timeout,
-        lifetime_.guard(on_row));
+        guard_.wrap(on_row));
 }
 
 void configuration_node::write_report(std::string const& value)
@@ -595,7 +594,7 @@
     // newer report.
     store_.commit(
         {{in_force_key(location_.zone, self_), value, report_row_}},
-        store_timeout, lifetime_.guard(on_commit));
+        store_timeout, guard_.wrap(on_commit));
 }
 
 } // namespace dotterellock
--- a/src/configuration/configuration_node.hpp
+++ b/src/configuration/configuration_node.hpp
@@ -38,7 +38,7 @@
 #include <dotterellock/policy.hpp>
 #include <dotterellock/runtime.hpp>
 
-#include "configuration/lifetime.hpp"
+#include "store/callback_guard.hpp"
 
 namespace dotterellock
 {
@@ -194,7 +194,7 @@
     counter& store_behind_;
     counter& store_failures_;
     counter& documents_sent_;
-    lifetime lifetime_;
+    callback_guard guard_;
 };
 
 } // namespace dotterellock
--- /dev/null
+++ b/src/configuration/random_name.hpp
@@ -0,0 +1,25 @@
+// Names that tell one process run, or one attempt to write, from all others.
+#ifndef DOTTERELLOCK_CONFIGURATION_RANDOM_NAME_HPP
+#define DOTTERELLOCK_CONFIGURATION_RANDOM_NAME_HPP
+
+#include <cstdio>
+#include <string>
+
+#include <dotterellock/runtime.hpp>
+
+namespace dotterellock
+{
+
+/// 64 random bits in hexadecimal.
+inline std::string random_name(random_source& random)
+{
+    char text[20];
+    std::snprintf(
+        text, sizeof(text), "%016llx",
+        static_cast<unsigned long long>(random.next()));
+    return text;
+}
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/ctl/commands.cpp
@@ -0,0 +1,442 @@
+#include "ctl/commands.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+#include <dotterellock/error.hpp>
+
+#include "configuration/configuration_operator.hpp"
+#include "configuration/document_difference.hpp"
+#include "ctl/endpoint_operator.hpp"
+#include "settings/fleet_document.hpp"
+
+// Index
+//   files         : validate, explain
+//   configuration : diff, apply, status, history
+//   endpoints     : drain, return, status
+//   dispatch      : run_local, run_remote
+
+namespace dotterellock
+{
+
+namespace
+{
+
+constexpr std::size_t most_names = 20; // of missing processes in one line
+constexpr std::string_view base_note = "# version ";
+
+std::string read_file(std::string const& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file)
+        throw usage_error("cannot read " + path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/// Runs an operation that reports through a callback until it has ended.
+template<typename Result, typename Start>
+Result await(ctl_environment& e, Start start)
+{
+    std::optional<Result> result;
+    start([&result](Result r) { result = std::move(r); });
+    e.run_until([&result] { return result.has_value(); });
+    return std::move(*result);
+}
+
+// ---- files ----------------------------------------------------------------
+
+exit_code validate(ctl_options const& o, std::ostream& out)
+{
+    std::string const& path = o.arguments[0];
+    auto const exceptions =
+        yaml_configuration_parser(path).exceptions(read_file(path));
+    out << path << ": valid, " << exceptions.size() << " exception(s)\n";
+    for (auto const& e : exceptions)
+        out << "  " << e.name << " by " << e.owner << ": " << e.reason << "\n";
+    return exit_code::ok;
+}
+
+bool is_id_character(char c)
+{
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' ||
+           c == '_' || c == '.';
+}
+
+/// True when the id stands in the line as a whole, not as part of another.
+bool mentions(std::string const& line, std::string const& id)
+{
+    for (std::size_t at = line.find(id); at != std::string::npos;
+         at = line.find(id, at + 1))
+    {
+        std::size_t const end = at + id.size();
+        bool const begins = at == 0 || !is_id_character(line[at - 1]);
+        bool const ends = end == line.size() || !is_id_character(line[end]);
+        if (begins && ends)
+            return true;
+    }
+    return false;
+}
+
+exit_code explain(ctl_options const& o, std::ostream& out, std::ostream& err)
+{
+    std::string const& id = o.arguments[0];
+    std::size_t found = 0;
+    for (std::size_t i = 1; i < o.arguments.size(); ++i)
+    {
+        std::istringstream lines(read_file(o.arguments[i]));
+        for (std::string line; std::getline(lines, line);)
+        {
+            if (!mentions(line, id))
+                continue;
+            out << line << "\n";
+            ++found;
+        }
+    }
+    if (found != 0)
+        return exit_code::ok;
+    err << "no decision about " << id << " in the given files\n";
+    return exit_code::not_found;
+}
+
+// ---- configuration --------------------------------------------------------
+
+void print_missing(std::ostream& out, fleet_standing const& fleet)
+{
+    out << "in force: " << fleet.in_force << " of " << fleet.live
+        << " live processes\n";
+    std::size_t const shown = std::min(fleet.missing.size(), most_names);
+    for (std::size_t i = 0; i < shown; ++i)
+    {
+        auto const& m = fleet.missing[i];
+        out << "missing: " << m.peer.value() << " (has " << m.in_force << ")\n";
+    }
+    if (shown < fleet.missing.size())
+        out << "missing: " << fleet.missing.size() - shown << " more\n";
+}
+
+void print_record(std::ostream& out, version_record const& r)
+{
+    out << "version " << r.version << " of " << r.recorded_at << " by "
+        << r.author << "\n";
+}
+
+configuration_status read_status(ctl_environment& e)
+{
+    yaml_configuration_parser const parser;
+    configuration_operator op(
+        e.clock, e.timers, e.random, e.store, e.objects, parser);
+    return await<configuration_status>(
+        e, [&op](auto done) { op.status(done); });
+}
+
+exit_code diff(ctl_options const& o, ctl_environment& e)
+{
+    std::string const document = read_file(o.arguments[0]);
+    auto const status = read_status(e);
+    if (!status.problem.empty())
+    {
+        e.err << status.problem << "\n";
+        return exit_code::unavailable;
+    }
+    if (status.record)
+        print_record(e.out, *status.record);
+    else
+        e.out << "no version is recorded\n";
+    e.out << document_difference(status.document, document);
+    return exit_code::ok;
+}
+
+exit_code report(apply_result const& result, ctl_environment& e)
+{
+    switch (result.outcome)
+    {
+    case apply_outcome::accepted:
+        e.out << "version " << result.version << " accepted: in force at all "
+              << result.fleet.live << " live processes\n";
+        return exit_code::ok;
+    case apply_outcome::recorded:
+        e.out << "version " << result.version << " recorded\n";
+        return exit_code::ok;
+    case apply_outcome::superseded:
+        e.out << "version " << result.version << " recorded, then superseded: "
+              << result.detail << "\n";
+        return exit_code::ok;
+    case apply_outcome::not_accepted:
+        e.err << "version " << result.version
+              << " is recorded but not accepted: " << result.detail << "\n";
+        print_missing(e.err, result.fleet);
+        return exit_code::not_in_force;
+    case apply_outcome::conflict:
+        e.err << "not recorded: " << result.detail
+              << "; the difference from it to the document is\n"
+              << result.difference << "review it and apply with --base "
+              << result.version << "\n";
+        return exit_code::conflict;
+    case apply_outcome::unavailable:
+        e.err << "not recorded: " << result.detail << "\n";
+        return exit_code::unavailable;
+    case apply_outcome::unknown:
+        e.err << "outcome unknown: " << result.detail << "\n";
+        return exit_code::unknown;
+    }
+    return exit_code::internal;
+}
+
+exit_code apply(ctl_options const& o, ctl_environment& e)
+{
+    apply_request request;
+    request.document = read_file(o.arguments[0]);
+    request.author = o.author;
+    request.base = o.base ? o.base : noted_base(request.document);
+    request.wait = o.wait;
+    request.time_limit = o.time_limit;
+    if (request.author.empty())
+        throw usage_error("--author is required");
+    yaml_configuration_parser const parser(o.arguments[0]);
+    configuration_operator op(
+        e.clock, e.timers, e.random, e.store, e.objects, parser);
+    std::size_t shown = 0;
+    auto const progress = [&e, &shown](fleet_standing const& fleet)
+    {
+        if (fleet.in_force == shown && shown != 0)
+            return;
+        shown = fleet.in_force;
+        e.out << "in force: " << fleet.in_force << " of " << fleet.live << "\n";
+    };
+    return report(
+        await<apply_result>(
+            e, [&](auto done) { op.apply(request, progress, done); }),
+        e);
+}
+
+exit_code status(ctl_environment& e)
+{
+    auto const status = read_status(e);
+    if (!status.problem.empty())
+    {
+        e.err << status.problem << "\n";
+        return exit_code::unavailable;
+    }
+    if (status.record)
+        print_record(e.out, *status.record);
+    else
+        e.out << "no version is recorded\n";
+    print_missing(e.out, status.fleet);
+    e.out << (status.fleet.accepted() ? "accepted\n" : "not accepted\n");
+    return status.fleet.accepted() ? exit_code::ok : exit_code::not_in_force;
+}
+
+exit_code history(ctl_options const& o, ctl_environment& e)
+{
+    bool const one = !o.arguments.empty();
+    std::string const wanted = one ? o.arguments[0] : "";
+    yaml_configuration_parser const parser;
+    configuration_operator op(
+        e.clock, e.timers, e.random, e.store, e.objects, parser);
+    // A single version may lie anywhere in the list.
+    std::size_t const limit = one ? std::size_t{1000000} : o.limit;
+    auto const result = await<history_result>(
+        e, [&](auto done) { op.history(limit, done); });
+    for (auto const& entry : result.entries)
+    {
+        if (!one)
+            print_record(e.out, entry.record);
+        else if (std::to_string(entry.record.version) == wanted)
+        {
+            e.out << base_note << wanted << "\n";
+            bool const noted = noted_base(entry.document).has_value();
+            std::size_t const from =
+                noted ? entry.document.find('\n') + 1 : 0;
+            e.out << entry.document.substr(from);
+            return exit_code::ok;
+        }
+    }
+    if (!result.problem.empty())
+    {
+        e.err << result.problem << "\n";
+        return exit_code::unavailable;
+    }
+    if (!one)
+        return exit_code::ok;
+    e.err << "no version " << wanted << "\n";
+    return exit_code::not_found;
+}
+
+// ---- endpoints ------------------------------------------------------------
+
+void print_endpoint(std::ostream& out, endpoint_status const& s)
+{
+    if (!s.registered)
+    {
+        out << "not registered\n";
+        return;
+    }
+    auto const& r = *s.registered;
+    out << r.info.endpoint.value() << " at " << r.info.host.value() << ", zone "
+        << r.info.zone.value() << ", incarnation " << r.incarnation
+        << ", refreshed " << r.refreshed_at << "\n";
+    for (auto const& m : r.info.models)
+        out << "model: " << to_string(m) << "\n";
+    for (auto const& service : r.info.services)
+        out << "service: " << service.value() << "\n";
+    out << (r.left        ? "left"
+            : r.draining ? "draining"
+                         : "in service")
+        << ", in flight: " << r.in_flight << "\n";
+    if (s.desired.drain)
+    {
+        out << "drain wanted by " << s.desired.author << " since "
+            << s.desired.requested_at << ": " << s.desired.reason << "\n";
+    }
+}
+
+exit_code endpoint_status_command(ctl_options const& o, ctl_environment& e)
+{
+    endpoint_operator op(e.clock, e.timers, e.random, e.store);
+    auto const status = await<endpoint_status>(
+        e, [&](auto done) { op.status(endpoint_id(o.arguments[1]), done); });
+    if (!status.answered)
+    {
+        e.err << "no answer from the store\n";
+        return exit_code::unavailable;
+    }
+    print_endpoint(e.out, status);
+    return status.registered ? exit_code::ok : exit_code::not_found;
+}
+
+exit_code report(
+    endpoint_outcome outcome, endpoint_status const& s, ctl_environment& e)
+{
+    switch (outcome)
+    {
+    case endpoint_outcome::done:
+        e.out << "done\n";
+        return exit_code::ok;
+    case endpoint_outcome::recorded:
+        e.out << "recorded\n";
+        return exit_code::ok;
+    case endpoint_outcome::not_done:
+        e.err << "recorded, but not done in time\n";
+        print_endpoint(e.err, s);
+        return exit_code::not_in_force;
+    case endpoint_outcome::conflict:
+        e.err << s.desired.author << " changed it first: "
+              << (s.desired.drain ? "drain" : "return") << ", "
+              << s.desired.reason << "\n";
+        return exit_code::conflict;
+    case endpoint_outcome::unavailable:
+        e.err << "not recorded: no answer from the store\n";
+        return exit_code::unavailable;
+    case endpoint_outcome::unknown:
+        e.err << "outcome unknown: no answer from the store\n";
+        return exit_code::unknown;
+    case endpoint_outcome::not_found:
+        e.err << "no such endpoint is registered\n";
+        return exit_code::not_found;
+    }
+    return exit_code::internal;
+}
+
+exit_code endpoint(ctl_options const& o, ctl_environment& e)
+{
+    if (o.arguments[0] == "status")
+        return endpoint_status_command(o, e);
+    endpoint_request request;
+    request.endpoint = endpoint_id(o.arguments[1]);
+    request.drain = o.arguments[0] == "drain";
+    request.author = o.author;
+    request.reason = o.reason;
+    request.wait = o.wait;
+    request.time_limit = o.time_limit;
+    if (request.author.empty() || request.reason.empty())
+        throw usage_error("--author and --reason are required");
+    endpoint_operator op(e.clock, e.timers, e.random, e.store);
+    auto const progress = [&e](endpoint_status const& s)
+    {
+        if (s.registered)
+            e.out << "in flight: " << s.registered->in_flight << "\n";
+    };
+    using outcome = std::pair<endpoint_outcome, endpoint_status>;
+    auto const result = await<outcome>(
+        e,
+        [&](auto done)
+        {
+            op.change(
+                request, progress,
+                [done](endpoint_outcome how, endpoint_status s) {
+                    done({how, std::move(s)});
+                });
+        });
+    return report(result.first, result.second, e);
+}
+
+} // namespace
+
+// ---- dispatch -------------------------------------------------------------
+
+std::optional<configuration_version> noted_base(std::string const& document)
+{
+    if (document.compare(0, base_note.size(), base_note) != 0)
+        return std::nullopt;
+    char const* const begin = document.data() + base_note.size();
+    char const* const end = document.data() + document.size();
+    configuration_version version = 0;
+    auto const [last, problem] = std::from_chars(begin, end, version);
+    bool const whole = problem == std::errc() && last != end && *last == '\n';
+    return whole ? std::optional(version) : std::nullopt;
+}
+
+bool is_local(ctl_options const& options)
+{
+    return options.command == "validate" || options.command == "explain";
+}
+
+exit_code
+run_local(ctl_options const& options, std::ostream& out, std::ostream& err)
+{
+    try
+    {
+        return options.command == "validate" ? validate(options, out)
+                                             : explain(options, out, err);
+    }
+    catch (usage_error const& e)
+    {
+        err << e.what() << "\n";
+    }
+    catch (error const& e)
+    {
+        err << e.detail() << "\n";
+    }
+    return exit_code::usage;
+}
+
+exit_code run_remote(ctl_options const& options, ctl_environment& environment)
+{
+    try
+    {
+        if (options.command == "diff")
+            return diff(options, environment);
+        if (options.command == "apply")
+            return apply(options, environment);
+        if (options.command == "status")
+            return status(environment);
+        if (options.command == "history")
+            return history(options, environment);
+        return endpoint(options, environment);
+    }
+    catch (usage_error const& e)
+    {
+        environment.err << e.what() << "\n";
+    }
+    catch (error const& e)
+    {
+        environment.err << e.detail() << "\n";
+    }
+    return exit_code::usage;
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/ctl/options.cpp
@@ -0,0 +1,152 @@
+#include "ctl/options.hpp"
+
+#include <map>
+
+#include <cxxopts.hpp>
+
+namespace dotterellock
+{
+
+namespace
+{
+
+/// Number of arguments each command takes, at least and at most.
+struct arity
+{
+    std::size_t least;
+    std::size_t most;
+};
+
+constexpr std::size_t unlimited = 1000;
+
+std::map<std::string, arity> const& commands()
+{
+    static std::map<std::string, arity> const known = {
+        {"validate", {1, 1}}, {"diff", {1, 1}},    {"apply", {1, 1}},
+        {"status", {0, 0}},   {"history", {0, 1}}, {"explain", {2, unlimited}},
+        {"endpoint", {2, 2}}};
+    return known;
+}
+
+cxxopts::Options make_options()
+{
+    cxxopts::Options options(
+        "dotterellock-ctl", "Operates a dotterellock fleet.");
+    options.custom_help("[OPTIONS]");
+    options.positional_help(
+        "COMMAND\n\n"
+        "Commands:\n"
+        "  validate FILE            check a configuration document\n"
+        "  diff FILE                compare it with the current version\n"
+        "  apply FILE               record it and wait until it is in force\n"
+        "  status                   current version and who lacks it\n"
+        "  history [VERSION]        list versions, or print one\n"
+        "  explain REQUEST_ID FILE...  decisions about a request in logs\n"
+        "  endpoint drain|return|status ID\n\n"
+        "Exit codes: 0 ok, 1 internal error, 2 usage or invalid document,\n"
+        "  3 conflict, 4 store unavailable, 5 not in force everywhere,\n"
+        "  6 outcome unknown, 7 not found");
+    options.add_options()("h,help", "show this text")(
+        "version", "show the version of the program")(
+        "table", "URL of the table service; also DOTTERELLOCK_TABLE",
+        cxxopts::value<std::string>())(
+        "objects", "URL of the object store; also DOTTERELLOCK_OBJECTS",
+        cxxopts::value<std::string>())(
+        "author", "who changes something; also USER",
+        cxxopts::value<std::string>())(
+        "reason", "why an endpoint is drained or returned",
+        cxxopts::value<std::string>())(
+        "base",
+        "version that the document was made from; also its first line, "
+        "'# version N', as history prints it",
+        cxxopts::value<configuration_version>())(
+        "no-wait", "do not wait until the change is in force")(
+        "time-limit", "seconds to wait",
+        cxxopts::value<unsigned>()->default_value("90"))(
+        "limit", "number of versions that history lists",
+        cxxopts::value<std::size_t>()->default_value("20"))(
+        "words", "", cxxopts::value<std::vector<std::string>>());
+    options.parse_positional({"words"});
+    return options;
+}
+
+void check_arity(ctl_options const& o)
+{
+    auto const found = commands().find(o.command);
+    if (found == commands().end())
+    {
+        throw usage_error(
+            o.command.empty() ? "no command is given"
+                              : "unknown command '" + o.command + "'");
+    }
+    std::size_t const n = o.arguments.size();
+    if (n < found->second.least || n > found->second.most)
+        throw usage_error("wrong number of arguments for " + o.command);
+    bool const known_verb =
+        o.command != "endpoint" || o.arguments[0] == "drain" ||
+        o.arguments[0] == "return" || o.arguments[0] == "status";
+    if (!known_verb)
+        throw usage_error("endpoint takes drain, return or status");
+}
+
+std::string
+text_or(cxxopts::ParseResult const& parsed, char const* name, char const* other)
+{
+    if (parsed.count(name) != 0)
+        return parsed[name].as<std::string>();
+    char const* const value = std::getenv(other); // before any thread starts
+    return value == nullptr ? "" : value;
+}
+
+ctl_options from(cxxopts::ParseResult const& parsed)
+{
+    ctl_options o;
+    o.help = parsed.count("help") != 0;
+    o.version = parsed.count("version") != 0;
+    o.table_url = text_or(parsed, "table", "DOTTERELLOCK_TABLE");
+    o.objects_url = text_or(parsed, "objects", "DOTTERELLOCK_OBJECTS");
+    o.author = text_or(parsed, "author", "USER");
+    o.reason = text_or(parsed, "reason", "DOTTERELLOCK_REASON");
+    if (parsed.count("base") != 0)
+        o.base = parsed["base"].as<configuration_version>();
+    o.wait = parsed.count("no-wait") == 0;
+    o.time_limit = std::chrono::seconds(parsed["time-limit"].as<unsigned>());
+    o.limit = parsed["limit"].as<std::size_t>();
+    if (parsed.count("words") != 0)
+        o.arguments = parsed["words"].as<std::vector<std::string>>();
+    if (!o.arguments.empty())
+    {
+        o.command = o.arguments.front();
+        o.arguments.erase(o.arguments.begin());
+    }
+    return o;
+}
+
+} // namespace
+
+std::string ctl_help()
+{
+    return make_options().help();
+}
+
+ctl_options parse_ctl_options(std::vector<std::string> const& words)
+{
+    std::vector<char const*> argv{"dotterellock-ctl"};
+    for (auto const& word : words)
+        argv.push_back(word.c_str());
+    try
+    {
+        auto options = make_options();
+        ctl_options const o =
+            from(options.parse(static_cast<int>(argv.size()), argv.data()));
+        if (!o.help && !o.version)
+            check_arity(o);
+        return o;
+    }
+    catch (cxxopts::exceptions::exception const& e)
+    {
+        throw usage_error(e.what());
+    }
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/ctl/options.hpp
@@ -0,0 +1,59 @@
+// Command line of dotterellock-ctl. Pure parsing; no state.
+#ifndef DOTTERELLOCK_CTL_OPTIONS_HPP
+#define DOTTERELLOCK_CTL_OPTIONS_HPP
+
+#include <chrono>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include <dotterellock/configuration.hpp>
+
+namespace dotterellock
+{
+
+/// Exit codes, by kind of failure.
+enum class exit_code
+{
+    ok = 0,
+    internal = 1,
+    usage = 2,        // command line or document is wrong
+    conflict = 3,     // somebody else's change came first
+    unavailable = 4,  // store did not answer; nothing was changed
+    not_in_force = 5, // recorded, but not everywhere in time
+    unknown = 6,      // may or may not have been recorded
+    not_found = 7
+};
+
+struct ctl_options
+{
+    bool help = false;
+    bool version = false;
+    std::string table_url;
+    std::string objects_url;
+    std::string author;
+    std::string reason;
+    std::optional<configuration_version> base;
+    bool wait = true;
+    std::chrono::seconds time_limit{90};
+    std::size_t limit = 20;
+    std::string command;
+    std::vector<std::string> arguments;
+};
+
+class usage_error : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+std::string ctl_help();
+
+/// @param words  the command line without the program's name
+/// Throws usage_error.
+ctl_options parse_ctl_options(std::vector<std::string> const& words);
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/membership/membership_view.cpp
@@ -0,0 +1,195 @@
+#include "membership/membership_view.hpp"
+
+#include <utility>
+
+#include "membership/registration_record.hpp"
+
+namespace dotterellock
+{
+
+namespace
+{
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr seconds check_interval{5};
+constexpr seconds scan_gap{20}; // bounds the scans while a zone restarts
+constexpr minutes full_scan_after{10};
+constexpr seconds timeout{4};
+// Dozens of missed heartbeats. A dead endpoint in the list costs little, a
+// live one missing costs capacity.
+constexpr minutes row_lifetime{9};
+constexpr double jitter = 0.1;
+
+} // namespace
+
+membership_view::membership_view(
+    clock_source& clock, timer_service& timers, random_source& random,
+    table_service& store, dotterellock::fleet_view& fleet,
+    counter_registry& counters)
+    : clock_(clock), timers_(timers), random_(random), store_(store),
+      fleet_(fleet), scans_(counters.counter("membership_scans")),
+      store_failures_(counters.counter("membership_view_failures")),
+      expired_(counters.counter("membership_rows_expired"))
+{
+}
+
+membership_view::~membership_view()
+{
+    timers_.cancel(timer_);
+}
+
+void membership_view::set_on_change(
+    std::function<void(std::vector<endpoint_info>)> callback)
+{
+    on_change_ = std::move(callback);
+}
+
+void membership_view::set_on_leaving(
+    std::function<void(std::set<host_id>)> callback)
+{
+    on_leaving_ = std::move(callback);
+}
+
+void membership_view::start()
+{
+    scanned_at_ = clock_.now() - full_scan_after;
+    tick();
+}
+
+void membership_view::tick()
+{
+    double const factor = 1 - jitter * random_.uniform();
+    timer_ = timers_.schedule(
+        std::chrono::duration_cast<duration>(check_interval * factor),
+        [this] { tick(); });
+    check_changed();
+    check_hosts();
+}
+
+void membership_view::check_changed()
+{
+    if (pending_)
+        return;
+    pending_ = true;
+    store_.read(
+        {membership_changed_key}, timeout,
+        guard_.wrap([this](read_result const& r) { on_changed_row(r); }));
+}
+
+void membership_view::on_changed_row(read_result const& result)
+{
+    pending_ = false;
+    if (result.status != store_status::ok || result.rows.size() != 1)
+    {
+        on_failure();
+        return;
+    }
+    changed_version_ = result.rows.front().version;
+    duration const age = clock_.now() - scanned_at_;
+    bool const changed = scanned_at_version_ != changed_version_;
+    bool const first = !scanned_at_version_;
+    if (first || (changed && age >= scan_gap) || age >= full_scan_after)
+        scan();
+}
+
+void membership_view::scan()
+{
+    pending_ = true;
+    scanned_at_ = clock_.now();
+    scans_.add();
+    store_.scan(
+        endpoint_prefix, timeout,
+        guard_.wrap([this](read_result const& r) { on_scan(r); }));
+}
+
+void membership_view::on_failure()
+{
+    store_failures_.add();
+    // Nobody could refresh a row while the store was away.
+    ages_valid_ = false;
+}
+
+void membership_view::on_scan(read_result const& result)
+{
+    pending_ = false;
+    if (result.status != store_status::ok)
+    {
+        on_failure();
+        return;
+    }
+    // What changes from here on shows as a version above this one.
+    scanned_at_version_ = changed_version_;
+    steady_time const now = clock_.now();
+    bool const ages_valid = std::exchange(ages_valid_, true);
+    std::map<std::string, seen_row> rows;
+    for (auto const& r : result.rows)
+    {
+        auto const record = decode_registration_record(r.value);
+        if (!record || record->left)
+            continue;
+        seen_row entry{r.version, now, record->info};
+        auto const known = rows_.find(r.key);
+        bool const unchanged =
+            known != rows_.end() && known->second.version == r.version;
+        if (unchanged && ages_valid)
+            entry.since = known->second.since;
+        rows.emplace(r.key, std::move(entry));
+    }
+    rows_ = std::move(rows);
+    publish();
+}
+
+void membership_view::publish()
+{
+    std::vector<endpoint_info> endpoints;
+    std::string text;
+    for (auto const& [key, entry] : rows_)
+    {
+        if (clock_.now() - entry.since >= row_lifetime)
+        {
+            expired_.add();
+            continue;
+        }
+        registration_record shown;
+        shown.info = entry.info;
+        text += encode(shown);
+        endpoints.push_back(entry.info);
+    }
+    if (text == published_)
+        return;
+    published_ = std::move(text);
+    endpoints_ = std::move(endpoints);
+    if (on_change_)
+        on_change_(endpoints_);
+}
+
+void membership_view::check_hosts()
+{
+    if (hosts_pending_)
+        return;
+    hosts_pending_ = true;
+    fleet_.hosts(
+        timeout, guard_.wrap([this](fleet_result const& r) { on_hosts(r); }));
+}
+
+void membership_view::on_hosts(fleet_result const& result)
+{
+    hosts_pending_ = false;
+    if (result.status != store_status::ok)
+        return;
+    std::set<host_id> leaving;
+    for (auto const& entry : result.hosts)
+    {
+        if (entry.state == host_state::leaving)
+            leaving.insert(entry.host);
+    }
+    if (leaving == leaving_)
+        return;
+    leaving_ = std::move(leaving);
+    if (on_leaving_)
+        on_leaving_(leaving_);
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/membership/membership_view.hpp
@@ -0,0 +1,100 @@
+// A router's list of endpoints, from the registration rows, and the hosts that
+// the platform is about to take away, from its lagging fleet view. Says who
+// exists, not who is healthy: that is what load reports tell within a second.
+// One per process, soft state, called under the lock of its graph.
+//
+// Budget, for 360 routers and 600 endpoints: one small row every 5 s is 72
+// reads a second; the registrations (some 150 kB) are scanned only after that
+// row changed, at most every 20 s, or after 10 minutes. At 500 changes a day
+// that is 0.9 kB/s a router, against 30 kB/s for a scan every 5 s.
+#ifndef DOTTERELLOCK_MEMBERSHIP_MEMBERSHIP_VIEW_HPP
+#define DOTTERELLOCK_MEMBERSHIP_MEMBERSHIP_VIEW_HPP
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <dotterellock/observability.hpp>
+#include <dotterellock/platform.hpp>
+#include <dotterellock/runtime.hpp>
+
+#include "store/callback_guard.hpp"
+
+namespace dotterellock
+{
+
+class membership_view
+{
+public:
+    membership_view(
+        clock_source& clock, timer_service& timers, random_source& random,
+        table_service& store, dotterellock::fleet_view& fleet,
+        counter_registry& counters);
+    ~membership_view();
+    membership_view(membership_view const&) = delete;
+    membership_view& operator=(membership_view const&) = delete;
+
+    void start();
+
+    /// Called with the whole list each time it changed. Endpoints on leaving
+    /// hosts stay in it, since their work in flight goes on.
+    void
+    set_on_change(std::function<void(std::vector<endpoint_info>)> callback);
+
+    /// Called with all hosts that leave; give their endpoints no new work.
+    void set_on_leaving(std::function<void(std::set<host_id>)> callback);
+
+    std::vector<endpoint_info> const& endpoints() const { return endpoints_; }
+    std::set<host_id> const& leaving() const { return leaving_; }
+
+private:
+    struct seen_row
+    {
+        row_version version = 0;
+        steady_time since; // unchanged since, while the store answered
+        endpoint_info info;
+    };
+
+    void tick();
+    void check_changed();
+    void on_changed_row(read_result const& result);
+    void scan();
+    void on_scan(read_result const& result);
+    void on_failure();
+    void publish();
+    void check_hosts();
+    void on_hosts(fleet_result const& result);
+
+    clock_source& clock_;
+    timer_service& timers_;
+    random_source& random_;
+    table_service& store_;
+    dotterellock::fleet_view& fleet_;
+    std::function<void(std::vector<endpoint_info>)> on_change_;
+    std::function<void(std::set<host_id>)> on_leaving_;
+
+    std::map<std::string, seen_row> rows_;
+    std::vector<endpoint_info> endpoints_;
+    std::string published_; // endpoints_ as text, to notice a change
+    std::set<host_id> leaving_;
+
+    std::optional<row_version> scanned_at_version_;
+    row_version changed_version_ = 0;
+    steady_time scanned_at_;
+    bool ages_valid_ = false; // false after a failure
+    bool pending_ = false;
+    bool hosts_pending_ = false;
+    timer_id timer_ = 0;
+
+    counter& scans_;
+    counter& store_failures_;
+    counter& expired_;
+    callback_guard guard_;
+};
+
+} // namespace dotterellock
+
+#endif
--- a/src/membership/registration.cpp
+++ b/src/membership/registration.cpp
@@ -1,8 +1,8 @@
 #include "membership/registration.hpp"
 
-#include <cstdio>
 #include <utility>
 
+#include "configuration/random_name.hpp"
 #include "configuration/wall_time_text.hpp"
 
 namespace dotterellock
@@ -37,15 +37,6 @@
     return high | random.below(std::uint64_t{1} << random_bits);
 }
 
-std::string random_name(random_source& random)
-{
-    char text[20];
-    std::snprintf(
-        text, sizeof(text), "%016llx",
-        static_cast<unsigned long long>(random.next()));
-    return text;
-}
-
 } // namespace
 
 registration::registration(
@@ -176,7 +167,7 @@
 {
     if (superseded())
         return;
-    std::vector<std::string> keys{desired_key(record_.info.endpoint)};
+    std::vector<std::string> keys{desired_key(record_.info)};
     keys.insert(keys.end(), watched_.begin(), watched_.end());
     steady_time const asked_at = clock_.now();
     unsigned const number = ++reads_begun_;
@@ -187,7 +178,7 @@
         if (number == reads_begun_)
             on_desired(result, asked_at);
     };
-    store_.read(keys, desired_timeout, lifetime_.guard(std::move(on_rows)));
+    store_.read(keys, desired_timeout, guard_.wrap(std::move(on_rows)));
 }
 
 void registration::on_desired(read_result const& result, steady_time asked_at)
@@ -252,7 +243,7 @@
         write_pending_ = false;
         on_own_row(result);
     };
-    store_.read({key_}, write_timeout, lifetime_.guard(on_row));
+    store_.read({key_}, write_timeout, guard_.wrap(on_row));
 }
 
 void registration::on_own_row(read_result const& result)
@@ -299,7 +290,7 @@
             changed_ = changed_ || changed;
         on_written(result);
     };
-    store_.commit(std::move(writes), write_timeout, lifetime_.guard(on_commit));
+    store_.commit(std::move(writes), write_timeout, guard_.wrap(on_commit));
 }
 
 void registration::on_written(commit_result const& result)
--- a/src/membership/registration.hpp
+++ b/src/membership/registration.hpp
@@ -28,8 +28,8 @@
 #include <dotterellock/platform.hpp>
 #include <dotterellock/runtime.hpp>
 
-#include "configuration/lifetime.hpp"
 #include "membership/registration_record.hpp"
+#include "store/callback_guard.hpp"
 
 namespace dotterellock
 {
@@ -143,7 +143,7 @@
     counter& heartbeats_;
     counter& store_failures_;
     counter& pauses_;
-    lifetime lifetime_;
+    callback_guard guard_;
 };
 
 } // namespace dotterellock
--- a/src/membership/registration_record.cpp
+++ b/src/membership/registration_record.cpp
@@ -63,8 +63,14 @@
 
 std::string registration_key(endpoint_info const& info)
 {
-    bool const serves = !info.models.empty() || !info.services.empty();
-    return (serves ? endpoint_prefix : node_prefix) + info.endpoint.value();
+    return info.endpoint.empty() ? node_prefix + info.agent.value()
+                                 : endpoint_prefix + info.endpoint.value();
+}
+
+std::string desired_key(endpoint_info const& info)
+{
+    return info.endpoint.empty() ? desired_key(endpoint_id(info.agent.value()))
+                                 : desired_key(info.endpoint);
 }
 
 std::string encode(registration_record const& record)
--- a/src/membership/registration_record.hpp
+++ b/src/membership/registration_record.hpp
@@ -2,8 +2,9 @@
 // Values only.
 //
 //   endpoint/<id>                 registration of an agent
-//   node/<id>                     registration of a process that serves nothing
-//   desired/<id>                  drain state that an operator wants
+//   node/<peer>                   registration of a router, which has no
+//                                 endpoint id
+//   desired/<id or peer>          drain state that an operator wants
 //   membership/changed            rewritten with each change of a registration
 #ifndef DOTTERELLOCK_MEMBERSHIP_REGISTRATION_RECORD_HPP
 #define DOTTERELLOCK_MEMBERSHIP_REGISTRATION_RECORD_HPP
@@ -52,6 +53,7 @@
 };
 
 std::string desired_key(endpoint_id const& endpoint);
+std::string desired_key(endpoint_info const& info);
 std::string encode(desired_drain const& desired);
 std::optional<desired_drain> decode_desired_drain(std::string const& text);
 
--- a/src/placement/lease.cpp
+++ b/src/placement/lease.cpp
@@ -1,10 +1,11 @@
 #include "placement/lease.hpp"
 
 #include <algorithm>
-#include <cstdio>
 
 #include <nlohmann/json.hpp>
 
+#include "configuration/random_name.hpp"
+
 namespace dotterellock
 {
 
@@ -20,15 +21,6 @@
 // Covers clocks whose speed differs by up to a tenth.
 constexpr int margins_per_term = 10;
 
-std::string random_name(random_source& random)
-{
-    char text[20];
-    std::snprintf(
-        text, sizeof(text), "%016llx",
-        static_cast<unsigned long long>(random.next()));
-    return text;
-}
-
 } // namespace
 
 std::string lease_key(std::string const& name)
@@ -169,7 +161,7 @@
         on_row(result, asked_at);
         note_change();
     };
-    store_.read({key_}, term_ / timeouts_per_term, lifetime_.guard(on_answer));
+    store_.read({key_}, term_ / timeouts_per_term, guard_.wrap(on_answer));
 }
 
 void lease::on_row(read_result const& result, steady_time asked_at)
@@ -251,7 +243,7 @@
     };
     store_.commit(
         {{key_, encode(record_), expected}}, term_ / timeouts_per_term,
-        lifetime_.guard(on_answer));
+        guard_.wrap(on_answer));
 }
 
 void lease::on_written(commit_result const& result, doubt const& written)
--- a/src/placement/lease.hpp
+++ b/src/placement/lease.hpp
@@ -21,7 +21,7 @@
 #include <dotterellock/platform.hpp>
 #include <dotterellock/runtime.hpp>
 
-#include "configuration/lifetime.hpp"
+#include "store/callback_guard.hpp"
 
 namespace dotterellock
 {
@@ -119,7 +119,7 @@
     counter& lost_;
     counter& pauses_;
     counter& store_failures_;
-    lifetime lifetime_;
+    callback_guard guard_;
 };
 
 } // namespace dotterellock
--- a/src/placement/placement_gate.cpp
+++ b/src/placement/placement_gate.cpp
@@ -120,7 +120,7 @@
         if (change == change_ && step_ == step::draining)
             next_order();
     };
-    hooks_.drain(lifetime_.guard(on_drained));
+    hooks_.drain(guard_.wrap(on_drained));
 }
 
 /// What to tell the engine next; nothing when it serves what is wanted.
@@ -177,7 +177,7 @@
         else
             give_up();
     };
-    store_.read(watched_keys(), read_validity, lifetime_.guard(on_answer));
+    store_.read(watched_keys(), read_validity, guard_.wrap(on_answer));
 }
 
 void placement_gate::send(engine_order const& order)
@@ -198,7 +198,7 @@
                 error_code::deadline_exceeded, "order", "engine",
                 "no answer to an order"));
         });
-    engine_.order(order, lifetime_.guard(on_done));
+    engine_.order(order, guard_.wrap(on_done));
 }
 
 void placement_gate::on_ordered(
--- a/src/placement/placement_gate.hpp
+++ b/src/placement/placement_gate.hpp
@@ -22,9 +22,9 @@
 #include <dotterellock/platform.hpp>
 #include <dotterellock/runtime.hpp>
 
-#include "configuration/lifetime.hpp"
 #include "placement/lease.hpp"
 #include "placement/placement_records.hpp"
+#include "store/callback_guard.hpp"
 
 namespace dotterellock
 {
@@ -112,7 +112,7 @@
     counter& stale_orders_;
     counter& failed_orders_;
     counter& given_up_;
-    lifetime lifetime_;
+    callback_guard guard_;
 };
 
 } // namespace dotterellock
--- /dev/null
+++ b/src/placement/placement_planner.hpp
@@ -0,0 +1,117 @@
+// Writes which endpoint should serve which models, while its process holds the
+// placement lease. Every router has one; the lease picks which acts. Owns no
+// durable state: what is under way is in the rows, so the next holder goes on
+// from them. Called under the lock of its graph.
+//
+// Each order carries the holder's token and is written on condition that its
+// row is the one that the decision was made on. The planner starts one change
+// at a time, within a shared byte rate of weight loads and a share of a
+// model's endpoints, and moves an endpoint between models only after demand
+// asked for the same shift for a whole hold time.
+#ifndef DOTTERELLOCK_PLACEMENT_PLACEMENT_PLANNER_HPP
+#define DOTTERELLOCK_PLACEMENT_PLACEMENT_PLANNER_HPP
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <dotterellock/observability.hpp>
+#include <dotterellock/platform.hpp>
+#include <dotterellock/runtime.hpp>
+
+#include "membership/registration_record.hpp"
+#include "placement/lease.hpp"
+#include "placement/placement_decision.hpp"
+#include "store/callback_guard.hpp"
+
+namespace dotterellock
+{
+
+struct placement_settings
+{
+    duration interval = std::chrono::seconds(5);
+    duration shift_hold = std::chrono::seconds(60);
+    duration shift_pause = std::chrono::minutes(5); // between two shifts
+    duration dead_after = std::chrono::seconds(40); // row not refreshed
+    duration forget_after = std::chrono::minutes(10);
+    double load_bytes_per_second = 1e9; // of the weight store, whole fleet
+    placement_limits limits;
+};
+
+class placement_planner
+{
+public:
+    placement_planner(
+        lease& holder, clock_source& clock, timer_service& timers,
+        table_service& store, dotterellock::weight_store& weights,
+        decision_log& log, placement_settings settings,
+        counter_registry& counters);
+    ~placement_planner();
+    placement_planner(placement_planner const&) = delete;
+    placement_planner& operator=(placement_planner const&) = delete;
+
+    void start();
+    void set_plans(std::vector<model_plan> plans);
+
+    /// Need of each model in endpoints, as the process estimates it.
+    void set_need(model_need need);
+
+private:
+    struct seen_row
+    {
+        row_version version = 0;
+        steady_time since; // unchanged since, in scans without a gap
+    };
+
+    void tick();
+    void forget_term();
+    void scan_endpoints();
+    void scan_orders(std::vector<row> const& endpoints);
+    void
+    decide(std::vector<row> const& endpoints, std::vector<row> const& desired);
+    std::vector<endpoint_standing> standings(
+        std::vector<row> const& endpoints, std::vector<row> const& desired);
+    void remove_forgotten(std::vector<row> const& endpoints);
+    bool adopt_orders(std::vector<endpoint_standing> const& fleet);
+    std::optional<placement_change>
+    next_change(std::vector<endpoint_standing> const& fleet);
+    std::optional<demand_shift>
+    held_shift(std::vector<endpoint_standing> const& fleet);
+    void weigh(placement_change const& change, endpoint_standing const& at);
+    void
+    write(placement_order order, endpoint_standing const& at, byte_count bytes);
+    void charge(byte_count bytes);
+    void
+    record(placement_change const& change, std::string const& refusal) const;
+
+    lease& holder_;
+    clock_source& clock_;
+    timer_service& timers_;
+    table_service& store_;
+    dotterellock::weight_store& weights_;
+    decision_log& log_;
+    placement_settings settings_;
+    std::vector<model_plan> plans_;
+    model_need need_;
+
+    fencing_token term_token_ = 0; // the term that the state below belongs to
+    std::map<std::string, seen_row> seen_;
+    std::optional<demand_shift> shift_;
+    steady_time shift_since_;
+    steady_time next_shift_at_;
+    steady_time next_load_at_; // the byte budget is spent until then
+    bool busy_ = false;
+    timer_id timer_ = 0;
+
+    counter& changes_;
+    counter& adopted_orders_;
+    counter& store_failures_;
+    counter& removed_rows_;
+    callback_guard guard_;
+};
+
+} // namespace dotterellock
+
+#endif
