--- a/src/recovery/generation_gate.cpp
+++ b/src/recovery/generation_gate.cpp
@@ -84,7 +84,7 @@
 }
 
 bool generation_gate::owned_by(
-    run const& r, peer_id const& from, owner_epoch epoch) const
+    run const& r, peer_id const& from, owner_epoch epoch)
 {
     return r.owner == from && r.epoch == epoch;
 }
@@ -135,7 +135,7 @@
 // Among dispatches of one epoch by different routers the later wins; this only
 // happens when a caller submits a request again without an event id.
 bool generation_gate::replaces(
-    peer_id const& from, dispatch_generation const& d, run const& r) const
+    peer_id const& from, dispatch_generation const& d, run const& r)
 {
     if (d.epoch != r.epoch)
         return d.epoch > r.epoch;
--- a/src/recovery/generation_gate.hpp
+++ b/src/recovery/generation_gate.hpp
@@ -47,13 +47,7 @@
     /// Tokens kept for owners that have not acknowledged them.
     std::size_t buffered_tokens() const;
 
-protected:
-    /// Whether a message of that owner may act on the run. Virtual so that a
-    /// test can break it and see the invariant checker fail.
-    struct run;
-    virtual bool
-    owned_by(run const& r, peer_id const& from, owner_epoch epoch) const;
-
+private:
     struct run
     {
         std::uint64_t serial = 0; // tells engine events of replaced runs apart
@@ -77,7 +71,6 @@
         bool ended() const { return finished || failed; }
     };
 
-private:
     struct router_link
     {
         steady_time heard; // last message from the router
@@ -92,8 +85,9 @@
     void cancelled(peer_id const& from, cancel const& c);
     void attached(peer_id const& from, attach const& a);
 
-    bool replaces(
-        peer_id const& from, dispatch_generation const& d, run const& r) const;
+    static bool owned_by(run const& r, peer_id const& from, owner_epoch epoch);
+    static bool
+    replaces(peer_id const& from, dispatch_generation const& d, run const& r);
     void start_run(peer_id const& from, dispatch_generation const& d);
     engine_events events_of(request_id const& request, std::uint64_t serial);
     run* find(request_id const& request);
--- a/src/recovery/generation_relay.hpp
+++ b/src/recovery/generation_relay.hpp
@@ -65,7 +65,7 @@
     void on_message(peer_id const& from, message const& m) override;
     void on_disconnected(peer_id const& peer) override;
 
-protected:
+private:
     enum class attempt_state
     {
         placing, // waits for an offer
@@ -139,12 +139,6 @@
         bool search_repeated = false;
     };
 
-    /// Whether tokens of this attempt from `first` on may extend the answer.
-    /// Virtual so that a test can break it and see the invariant checker fail.
-    virtual bool
-    continues(generation const& g, attempt const& a, token_index first) const;
-
-private:
     struct agent_link
     {
         steady_time heard;
--- a/src/recovery/generation_relay_attempts.cpp
+++ b/src/recovery/generation_relay_attempts.cpp
@@ -305,12 +305,6 @@
         on_pong(from, *p);
 }
 
-bool generation_relay::continues(
-    generation const& g, attempt const&, token_index first) const
-{
-    return first <= g.next_index();
-}
-
 void generation_relay::on_tokens(peer_id const& from, token_batch const& batch)
 {
     auto const g = find(batch.request);
@@ -328,7 +322,7 @@
             from, cancel{batch.request, batch.attempt, batch.epoch});
         return;
     }
-    if (!continues(*g, *a, batch.first_index))
+    if (batch.first_index > g->next_index())
     {
         check_attempt(*g, *a, check_cause::gap);
         return;
--- a/tests/recovery/fault_matrix_test.cpp
+++ b/tests/recovery/fault_matrix_test.cpp
@@ -81,3 +81,27 @@
         }
     }
 }
+
+// Guards against recoveries that only work when nothing else happens: every
+// pair of faults, and each fault twice, the second while the first is noticed
+// and again when the answer has resumed.
+TEST_CASE("Pairs of faults", "[recovery][matrix]")
+{
+    auto const step =
+        GENERATE(recovery_step::first_token, recovery_step::mid_stream);
+    auto const after = GENERATE(milliseconds(20), milliseconds(700));
+    for (auto const& first : recovery_faults())
+    {
+        for (auto const& second : recovery_faults())
+        {
+            DYNAMIC_SECTION(
+                (step == recovery_step::mid_stream ? "mid-stream"
+                                                   : "first token")
+                << " / " << first.name << " + " << second.name << " after "
+                << after.count() << " ms")
+            {
+                run_cell(step, first, &second, after);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/recovery/invariant_checker_test.cpp
@@ -0,0 +1,174 @@
+// The checker must notice each broken guarantee: every row runs the world with
+// one deliberately broken part.
+#include <catch2/catch.hpp>
+
+#include "fake_platform.hpp"
+#include "recovery_faults.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+
+namespace
+{
+
+using treatment = fake_network::treatment;
+
+/// Rewrites messages of one kind as a faulty sender would send them.
+template<typename Message>
+fake_network::rule rewrite(std::function<void(Message&)> change)
+{
+    return [change](peer_id const&, peer_id const&, message const& m)
+    {
+        treatment t;
+        if (auto const* original = std::get_if<Message>(&m))
+        {
+            Message changed = *original;
+            change(changed);
+            t.instead = changed;
+        }
+        return t;
+    };
+}
+
+struct broken_part
+{
+    char const* name;
+    violation caught;
+    std::function<void(recovery_world&)> install;
+};
+
+std::vector<broken_part> const broken_parts = {
+    {"gate skips a token", violation::missing_token,
+     [](recovery_world& w)
+     {
+         w.network.set_rule(rewrite<token_batch>(
+             [](token_batch& b)
+             {
+                 if (b.first_index == 5)
+                     b.tokens.clear();
+                 if (b.first_index > 5)
+                     --b.first_index;
+             }));
+     }},
+    {"gate numbers a token again", violation::repeated_token,
+     [](recovery_world& w)
+     {
+         w.network.set_rule(rewrite<token_batch>(
+             [](token_batch& b)
+             {
+                 if (b.first_index == 5)
+                     b.tokens.push_back(b.tokens.front());
+                 if (b.first_index > 5)
+                     ++b.first_index;
+             }));
+     }},
+    {"gate confuses two requests", violation::swapped_answer,
+     [](recovery_world& w)
+     {
+         w.network.set_rule(rewrite<token_batch>(
+             [](token_batch& b)
+             {
+                 bool const first = b.request.value() == "o/c1";
+                 b.request = request_id(first ? "o/c2" : "o/c1");
+             }));
+     }},
+    {"gate alters the text", violation::invented_token,
+     [](recovery_world& w)
+     {
+         w.network.set_rule(
+             rewrite<token_batch>([](token_batch& b) { b.tokens[0] += "x"; }));
+     }},
+    {"relay resumes with another version", violation::spliced_version,
+     [](recovery_world& w)
+     {
+         w.network.set_rule(rewrite<dispatch_generation>(
+             [](dispatch_generation& d)
+             {
+                 if (d.attempt > 1)
+                     d.model.version = "v2";
+             }));
+         w.on_step = [&w](recovery_step s)
+         {
+             if (s == recovery_step::first_token)
+                 w.agent("a1").engine.die();
+         };
+     }},
+    {"relay resumes from other tokens", violation::spliced_generation,
+     [](recovery_world& w)
+     {
+         w.network.set_rule(rewrite<dispatch_generation>(
+             [](dispatch_generation& d)
+             {
+                 for (auto& token : d.resume_tokens)
+                     token += "x";
+             }));
+         w.on_step = [&w](recovery_step s)
+         {
+             if (s == recovery_step::mid_stream)
+                 w.agent("a1").engine.die();
+         };
+     }},
+    {"gate ends the answer early", violation::missing_token,
+     [](recovery_world& w)
+     {
+         w.network.set_rule(
+             [](peer_id const&, peer_id const&, message const& m)
+             {
+                 treatment t;
+                 auto const* b = std::get_if<token_batch>(&m);
+                 if (b != nullptr && b->first_index == 9)
+                     t.instead = generation_finished{
+                         b->request, b->attempt, b->epoch, 9,
+                         finish_reason::stop};
+                 return t;
+             });
+     }},
+    {"router exits with an open stream", violation::cut_by_planned_stop,
+     [](recovery_world& w)
+     {
+         w.on_step = [&w](recovery_step s)
+         {
+             if (s != recovery_step::mid_stream)
+                 return;
+             w.checker.stopped_as_planned({request_id("o/c1")});
+             w.kill_router("r1");
+         };
+     }},
+    {"call is repeated after a lost answer", violation::run_twice,
+     [](recovery_world& w)
+     {
+         for (int i = 0; i < 2; ++i)
+             w.checker.service_ran(request_id("o/booking"), false);
+     }},
+    {"call runs after it was reported as not run", violation::run_after_not_run,
+     [](recovery_world& w)
+     {
+         w.checker.told_not_run(request_id("o/booking"));
+         w.checker.service_ran(request_id("o/booking"), false);
+     }},
+    {"call is reported as not run after it ran", violation::run_after_not_run,
+     [](recovery_world& w)
+     {
+         w.checker.service_ran(request_id("o/booking"), false);
+         w.checker.told_not_run(request_id("o/booking"));
+     }}};
+
+} // namespace
+
+// Guards against a checker that passes everything.
+TEST_CASE("The invariant checker notices broken parts", "[recovery][checker]")
+{
+    for (auto const& part : broken_parts)
+    {
+        DYNAMIC_SECTION(part.name)
+        {
+            recovery_world world;
+            part.install(world);
+            world.call("c1", "r1");
+            world.call("c2", "r1");
+            world.run_until_done(std::chrono::seconds(10));
+            INFO(world.checker.report_text());
+            CHECK(world.checker.violations().count(part.caught) == 1);
+        }
+    }
+}
--- a/tests/support/fake_network.hpp
+++ b/tests/support/fake_network.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -26,6 +27,7 @@
     {
         unsigned copies = 1; // 0: lost, 2: repeated
         duration extra_delay{};
+        std::optional<message> instead{}; // what a faulty peer would send
     };
     using rule =
         std::function<treatment(peer_id from, peer_id to, message const& m)>;
@@ -159,7 +161,8 @@
         {
             scheduler_.schedule(
                 delay_ + t.extra_delay,
-                [this, from, to, m] { deliver(from, to, m); });
+                [this, from, to, sent = t.instead.value_or(m)]
+                { deliver(from, to, sent); });
         }
     }
 
--- a/tests/support/invariant_checker.hpp
+++ b/tests/support/invariant_checker.hpp
@@ -33,6 +33,7 @@
 {
 public:
     using run_number = std::size_t;
+    using connection_number = std::size_t; // of one request
 
     // ---- engines ----------------------------------------------------------
     run_number engine_started(
@@ -58,18 +59,21 @@
     void engine_finished(run_number number) { runs_[number].finished = true; }
 
     // ---- callers ----------------------------------------------------------
-    /// The caller keeps its tokens below `from` and asks for the rest.
-    void connected(request_id const& request, token_index from)
-    {
-        answer& a = answers_[request];
-        a.tokens.resize(from);
+    /// The caller keeps its tokens below `from` and asks for the rest over a
+    /// new connection, which becomes the current one.
+    connection_number connected(request_id const& request, token_index from)
+    {
+        auto& all = answers_[request];
+        all.push_back(all.empty() ? answer{} : all.back());
+        all.back().tokens.resize(from);
+        return all.size() - 1;
     }
 
     void delivered(
-        request_id const& request, token_index first,
-        std::vector<std::string> const& tokens)
+        request_id const& request, connection_number connection,
+        token_index first, std::vector<std::string> const& tokens)
     {
-        answer& a = answers_[request];
+        answer& a = answers_[request].at(connection);
         if (first > a.tokens.size())
             report(violation::missing_token, request);
         if (first < a.tokens.size())
@@ -81,9 +85,11 @@
         }
     }
 
-    void finished(request_id const& request, token_index total)
+    void finished(
+        request_id const& request, connection_number connection,
+        token_index total)
     {
-        answer& a = answers_[request];
+        answer& a = answers_[request].at(connection);
         a.complete = true;
         if (a.tokens.size() != total)
             report(violation::missing_token, request);
@@ -107,12 +113,12 @@
     bool complete(request_id const& request) const
     {
         auto const found = answers_.find(request);
-        return found != answers_.end() && found->second.complete;
+        return found != answers_.end() && found->second.back().complete;
     }
 
-    std::vector<std::string> const& received(request_id const& request)
+    std::vector<std::string> const& received(request_id const& request) const
     {
-        return answers_[request].tokens;
+        return answers_.at(request).back().tokens;
     }
 
     // ---- services ---------------------------------------------------------
@@ -212,7 +218,7 @@
 
     std::vector<run> runs_;
     std::map<std::string, token> tokens_;
-    std::map<request_id, answer> answers_;
+    std::map<request_id, std::vector<answer>> answers_; // by connection
     std::map<request_id, unsigned> service_runs_;
     std::set<request_id> not_run_;
     std::set<violation> violations_;
--- a/tests/support/recovery_world.hpp
+++ b/tests/support/recovery_world.hpp
@@ -600,7 +600,8 @@
             {
                 recovery_world& w = owner.world_;
                 if (w.settings.record_tokens)
-                    w.checker.delivered(owner.request.request, first, tokens);
+                    w.checker.delivered(
+                        owner.request.request, number, first, tokens);
                 owner.event_id = event_id;
                 token_index const next =
                     first + static_cast<token_index>(tokens.size());
@@ -618,7 +619,8 @@
             [this, total]
             {
                 if (owner.world_.settings.record_tokens)
-                    owner.world_.checker.finished(owner.request.request, total);
+                    owner.world_.checker.finished(
+                        owner.request.request, number, total);
                 owner.done = true;
                 open = false;
             });
@@ -640,6 +642,7 @@
     std::string router;
     bool open = true;
     bool ended = false;
+    invariant_checker::connection_number number = 0;
 };
 
 inline caller::caller(
@@ -670,7 +673,8 @@
     resume_point from;
     if (!event_id.empty())
         from = decode_event_id(event_id);
-    world_.checker.connected(request.request, from.next_index);
+    connection_->number =
+        world_.checker.connected(request.request, from.next_index);
     bool const first = reconnects == 0;
     router_process& target = *found->second;
     target.process.post(
