Add a link stand-in; test silent connections and partitions

Cause: a connection lost by something between two ends, while new ones work, had been tested over fakes only.

--- a/apps/standin.cpp
+++ b/apps/standin.cpp
@@ -10,6 +10,7 @@
 #include <cxxopts.hpp>
 
 #include "../standins/engine_standin.hpp"
+#include "../standins/link_standin.hpp"
 #include "../standins/plain_service_standin.hpp"
 #include "../standins/storage_standins.hpp"
 
@@ -45,7 +46,7 @@
         "Stands in for an outside system. Port 0 lets the system choose; the "
         "chosen address is the first line of output.");
     auto add = options.add_options();
-    add("kind", "engine, service, table, objects, weights or fleet",
+    add("kind", "engine, service, table, objects, weights, fleet or link",
         cxxopts::value<std::string>());
     add("listen", "IP:PORT",
         cxxopts::value<std::string>()->default_value("127.0.0.1:0"));
@@ -70,6 +71,13 @@
         cxxopts::value<std::uint64_t>()->default_value("16000000000"));
     add("lag-ms", "fleet: age of the list shown",
         cxxopts::value<unsigned>()->default_value("5000"));
+    add("target", "link: IP:PORT to forward to", cxxopts::value<std::string>());
+    add("forward", "link: IP:PORT that is forwarded",
+        cxxopts::value<std::string>()->default_value("127.0.0.1:0"));
+    add("delay-ms", "link: one way",
+        cxxopts::value<unsigned>()->default_value("0"));
+    add("bytes-per-second", "link: each direction; 0: unlimited",
+        cxxopts::value<std::uint64_t>()->default_value("0"));
     add("help", "show this text");
     add("version", "show the version");
     return options;
@@ -88,6 +96,29 @@
     return s;
 }
 
+asio::ip::tcp::endpoint endpoint_of(std::string const& text)
+{
+    auto const address = parse_address(text);
+    return {asio::ip::make_address(address.ip), address.port};
+}
+
+std::unique_ptr<standin>
+make_link(asio::io_context& context, cxxopts::ParseResult const& args)
+{
+    if (args.count("target") == 0)
+        throw std::invalid_argument("--target is required");
+    link_settings settings;
+    settings.target = endpoint_of(args["target"].as<std::string>());
+    settings.delay = milliseconds(args["delay-ms"].as<unsigned>());
+    settings.bytes_per_second = args["bytes-per-second"].as<std::uint64_t>();
+    asio::ip::tcp::acceptor acceptor(
+        context, endpoint_of(args["forward"].as<std::string>()));
+    std::cout << "event=forwarding peer=" << acceptor.local_endpoint()
+              << std::endl;
+    return std::make_unique<link_standin>(
+        context, std::move(acceptor), settings);
+}
+
 std::unique_ptr<standin>
 make_standin(asio::io_context& context, cxxopts::ParseResult const& args)
 {
@@ -111,6 +142,8 @@
     if (kind == "fleet")
         return std::make_unique<fleet_view_standin>(
             context, milliseconds(args["lag-ms"].as<unsigned>()));
+    if (kind == "link")
+        return make_link(context, args);
     throw std::invalid_argument("unknown kind '" + kind + "'");
 }
 
--- a/standins/local_fleet.cpp
+++ b/standins/local_fleet.cpp
@@ -118,6 +118,8 @@
             "service-" + std::to_string(i + 1), {"--kind", "service"}));
         start_agent(options_.engines + i);
     }
+    for (std::size_t i = 0; options_.links && i < agents_.size(); ++i)
+        start_link(i);
     routers_.resize(options_.routers);
     for (auto& r : routers_)
     {
@@ -132,6 +134,7 @@
 local_fleet::~local_fleet()
 {
     routers_.clear();
+    links_.clear();
     agents_.clear();
     engines_.clear();
     services_.clear();
@@ -178,6 +181,15 @@
     m.peer_address = m.process->logged_value("peer", start_limit);
 }
 
+void local_fleet::start_link(std::size_t number)
+{
+    member m = start_standin(
+        "link-" + endpoint_name(number),
+        {"--kind", "link", "--target", agents_[number].peer_address});
+    m.peer_address = m.process->logged_value("peer", start_limit);
+    links_.push_back(std::move(m));
+}
+
 void local_fleet::start_router(std::size_t index)
 {
     std::string const name = "router-" + std::to_string(index + 1);
@@ -291,6 +303,11 @@
     return services_.at(i).url;
 }
 
+std::string const& local_fleet::link_url(std::size_t i) const
+{
+    return links_.at(i).url;
+}
+
 // ---- control --------------------------------------------------------------
 
 std::size_t local_fleet::busy_engine(milliseconds limit) const
@@ -338,6 +355,8 @@
         order.push_back(r.process.get());
     for (auto& a : agents_)
         order.push_back(a.process.get());
+    for (auto& l : links_)
+        order.push_back(l.process.get());
     for (auto& e : engines_)
         order.push_back(e.process.get());
     for (auto& s : services_)
--- a/standins/local_fleet.hpp
+++ b/standins/local_fleet.hpp
@@ -24,6 +24,7 @@
     unsigned capacity = 32; // streams of one engine
     unsigned shards = 2;    // of one router
     unsigned routers_in_first_zone = 1;
+    bool links = false; // a link stand-in before each agent
     std::string policy; // YAML block under `policy:`, indented
 };
 
@@ -44,6 +45,8 @@
     std::string const& router_url(std::size_t i) const;
     std::string const& engine_url(std::size_t i) const;
     std::string const& service_url(std::size_t i) const;
+    /// Of the link before agent i, for faults; needs options.links.
+    std::string const& link_url(std::size_t i) const;
     std::string const& table_url() const { return table_url_; }
     std::string const& object_url() const { return object_url_; }
 
@@ -82,6 +85,7 @@
         std::string const& name, std::vector<std::string> const& arguments);
     std::vector<std::string> engine_arguments(std::string const& listen) const;
     void start_agent(std::size_t number);
+    void start_link(std::size_t number);
     void start_router(std::size_t index);
     void wait_until_ready() const;
     std::string
@@ -99,6 +103,7 @@
     std::vector<member> engines_;
     std::vector<member> services_;
     std::vector<member> agents_; // engines first, then services
+    std::vector<member> links_;  // one an agent, or none
     std::vector<member> routers_;
 };
 
--- a/tests/process/fault_test.cpp
+++ b/tests/process/fault_test.cpp
@@ -144,6 +144,45 @@
     require_whole(caller, "stream");
 }
 
+// Guards against an answer that stops, or work that is repeated, when the
+// connection between router and agent goes silent while new ones work.
+TEST_CASE("a silent connection is replaced without repeating work")
+{
+    auto options = small_fleet();
+    options.links = true;
+    local_fleet fleet(DOTTERELLOCK_BINARY_DIR, options);
+    streaming_caller caller(request_to(fleet, "silent"));
+    REQUIRE(caller.wait_for_tokens(mid_stream, limit));
+    std::size_t const busy = fleet.busy_engine(limit);
+    REQUIRE(
+        http_post(fleet.link_url(busy) + "/admin/fault", R"({"silence":true})")
+            .status == 200);
+    require_whole(caller, "silent");
+    auto const stats =
+        json::parse(http_get(fleet.engine_url(busy) + "/admin/stats").body);
+    REQUIRE(stats.at("tokens_produced") == answer_tokens);
+    REQUIRE(caller.result().reconnects == 0);
+    // The fault took effect: the old connection lost bytes.
+    auto const link =
+        json::parse(http_get(fleet.link_url(busy) + "/admin/stats").body);
+    REQUIRE(link.at("lost_bytes").get<unsigned>() > 0);
+}
+
+// Guards against an answer that stops when its endpoint is cut off.
+TEST_CASE("a partitioned endpoint is replaced by another")
+{
+    auto options = small_fleet();
+    options.links = true;
+    local_fleet fleet(DOTTERELLOCK_BINARY_DIR, options);
+    streaming_caller caller(request_to(fleet, "cut"));
+    REQUIRE(caller.wait_for_tokens(mid_stream, limit));
+    std::size_t const busy = fleet.busy_engine(limit);
+    http_post(fleet.link_url(busy) + "/admin/fault", R"({"partition":true})");
+    REQUIRE(caller.wait_for_tokens(mid_stream + 30, limit));
+    http_post(fleet.link_url(busy) + "/admin/fault", R"({"partition":false})");
+    require_whole(caller, "cut");
+}
+
 // Guards against an agent that wakes from a pause and delivers old tokens.
 TEST_CASE("an agent that returns from a pause changes nothing")
 {
