Keep answers of routers that serve one request independently apart

Cause: random orders showed a splice (seed 4038): a caller that went from router to router was reattached to a generation that had continued its answer differently.

--- a/src/recovery/generation_relay.cpp
+++ b/src/recovery/generation_relay.cpp
@@ -72,15 +72,12 @@
     {
         if (refuse_reused_key(*g, request, listener))
             return;
-        bool const current = !g->search && from.epoch <= g->epoch &&
-                             from.next_index <= g->next_index() &&
-                             from.next_index >= g->first_known;
-        if (current)
+        if (!g->search && agrees(*g, from))
         {
             reattach(*g, from.next_index, std::move(listener));
             return;
         }
-        // The caller has been served by a later owner: what is known here is
+        // Another router has served the caller since: what is known here is
         // out of date.
         erase(*g);
     }
@@ -131,6 +128,7 @@
         std::move(request),
         journal_writer(transport_, journals_, journal_bytes_));
     g->listener = std::move(listener);
+    g->epoch = epoch_after(0);
     generations_[id] = g;
     wake_tick();
     return g;
@@ -154,6 +152,27 @@
     return true;
 }
 
+/// Whether the tokens that the caller has are the ones known here. Tokens of
+/// another epoch may differ: while the caller was elsewhere, both routers may
+/// have continued the answer in attempts of their own.
+bool generation_relay::agrees(generation const& g, resume_point const& from)
+{
+    if (from.next_index > g.next_index() || from.next_index < g.first_known)
+        return false;
+    if (from.epoch == g.epoch)
+        return true;
+    token_index const common = from.epoch == g.taken_epoch ? g.shared : 0;
+    if (from.next_index <= common)
+        return true;
+    auto const tail = static_cast<token_index>(from.tail.size());
+    token_index const start = from.next_index - tail;
+    if (start > common || start < g.first_known)
+        return false;
+    return std::equal(
+        from.tail.begin(), from.tail.end(),
+        g.tokens.begin() + (start - g.first_known));
+}
+
 /// The caller is back on a new connection; replays what it lacks.
 void generation_relay::reattach(
     generation& g, token_index next_index,
--- a/src/recovery/generation_relay.hpp
+++ b/src/recovery/generation_relay.hpp
@@ -112,7 +112,10 @@
 
         generation_request request;
         std::shared_ptr<generation_listener> listener; // empty: detached
-        owner_epoch epoch = 1;
+        owner_epoch epoch = 0;          // of event ids and journal copies
+        owner_epoch dispatch_epoch = 1; // of new attempts
+        owner_epoch taken_epoch = 0;    // that the caller named at takeover
+        token_index shared = 0;         // the caller had these tokens then
         attempt_number last_attempt = 0;
         std::uint32_t failures = 0; // attempts that ended without success
         std::vector<attempt> attempts;
@@ -158,6 +161,7 @@
     bool refuse_reused_key(
         generation const& g, generation_request const& request,
         std::shared_ptr<generation_listener> const& listener);
+    static bool agrees(generation const& g, resume_point const& from);
     void reattach(
         generation& g, token_index next_index,
         std::shared_ptr<generation_listener> listener);
--- a/src/recovery/generation_relay_attempts.cpp
+++ b/src/recovery/generation_relay_attempts.cpp
@@ -115,7 +115,7 @@
     attempts_.add();
     attempt a;
     a.number = ++g.last_attempt;
-    a.epoch = g.epoch;
+    a.epoch = g.dispatch_epoch;
     request_id const id = g.request.request;
     attempt_number const number = a.number;
     place_request request = place_request_of(g, a);
@@ -476,17 +476,8 @@
     peer_id const& from, journal_appended const& m)
 {
     auto const g = find(m.request);
-    if (!g || m.epoch < g->epoch)
-        return;
-    if (m.epoch == g->epoch)
-    {
+    if (g && m.epoch == g->epoch)
         g->journal.appended(from, m.next_index);
-        return;
-    }
-    // Another router writes under the same epoch: both took over at once from
-    // different agents.
-    g->epoch = epoch_after(m.epoch);
-    g->journal.restart();
 }
 
 // ---- detection ------------------------------------------------------------
--- a/src/recovery/generation_relay_takeover.cpp
+++ b/src/recovery/generation_relay_takeover.cpp
@@ -110,14 +110,13 @@
     g.progress = g.delivered;
     g.last_attempt = search->highest_attempt();
     g.epoch = epoch_after(search->highest_epoch());
+    g.dispatch_epoch = g.epoch;
+    g.taken_epoch = search->from().epoch;
+    g.shared = search->from().next_index;
     g.endpoint = search->endpoint();
     g.first_token = clock_.now();
     g.last_token = clock_.now();
     auto const chosen = search->choose();
-    // The agent has numbered this takeover, unless it missed earlier ones.
-    if (chosen &&
-        search->candidates().at(*chosen).result.epoch > search->highest_epoch())
-        g.epoch = search->candidates().at(*chosen).result.epoch;
     for (auto const& [agent, c] : search->candidates())
     {
         if (agent != chosen)
@@ -158,8 +157,8 @@
         on_message(agent, m);
 }
 
-/// Two routers that take over at once without an agent to number them differ
-/// in the random part.
+/// Routers that serve the same request independently differ in the random
+/// part, so that an event id or a journal copy tells which of them wrote it.
 owner_epoch generation_relay::epoch_after(owner_epoch highest)
 {
     constexpr std::uint64_t spread = std::uint64_t{1} << 32;
--- a/src/recovery/journal_holder.cpp
+++ b/src/recovery/journal_holder.cpp
@@ -21,7 +21,8 @@
     policy_source const& policy, counter_registry& counters)
     : clock_(clock), timers_(timers), transport_(transport), policy_(policy),
       bytes_(counters.counter("journal_bytes_received")),
-      expired_(counters.counter("journal_entries_expired"))
+      expired_(counters.counter("journal_entries_expired")),
+      refused_(counters.counter("journal_refused_writers"))
 {
 }
 
@@ -52,7 +53,7 @@
     // Two writers of one epoch would mix two answers.
     if (c.writer != from)
     {
-        transport_.send(from, journal_appended{a.request, a.epoch + 1, 0});
+        refused_.add();
         return;
     }
     c.endpoint = a.endpoint;
@@ -77,17 +78,18 @@
 void journal_holder::read(peer_id const& from, journal_read const& r)
 {
     auto const found = journals_.find(r.request);
-    if (found == journals_.end())
+    if (found != journals_.end())
     {
-        transport_.send(from, journal_state{r.request, false, 0, {}, 0, {}});
-        return;
-    }
-    for (auto const& [epoch, c] : found->second.copies)
-    {
-        transport_.send(
-            from, journal_state{
-                      r.request, true, epoch, c.endpoint, c.attempt, c.tokens});
+        for (auto const& [epoch, c] : found->second.copies)
+        {
+            transport_.send(
+                from,
+                journal_state{
+                    r.request, true, epoch, c.endpoint, c.attempt, c.tokens});
+        }
     }
+    // Ends the list, so that the reader need not wait for more.
+    transport_.send(from, journal_state{r.request, false, 0, {}, 0, {}});
 }
 
 void journal_holder::arm_expiry()
--- a/src/recovery/journal_holder.hpp
+++ b/src/recovery/journal_holder.hpp
@@ -60,6 +60,7 @@
     policy_source const& policy_;
     counter& bytes_;
     counter& expired_;
+    counter& refused_;
     std::unordered_map<request_id, journal> journals_;
     timer_id expiry_timer_ = 0;
 };
--- a/src/recovery/journal_writer.cpp
+++ b/src/recovery/journal_writer.cpp
@@ -125,13 +125,6 @@
     inherited_ = confirmed;
 }
 
-void journal_writer::restart()
-{
-    inherited_ = confirmed();
-    holders_.clear();
-    choose_again_ = true;
-}
-
 token_index journal_writer::confirmed() const
 {
     token_index most = inherited_;
--- a/src/recovery/journal_writer.hpp
+++ b/src/recovery/journal_writer.hpp
@@ -47,9 +47,6 @@
     /// Copies below this index exist already, made by an earlier owner.
     void inherit(token_index confirmed);
 
-    /// Starts the copies anew under another epoch.
-    void restart();
-
     /// Some holder has confirmed every token below this index.
     token_index confirmed() const;
     bool has_holders() const { return !holders_.empty(); }
--- a/src/recovery/takeover_search.cpp
+++ b/src/recovery/takeover_search.cpp
@@ -10,7 +10,8 @@
 void takeover_search::add_journal(
     peer_id const& peer, journal_state const& state)
 {
-    journals_.erase(peer);
+    if (!state.found)
+        journals_.erase(peer);
     if (!state.found || resolved_)
         return;
     if (state.epoch >= highest_epoch())
@@ -171,6 +172,8 @@
     owner_epoch highest = from_.epoch;
     for (auto const& copy : copies_)
         highest = std::max(highest, copy.epoch);
+    for (auto const& [peer, c] : candidates_)
+        highest = std::max(highest, c.result.epoch);
     return highest;
 }
 
--- a/src/recovery/takeover_search.hpp
+++ b/src/recovery/takeover_search.hpp
@@ -45,6 +45,7 @@
 
     // ---- journal holders --------------------------------------------------
     void expect_journal(peer_id const& peer) { journals_.insert(peer); }
+    /// A holder sends each copy it has, then one state without a copy.
     void add_journal(peer_id const& peer, journal_state const& state);
     bool journals_answered() const { return journals_.empty(); }
     endpoint_id const& endpoint() const { return endpoint_; }
--- a/tests/recovery/fuzz_test.cpp
+++ b/tests/recovery/fuzz_test.cpp
@@ -1,9 +1,10 @@
 // Seeded random orders of the matrix's steps and faults. A short fixed set of
 // seeds runs always; DOTTERELLOCK_FUZZ_SEEDS=N runs seeds 1 to N instead and
-// DOTTERELLOCK_FUZZ_SEED=S replays one.
+// DOTTERELLOCK_FUZZ_SEED=S replays one and prints its messages.
 #include <catch2/catch.hpp>
 
 #include <cstdlib>
+#include <iostream>
 
 #include "recovery_faults.hpp"
 
@@ -37,13 +38,14 @@
     }
 };
 
-void run_seed(std::uint64_t seed)
+void run_seed(std::uint64_t seed, std::ostream* trace = nullptr)
 {
     seeded_random random(seed);
     world_settings settings;
     settings.answer_length = static_cast<token_index>(1 + random.below(120));
     settings.token_time = milliseconds(5 + random.below(60));
     recovery_world world(settings);
+    world.trace = trace;
     world.random = seeded_random(seed + 1);
     world.network.set_delay(milliseconds(random.below(25)));
     fault_budget budget;
@@ -86,7 +88,7 @@
 {
     if (std::uint64_t const seed = number_from("DOTTERELLOCK_FUZZ_SEED"))
     {
-        run_seed(seed);
+        run_seed(seed, &std::cout);
         return;
     }
     std::uint64_t const more = number_from("DOTTERELLOCK_FUZZ_SEEDS");
--- a/tests/support/recovery_world.hpp
+++ b/tests/support/recovery_world.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <set>
 #include <string>
 #include <vector>
@@ -441,12 +442,15 @@
     invariant_checker checker;
     model_ref version{"m", "", "v1"};
     std::function<void(recovery_step)> on_step;
+    std::ostream* trace = nullptr;         // for replays: every message sent
     std::set<std::string> refusing_agents; // drain, or no room
     std::map<std::string, std::unique_ptr<agent_process>> agents;
     std::map<std::string, std::unique_ptr<router_process>> routers;
     std::vector<std::unique_ptr<caller>> callers;
 
 private:
+    void print(peer_id const& from, peer_id const& to, message const& m);
+
     std::set<recovery_step> seen_;
     std::map<peer_id, other_routers> placements_;
 };
@@ -629,8 +633,10 @@
     void on_error(error const& e) override
     {
         later(
-            [this, code = e.code()]
+            [this, code = e.code(), text = std::string(e.what())]
             {
+                if (owner.world_.trace != nullptr)
+                    *owner.world_.trace << "caller: " << text << "\n";
                 ++owner.errors;
                 owner.last_error = code;
                 open = false;
@@ -673,6 +679,10 @@
     resume_point from;
     if (!event_id.empty())
         from = decode_event_id(event_id);
+    if (world_.trace != nullptr)
+        *world_.trace << request.request.value() << " to " << router << " from "
+                      << from.next_index << " epoch " << from.epoch << " tail "
+                      << from.tail.size() << "\n";
     connection_->number =
         world_.checker.connected(request.request, from.next_index);
     bool const first = reconnects == 0;
@@ -772,8 +782,10 @@
             std::make_unique<agent_process>(*this, peer_id(name), gate);
     }
     network.set_observer(
-        [this](peer_id const&, peer_id const&, message const& m)
+        [this](peer_id const& from, peer_id const& to, message const& m)
         {
+            if (trace != nullptr)
+                print(from, to, m);
             if (std::holds_alternative<dispatch_generation>(m))
                 reached(recovery_step::dispatch);
             if (std::holds_alternative<generation_finished>(m))
@@ -781,6 +793,42 @@
         });
 }
 
+inline void
+recovery_world::print(peer_id const& from, peer_id const& to, message const& m)
+{
+    auto const ms = std::chrono::duration_cast<milliseconds>(
+        scheduler.now().time_since_epoch() - std::chrono::hours(1));
+    *trace << ms.count() << ' ' << from.value() << "->" << to.value() << ' '
+           << kind_of(m);
+    if (request_of(m) != nullptr)
+        *trace << ' ' << request_of(m)->value();
+    std::visit(
+        [this](auto const& v)
+        {
+            using Kind = std::decay_t<decltype(v)>;
+            if constexpr (
+                std::is_same_v<Kind, token_batch> ||
+                std::is_same_v<Kind, attach_result> ||
+                std::is_same_v<Kind, journal_append>)
+                *trace << " attempt " << v.attempt << " epoch " << v.epoch
+                       << " from " << v.first_index;
+            else if constexpr (
+                std::is_same_v<Kind, dispatch_generation> ||
+                std::is_same_v<Kind, cancel> ||
+                std::is_same_v<Kind, generation_failed> ||
+                std::is_same_v<Kind, journal_state>)
+                *trace << " attempt " << v.attempt << " epoch " << v.epoch;
+            else if constexpr (
+                std::is_same_v<Kind, acknowledge> ||
+                std::is_same_v<Kind, attach> ||
+                std::is_same_v<Kind, journal_appended> ||
+                std::is_same_v<Kind, generation_finished>)
+                *trace << " epoch " << v.epoch << " next " << v.next_index;
+        },
+        m);
+    *trace << '\n';
+}
+
 inline recovery_world::~recovery_world()
 {
     callers.clear();
