--- a/src/recovery/generation_relay.cpp
+++ b/src/recovery/generation_relay.cpp
@@ -287,11 +287,24 @@
     g.listener.reset();
     g.ended = true;
     record(g, "generation_failed", e.what());
+    keep_copy(g);
     erase(g);
     if (listener)
         listener->on_error(e);
 }
 
+/// The other holders of the copies may be gone when the caller comes back, so
+/// what is known here goes to the journal holder of this router.
+void generation_relay::keep_copy(generation const& g)
+{
+    if (g.first_known > 0 || g.tokens.empty())
+        return;
+    transport_.send(
+        self_, journal_append{
+                   g.request.request, g.epoch, g.endpoint, g.last_attempt, 0,
+                   g.tokens, g.finished.has_value()});
+}
+
 /// Forgets the generation; the caller keeps the object alive.
 void generation_relay::erase(generation& g)
 {
--- a/src/recovery/generation_relay.hpp
+++ b/src/recovery/generation_relay.hpp
@@ -172,6 +172,7 @@
     token_index tail_start(generation const& g, token_index end) const;
     void finish(generation& g, finish_reason reason, attempt_number by_attempt);
     void fail(generation& g, error const& e);
+    void keep_copy(generation const& g);
     void erase(generation& g);
     void
     record(generation const& g, char const* step, std::string const& reason);
