--- /dev/null
+++ b/bench/claims.cpp
@@ -0,0 +1,415 @@
+// What a claim costs: store requests, added latency, CPU time and memory of
+// plain calls. Drives coordinator, gate and store client with small fakes in
+// virtual time and prints one JSON document. Two variants run side by side:
+// `baseline` is the same figure without group commit, or of idempotent calls.
+#include <malloc.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <ctime>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+#include <nlohmann/json.hpp>
+
+#include <dotterellock/admission.hpp>
+
+#include "claims/call_coordinator.hpp"
+#include "claims/call_gate.hpp"
+#include "fake_platform.hpp"
+#include "store/store_client.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr duration network_delay = 1ms;
+constexpr duration service_delay = 5ms;
+constexpr duration store_delay = 2ms;
+
+/// The test scheduler searches all events to cancel one; CPU figures need one
+/// that does not.
+class virtual_time : public clock_source, public timer_service
+{
+public:
+    steady_time now() const override { return now_; }
+    wall_time wall_now() const override { return {}; }
+
+    timer_id schedule(duration delay, std::function<void()> action) override
+    {
+        timer_id const id = ++last_;
+        events_.emplace(std::pair{now_ + delay, id}, std::move(action));
+        due_.emplace(id, now_ + delay);
+        return id;
+    }
+
+    void cancel(timer_id id) override
+    {
+        auto const found = due_.find(id);
+        if (found == due_.end())
+            return;
+        events_.erase({found->second, id});
+        due_.erase(found);
+    }
+
+    void advance(duration span)
+    {
+        steady_time const end = now_ + span;
+        while (!events_.empty() && events_.begin()->first.first <= end)
+        {
+            auto const first = events_.begin();
+            now_ = first->first.first;
+            due_.erase(first->first.second);
+            auto const action = std::move(first->second);
+            events_.erase(first);
+            action();
+        }
+        now_ = end;
+    }
+
+private:
+    steady_time now_{1h};
+    timer_id last_ = 0;
+    std::map<std::pair<steady_time, timer_id>, std::function<void()>> events_;
+    std::unordered_map<timer_id, steady_time> due_;
+};
+
+struct memory_table : table_service
+{
+    explicit memory_table(virtual_time& t) : time(t) {}
+    void commit(
+        std::vector<row_write> writes, duration,
+        std::function<void(commit_result)> done) override
+    {
+        ++commits;
+        time.schedule(
+            store_delay,
+            [this, writes = std::move(writes), done] { done(apply(writes)); });
+    }
+    commit_result apply(std::vector<row_write> const& writes)
+    {
+        commit_result result{store_status::ok, {}, {}};
+        for (auto const& w : writes)
+        {
+            auto const& present = rows[w.key];
+            if (w.expected && *w.expected != present.version)
+                result.conflicts.push_back(present);
+        }
+        if (!result.conflicts.empty())
+        {
+            result.status = store_status::conflict;
+            return result;
+        }
+        for (auto const& w : writes)
+        {
+            rows[w.key] = {w.key, *w.value, ++last};
+            result.versions.push_back(last);
+        }
+        return result;
+    }
+    void read(
+        std::vector<std::string> keys, duration,
+        std::function<void(read_result)> done) override
+    {
+        ++reads;
+        read_result result{store_status::ok, {}};
+        for (auto const& k : keys)
+            result.rows.push_back(rows[k]);
+        time.schedule(store_delay, [done, result] { done(result); });
+    }
+    void scan(std::string, duration, std::function<void(read_result)>) override
+    {
+    }
+    virtual_time& time;
+    std::uint64_t commits = 0;
+    std::uint64_t reads = 0;
+    row_version last = 0;
+    std::unordered_map<std::string, row> rows;
+};
+
+/// One router, one agent, one store.
+class world : dispatcher,
+              endpoint_lookup,
+              permit_issuer,
+              plain_service,
+              decision_log
+{
+    struct link : peer_transport
+    {
+        link(world& w, bool t) : owner(w), to_agent(t) {}
+        void send(peer_id const&, message m) override
+        {
+            owner.time.schedule(
+                network_delay,
+                [this, m = std::move(m)]
+                {
+                    if (to_agent)
+                        owner.gate.on_message(peer_id("r"), m);
+                    else
+                        owner.coordinator.on_message(peer_id("a"), m);
+                });
+        }
+        void reconnect(peer_id const&) override {}
+        world& owner;
+        bool to_agent;
+    };
+
+public:
+    explicit world(store_settings settings)
+        : table(time), client(table, time, time, random, settings, counters),
+          gate(1, time, time, to_router, *this, *this, policy, counters),
+          coordinator(
+              peer_id("r"), time, time, random, to_agent, *this, *this, client,
+              policy, *this, counters)
+    {
+    }
+
+    void submit(bool repeatable)
+    {
+        call_request c;
+        c.request = request_id("org/key-" + std::to_string(++submitted));
+        c.organisation = organisation_id("org");
+        c.service = service_name("bookings");
+        c.operation = "book";
+        c.body = "{\"seat\":17}";
+        c.repeatable = repeatable;
+        c.timeout = 5s;
+        auto const begun = time.now();
+        coordinator.call(
+            c,
+            [this, begun](call_reply const& reply)
+            {
+                if (reply.outcome == call_outcome::done)
+                    latencies.push_back(
+                        std::chrono::duration<double, std::milli>(
+                            time.now() - begun)
+                            .count());
+            });
+    }
+
+    /// Poisson arrivals.
+    void load(double per_second, std::size_t calls, bool repeatable)
+    {
+        for (std::size_t i = 0; i < calls; ++i)
+        {
+            std::chrono::duration<double> const gap{
+                -std::log(1 - random.uniform()) / per_second};
+            time.advance(std::chrono::duration_cast<duration>(gap));
+            submit(repeatable);
+        }
+        time.advance(5s);
+    }
+
+    virtual_time time;
+    seeded_random random{1};
+    counter_registry counters;
+    fixed_policy policy;
+    memory_table table;
+    store_client client;
+    link to_agent{*this, true};
+    link to_router{*this, false};
+    call_gate gate;
+    call_coordinator coordinator;
+    std::uint64_t submitted = 0;
+    std::vector<double> latencies;
+
+private:
+    void place(
+        place_request, std::function<void(placement)> placed,
+        std::function<void(error)>) override
+    {
+        time.schedule(
+            2 * network_delay,
+            [this, placed] {
+                placed({endpoint_id("e"), peer_id("a"), ++permit_, 1});
+            });
+    }
+    void withdraw(request_id const&, attempt_number) override {}
+    void finished(request_id const&, attempt_number, bool) override {}
+    std::vector<endpoint_info> serving(model_ref const&) const override
+    {
+        return {};
+    }
+    std::vector<endpoint_info> offering(service_name const&) const override
+    {
+        return {};
+    }
+    std::optional<endpoint_info> find(endpoint_id const&) const override
+    {
+        return std::nullopt;
+    }
+    std::optional<error_code>
+    redeem(permit_id, request_id const&, attempt_number, incarnation) override
+    {
+        return std::nullopt;
+    }
+    void release(permit_id, std::uint32_t) override {}
+    void call(
+        dispatch_call const&, std::function<void(service_answer)> done) override
+    {
+        time.schedule(
+            service_delay,
+            [done] {
+                done({true, true, 200, "application/json", "{\"ok\":1}", ""});
+            });
+    }
+    void record(decision const&) override {}
+
+    permit_id permit_ = 0;
+};
+
+class report
+{
+public:
+    void
+    add(std::string const& name, char const* unit, double value,
+        std::optional<double> baseline = std::nullopt)
+    {
+        records_.push_back(
+            {{"name", name},
+             {"unit", unit},
+             {"value", value},
+             {"baseline",
+              baseline ? nlohmann::json(*baseline) : nlohmann::json()}});
+    }
+    void print() const
+    {
+        nlohmann::json const document = {{"records", records_}};
+        std::puts(document.dump(2).c_str());
+    }
+
+private:
+    nlohmann::json records_ = nlohmann::json::array();
+};
+
+store_settings unlimited(bool group_commit)
+{
+    store_settings s;
+    s.writes_per_second = s.reads_per_second = 0;
+    if (!group_commit)
+        s.batch_delay = 0ms;
+    return s;
+}
+
+double percentile(std::vector<double> values, double share)
+{
+    if (values.empty())
+        return -1;
+    std::sort(values.begin(), values.end());
+    auto const i = static_cast<std::size_t>(
+        share * static_cast<double>(values.size() - 1) + 0.5);
+    return values[i];
+}
+
+void measure_store(report& out, unsigned per_second)
+{
+    std::size_t const calls = per_second * 10;
+    double writes[2];
+    double reads[2];
+    double done[2];
+    for (bool const grouped : {false, true})
+    {
+        world w(unlimited(grouped));
+        w.load(per_second, calls, false);
+        writes[grouped] = double(w.table.commits) / double(calls);
+        reads[grouped] = double(w.table.reads) / double(calls);
+        store_settings budget;
+        budget.batch_delay = unlimited(grouped).batch_delay;
+        world limited(budget);
+        limited.load(per_second, calls, false);
+        done[grouped] = double(limited.latencies.size()) / double(calls);
+    }
+    std::string const at = ".rate_" + std::to_string(per_second);
+    out.add(
+        "claims.store_writes_per_call" + at, "transactions", writes[1],
+        writes[0]);
+    out.add("claims.store_reads_per_call" + at, "requests", reads[1], reads[0]);
+    out.add(
+        "claims.done_share_at_200_writes_per_second" + at, "share", done[1],
+        done[0]);
+}
+
+void measure_latency(report& out)
+{
+    world claimed(unlimited(true));
+    claimed.load(100, 10'000, false);
+    world plain(unlimited(true));
+    plain.load(100, 10'000, true);
+    for (auto const& [name, share] :
+         {std::pair{"p50", 0.5}, {"p95", 0.95}, {"p99", 0.99}})
+        out.add(
+            std::string("claims.call_latency.") + name, "ms",
+            percentile(claimed.latencies, share),
+            percentile(plain.latencies, share));
+}
+
+/// CPU time of a call, fakes included, once the agent remembers others.
+double cpu_us_per_call(std::size_t remembered, bool repeatable)
+{
+    constexpr std::size_t calls = 20'000;
+    world w(unlimited(true));
+    w.policy.settings.call.result_kept_for = 24h;
+    w.load(1000, remembered, false);
+    std::clock_t const begun = std::clock();
+    w.load(1000, calls, repeatable);
+    return double(std::clock() - begun) * 1e6 / CLOCKS_PER_SEC / double(calls);
+}
+
+void measure_cpu(report& out)
+{
+    for (std::size_t const remembered : {0, 1'000, 10'000, 100'000})
+    {
+        out.add(
+            "claims.cpu_per_call.remembered_" + std::to_string(remembered),
+            "us", cpu_us_per_call(remembered, false),
+            cpu_us_per_call(remembered, true));
+    }
+}
+
+/// Heap growth of an agent a finished call, while the result is kept and after
+/// it was dropped; the baseline is what the gate accounts for.
+void measure_memory(report& out, std::size_t calls)
+{
+    world w(unlimited(true));
+    auto const before = mallinfo2().uordblks;
+    for (std::size_t i = 0; i < calls; ++i)
+    {
+        dispatch_call d;
+        d.request = request_id("org/key-" + std::to_string(i));
+        d.incarnation = 1;
+        w.gate.on_message(peer_id("r"), d);
+        if (i % 100 == 99)
+            w.time.advance(10ms);
+    }
+    w.time.advance(1s);
+    auto const add = [&](char const* name)
+    {
+        out.add(
+            std::string("claims.agent_memory_per_call.") + name +
+                ".remembered_" + std::to_string(calls),
+            "bytes", double(mallinfo2().uordblks - before) / double(calls),
+            double(w.gate.memory_bytes()) / double(calls));
+    };
+    add("result_kept");
+    w.time.advance(w.policy.settings.call.result_kept_for);
+    add("result_dropped");
+}
+
+} // namespace
+
+int main()
+{
+    report out;
+    for (unsigned const rate : {10u, 100u, 1000u})
+        measure_store(out, rate);
+    measure_latency(out);
+    measure_cpu(out);
+    for (std::size_t const calls : {1'000, 10'000, 100'000})
+        measure_memory(out, calls);
+    out.print();
+}
