Report the pace that the gate observes, not one derived from completions

Cause: pace was tokens of cost over run time, which differs by a factor of ten with the length of the answer; healthy endpoints were set aside. Change: observe_pace() takes the gate's decoding pace; throughput stays derived from completions.

--- a/src/queueing/reservation_queue.cpp
+++ b/src/queueing/reservation_queue.cpp
@@ -12,12 +12,11 @@
 constexpr milliseconds shortest_retry{100};
 constexpr milliseconds longest_retry{10000};
 
-// Weight of one completed stream in the mean pace; 10 completions replace 2/3.
-constexpr double pace_weight = 0.1;
+// Part of the throughput sums that one completion leaves; about 50 count.
+constexpr double completion_memory = 0.98;
 
-// Running work counts as evidence of a slow engine only when it is this much
-// slower than completed work, because estimates may be short by a factor.
-constexpr double stalled_pace_factor = 0.25;
+// Weight of one observed stream in the mean pace; 10 replace 2/3 of it.
+constexpr double pace_weight = 0.1;
 
 // Suspension waits for this part of the first-token target, so that the other
 // reservations of the same request, the extra one included, get a chance.
@@ -219,11 +218,8 @@
     double const ran = seconds(clock_.now() - r.since);
     if (r.asked.kind == work_kind::generation && ran > 0 && tokens > 0)
     {
-        double const measured = tokens / ran;
-        stream_pace_ =
-            stream_pace_ <= 0
-                ? measured
-                : stream_pace_ + pace_weight * (measured - stream_pace_);
+        completed_tokens_ = completion_memory * completed_tokens_ + tokens;
+        completed_seconds_ = completion_memory * completed_seconds_ + ran;
     }
     queue_.correct(r.served, tokens);
     if (r.suspending)
@@ -426,33 +422,30 @@
             static_cast<std::uint32_t>(queue_.waiting(r));
     }
     report.waiting_tokens = queue_.waiting_tokens();
-    report.tokens_per_second_per_stream = pace();
-    report.tokens_per_second = report.tokens_per_second_per_stream * running();
+    report.tokens_per_second_per_stream = stream_pace_;
+    report.tokens_per_second = tokens_per_second();
     report.draining = draining_;
     return report;
 }
 
-double reservation_queue::pace() const
+void reservation_queue::observe_pace(double tokens_per_second)
 {
-    double tokens = 0;
-    double age = 0;
-    for (auto const permit : running_permits_)
-    {
-        auto const& r = entries_.at(permit);
-        if (r.asked.kind != work_kind::generation)
-            continue;
-        tokens += r.served.entry.tokens;
-        age += seconds(clock_.now() - r.since);
-    }
-    // A stalled engine completes nothing; running work then shows its pace.
-    bool const stalled =
-        age > 0 && tokens / age < stalled_pace_factor * stream_pace_;
-    return stalled ? tokens / age : stream_pace_;
+    if (tokens_per_second <= 0)
+        return;
+    double const weight = stream_pace_ > 0 ? pace_weight : 1;
+    stream_pace_ += weight * (tokens_per_second - stream_pace_);
+}
+
+double reservation_queue::tokens_per_second() const
+{
+    return completed_seconds_ > 0
+               ? running() * completed_tokens_ / completed_seconds_
+               : 0;
 }
 
 milliseconds reservation_queue::retry_after() const
 {
-    double const rate = pace() * std::max<std::uint32_t>(running(), 1);
+    double const rate = tokens_per_second();
     if (rate <= 0)
         return shortest_retry;
     double const wait_ms =
--- a/src/queueing/reservation_queue.hpp
+++ b/src/queueing/reservation_queue.hpp
@@ -54,6 +54,11 @@
     /// Enables suspension of lower-rank generations; empty disables it.
     void set_preemption(suspend_function suspend);
 
+    /// The gate's measurement of one decoding stream, in tokens per second.
+    /// Without any, reports carry no pace and routers look for no stragglers
+    /// by pace.
+    void observe_pace(double tokens_per_second);
+
     load_report report() const;
     bool idle() const { return entries_.empty(); }
     std::uint32_t slots_in_use() const { return offered_ + running(); }
@@ -104,7 +109,7 @@
     void arm();
     void send_reports();
     milliseconds retry_after() const;
-    double pace() const;
+    double tokens_per_second() const;
 
     endpoint_id self_;
     dotterellock::incarnation incarnation_;
@@ -130,7 +135,9 @@
     std::uint32_t offered_ = 0;
     std::uint32_t suspending_ = 0;
     bool draining_ = false;
-    double stream_pace_ = 0; // tokens/s, mean of completed work; 0: unknown
+    double stream_pace_ = 0;       // mean of observations; 0: none yet
+    double completed_tokens_ = 0;  // decaying sums over completed work
+    double completed_seconds_ = 0; // of its run time
     suspend_function suspend_;
     timer_id deadline_timer_ = 0;
     timer_id report_timer_ = 0;
