--- a/src/queueing/reservation_queue.cpp
+++ b/src/queueing/reservation_queue.cpp
@@ -12,12 +12,18 @@
 constexpr milliseconds shortest_retry{100};
 constexpr milliseconds longest_retry{10000};
 
-// Weight of one completed stream in the mean pace; 10 completions replace 2/3.
+// Part of the throughput sums that one completion leaves; about 50 count.
+constexpr double completion_memory = 0.98;
+
+// Weight of one observed stream in the mean pace; 10 replace 2/3 of it.
 constexpr double pace_weight = 0.1;
 
-// Running work counts as evidence of a slow engine only when it is this much
-// slower than completed work, because estimates may be short by a factor.
-constexpr double stalled_pace_factor = 0.25;
+// An offer is sent later by a little for each work that has started within the
+// time of a usual prefill, so that of several agents with room the one that is
+// least busy with prefill offers first. Reports lag too much to show that.
+constexpr milliseconds usual_prefill{500};
+constexpr milliseconds offer_delay_per_start{5};
+constexpr std::size_t most_delaying_starts = 4;
 
 // Suspension waits for this part of the first-token target, so that the other
 // reservations of the same request, the extra one included, get a chance.
@@ -50,6 +56,8 @@
     timers_.cancel(deadline_timer_);
     timers_.cancel(report_timer_);
     timers_.cancel(preemption_timer_);
+    for (auto const& [permit, r] : entries_)
+        timers_.cancel(r.paced);
 }
 
 // ---- messages -------------------------------------------------------------
@@ -71,7 +79,7 @@
     {
         // Repeated because an answer may have been lost.
         auto const& r = entries_.at(known->second);
-        if (r.state == phase::offered)
+        if (r.state == phase::offered && r.paced == 0)
             send_offer(known->second, r);
         return;
     }
@@ -153,7 +161,7 @@
 
 void reservation_queue::offer_slots()
 {
-    while (!draining_ && slots_in_use() < capacity_)
+    while (slots_in_use() < capacity_)
     {
         auto const next = queue_.pop();
         if (!next)
@@ -167,8 +175,33 @@
         ++offered_;
         set_deadline(
             permit, r, r.since + policy_.current().queue.offer_validity);
+        if (queue_.size() == 0)
+            pace_offer(permit, r);
+        else
+            send_offer(permit, r);
+    }
+}
+
+void reservation_queue::pace_offer(permit_id permit, reservation& r)
+{
+    steady_time const now = clock_.now();
+    while (!recent_starts_.empty() &&
+           now - recent_starts_.front() > usual_prefill)
+        recent_starts_.pop_front();
+    auto const n = std::min(recent_starts_.size(), most_delaying_starts);
+    if (n == 0)
+    {
         send_offer(permit, r);
+        return;
     }
+    r.paced = timers_.schedule(
+        static_cast<int>(n) * offer_delay_per_start,
+        [this, permit]
+        {
+            auto& waiting = entries_.at(permit);
+            waiting.paced = 0;
+            send_offer(permit, waiting);
+        });
 }
 
 void reservation_queue::send_offer(permit_id permit, reservation const& r)
@@ -203,7 +236,9 @@
     }
     auto& r = found->second;
     clear_deadline(permit, r);
+    timers_.cancel(r.paced);
     r.state = phase::running;
+    recent_starts_.push_back(clock_.now());
     r.since = clock_.now();
     --offered_;
     running_permits_.insert(permit);
@@ -219,11 +254,8 @@
     double const ran = seconds(clock_.now() - r.since);
     if (r.asked.kind == work_kind::generation && ran > 0 && tokens > 0)
     {
-        double const measured = tokens / ran;
-        stream_pace_ =
-            stream_pace_ <= 0
-                ? measured
-                : stream_pace_ + pace_weight * (measured - stream_pace_);
+        completed_tokens_ = completion_memory * completed_tokens_ + tokens;
+        completed_seconds_ = completion_memory * completed_seconds_ + ran;
     }
     queue_.correct(r.served, tokens);
     if (r.suspending)
@@ -238,6 +270,7 @@
 {
     auto const& [permit, r] = *which;
     clear_deadline(permit, r);
+    timers_.cancel(r.paced);
     if (r.state == phase::offered)
     {
         --offered_;
@@ -260,8 +293,8 @@
     std::vector<permit_id> queued;
     for (auto const& [permit, r] : entries_)
     {
-        if (r.state == phase::queued)
-            queued.push_back(permit);
+        if (r.state == phase::queued || r.paced != 0)
+            queued.push_back(permit); // not offered yet
     }
     for (auto const permit : queued)
         refuse_queued(permit, error_code::endpoint_draining);
@@ -426,33 +459,30 @@
             static_cast<std::uint32_t>(queue_.waiting(r));
     }
     report.waiting_tokens = queue_.waiting_tokens();
-    report.tokens_per_second_per_stream = pace();
-    report.tokens_per_second = report.tokens_per_second_per_stream * running();
+    report.tokens_per_second_per_stream = stream_pace_;
+    report.tokens_per_second = tokens_per_second();
     report.draining = draining_;
     return report;
 }
 
-double reservation_queue::pace() const
+void reservation_queue::observe_pace(double tokens_per_second)
 {
-    double tokens = 0;
-    double age = 0;
-    for (auto const permit : running_permits_)
-    {
-        auto const& r = entries_.at(permit);
-        if (r.asked.kind != work_kind::generation)
-            continue;
-        tokens += r.served.entry.tokens;
-        age += seconds(clock_.now() - r.since);
-    }
-    // A stalled engine completes nothing; running work then shows its pace.
-    bool const stalled =
-        age > 0 && tokens / age < stalled_pace_factor * stream_pace_;
-    return stalled ? tokens / age : stream_pace_;
+    if (tokens_per_second <= 0)
+        return;
+    double const weight = stream_pace_ > 0 ? pace_weight : 1;
+    stream_pace_ += weight * (tokens_per_second - stream_pace_);
+}
+
+double reservation_queue::tokens_per_second() const
+{
+    return completed_seconds_ > 0
+               ? running() * completed_tokens_ / completed_seconds_
+               : 0;
 }
 
 milliseconds reservation_queue::retry_after() const
 {
-    double const rate = pace() * std::max<std::uint32_t>(running(), 1);
+    double const rate = tokens_per_second();
     if (rate <= 0)
         return shortest_retry;
     double const wait_ms =
