--- a/bench/whole_path.cpp
+++ b/bench/whole_path.cpp
@@ -72,8 +72,8 @@
 class record_list
 {
 public:
-    void add(
-        std::string const& name, std::string const& unit, double value,
+    void
+    add(std::string const& name, std::string const& unit, double value,
         json baseline = nullptr)
     {
         records_.push_back(
@@ -151,8 +151,7 @@
             d.first_token_ms.percentile(share));
         records.add(
             std::string("token_gap_") + name, "ms",
-            r.token_gap_ms.percentile(share),
-            d.token_gap_ms.percentile(share));
+            r.token_gap_ms.percentile(share), d.token_gap_ms.percentile(share));
     }
     records.add(
         "added_latency_answers_wrong_or_unfinished", "count",
@@ -342,7 +341,8 @@
     records.add("faulted_faults_injected", "count", schedule.faults());
     records.add("faulted_generations_complete", "count", double(c.complete));
     records.add("faulted_generations_wrong", "count", double(c.wrong));
-    records.add("faulted_generations_unfinished", "count", double(c.unfinished));
+    records.add(
+        "faulted_generations_unfinished", "count", double(c.unfinished));
     records.add("faulted_generations_refused", "count", double(refused));
     records.add("faulted_caller_reconnects", "count", double(c.reconnects));
     records.add(
--- a/src/configuration/configuration_node.cpp
+++ b/src/configuration/configuration_node.cpp
@@ -40,6 +40,7 @@
 constexpr seconds report_heartbeat{10};
 // Covers the slowest round trip between regions (40 ms) and 20 kB of document.
 constexpr milliseconds fetch_timeout{300};
+constexpr unsigned failures_before_store = 3;
 // In an outage the highest version of all peers that answer in this time
 // counts; two rounds of questions fit in.
 constexpr milliseconds peer_window{1000};
@@ -367,11 +368,19 @@
         fetching_ = next.version;
         ask(next.peer);
         fetch_timer_ =
-            timers_.schedule(fetch_timeout, [this] { fetch_next(); });
+            timers_.schedule(fetch_timeout, [this] { on_fetch_timeout(); });
         return;
     }
 }
 
+void configuration_node::on_fetch_timeout()
+{
+    // Peers have a newer version but none delivers it.
+    if (++fetch_failures_ % failures_before_store == 0)
+        poll();
+    fetch_next();
+}
+
 void configuration_node::end_fetch()
 {
     timers_.cancel(fetch_timer_);
@@ -402,6 +411,7 @@
         return;
     }
     adopted_.add();
+    fetch_failures_ = 0;
     if (fetching_ <= version_)
         fetch_next();
 }
--- a/src/configuration/configuration_node.hpp
+++ b/src/configuration/configuration_node.hpp
@@ -129,6 +129,7 @@
     void announce();
     void fetch(peer_id const& from, configuration_version version);
     void fetch_next();
+    void on_fetch_timeout();
     void end_fetch();
 
     void gossip();
@@ -180,6 +181,7 @@
     std::deque<source> sources_; // peers that have a newer version
     configuration_version fetching_ = 0;
     timer_id fetch_timer_ = 0;
+    unsigned fetch_failures_ = 0;
 
     std::map<peer_id, statement> statements_; // candidates only
     std::optional<row_version> report_row_;   // known version of own row
--- a/src/configuration/configuration_operator.cpp
+++ b/src/configuration/configuration_operator.cpp
@@ -55,9 +55,9 @@
 configuration_operator::configuration_operator(
     clock_source& clock, timer_service& timers, random_source& random,
     table_service& store, object_store& objects,
-    configuration_parser const& parser)
+    dotterellock::fleet_view& fleet, configuration_parser const& parser)
     : clock_(clock), timers_(timers), random_(random), store_(store),
-      objects_(objects), parser_(parser)
+      objects_(objects), fleet_(fleet), parser_(parser)
 {
 }
 
@@ -347,50 +347,50 @@
 
 // ---- standing -------------------------------------------------------------
 
-/// Registrations are read before reports: a process that registers in between
-/// starts with the store's current version.
 void configuration_operator::look(
     configuration_version version,
     std::function<void(bool, fleet_standing)> done)
 {
-    auto const on_reports = [this, version, done](
-                                rows const& endpoints, rows const& nodes,
-                                bool ok, rows const& reports)
+    auto const p = std::make_shared<picture>();
+    p->version = version;
+    p->done = std::move(done);
+    auto const on_reports = [this, p]
     {
-        if (!ok)
+        p->done(true, evaluate(*p));
+        remove_stale_reports(p->reports);
+    };
+    auto const on_nodes = [this, p, on_reports]
+    { look_at_rows(p, in_force_prefix, &picture::reports, on_reports); };
+    auto const on_endpoints = [this, p, on_nodes]
+    { look_at_rows(p, node_prefix, &picture::nodes, on_nodes); };
+    auto const on_hosts = [this, p, on_endpoints](fleet_result const& result)
+    {
+        if (result.status == store_status::ok)
         {
-            done(false, {});
-            return;
+            p->hosts.emplace();
+            for (auto const& entry : result.hosts)
+                p->hosts->insert(entry.host);
         }
-        done(true, evaluate(version, reports, endpoints, nodes));
-        remove_stale_reports(reports);
+        look_at_rows(p, endpoint_prefix, &picture::endpoints, on_endpoints);
     };
-    auto const on_nodes = [this, done, on_reports](
-                              rows const& endpoints, bool ok, rows const& nodes)
+    fleet_.hosts(store_timeout, guard_.wrap(on_hosts));
+}
+
+void configuration_operator::look_at_rows(
+    std::shared_ptr<picture> const& p, std::string const& prefix,
+    rows picture::*target, std::function<void()> const& next)
+{
+    auto const on_answer = [p, target, next](read_result const& result)
     {
-        if (!ok)
+        if (result.status != store_status::ok)
         {
-            done(false, {});
+            p->done(false, {});
             return;
         }
-        scan(
-            in_force_prefix,
-            [on_reports, endpoints, nodes](bool ok2, rows const& r)
-            { on_reports(endpoints, nodes, ok2, r); });
+        (*p).*target = result.rows;
+        next();
     };
-    scan(
-        endpoint_prefix,
-        [this, done, on_nodes](bool ok, rows const& endpoints)
-        {
-            if (!ok)
-            {
-                done(false, {});
-                return;
-            }
-            scan(
-                node_prefix, [on_nodes, endpoints](bool ok2, rows const& r)
-                { on_nodes(endpoints, ok2, r); });
-        });
+    store_.scan(prefix, store_timeout, guard_.wrap(on_answer));
 }
 
 bool configuration_operator::unchanged_for(row const& r, duration span)
@@ -401,13 +401,19 @@
     return clock_.now() - seen.since >= span;
 }
 
-fleet_standing configuration_operator::evaluate(
-    configuration_version version, rows const& reports, rows const& endpoints,
-    rows const& nodes)
+bool configuration_operator::dead(
+    row const& r, host_id const& host, picture const& p)
+{
+    bool const silent = unchanged_for(r, live_limit);
+    return silent && p.hosts && p.hosts->count(host) == 0;
+}
+
+/// Versions by process; adds to `live` who is heard by a present collector.
+std::map<peer_id, configuration_version>
+configuration_operator::reported(picture const& p, std::set<peer_id>& live)
 {
     std::map<peer_id, configuration_version> in_force;
-    std::set<peer_id> live;
-    for (auto const& r : reports)
+    for (auto const& r : p.reports)
     {
         auto const report = decode_in_force_report(r.value);
         if (!report)
@@ -421,15 +427,19 @@
                 live.insert(peer);
         }
     }
-    for (auto const* group : {&endpoints, &nodes})
+    return in_force;
+}
+
+fleet_standing configuration_operator::evaluate(picture const& p)
+{
+    std::set<peer_id> live;
+    auto const in_force = reported(p, live);
+    for (auto const* group : {&p.endpoints, &p.nodes})
     {
         for (auto const& r : *group)
         {
             auto const record = decode_registration_record(r.value);
-            bool const dead = unchanged_for(r, live_limit);
-            // A process that left and runs again without the store is live
-            // by its collector's word.
-            if (record && !dead && !record->left)
+            if (record && !record->left && !dead(r, record->info.host, p))
                 live.insert(record->info.agent);
         }
     }
@@ -440,7 +450,7 @@
         auto const found = in_force.find(peer);
         configuration_version const held =
             found == in_force.end() ? 0 : found->second;
-        if (held >= version)
+        if (held >= p.version)
             ++standing.in_force;
         else
             standing.missing.push_back({peer, held});
@@ -570,12 +580,4 @@
     store_.read({key}, store_timeout, guard_.wrap(on_answer));
 }
 
-void configuration_operator::scan(
-    std::string const& prefix, std::function<void(bool, rows)> const& done)
-{
-    auto const on_answer = [done](read_result const& result)
-    { done(result.status == store_status::ok, result.rows); };
-    store_.scan(prefix, store_timeout, guard_.wrap(on_answer));
-}
-
 } // namespace dotterellock
--- a/src/configuration/configuration_operator.hpp
+++ b/src/configuration/configuration_operator.hpp
@@ -9,9 +9,13 @@
 // back: the row, or the history from it, names the attempt that wrote it.
 //
 // Accepted means: every live process has the version or a later one in force.
-// A process counts as live while a zone collector hears it, or until its
-// registration was seen unchanged for `live_limit` of this tool's own clock.
-// No clocks of two hosts are compared.
+// A registered process counts as live until it left, or until three things are
+// true: no zone collector hears it, its row was seen unchanged for
+// `live_limit` of this tool's own clock, and the fleet view no longer lists
+// its host. Silence alone proves nothing: the processes of a region that is
+// cut off from the store go on serving. A process that started without the
+// store has its version from registered ones, so it lags behind none that
+// counts.
 #ifndef DOTTERELLOCK_CONFIGURATION_CONFIGURATION_OPERATOR_HPP
 #define DOTTERELLOCK_CONFIGURATION_CONFIGURATION_OPERATOR_HPP
 
@@ -103,7 +107,7 @@
     configuration_operator(
         clock_source& clock, timer_service& timers, random_source& random,
         table_service& store, object_store& objects,
-        configuration_parser const& parser);
+        dotterellock::fleet_view& fleet, configuration_parser const& parser);
     ~configuration_operator();
     configuration_operator(configuration_operator const&) = delete;
     configuration_operator& operator=(configuration_operator const&) = delete;
@@ -131,6 +135,19 @@
 
     using rows = std::vector<row>;
 
+    /// What one look reads, in this order: a process that registers during the
+    /// look starts with the store's current version.
+    struct picture
+    {
+        configuration_version version = 0;
+        bool complete = true;                   // every read was answered
+        std::optional<std::set<host_id>> hosts; // empty: view did not answer
+        rows endpoints;
+        rows nodes;
+        rows reports;
+        std::function<void(bool complete, fleet_standing)> done;
+    };
+
     // Steps of apply, in order.
     void read_base();
     void on_base(row const& current);
@@ -152,9 +169,13 @@
     void look(
         configuration_version version,
         std::function<void(bool complete, fleet_standing)> done);
-    fleet_standing evaluate(
-        configuration_version version, rows const& reports,
-        rows const& endpoints, rows const& nodes);
+    void look_at_rows(
+        std::shared_ptr<picture> const& p, std::string const& prefix,
+        rows picture::*target, std::function<void()> const& next);
+    fleet_standing evaluate(picture const& p);
+    std::map<peer_id, configuration_version>
+    reported(picture const& p, std::set<peer_id>& live);
+    bool dead(row const& r, host_id const& host, picture const& p);
     bool unchanged_for(row const& r, duration span);
     void remove_stale_reports(rows const& reports);
     void walk(
@@ -173,6 +194,7 @@
     random_source& random_;
     table_service& store_;
     object_store& objects_;
+    dotterellock::fleet_view& fleet_;
     configuration_parser const& parser_;
 
     apply_request request_;
--- a/src/ctl/commands.hpp
+++ b/src/ctl/commands.hpp
@@ -24,6 +24,7 @@
     random_source& random;
     table_service& store;
     object_store& objects;
+    dotterellock::fleet_view& fleet;
     std::function<void(std::function<bool()> done)> run_until;
     std::ostream& out;
     std::ostream& err;
--- a/src/ctl/options.cpp
+++ b/src/ctl/options.cpp
@@ -52,6 +52,8 @@
         cxxopts::value<std::string>())(
         "objects", "URL of the object store; also DOTTERELLOCK_OBJECTS",
         cxxopts::value<std::string>())(
+        "fleet", "URL of the fleet view; also DOTTERELLOCK_FLEET",
+        cxxopts::value<std::string>())(
         "author", "who changes something; also USER",
         cxxopts::value<std::string>())(
         "reason", "why an endpoint is drained or returned",
@@ -105,6 +107,7 @@
     o.version = parsed.count("version") != 0;
     o.table_url = text_or(parsed, "table", "DOTTERELLOCK_TABLE");
     o.objects_url = text_or(parsed, "objects", "DOTTERELLOCK_OBJECTS");
+    o.fleet_url = text_or(parsed, "fleet", "DOTTERELLOCK_FLEET");
     o.author = text_or(parsed, "author", "USER");
     o.reason = text_or(parsed, "reason", "DOTTERELLOCK_REASON");
     if (parsed.count("base") != 0)
--- a/src/ctl/options.hpp
+++ b/src/ctl/options.hpp
@@ -32,6 +32,7 @@
     bool version = false;
     std::string table_url;
     std::string objects_url;
+    std::string fleet_url;
     std::string author;
     std::string reason;
     std::optional<configuration_version> base;
--- a/src/placement/placement_planner.cpp
+++ b/src/placement/placement_planner.cpp
@@ -1,6 +1,7 @@
 #include "placement/placement_planner.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace dotterellock
@@ -18,9 +19,10 @@
 placement_planner::placement_planner(
     lease& holder, clock_source& clock, timer_service& timers,
     table_service& store, dotterellock::weight_store& weights,
-    decision_log& log, placement_settings settings, counter_registry& counters)
+    dotterellock::fleet_view& fleet, decision_log& log,
+    placement_settings settings, counter_registry& counters)
     : holder_(holder), clock_(clock), timers_(timers), store_(store),
-      weights_(weights), log_(log), settings_(settings),
+      weights_(weights), fleet_(fleet), log_(log), settings_(settings),
       changes_(counters.counter("placement_changes")),
       adopted_orders_(counters.counter("placement_orders_adopted")),
       store_failures_(counters.counter("placement_store_failures")),
@@ -155,19 +157,43 @@
     return fleet;
 }
 
+/// Rows of endpoints that are gone. Silence is not enough: an endpoint that is
+/// cut off from the store still serves, and configurations must wait for it.
 void placement_planner::remove_forgotten(std::vector<row> const& endpoints)
 {
+    std::vector<row> silent;
     for (auto const& r : endpoints)
     {
         auto const seen = seen_.find(r.key);
-        if (seen == seen_.end() ||
-            clock_.now() - seen->second.since < settings_.forget_after)
-            continue;
-        removed_rows_.add();
-        store_.commit(
-            {{r.key, std::nullopt, r.version}}, store_timeout,
-            [](commit_result const&) {});
+        if (seen != seen_.end() &&
+            clock_.now() - seen->second.since >= settings_.forget_after)
+            silent.push_back(r);
     }
+    if (silent.empty())
+        return;
+    auto const on_hosts = [this, silent](fleet_result const& result)
+    {
+        if (result.status != store_status::ok)
+            return;
+        std::set<host_id> present;
+        for (auto const& entry : result.hosts)
+            present.insert(entry.host);
+        for (auto const& r : silent)
+        {
+            auto const record = decode_registration_record(r.value);
+            if (record && present.count(record->info.host) == 0)
+                remove(r);
+        }
+    };
+    fleet_.hosts(store_timeout, guard_.wrap(on_hosts));
+}
+
+void placement_planner::remove(row const& endpoint)
+{
+    removed_rows_.add();
+    store_.commit(
+        {{endpoint.key, std::nullopt, endpoint.version}}, store_timeout,
+        [](commit_result const&) {});
 }
 
 /// Orders of the earlier holder that are not carried out yet would be ignored
--- a/src/placement/placement_planner.hpp
+++ b/src/placement/placement_planner.hpp
@@ -46,8 +46,8 @@
     placement_planner(
         lease& holder, clock_source& clock, timer_service& timers,
         table_service& store, dotterellock::weight_store& weights,
-        decision_log& log, placement_settings settings,
-        counter_registry& counters);
+        dotterellock::fleet_view& fleet, decision_log& log,
+        placement_settings settings, counter_registry& counters);
     ~placement_planner();
     placement_planner(placement_planner const&) = delete;
     placement_planner& operator=(placement_planner const&) = delete;
@@ -74,6 +74,7 @@
     std::vector<endpoint_standing> standings(
         std::vector<row> const& endpoints, std::vector<row> const& desired);
     void remove_forgotten(std::vector<row> const& endpoints);
+    void remove(row const& endpoint);
     bool adopt_orders(std::vector<endpoint_standing> const& fleet);
     std::optional<placement_change>
     next_change(std::vector<endpoint_standing> const& fleet);
@@ -91,6 +92,7 @@
     timer_service& timers_;
     table_service& store_;
     dotterellock::weight_store& weights_;
+    dotterellock::fleet_view& fleet_;
     decision_log& log_;
     placement_settings settings_;
     std::vector<model_plan> plans_;
--- /dev/null
+++ b/tests/configuration/apply_matrix_test.cpp
@@ -0,0 +1,197 @@
+#include "control_world.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+
+namespace
+{
+
+struct store_fault
+{
+    char const* name;
+    store_mode mode;
+};
+
+std::vector<store_fault> const store_faults = {
+    {"down", store_mode::down},
+    {"silent", store_mode::silent},
+    {"answer lost", store_mode::loses_answers},
+    {"late effect", store_mode::applies_late}};
+
+/// The operator's calls to the store while it applies version 2.
+struct apply_step
+{
+    char const* name;
+    std::size_t call;
+};
+
+std::vector<apply_step> const apply_steps = {
+    {"read", 0},   {"read document", 1}, {"history", 2}, {"write", 3},
+    {"answer", 4}, {"look", 5},          {"accepted", 9}};
+
+void record_first_version(control_world& w)
+{
+    operator_run& first = w.apply(100, std::nullopt);
+    REQUIRE(w.finish(first));
+    REQUIRE(first.result->outcome == apply_outcome::accepted);
+    REQUIRE(first.result->version == 1);
+}
+
+unsigned quantum_at(control_world const& w, std::size_t i)
+{
+    return w.fleet[i]->node.current().queue.quantum_tokens;
+}
+
+} // namespace
+
+// Guards against a version that is reported accepted before it is in force,
+// is recorded twice, or is lost when a call to the store fails at any step of
+// an apply, once or in a row.
+TEST_CASE("apply survives each store fault at each step")
+{
+    auto const step = GENERATE(from_range(apply_steps));
+    auto const fault = GENERATE(from_range(store_faults));
+    auto const times = GENERATE(1u, 2u, 5u);
+    CAPTURE(step.name, fault.name, times);
+    control_world w;
+    record_first_version(w);
+    operator_run& second = w.apply(200, 1);
+    second.process.break_calls(step.call, times, fault.mode);
+    REQUIRE(w.finish(second));
+    REQUIRE(second.result->outcome == apply_outcome::accepted);
+    REQUIRE(second.result->version == 2);
+    REQUIRE(w.everywhere(2));
+    REQUIRE(quantum_at(w, 8) == 200);
+    REQUIRE(w.history() == std::vector<configuration_version>{2, 1});
+    w.run(seconds(3)); // a write that takes effect late changes nothing
+    REQUIRE(w.history() == std::vector<configuration_version>{2, 1});
+}
+
+// Guards against an answer that claims more than is known when the store
+// stays away from some step on: before the write nothing may be recorded, at
+// the write the outcome is unknown, after it the version is recorded.
+TEST_CASE("apply tells what is known when the store stays away")
+{
+    auto const [call, mode, expected] =
+        GENERATE(table<std::size_t, store_mode, apply_outcome>({
+            {0, store_mode::down, apply_outcome::unavailable},
+            {2, store_mode::silent, apply_outcome::unavailable},
+            {3, store_mode::down, apply_outcome::unavailable},
+            {3, store_mode::silent, apply_outcome::unknown},
+            {3, store_mode::loses_answers, apply_outcome::unknown},
+            {4, store_mode::down, apply_outcome::not_accepted},
+            {5, store_mode::silent, apply_outcome::not_accepted},
+        }));
+    CAPTURE(call, to_string(expected));
+    control_world w;
+    record_first_version(w);
+    operator_run& second = w.apply(200, 1, seconds(20));
+    second.process.break_calls(call, 1000, mode);
+    REQUIRE(w.finish(second));
+    REQUIRE(second.result->outcome == expected);
+    bool const recorded = w.history().front() == 2;
+    if (expected == apply_outcome::unavailable)
+        REQUIRE_FALSE(recorded);
+    if (expected == apply_outcome::not_accepted)
+        REQUIRE(recorded);
+}
+
+// Guards against a half-made version when the tool dies at any step: the
+// fleet has one version or the other everywhere, and the next apply works.
+TEST_CASE("the operator's tool dies at each step")
+{
+    auto const step = GENERATE(from_range(apply_steps));
+    CAPTURE(step.name);
+    control_world w;
+    record_first_version(w);
+    operator_run& second = w.apply(200, 1);
+    second.process.set_before_call(
+        [&](std::size_t call)
+        {
+            if (call == step.call)
+                second.process.pause();
+        });
+    w.run(seconds(10));
+    configuration_version const current = w.history().front();
+    REQUIRE(w.everywhere(current));
+    operator_run& third = w.apply(300, current);
+    REQUIRE(w.finish(third));
+    REQUIRE(third.result->outcome == apply_outcome::accepted);
+    REQUIRE(w.history().size() == current + 1);
+    // The tool was paused, not dead, and goes on with an old view.
+    second.process.resume();
+    REQUIRE(w.finish(second));
+    w.run(seconds(3));
+    REQUIRE(w.history().size() == current + 1);
+    bool const lost = second.result->outcome == apply_outcome::conflict;
+    REQUIRE(lost == (current == 1));
+}
+
+// Guards against a lost update: of operators that race, also when answers are
+// lost, exactly one wins and each other is shown what it would overwrite.
+TEST_CASE("operators race")
+{
+    auto const step = GENERATE(from_range(apply_steps));
+    auto const mode = GENERATE(
+        store_mode::normal, store_mode::loses_answers, store_mode::silent);
+    auto const lead =
+        GENERATE(milliseconds(0), milliseconds(3), milliseconds(9));
+    CAPTURE(step.name, static_cast<int>(mode), lead.count());
+    control_world w;
+    record_first_version(w);
+    operator_run& left = w.apply(200, 1);
+    left.process.break_calls(step.call, 1, mode);
+    w.scheduler.advance(lead);
+    operator_run& right = w.apply(300, 1);
+    REQUIRE(w.finish(left));
+    REQUIRE(w.finish(right));
+    operator_run& winner =
+        right.result->outcome == apply_outcome::conflict ? left : right;
+    operator_run& loser = &winner == &left ? right : left;
+    REQUIRE(winner.result->outcome == apply_outcome::accepted);
+    REQUIRE(loser.result->outcome == apply_outcome::conflict);
+    REQUIRE(loser.result->version == 2);
+    std::string const theirs = &winner == &left ? "200" : "300";
+    REQUIRE(
+        loser.result->difference.find(
+            "-1: defaults: {queue: {quantum_tokens: " + theirs) == 0);
+    REQUIRE(w.history() == std::vector<configuration_version>{2, 1});
+    REQUIRE(std::to_string(quantum_at(w, 0)) == theirs);
+}
+
+// Guards against an attempt whose lost answer hides that it was recorded and
+// already replaced by a version built on it.
+TEST_CASE("a version that was superseded before its answer is found")
+{
+    control_world w;
+    record_first_version(w);
+    operator_run& second = w.apply(200, 1);
+    second.process.break_calls(3, 1, store_mode::loses_answers);
+    w.run(seconds(1));
+    operator_run& third = w.apply(300, 2);
+    REQUIRE(w.finish(third));
+    REQUIRE(w.finish(second));
+    REQUIRE(second.result->outcome == apply_outcome::superseded);
+    REQUIRE(w.history() == std::vector<configuration_version>{3, 2, 1});
+}
+
+// Guards against a document that reaches the store without a check, a base
+// that is guessed, and a repeated apply that makes a new version.
+TEST_CASE("apply checks document and base")
+{
+    control_world w;
+    REQUIRE_THROWS_AS(
+        w.operators
+            .emplace_back(std::make_unique<operator_run>(
+                w.scheduler, w.table, w.objects, w.hosts, w.parser, 9))
+            ->op.apply({"defaults: 5", "o", std::nullopt}, {}, {}),
+        error);
+    record_first_version(w);
+    operator_run& unbased = w.apply(200, std::nullopt);
+    REQUIRE(w.finish(unbased));
+    REQUIRE(unbased.result->outcome == apply_outcome::conflict);
+    operator_run& repeated = w.apply(100, std::nullopt);
+    REQUIRE(w.finish(repeated));
+    REQUIRE(repeated.result->outcome == apply_outcome::accepted);
+    REQUIRE(repeated.result->version == 1);
+}
--- /dev/null
+++ b/tests/configuration/control_world.hpp
@@ -0,0 +1,285 @@
+// A small fleet in virtual time: configuration nodes with registrations in
+// three zones of two regions, operators, and the invariants that hold at every
+// moment.
+#ifndef DOTTERELLOCK_TESTS_CONTROL_WORLD_HPP
+#define DOTTERELLOCK_TESTS_CONTROL_WORLD_HPP
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "configuration/configuration_node.hpp"
+#include "configuration/configuration_operator.hpp"
+#include "control_fakes.hpp"
+#include "fake_network.hpp"
+#include "membership/registration.hpp"
+#include "settings/fleet_document.hpp"
+
+namespace dotterellock::testing
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline std::string document_with(unsigned quantum)
+{
+    return "defaults: {queue: {quantum_tokens: " + std::to_string(quantum) +
+           "}}\n";
+}
+
+/// One process of the fleet; destroyed when the process dies.
+struct fleet_process
+{
+    fleet_process(
+        manual_scheduler& scheduler, fake_network& network,
+        fake_table_service& table, configuration_parser const& parser,
+        endpoint_info const& info, std::vector<configuration_peer> peers,
+        std::uint64_t seed)
+        : process(scheduler, table), random(seed),
+          node(
+              info.agent, {info.region, info.zone, info.host}, scheduler,
+              process, random, network.transport_of(info.agent), process,
+              parser, std::move(peers), counters),
+          member(info, scheduler, process, random, process, counters)
+    {
+        network.attach(info.agent, node);
+        node.start();
+        member.start();
+    }
+
+    fake_process process;
+    seeded_random random;
+    counter_registry counters;
+    configuration_node node;
+    registration member;
+    configuration_version highest_seen = 0;
+};
+
+/// One run of the operators' tool.
+struct operator_run
+{
+    operator_run(
+        manual_scheduler& scheduler, fake_table_service& table,
+        fake_object_store& objects, fake_fleet_view& hosts,
+        configuration_parser const& parser, std::uint64_t seed)
+        : process(scheduler, table, &objects), random(seed),
+          op(scheduler, process, random, process, process, hosts, parser)
+    {
+    }
+
+    fake_process process;
+    seeded_random random;
+    configuration_operator op;
+    std::optional<apply_result> result;
+};
+
+class control_world
+{
+public:
+    explicit control_world(std::uint64_t seed = 1) : seed_(seed)
+    {
+        for (char const* zone : {"a", "b", "c"})
+        {
+            for (int i = 0; i < 3; ++i)
+            {
+                endpoint_info info;
+                info.agent = peer_id(std::string(zone) + std::to_string(i));
+                info.endpoint = endpoint_id("e-" + info.agent.value());
+                info.host = host_id("h-" + info.agent.value());
+                info.zone = zone_id(zone);
+                info.region = region_id(zone[0] == 'c' ? "far" : "main");
+                infos.push_back(info);
+                peers_.push_back({info.agent, info.zone});
+            }
+        }
+        fleet.resize(infos.size());
+        for (std::size_t i = 0; i < infos.size(); ++i)
+            start(i);
+        run(seconds(2));
+    }
+
+    void start(std::size_t i)
+    {
+        hosts.result.hosts.push_back(
+            {infos[i].host, infos[i].zone, infos[i].region, {}});
+        fleet[i] = std::make_unique<fleet_process>(
+            scheduler, network, table, parser, infos[i], peers_, ++seed_);
+    }
+
+    void kill(std::size_t i)
+    {
+        network.kill(infos[i].agent);
+        graveyard_.push_back(std::move(fleet[i]));
+        graveyard_.back()->process.pause(); // its calls may still be answered
+        scheduler.schedule(seconds(5), [this, i] { forget_host(i); });
+    }
+
+    void pause(std::size_t i)
+    {
+        network.pause(infos[i].agent);
+        fleet[i]->process.pause();
+    }
+
+    void resume(std::size_t i)
+    {
+        network.resume(infos[i].agent);
+        fleet[i]->process.resume();
+    }
+
+    void cut_far_region()
+    {
+        for (auto const& a : infos)
+        {
+            for (auto const& b : infos)
+            {
+                if (a.region != b.region)
+                    network.partition(a.agent, b.agent);
+            }
+        }
+        set_far_link(store_mode::silent);
+    }
+
+    void heal()
+    {
+        network.heal();
+        set_far_link(store_mode::normal);
+    }
+
+    void set_far_link(store_mode how)
+    {
+        for (std::size_t i = 0; i < infos.size(); ++i)
+        {
+            if (infos[i].region.value() == "far" && fleet[i])
+                fleet[i]->process.set_link(how);
+        }
+    }
+
+    operator_run& apply(
+        unsigned quantum, std::optional<configuration_version> base,
+        duration limit = seconds(90))
+    {
+        operators.push_back(std::make_unique<operator_run>(
+            scheduler, table, objects, hosts, parser, ++seed_));
+        operator_run& run = *operators.back();
+        apply_request request;
+        request.document = document_with(quantum);
+        request.author = "operator " + std::to_string(operators.size());
+        request.base = base;
+        request.time_limit = limit;
+        run.op.apply(
+            request, {},
+            [this, &run](apply_result r)
+            {
+                run.result = r;
+                if (r.outcome == apply_outcome::accepted)
+                    note_accepted(r.version);
+            });
+        return run;
+    }
+
+    void run(duration span)
+    {
+        steady_time const end = scheduler.now() + span;
+        while (scheduler.now() < end)
+        {
+            scheduler.advance(milliseconds(20));
+            check();
+        }
+    }
+
+    bool run_until(std::function<bool()> const& done, duration limit)
+    {
+        steady_time const end = scheduler.now() + limit;
+        while (!done() && scheduler.now() < end)
+            run(milliseconds(20));
+        return done();
+    }
+
+    bool finish(operator_run& o, duration limit = seconds(120))
+    {
+        return run_until([&o] { return o.result.has_value(); }, limit);
+    }
+
+    /// Every process that runs is ready at this version.
+    bool everywhere(configuration_version version) const
+    {
+        for (auto const& p : fleet)
+        {
+            if (p && (!p->node.ready() || p->node.version() < version))
+                return false;
+        }
+        return true;
+    }
+
+    /// No process decides under a version below one that was accepted, and
+    /// none goes back.
+    void check()
+    {
+        for (auto const& p : fleet)
+        {
+            if (!p || !p->node.ready())
+                continue;
+            configuration_version const version = p->node.version();
+            REQUIRE(version >= accepted_);
+            REQUIRE(version >= p->highest_seen);
+            p->highest_seen = version;
+        }
+    }
+
+    /// Versions in the history, which must have no gap below the current one.
+    std::vector<configuration_version> history()
+    {
+        operators.push_back(std::make_unique<operator_run>(
+            scheduler, table, objects, hosts, parser, ++seed_));
+        std::optional<history_result> found;
+        operators.back()->op.history(
+            1000, [&found](history_result r) { found = std::move(r); });
+        run_until([&found] { return found.has_value(); }, seconds(10));
+        REQUIRE(found);
+        REQUIRE(found->problem.empty());
+        std::vector<configuration_version> versions;
+        for (auto const& entry : found->entries)
+            versions.push_back(entry.record.version);
+        return versions;
+    }
+
+    manual_scheduler scheduler;
+    fake_network network{scheduler};
+    fake_table_service table{scheduler};
+    fake_object_store objects{scheduler};
+    fake_fleet_view hosts{scheduler};
+    yaml_configuration_parser parser;
+    std::vector<endpoint_info> infos;
+    std::vector<std::unique_ptr<fleet_process>> fleet;
+    std::vector<std::unique_ptr<operator_run>> operators;
+
+private:
+    /// The fleet view notices a death late; hosts that run again stay.
+    void forget_host(std::size_t i)
+    {
+        auto& all = hosts.result.hosts;
+        auto const gone = [this, i](host_entry const& e)
+        { return e.host == infos[i].host; };
+        if (!fleet[i])
+            all.erase(std::remove_if(all.begin(), all.end(), gone), all.end());
+    }
+
+    void note_accepted(configuration_version version)
+    {
+        accepted_ = std::max(accepted_, version);
+        check();
+    }
+
+    std::uint64_t seed_;
+    configuration_version accepted_ = 0;
+    std::vector<configuration_peer> peers_;
+    std::vector<std::unique_ptr<fleet_process>> graveyard_;
+};
+
+} // namespace dotterellock::testing
+
+#endif
