--- a/src/membership/registration.cpp
+++ b/src/membership/registration.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds write_timeout{2000};
 constexpr milliseconds pause_limit{3000}; // a missed poll and some load
 constexpr milliseconds provisional_after{1000};
+constexpr seconds fresh_time{10};
+constexpr seconds rival_silence{40}; // two and a half heartbeats
 // Several changes of progress go into one write.
 constexpr milliseconds change_delay{500};
 constexpr double jitter = 0.1; // shortens; spreads what started together
@@ -89,7 +91,8 @@
 
 void registration::start()
 {
-    last_seen_ = clock_.now();
+    started_at_ = clock_.now();
+    last_seen_ = started_at_;
     provisional_timer_ =
         timers_.schedule(provisional_after, [this] { serve_provisionally(); });
     poll_timer_ =
@@ -155,6 +158,7 @@
     if (!paused)
         return;
     pauses_.add();
+    paused_once_ = true;
     desired_known_ = false;
     // Another run may have registered meanwhile.
     if (state_ == state::confirmed)
@@ -262,17 +266,41 @@
         beat_later();
         return;
     }
-    if (found && registered_)
+    if (found && (registered_ || has_live_rival(present, *found)))
     {
         supersede();
         return;
     }
+    if (rival_row_ != 0 && clock_.now() - rival_since_ < rival_silence)
+    {
+        row_.reset();
+        schedule_write(retry_interval);
+        return;
+    }
     if (found && found->incarnation >= record_.incarnation)
         record_.incarnation = found->incarnation + 1;
     changed_ = true;
     write_row();
 }
 
+/// A run that could not register at its start, or was paused before it did,
+/// may find a row of a run that started later. Whether that one still runs
+/// shows in its heartbeats. At its start a run takes the row at once.
+bool registration::has_live_rival(
+    row const& present, registration_record const& found)
+{
+    bool const fresh =
+        !paused_once_ && clock_.now() - started_at_ <= fresh_time;
+    bool const later = found.incarnation > record_.incarnation && !found.left;
+    if (fresh || !later)
+        return false;
+    bool const refreshed = rival_row_ != 0 && rival_row_ != present.version;
+    if (rival_row_ == 0)
+        rival_since_ = clock_.now();
+    rival_row_ = present.version;
+    return refreshed;
+}
+
 void registration::write_row()
 {
     write_pending_ = true;
--- a/src/membership/registration.hpp
+++ b/src/membership/registration.hpp
@@ -14,8 +14,8 @@
 // second; 600 agents that read their desired state every 2 s are 300 reads a
 // second, which keeps a drain within its 3 s.
 //
-// Of two runs for one endpoint the one that registered last is right; the
-// other finds its row replaced and stops (set_on_superseded).
+// Of two runs for one endpoint the later one is right; the other finds its row
+// replaced and stops (set_on_superseded).
 #ifndef DOTTERELLOCK_MEMBERSHIP_REGISTRATION_HPP
 #define DOTTERELLOCK_MEMBERSHIP_REGISTRATION_HPP
 
@@ -101,6 +101,7 @@
     void write_tick();
     void read_own_row();
     void on_own_row(read_result const& result);
+    bool has_live_rival(row const& present, registration_record const& found);
     void write_row();
     void on_written(commit_result const& result);
     void serve_provisionally();
@@ -126,6 +127,10 @@
     state state_ = state::starting;
     std::optional<row_version> row_; // known version of own row
     bool write_pending_ = false;
+    row_version rival_row_ = 0; // of a run that started later
+    steady_time rival_since_;
+    steady_time started_at_;
+    bool paused_once_ = false;
     bool registered_ = false; // this run has been in the row
     bool changed_ = false;    // routers must learn of it
     bool progressed_ = false; // operators should see it
--- a/src/placement/lease.cpp
+++ b/src/placement/lease.cpp
@@ -16,6 +16,8 @@
 
 // Parts of the term.
 constexpr int renewals_per_term = 3;
+// A tick that is half a period late means that the process stood still.
+constexpr int pauses_per_term = 2;
 constexpr int timeouts_per_term = 5;
 constexpr int retries_per_term = 6;
 // Covers clocks whose speed differs by up to a tenth.
@@ -103,7 +105,7 @@
 
 bool lease::paused() const
 {
-    return clock_.now() - last_seen_ > term_ * 2 / renewals_per_term;
+    return clock_.now() - last_seen_ > term_ / pauses_per_term;
 }
 
 bool lease::held() const
--- a/src/placement/placement_decision.cpp
+++ b/src/placement/placement_decision.cpp
@@ -8,10 +8,10 @@
 namespace
 {
 
-// Dead band, in endpoints: moving one changes both gaps by one, so a shift
-// cannot create the opposite one.
+// Dead band, in endpoints: a shift leaves the giving model without deficit and
+// the other with a surplus of at most 0.2, so it cannot cause the opposite one.
 constexpr double least_deficit = 0.8;
-constexpr double least_surplus = 1.2;
+constexpr double least_surplus = 1.0;
 
 bool has(std::vector<model_ref> const& models, std::string const& name)
 {
--- a/tests/membership/registration_test.cpp
+++ b/tests/membership/registration_test.cpp
@@ -159,6 +159,31 @@
     REQUIRE(r.seen == std::vector<incarnation>{far.incarnation + 1});
 }
 
+// Guards against an earlier run that was paused before it could register and
+// takes the row from the run that replaced it; but a silent rival must not
+// keep a run out for ever.
+TEST_CASE("an unregistered run gives way to a later one that is alive")
+{
+    auto const later_dies = GENERATE(false, true);
+    world w;
+    w.table.current = store_mode::down;
+    run& first = w.start();
+    w.scheduler.advance(seconds(2));
+    first.process.pause();
+    w.table.current = store_mode::normal;
+    run& second = w.start();
+    w.scheduler.advance(seconds(20));
+    if (later_dies)
+        second.process.pause();
+    first.process.resume();
+    w.scheduler.advance(seconds(60));
+    REQUIRE(first.member.superseded() != later_dies);
+    REQUIRE(first.member.confirmed() == later_dies);
+    REQUIRE(second.member.confirmed());
+    if (later_dies)
+        REQUIRE(first.member.current() > second.member.current());
+}
+
 // Guards against new work more than 3 s after a drain was recorded (G6), also
 // when the read that should show it fails.
 TEST_CASE("a drain is seen within three seconds")
@@ -199,10 +224,10 @@
     w.scheduler.advance(seconds(30));
     w.want_drain(true);
     REQUIRE_FALSE(r.member.may_offer());
-    r.process.resume();
-    REQUIRE_FALSE(r.member.may_offer());
     if (outage)
         w.table.current = store_mode::down;
+    r.process.resume();
+    REQUIRE_FALSE(r.member.may_offer());
     w.scheduler.advance(milliseconds(100));
     // In an outage the last known state stands: it must go on serving.
     REQUIRE(r.member.may_offer() == outage);
