--- a/src/choice/endpoint_directory.cpp
+++ b/src/choice/endpoint_directory.cpp
@@ -13,6 +13,12 @@
 // 8 endpoints per model: 40 for 5 models, whose load reports stay within the
 // 10 KB/s of a node. Two of them in other regions, when there are any.
 constexpr std::size_t subset_size = 8;
+
+// A fleet of this size is used in full: the reports cost no more than those of
+// 5 subsets, and the subsets of a few routers would leave endpoints unused (15%
+// of 16 endpoints for 4 routers with 6 near ones each).
+constexpr std::size_t whole_fleet_size = 40;
+
 constexpr std::size_t subset_other_regions = 2;
 constexpr std::size_t subset_own_zone = 4;
 
@@ -99,7 +105,7 @@
 
 void endpoint_directory::choose_subset(std::string const& key, group& g) const
 {
-    if (g.all.size() <= subset_size)
+    if (states_.size() <= whole_fleet_size || g.all.size() <= subset_size)
     {
         g.subset = g.all;
         return;
@@ -145,6 +151,22 @@
     take(1, subset_size);
 }
 
+std::set<peer_id> endpoint_directory::subset_agents() const
+{
+    std::set<peer_id> agents;
+    auto const add = [&](auto const& groups)
+    {
+        for (auto const& [what, g] : groups)
+        {
+            for (auto const i : g.subset)
+                agents.insert(states_[i].info.agent);
+        }
+    };
+    add(models_);
+    add(services_);
+    return agents;
+}
+
 endpoint_directory::state*
 endpoint_directory::state_of(endpoint_id const& endpoint)
 {
