--- /dev/null
+++ b/apps/ctl.cpp
@@ -0,0 +1,96 @@
+// dotterellock-ctl: the operators' tool. Binds the commands of src/ctl to the
+// platform's clients; everything runs on the main thread.
+#include <iostream>
+#include <optional>
+#include <stdexcept>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+
+#include "ctl/commands.hpp"
+#include "platform/http_stores.hpp"
+#include "process/asio_timer_service.hpp"
+#include "process/shard_executor.hpp"
+#include "process/system_runtime.hpp"
+
+namespace
+{
+
+using namespace dotterellock;
+
+void require_url(std::string const& url, char const* option)
+{
+    if (url.empty())
+        throw usage_error(std::string("--") + option + " is required");
+}
+
+ctl_exit run_with_store(ctl_options const& options)
+{
+    bool const endpoints = options.command == "endpoint";
+    require_url(options.table_url, "table");
+    if (!endpoints)
+    {
+        require_url(options.objects_url, "objects");
+        require_url(options.fleet_url, "fleet");
+    }
+    asio::io_context io;
+    auto const work = asio::make_work_guard(io);
+    std::optional<std::string> fault;
+    shard_executor executor(
+        io, [&fault](std::exception const& e) { fault = e.what(); });
+    monotonic_clock clock;
+    system_random random;
+    asio_timer_service timers(executor);
+    counter_registry counters;
+    curl_executor curl(counters);
+    http_table_service table(options.table_url, curl, executor.poster());
+    http_object_store objects(options.objects_url, curl, executor.poster());
+    http_fleet_view fleet(options.fleet_url, curl, executor.poster());
+    auto const run_until = [&io, &fault](std::function<bool()> const& done)
+    {
+        while (!done())
+        {
+            io.run_one();
+            if (fault)
+                throw std::runtime_error(*fault);
+        }
+    };
+    ctl_environment environment{clock, timers,    random,    table,    objects,
+                                fleet, run_until, std::cout, std::cerr};
+    return run_remote(options, environment);
+}
+
+ctl_exit run(std::vector<std::string> const& words)
+{
+    ctl_options const options = parse_ctl_options(words);
+    if (options.help)
+        std::cout << ctl_help();
+    else if (options.version)
+        std::cout << "dotterellock-ctl " DOTTERELLOCK_VERSION "\n";
+    else if (is_local(options))
+        return run_local(options, std::cout, std::cerr);
+    else
+        return run_with_store(options);
+    return ctl_exit::ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        return static_cast<int>(run({argv + 1, argv + argc}));
+    }
+    catch (usage_error const& e)
+    {
+        std::cerr << "dotterellock-ctl: " << e.what()
+                  << "; see dotterellock-ctl --help\n";
+        return static_cast<int>(ctl_exit::usage);
+    }
+    catch (std::exception const& e)
+    {
+        std::cerr << "dotterellock-ctl: " << e.what() << "\n";
+        return static_cast<int>(ctl_exit::internal);
+    }
+}
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -49,7 +49,7 @@
 
 // ---- files ----------------------------------------------------------------
 
-exit_code validate(ctl_options const& o, std::ostream& out)
+ctl_exit validate(ctl_options const& o, std::ostream& out)
 {
     std::string const& path = o.arguments[0];
     auto const exceptions =
@@ -57,7 +57,7 @@
     out << path << ": valid, " << exceptions.size() << " exception(s)\n";
     for (auto const& e : exceptions)
         out << "  " << e.name << " by " << e.owner << ": " << e.reason << "\n";
-    return exit_code::ok;
+    return ctl_exit::ok;
 }
 
 bool is_id_character(char c)
@@ -81,7 +81,7 @@
     return false;
 }
 
-exit_code explain(ctl_options const& o, std::ostream& out, std::ostream& err)
+ctl_exit explain(ctl_options const& o, std::ostream& out, std::ostream& err)
 {
     std::string const& id = o.arguments[0];
     std::size_t found = 0;
@@ -97,9 +97,9 @@
         }
     }
     if (found != 0)
-        return exit_code::ok;
+        return ctl_exit::ok;
     err << "no decision about " << id << " in the given files\n";
-    return exit_code::not_found;
+    return ctl_exit::not_found;
 }
 
 // ---- configuration --------------------------------------------------------
@@ -133,60 +133,60 @@
         e, [&op](auto done) { op.status(done); });
 }
 
-exit_code diff(ctl_options const& o, ctl_environment& e)
+ctl_exit diff(ctl_options const& o, ctl_environment& e)
 {
     std::string const document = read_file(o.arguments[0]);
     auto const status = read_status(e);
     if (!status.problem.empty())
     {
         e.err << status.problem << "\n";
-        return exit_code::unavailable;
+        return ctl_exit::unavailable;
     }
     if (status.record)
         print_record(e.out, *status.record);
     else
         e.out << "no version is recorded\n";
     e.out << document_difference(status.document, document);
-    return exit_code::ok;
+    return ctl_exit::ok;
 }
 
-exit_code report(apply_result const& result, ctl_environment& e)
+ctl_exit report(apply_result const& result, ctl_environment& e)
 {
     switch (result.outcome)
     {
     case apply_outcome::accepted:
         e.out << "version " << result.version << " accepted: in force at all "
               << result.fleet.live << " live processes\n";
-        return exit_code::ok;
+        return ctl_exit::ok;
     case apply_outcome::recorded:
         e.out << "version " << result.version << " recorded\n";
-        return exit_code::ok;
+        return ctl_exit::ok;
     case apply_outcome::superseded:
         e.out << "version " << result.version
               << " recorded, then superseded: " << result.detail << "\n";
-        return exit_code::ok;
+        return ctl_exit::ok;
     case apply_outcome::not_accepted:
         e.err << "version " << result.version
               << " is recorded but not accepted: " << result.detail << "\n";
         print_missing(e.err, result.fleet);
-        return exit_code::not_in_force;
+        return ctl_exit::not_in_force;
     case apply_outcome::conflict:
         e.err << "not recorded: " << result.detail
               << "; the difference from it to the document is\n"
               << result.difference << "review it and apply with --base "
               << result.version << "\n";
-        return exit_code::conflict;
+        return ctl_exit::conflict;
     case apply_outcome::unavailable:
         e.err << "not recorded: " << result.detail << "\n";
-        return exit_code::unavailable;
+        return ctl_exit::unavailable;
     case apply_outcome::unknown:
         e.err << "outcome unknown: " << result.detail << "\n";
-        return exit_code::unknown;
+        return ctl_exit::unknown;
     }
-    return exit_code::internal;
+    return ctl_exit::internal;
 }
 
-exit_code apply(ctl_options const& o, ctl_environment& e)
+ctl_exit apply(ctl_options const& o, ctl_environment& e)
 {
     apply_request request;
     request.document = read_file(o.arguments[0]);
@@ -213,13 +213,13 @@
         e);
 }
 
-exit_code status(ctl_environment& e)
+ctl_exit status(ctl_environment& e)
 {
     auto const status = read_status(e);
     if (!status.problem.empty())
     {
         e.err << status.problem << "\n";
-        return exit_code::unavailable;
+        return ctl_exit::unavailable;
     }
     if (status.record)
         print_record(e.out, *status.record);
@@ -227,10 +227,10 @@
         e.out << "no version is recorded\n";
     print_missing(e.out, status.fleet);
     e.out << (status.fleet.accepted() ? "accepted\n" : "not accepted\n");
-    return status.fleet.accepted() ? exit_code::ok : exit_code::not_in_force;
+    return status.fleet.accepted() ? ctl_exit::ok : ctl_exit::not_in_force;
 }
 
-exit_code history(ctl_options const& o, ctl_environment& e)
+ctl_exit history(ctl_options const& o, ctl_environment& e)
 {
     bool const one = !o.arguments.empty();
     std::string const wanted = one ? o.arguments[0] : "";
@@ -251,18 +251,18 @@
             bool const noted = noted_base(entry.document).has_value();
             std::size_t const from = noted ? entry.document.find('\n') + 1 : 0;
             e.out << entry.document.substr(from);
-            return exit_code::ok;
+            return ctl_exit::ok;
         }
     }
     if (!result.problem.empty())
     {
         e.err << result.problem << "\n";
-        return exit_code::unavailable;
+        return ctl_exit::unavailable;
     }
     if (!one)
-        return exit_code::ok;
+        return ctl_exit::ok;
     e.err << "no version " << wanted << "\n";
-    return exit_code::not_found;
+    return ctl_exit::not_found;
 }
 
 // ---- endpoints ------------------------------------------------------------
@@ -293,7 +293,7 @@
     }
 }
 
-exit_code endpoint_status_command(ctl_options const& o, ctl_environment& e)
+ctl_exit endpoint_status_command(ctl_options const& o, ctl_environment& e)
 {
     endpoint_operator op(e.clock, e.timers, e.random, e.store);
     auto const status = await<endpoint_status>(
@@ -301,46 +301,46 @@
     if (!status.answered)
     {
         e.err << "no answer from the store\n";
-        return exit_code::unavailable;
+        return ctl_exit::unavailable;
     }
     print_endpoint(e.out, status);
-    return status.registered ? exit_code::ok : exit_code::not_found;
+    return status.registered ? ctl_exit::ok : ctl_exit::not_found;
 }
 
-exit_code
+ctl_exit
 report(endpoint_outcome outcome, endpoint_status const& s, ctl_environment& e)
 {
     switch (outcome)
     {
     case endpoint_outcome::done:
         e.out << "done\n";
-        return exit_code::ok;
+        return ctl_exit::ok;
     case endpoint_outcome::recorded:
         e.out << "recorded\n";
-        return exit_code::ok;
+        return ctl_exit::ok;
     case endpoint_outcome::not_done:
         e.err << "recorded, but not done in time\n";
         print_endpoint(e.err, s);
-        return exit_code::not_in_force;
+        return ctl_exit::not_in_force;
     case endpoint_outcome::conflict:
         e.err << s.desired.author
               << " changed it first: " << (s.desired.drain ? "drain" : "return")
               << ", " << s.desired.reason << "\n";
-        return exit_code::conflict;
+        return ctl_exit::conflict;
     case endpoint_outcome::unavailable:
         e.err << "not recorded: no answer from the store\n";
-        return exit_code::unavailable;
+        return ctl_exit::unavailable;
     case endpoint_outcome::unknown:
         e.err << "outcome unknown: no answer from the store\n";
-        return exit_code::unknown;
+        return ctl_exit::unknown;
     case endpoint_outcome::not_found:
         e.err << "no such endpoint is registered\n";
-        return exit_code::not_found;
+        return ctl_exit::not_found;
     }
-    return exit_code::internal;
+    return ctl_exit::internal;
 }
 
-exit_code endpoint(ctl_options const& o, ctl_environment& e)
+ctl_exit endpoint(ctl_options const& o, ctl_environment& e)
 {
     if (o.arguments[0] == "status")
         return endpoint_status_command(o, e);
@@ -394,7 +394,7 @@
     return options.command == "validate" || options.command == "explain";
 }
 
-exit_code
+ctl_exit
 run_local(ctl_options const& options, std::ostream& out, std::ostream& err)
 {
     try
@@ -410,10 +410,10 @@
     {
         err << e.detail() << "\n";
     }
-    return exit_code::usage;
+    return ctl_exit::usage;
 }
 
-exit_code run_remote(ctl_options const& options, ctl_environment& environment)
+ctl_exit run_remote(ctl_options const& options, ctl_environment& environment)
 {
     try
     {
@@ -435,7 +435,7 @@
     {
         environment.err << e.detail() << "\n";
     }
-    return exit_code::usage;
+    return ctl_exit::usage;
 }
 
 } // namespace dotterellock
--- a/src/ctl/commands.hpp
+++ b/src/ctl/commands.hpp
@@ -32,10 +32,10 @@
 
 /// True for commands that read files only; run_local carries them out.
 bool is_local(ctl_options const& options);
-exit_code
+ctl_exit
 run_local(ctl_options const& options, std::ostream& out, std::ostream& err);
 
-exit_code run_remote(ctl_options const& options, ctl_environment& environment);
+ctl_exit run_remote(ctl_options const& options, ctl_environment& environment);
 
 /// "# version N" on the first line, as `history N` prints it.
 std::optional<configuration_version> noted_base(std::string const& document);
--- a/src/ctl/options.hpp
+++ b/src/ctl/options.hpp
@@ -14,7 +14,7 @@
 {
 
 /// Exit codes, by kind of failure.
-enum class exit_code
+enum class ctl_exit
 {
     ok = 0,
     internal = 1,
