Register, follow the fleet document and drain in both programs

Routers register as nodes, take endpoints from the registry when their settings list none, and the policy from the fleet document when it is not inline. New requests are refused while the configuration in force is not confirmed. Agents get their incarnation by registering, drain when an operator wants it, and carry out placement orders through the placement gate.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -162,8 +162,8 @@
         e.out << "version " << result.version << " recorded\n";
         return exit_code::ok;
     case apply_outcome::superseded:
-        e.out << "version " << result.version << " recorded, then superseded: "
-              << result.detail << "\n";
+        e.out << "version " << result.version
+              << " recorded, then superseded: " << result.detail << "\n";
         return exit_code::ok;
     case apply_outcome::not_accepted:
         e.err << "version " << result.version
@@ -239,8 +239,8 @@
         e.clock, e.timers, e.random, e.store, e.objects, parser);
     // A single version may lie anywhere in the list.
     std::size_t const limit = one ? std::size_t{1000000} : o.limit;
-    auto const result = await<history_result>(
-        e, [&](auto done) { op.history(limit, done); });
+    auto const result =
+        await<history_result>(e, [&](auto done) { op.history(limit, done); });
     for (auto const& entry : result.entries)
     {
         if (!one)
@@ -249,8 +249,7 @@
         {
             e.out << base_note << wanted << "\n";
             bool const noted = noted_base(entry.document).has_value();
-            std::size_t const from =
-                noted ? entry.document.find('\n') + 1 : 0;
+            std::size_t const from = noted ? entry.document.find('\n') + 1 : 0;
             e.out << entry.document.substr(from);
             return exit_code::ok;
         }
@@ -283,7 +282,7 @@
         out << "model: " << to_string(m) << "\n";
     for (auto const& service : r.info.services)
         out << "service: " << service.value() << "\n";
-    out << (r.left        ? "left"
+    out << (r.left       ? "left"
             : r.draining ? "draining"
                          : "in service")
         << ", in flight: " << r.in_flight << "\n";
@@ -308,8 +307,8 @@
     return status.registered ? exit_code::ok : exit_code::not_found;
 }
 
-exit_code report(
-    endpoint_outcome outcome, endpoint_status const& s, ctl_environment& e)
+exit_code
+report(endpoint_outcome outcome, endpoint_status const& s, ctl_environment& e)
 {
     switch (outcome)
     {
@@ -324,9 +323,9 @@
         print_endpoint(e.err, s);
         return exit_code::not_in_force;
     case endpoint_outcome::conflict:
-        e.err << s.desired.author << " changed it first: "
-              << (s.desired.drain ? "drain" : "return") << ", "
-              << s.desired.reason << "\n";
+        e.err << s.desired.author
+              << " changed it first: " << (s.desired.drain ? "drain" : "return")
+              << ", " << s.desired.reason << "\n";
         return exit_code::conflict;
     case endpoint_outcome::unavailable:
         e.err << "not recorded: no answer from the store\n";
--- a/src/ctl/endpoint_operator.cpp
+++ b/src/ctl/endpoint_operator.cpp
@@ -66,7 +66,8 @@
                       : endpoint_outcome::unavailable);
         return;
     }
-    timer_ = timers_.schedule(retry_interval, [this, step] { (this->*step)(); });
+    timer_ =
+        timers_.schedule(retry_interval, [this, step] { (this->*step)(); });
 }
 
 void endpoint_operator::read_present()
--- a/src/pipeline/request_path.cpp
+++ b/src/pipeline/request_path.cpp
@@ -64,10 +64,33 @@
     counter_registry& counters)
     : edge_(std::move(edge)), shards_(std::move(shards)), counters_(counters),
       requests_(counters.counter("http_requests_total")),
-      refused_(counters.counter("http_requests_refused_total"))
+      refused_(counters.counter("http_requests_refused_total")),
+      ready_until_(steady_time::min().time_since_epoch().count())
 {
 }
 
+bool request_path::ready() const
+{
+    auto const now = shards_.front().clock.now().time_since_epoch().count();
+    return !shutting_down_ && now <= ready_until_;
+}
+
+void request_path::check_accepting() const
+{
+    if (shutting_down_)
+    {
+        throw error(
+            error_code::shutting_down, "accept", "",
+            "this router is shutting down; use another one");
+    }
+    if (!ready())
+    {
+        throw error(
+            error_code::store_unavailable, "accept", "",
+            "the configuration in force is not confirmed", milliseconds(1000));
+    }
+}
+
 std::shared_ptr<exchange> request_path::handle(
     http_input input, std::shared_ptr<response_sink> const& sink)
 {
@@ -78,12 +101,7 @@
     context->input = std::move(input);
     try
     {
-        if (shutting_down_)
-        {
-            throw error(
-                error_code::shutting_down, "accept", "",
-                "this router is shutting down; use another one");
-        }
+        check_accepting();
         for (filter* const f : edge_)
             f->apply(*context);
     }
@@ -115,12 +133,11 @@
     }
     if (input.path == "/readyz")
     {
-        bool const ready = ready_ && !shutting_down_;
         sink.respond(
-            ready
+            ready()
                 ? plain_text(200, "ready\n")
                 : plain_text(
-                      503, shutting_down_ ? "shutting down\n" : "starting\n"));
+                      503, shutting_down_ ? "shutting down\n" : "not ready\n"));
         return true;
     }
     if (input.path == "/metrics")
--- a/src/pipeline/request_path.hpp
+++ b/src/pipeline/request_path.hpp
@@ -56,12 +56,20 @@
     /// /readyz fails and new requests are refused from now on.
     void begin_shutdown() { shutting_down_ = true; }
 
-    /// Answers of /readyz before shutdown.
-    void set_ready(bool ready) { ready_ = ready; }
+    /// Before the first call and after `until` new requests are refused and
+    /// /readyz fails. A bound in time, since a process that was paused would
+    /// otherwise go on with what held before.
+    void set_ready_until(steady_time until)
+    {
+        ready_until_ = until.time_since_epoch().count();
+    }
 
 private:
     class open_exchange;
 
+    bool ready() const;
+    void check_accepting() const;
+
     bool answer_operators(http_input const& input, response_sink& sink) const;
     void hand_over(
         request_shard& shard, std::shared_ptr<request_context> const& context,
@@ -75,7 +83,7 @@
     counter& requests_;
     counter& refused_;
     std::atomic<bool> shutting_down_{false};
-    std::atomic<bool> ready_{false};
+    std::atomic<duration::rep> ready_until_;
 };
 
 } // namespace dotterellock
--- /dev/null
+++ b/src/process/agent_graph.hpp
@@ -0,0 +1,87 @@
+// Everything of an agent under one lock: the node that schedules and runs
+// work, registration and drain, configuration, and orders to the engine. The
+// node exists once the incarnation is known, and is replaced should
+// registering raise it.
+#ifndef DOTTERELLOCK_PROCESS_AGENT_GRAPH_HPP
+#define DOTTERELLOCK_PROCESS_AGENT_GRAPH_HPP
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "agent_node.hpp"
+#include "configuration/configuration_node.hpp"
+#include "membership/registration.hpp"
+#include "placement/placement_gate.hpp"
+#include "program_settings.hpp"
+#include "settings/fleet_document.hpp"
+
+namespace dotterellock
+{
+
+/// What the agent's endpoint is; exactly one is not null.
+struct agent_backend
+{
+    dotterellock::engine* engine = nullptr;
+    dotterellock::plain_service* service = nullptr;
+};
+
+class agent_graph : public message_handler
+{
+public:
+    /// @param address     "ip:port" at which routers reach the agent
+    /// @param superseded  called when another run of this agent replaced it
+    agent_graph(
+        agent_settings const& settings, std::string const& address,
+        runtime_services runtime, table_service& store, agent_backend backend,
+        std::function<void()> superseded);
+    ~agent_graph() override;
+
+    agent_graph(agent_graph const&) = delete;
+    agent_graph& operator=(agent_graph const&) = delete;
+
+    void start();
+
+    /// Takes no new work from now on; marks the registration as left once the
+    /// work in flight has ended.
+    void begin_shutdown();
+    bool finished() const { return finished_; }
+
+    void on_message(peer_id const& from, message const& m) override;
+    void on_disconnected(peer_id const& peer) override;
+
+    bool draining() const;
+    std::size_t open_work() const { return node_ ? node_->open_work() : 0; }
+
+private:
+    void make_registration(std::string const& address);
+    void make_placement(engine& engine);
+    void make_node(incarnation run);
+    void tick();
+    void end_registration();
+    policy_source const& policy() const;
+
+    agent_settings const settings_;
+    runtime_services const runtime_;
+    table_service& store_;
+    agent_backend const backend_;
+    std::function<void()> const superseded_;
+    yaml_configuration_parser const parser_;
+    published_policy policy_;
+    std::optional<configuration_node> configuration_;
+    std::optional<registration> registration_;
+    std::optional<placement_gate> placement_;
+    std::unique_ptr<agent_node> node_;
+
+    bool stopping_ = false;
+    bool leaving_ = false; // the row is being marked
+    bool finished_ = false;
+    bool placement_drain_ = false;
+    std::function<void()> placement_drained_;
+    timer_id tick_timer_ = 0;
+    timer_id leave_timer_ = 0;
+};
+
+} // namespace dotterellock
+
+#endif
--- a/src/process/agent_node.hpp
+++ b/src/process/agent_node.hpp
@@ -38,8 +38,8 @@
     void on_message(peer_id const& from, message const& m) override;
     void on_disconnected(peer_id const& peer) override;
 
-    /// Nothing new is offered; work in flight goes on.
-    void begin_drain() { queue_.set_draining(true); }
+    /// While draining nothing new is offered; work in flight goes on.
+    void set_draining(bool draining) { queue_.set_draining(draining); }
 
     /// Runs and calls that have not ended, and offers that may become some.
     std::size_t open_work() const;
--- a/src/process/agent_process.cpp
+++ b/src/process/agent_process.cpp
@@ -4,15 +4,17 @@
 #include <memory>
 #include <utility>
 
-#include "agent_node.hpp"
+#include "agent_graph.hpp"
 #include "asio_timer_service.hpp"
 #include "platform/curl_executor.hpp"
 #include "platform/http_engine.hpp"
 #include "platform/http_plain_service.hpp"
+#include "platform/http_stores.hpp"
 #include "process_frame.hpp"
 #include "process_log.hpp"
 #include "shard_executor.hpp"
 #include "system_runtime.hpp"
+#include "unavailable_store.hpp"
 #include "wire/tcp_peer_transport.hpp"
 
 namespace dotterellock
@@ -25,17 +27,6 @@
 // while the first runs it.
 constexpr unsigned io_threads = 2;
 
-/// Rises with each start as long as the clock of the host does not go back;
-/// the low bits keep two starts within one millisecond apart.
-incarnation incarnation_at_start(clock_source& clock, random_source& random)
-{
-    constexpr unsigned random_bits = 20;
-    auto const since_1970 = std::chrono::duration_cast<milliseconds>(
-        clock.wall_now().time_since_epoch());
-    return static_cast<incarnation>(since_1970.count()) << random_bits |
-           random.below(1u << random_bits);
-}
-
 class agent_process
 {
 public:
@@ -48,15 +39,13 @@
     void run();
 
 private:
-    void make_node();
-    bool finished();
+    void make_graph();
 
     agent_settings const settings_;
     counter_registry counters_;
     monotonic_clock clock_;
     system_random random_;
     log4cplus_decision_log log_;
-    fixed_policy_source policy_;
     process_frame frame_;
     shard_executor executor_;
     asio_timer_service timers_;
@@ -64,62 +53,73 @@
     tcp_peer_transport transport_;
     std::unique_ptr<engine> engine_;
     std::unique_ptr<plain_service> service_;
-    std::unique_ptr<agent_node> node_;
+    std::unique_ptr<table_service> store_;
+    std::unique_ptr<agent_graph> graph_;
 };
 
 agent_process::agent_process(agent_settings const& settings)
-    : settings_(settings), policy_(settings.policy.value_or(policy_settings{})),
-      frame_(io_threads), executor_(frame_.io(), &log_fault),
-      timers_(executor_), curl_(counters_),
+    : settings_(settings), frame_(io_threads),
+      executor_(frame_.io(), &log_fault), timers_(executor_), curl_(counters_),
       transport_(
           frame_.io(),
           transport_settings(settings.self(), settings.peer_listen),
           [this](peer_id const& from, message m)
           {
               executor_.post([this, from, m = std::move(m)]
-                             { node_->on_message(from, m); });
+                             { graph_->on_message(from, m); });
           },
           [this](peer_id const& peer)
-          { executor_.post([this, peer] { node_->on_disconnected(peer); }); },
+          { executor_.post([this, peer] { graph_->on_disconnected(peer); }); },
           counters_)
 {
-    executor_.run([this] { make_node(); });
+    executor_.run([this] { make_graph(); });
 }
 
-void agent_process::make_node()
+void agent_process::make_graph()
 {
-    agent_identity const identity{
-        settings_.endpoint, incarnation_at_start(clock_, random_),
-        settings_.capacity};
-    runtime_services const runtime{clock_,     timers_, random_,
-                                   transport_, log_,    counters_};
+    for (auto const& r : settings_.routers)
+        transport_.set_address(r.info.router, r.address);
+    auto const poster = executor_.poster();
+    agent_backend backend;
     if (!settings_.engine_url.empty())
     {
-        engine_ = std::make_unique<http_engine>(
-            settings_.engine_url, curl_, executor_.poster());
-        node_ =
-            std::make_unique<agent_node>(identity, runtime, *engine_, policy_);
-        return;
+        engine_ =
+            std::make_unique<http_engine>(settings_.engine_url, curl_, poster);
+        backend.engine = engine_.get();
+    }
+    else
+    {
+        service_ = std::make_unique<http_plain_service>(
+            settings_.service_url, curl_, poster);
+        backend.service = service_.get();
     }
-    service_ = std::make_unique<http_plain_service>(
-        settings_.service_url, curl_, executor_.poster());
-    node_ = std::make_unique<agent_node>(identity, runtime, *service_, policy_);
+    if (settings_.table_service_url.empty())
+        store_ = std::make_unique<unavailable_store>(poster);
+    else
+        store_ = std::make_unique<http_table_service>(
+            settings_.table_service_url, curl_, poster);
+    std::string const& advertised = settings_.peer_address;
+    graph_ = std::make_unique<agent_graph>(
+        settings_, advertised.empty() ? transport_.listening_on() : advertised,
+        runtime_services{clock_, timers_, random_, transport_, log_, counters_},
+        *store_, backend,
+        [this]
+        {
+            log_event(log_level::warn, "superseded", {});
+            frame_.stop();
+        });
 }
 
 void agent_process::run()
 {
     transport_.start();
+    executor_.post([this] { graph_->start(); });
     std::vector<log_field> const at = {{"peer", transport_.listening_on()}};
     std::cout << format_event(false, "listening", at) << std::endl;
     log_event(log_level::info, "started", {{"self", settings_.self().value()}});
     frame_.run(
-        [this] { executor_.post([this] { node_->begin_drain(); }); },
-        [this] { return finished(); });
-}
-
-bool agent_process::finished()
-{
-    return executor_.run([this] { return node_->open_work() == 0; });
+        [this] { executor_.post([this] { graph_->begin_shutdown(); }); }, [this]
+        { return executor_.run([this] { return graph_->finished(); }); });
 }
 
 } // namespace
--- a/src/process/message_distribution.cpp
+++ b/src/process/message_distribution.cpp
@@ -39,6 +39,7 @@
 {
     for (target const& t : shards_)
         t.post([&t, peer] { t.handler.on_disconnected(peer); });
+    control_.post([this, peer] { control_.handler.on_disconnected(peer); });
 }
 
 message_distribution::last_heard&
--- a/src/process/message_distribution.hpp
+++ b/src/process/message_distribution.hpp
@@ -1,5 +1,6 @@
-// Hands messages from the transport to the shards of a router: those about a
-// request to its shard, all others to every shard. Called on I/O threads,
+// Hands messages from the transport to the object graphs of a router: those
+// about a request to its shard, those about configuration to the control
+// graph, all others to every shard. Called on I/O threads,
 // without locks; never waits for a shard.
 #ifndef DOTTERELLOCK_PROCESS_MESSAGE_DISTRIBUTION_HPP
 #define DOTTERELLOCK_PROCESS_MESSAGE_DISTRIBUTION_HPP
@@ -20,15 +21,17 @@
 class message_distribution
 {
 public:
-    /// A shard: runs a function later under its lock and has a handler.
+    /// A graph: runs a function later under its lock and has a handler.
     struct target
     {
         std::function<void(std::function<void()>)> post;
         message_handler& handler;
     };
 
-    message_distribution(std::vector<target> shards, clock_source& clock)
-        : shards_(std::move(shards)), clock_(clock)
+    message_distribution(
+        std::vector<target> shards, target control, clock_source& clock)
+        : shards_(std::move(shards)), control_(std::move(control)),
+          clock_(clock)
     {
     }
 
@@ -42,6 +45,7 @@
     last_heard& heard_by_shards(peer_id const& peer);
 
     std::vector<target> const shards_;
+    target const control_;
     clock_source& clock_;
     std::shared_mutex mutex_; // guards the map, not the values
     std::map<peer_id, std::unique_ptr<last_heard>> heard_;
--- a/src/process/process_frame.cpp
+++ b/src/process/process_frame.cpp
@@ -5,6 +5,8 @@
 #include <thread>
 #include <vector>
 
+#include <asio/post.hpp>
+
 #include "logging.hpp"
 
 namespace dotterellock
@@ -19,7 +21,8 @@
 
 process_frame::process_frame(unsigned threads)
     : threads_(threads), io_(static_cast<int>(threads)),
-      signals_(io_, SIGTERM, SIGINT), end_timer_(io_)
+      strand_(asio::make_strand(io_)), signals_(strand_, SIGTERM, SIGINT),
+      end_timer_(strand_)
 {
 }
 
@@ -45,22 +48,30 @@
         {
             if (failure)
                 return;
-            if (stopping_)
-            {
-                log_event(log_level::warn, "stopped_at_once", {});
-                io_.stop();
-                return;
-            }
-            stopping_ = true;
-            log_event(
-                log_level::info, "shutdown_begins",
-                {{"signal", std::to_string(signal)}});
-            begin_shutdown_();
+            begin_end("signal " + std::to_string(signal));
             wait_for_signal();
-            wait_for_end();
         });
 }
 
+void process_frame::stop()
+{
+    asio::post(strand_, [this] { begin_end("request"); });
+}
+
+void process_frame::begin_end(std::string const& cause)
+{
+    if (stopping_)
+    {
+        log_event(log_level::warn, "stopped_at_once", {{"cause", cause}});
+        io_.stop();
+        return;
+    }
+    stopping_ = true;
+    log_event(log_level::info, "shutdown_begins", {{"cause", cause}});
+    begin_shutdown_();
+    wait_for_end();
+}
+
 void process_frame::wait_for_end()
 {
     end_timer_.expires_after(end_poll_interval);
--- a/src/process/process_frame.hpp
+++ b/src/process/process_frame.hpp
@@ -4,12 +4,13 @@
 #ifndef DOTTERELLOCK_PROCESS_PROCESS_FRAME_HPP
 #define DOTTERELLOCK_PROCESS_PROCESS_FRAME_HPP
 
-#include <atomic>
 #include <functional>
+#include <string>
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
 
 namespace dotterellock
 {
@@ -26,15 +27,20 @@
     void
     run(std::function<void()> begin_shutdown, std::function<bool()> finished);
 
+    /// Begins the same shutdown as a signal; from any thread.
+    void stop();
+
 private:
+    void begin_end(std::string const& cause);
     void wait_for_signal();
     void wait_for_end();
 
     unsigned const threads_;
     asio::io_context io_;
+    asio::strand<asio::io_context::executor_type> strand_;
     asio::signal_set signals_;
     asio::steady_timer end_timer_;
-    bool stopping_ = false; // in handlers of signals_ only
+    bool stopping_ = false; // on strand_ only
     std::function<void()> begin_shutdown_;
     std::function<bool()> finished_;
 };
--- a/src/process/program_settings.cpp
+++ b/src/process/program_settings.cpp
@@ -199,6 +199,15 @@
     return read_inline_policy(*reader);
 }
 
+std::string optional_address(yaml_reader& reader, char const* key)
+{
+    std::string text;
+    reader.optional(key, text, 100u);
+    if (!text.empty())
+        check_address(reader, key, text);
+    return text;
+}
+
 // ---- writers --------------------------------------------------------------
 
 void write_location(YAML::Emitter& out, node_location const& at)
@@ -251,10 +260,10 @@
     out << YAML::EndSeq;
 }
 
-void write_fleet(YAML::Emitter& out, router_settings const& s)
+void write_routers(YAML::Emitter& out, std::vector<router_entry> const& routers)
 {
     out << YAML::Key << "routers" << YAML::Value << YAML::BeginSeq;
-    for (auto const& r : s.routers)
+    for (auto const& r : routers)
     {
         out << YAML::BeginMap;
         write(out, "router", r.info.router.value().substr(7));
@@ -264,6 +273,10 @@
         out << YAML::EndMap;
     }
     out << YAML::EndSeq;
+}
+
+void write_endpoints(YAML::Emitter& out, router_settings const& s)
+{
     out << YAML::Key << "endpoints" << YAML::Value << YAML::BeginSeq;
     for (auto const& e : s.endpoints)
     {
@@ -293,9 +306,9 @@
     out << YAML::EndSeq;
 }
 
-char const* policy_source_text(std::optional<policy_settings> const& policy)
+void write_policy_source(YAML::Emitter& out, char const* source)
 {
-    return policy ? "inline, from this file" : "from the fleet document";
+    out << YAML::Newline << YAML::Comment(std::string("policy: ") + source);
 }
 
 } // namespace
@@ -313,6 +326,8 @@
     root.optional("threads", s.threads, 1u, max_threads);
     s.table_service_url = optional_url(root, "table_service_url");
     s.object_store_url = optional_url(root, "object_store_url");
+    s.fleet_view_url = optional_url(root, "fleet_view_url");
+    s.peer_address = optional_address(root, "peer_address");
     s.routers = read_routers(root);
     s.endpoints = read_endpoints(root);
     s.identify.organisations = read_organisations(root);
@@ -325,6 +340,12 @@
         "default_max_tokens", s.limits.default_max_tokens, 1u,
         s.limits.max_max_tokens);
     s.policy = read_policy(root);
+    if (!s.policy && s.table_service_url.empty())
+    {
+        root.fail(
+            "policy", "and table_service_url are both missing",
+            "a policy, or the table service that has the fleet document");
+    }
     s.log = read_log(root);
     root.finish();
     return s;
@@ -363,6 +384,8 @@
             "models with engine_url, services with service_url");
     }
     s.table_service_url = optional_url(root, "table_service_url");
+    s.peer_address = optional_address(root, "peer_address");
+    s.routers = read_routers(root);
     s.policy = read_policy(root);
     s.log = read_log(root);
     root.finish();
@@ -381,15 +404,18 @@
     write(out, "threads", s.threads);
     write(out, "table_service_url", s.table_service_url);
     write(out, "object_store_url", s.object_store_url);
-    write_fleet(out, s);
+    write(out, "fleet_view_url", s.fleet_view_url);
+    write(out, "peer_address", s.peer_address);
+    write_routers(out, s.routers);
+    write_endpoints(out, s);
     write_organisations(out, s);
     write(out, "organisation_header", s.identify.organisation_header);
     write(out, "max_body_bytes", s.limits.max_body_bytes);
     write(out, "default_max_tokens", s.limits.default_max_tokens);
     write_log(out, s.log);
-    out << YAML::EndMap << YAML::Newline
-        << YAML::Comment(
-               std::string("policy: ") + policy_source_text(s.policy));
+    out << YAML::EndMap;
+    write_policy_source(
+        out, s.policy ? "inline, from this file" : "from the fleet document");
     return out.c_str() + std::string("\n");
 }
 
@@ -413,10 +439,14 @@
     }
     write_offered(out, s.models, s.services);
     write(out, "table_service_url", s.table_service_url);
+    write(out, "peer_address", s.peer_address);
+    write_routers(out, s.routers);
     write_log(out, s.log);
-    out << YAML::EndMap << YAML::Newline
-        << YAML::Comment(
-               std::string("policy: ") + policy_source_text(s.policy));
+    out << YAML::EndMap;
+    write_policy_source(
+        out, s.policy                     ? "inline, from this file"
+             : s.follows_fleet_document() ? "from the fleet document"
+                                          : "built-in defaults");
     return out.c_str() + std::string("\n");
 }
 
--- a/src/process/program_settings.hpp
+++ b/src/process/program_settings.hpp
@@ -33,8 +33,10 @@
     std::uint32_t threads = 2;
     std::string table_service_url; // empty: no calls that may not be repeated
     std::string object_store_url;
-    std::vector<router_entry> routers; // this one may be included
-    std::vector<endpoint_info> endpoints;
+    std::string fleet_view_url;
+    std::string peer_address;             // advertised; empty: as listened on
+    std::vector<router_entry> routers;    // this one may be included
+    std::vector<endpoint_info> endpoints; // empty: as registered
     identify_settings identify;
     parse_limits limits;
     std::optional<policy_settings> policy; // empty: from the fleet document
@@ -54,11 +56,20 @@
     bool engine_checks_fencing_token = false;
     std::vector<model_ref> models;
     std::vector<service_name> services;
-    std::string table_service_url;
-    std::optional<policy_settings> policy;
+    std::string table_service_url;         // empty: the agent does not register
+    std::string peer_address;              // advertised; empty: as listened on
+    std::vector<router_entry> routers;     // to exchange configuration with
+    std::optional<policy_settings> policy; // over the fleet document
     log_settings log;
 
     peer_id self() const { return peer_id("agent/" + endpoint.value()); }
+
+    /// Without routers to ask, each agent would read the store twice a second,
+    /// more than the store's budget allows a fleet.
+    bool follows_fleet_document() const
+    {
+        return !policy && !table_service_url.empty() && !routers.empty();
+    }
 };
 
 /// Both throw error(invalid_argument) whose detail names file, line, key and
--- a/src/process/router_process.cpp
+++ b/src/process/router_process.cpp
@@ -1,5 +1,6 @@
 #include "router_process.hpp"
 
+#include <atomic>
 #include <iostream>
 #include <memory>
 #include <utility>
@@ -12,6 +13,7 @@
 #include "platform/http_stores.hpp"
 #include "process_frame.hpp"
 #include "process_log.hpp"
+#include "router_control.hpp"
 #include "router_shard.hpp"
 #include "shard_executor.hpp"
 #include "system_runtime.hpp"
@@ -27,12 +29,20 @@
 // Agents forget a router they have not heard from for several seconds.
 constexpr milliseconds subscription_interval{1000};
 
+// Readiness outlives a late timer, but not a pause in which the fleet may have
+// accepted another configuration.
+constexpr milliseconds readiness_interval{100};
+constexpr milliseconds readiness_validity{1500};
+
+// A process that ends does not wait for a store that is down.
+constexpr milliseconds leave_timeout{2000};
+
 /// Bodies somewhat above the limit still get an answer that says so; RESTinio
 /// closes the connection on larger ones.
 constexpr std::size_t body_headroom = 2;
 
-/// Lock and timers of one shard; outlives the shard's object graph and the
-/// threads that post to it.
+/// Lock and timers of one object graph; outlives the graph and the threads
+/// that post to it.
 struct shard_runtime
 {
     explicit shard_runtime(asio::io_context& io)
@@ -44,6 +54,16 @@
     asio_timer_service timers;
 };
 
+/// A shard's object graph; used under the lock of its runtime.
+struct shard_graph
+{
+    explicit shard_graph(policy_settings const& p) : policy(p) {}
+
+    published_policy policy;
+    std::unique_ptr<table_service> store;
+    std::unique_ptr<router_shard> shard;
+};
+
 class router_process
 {
 public:
@@ -59,10 +79,16 @@
     std::vector<router_info> routers() const;
     std::unique_ptr<table_service> make_store(shard_executor& executor);
     void make_shards();
-    void set_addresses();
+    void make_control();
+    void set_addresses(std::vector<endpoint_info> const& endpoints);
     std::vector<message_distribution::target> targets();
     std::vector<request_shard> request_shards();
+    void publish_policy(
+        std::shared_ptr<policy_settings const> const& policy,
+        std::function<void()> in_force);
+    void publish_endpoints(std::vector<endpoint_info> const& endpoints);
     void subscribe();
+    void watch_readiness();
     void begin_shutdown();
 
     router_settings const settings_;
@@ -70,23 +96,26 @@
     monotonic_clock clock_;
     system_random random_;
     log4cplus_decision_log log_;
-    fixed_policy_source policy_;
     process_frame frame_;
     std::vector<std::unique_ptr<shard_runtime>> runtimes_;
+    shard_runtime control_runtime_;
     curl_executor curl_; // its thread posts to the runtimes
     tcp_peer_transport transport_;
-    std::vector<std::unique_ptr<table_service>> stores_;
-    std::vector<std::unique_ptr<router_shard>> shards_;
+    std::vector<std::unique_ptr<shard_graph>> shards_;
+    std::unique_ptr<table_service> control_store_;
+    std::unique_ptr<fleet_view> fleet_;
+    std::unique_ptr<router_control> control_;
     std::unique_ptr<message_distribution> distribution_;
     parse_filter parse_;
     identify_filter identify_;
     std::unique_ptr<request_path> path_;
     std::unique_ptr<http_front> front_;
+    std::atomic<bool> left_{false}; // registration is marked, or given up
 };
 
 router_process::router_process(router_settings const& settings)
-    : settings_(settings), policy_(settings.policy.value_or(policy_settings{})),
-      frame_(settings.threads), curl_(counters_),
+    : settings_(settings), frame_(settings.threads),
+      control_runtime_(frame_.io()), curl_(counters_),
       transport_(
           frame_.io(),
           transport_settings(settings.self(), settings.peer_listen),
@@ -97,8 +126,18 @@
       parse_(settings.limits), identify_(settings.identify, random_)
 {
     make_shards();
-    distribution_ = std::make_unique<message_distribution>(targets(), clock_);
-    set_addresses();
+    make_control();
+    distribution_ = std::make_unique<message_distribution>(
+        targets(),
+        message_distribution::target{
+            control_runtime_.executor.poster(), *control_},
+        clock_);
+    for (auto const& r : settings_.routers)
+    {
+        if (r.info.router != settings_.self())
+            transport_.set_address(r.info.router, r.address);
+    }
+    set_addresses(settings_.endpoints);
     path_ = std::make_unique<request_path>(
         std::vector<filter*>{&parse_, &identify_}, request_shards(), counters_);
     front_ = std::make_unique<http_front>(
@@ -139,37 +178,65 @@
     {
         runtimes_.push_back(std::make_unique<shard_runtime>(frame_.io()));
         shard_runtime& r = *runtimes_.back();
-        stores_.push_back(make_store(r.executor));
+        auto graph = std::make_unique<shard_graph>(
+            settings_.policy.value_or(policy_settings{}));
+        graph->store = make_store(r.executor);
         r.executor.run(
             [&]
             {
-                shards_.push_back(std::make_unique<router_shard>(
+                graph->shard = std::make_unique<router_shard>(
                     settings_.self(), settings_.location,
                     shard_position{i, settings_.shards}, routers(),
                     runtime_services{
                         clock_, r.timers, random_, transport_, log_, counters_},
-                    *stores_.back(), policy_));
-                shards_.back()->set_endpoints(settings_.endpoints);
+                    *graph->store, graph->policy);
+                graph->shard->set_endpoints(settings_.endpoints);
             });
+        shards_.push_back(std::move(graph));
     }
 }
 
-void router_process::set_addresses()
+void router_process::make_control()
 {
-    for (auto const& e : settings_.endpoints)
+    shard_runtime& r = control_runtime_;
+    control_store_ = make_store(r.executor);
+    if (settings_.fleet_view_url.empty())
+        fleet_ = std::make_unique<unavailable_fleet>(r.executor.poster());
+    else
+        fleet_ = std::make_unique<http_fleet_view>(
+            settings_.fleet_view_url, curl_, r.executor.poster());
+    control_hooks hooks;
+    hooks.publish_policy = [this](auto const& policy, auto in_force)
+    { publish_policy(policy, std::move(in_force)); };
+    hooks.publish_endpoints = [this](auto const& endpoints)
+    { publish_endpoints(endpoints); };
+    std::string const& advertised = settings_.peer_address;
+    r.executor.run(
+        [&]
+        {
+            control_ = std::make_unique<router_control>(
+                settings_,
+                advertised.empty() ? transport_.listening_on() : advertised,
+                runtime_services{
+                    clock_, r.timers, random_, transport_, log_, counters_},
+                *control_store_, *fleet_, std::move(hooks));
+        });
+}
+
+void router_process::set_addresses(std::vector<endpoint_info> const& endpoints)
+{
+    for (auto const& e : endpoints)
         transport_.set_address(e.agent, e.address);
-    for (auto const& r : settings_.routers)
-    {
-        if (r.info.router != settings_.self())
-            transport_.set_address(r.info.router, r.address);
-    }
 }
 
 std::vector<message_distribution::target> router_process::targets()
 {
     std::vector<message_distribution::target> targets;
     for (std::size_t i = 0; i < shards_.size(); ++i)
-        targets.push_back({runtimes_[i]->executor.poster(), *shards_[i]});
+    {
+        targets.push_back(
+            {runtimes_[i]->executor.poster(), *shards_[i]->shard});
+    }
     return targets;
 }
 
@@ -180,39 +247,93 @@
     {
         shard_runtime& r = *runtimes_[i];
         shards.push_back(
-            {r.executor.poster(), clock_, r.timers, shards_[i]->filters(),
-             shards_[i]->generations(), shards_[i]->calls()});
+            {r.executor.poster(), clock_, r.timers,
+             shards_[i]->shard->filters(), shards_[i]->shard->generations(),
+             shards_[i]->shard->calls()});
     }
     return shards;
 }
 
+void router_process::publish_policy(
+    std::shared_ptr<policy_settings const> const& policy,
+    std::function<void()> in_force)
+{
+    auto const left =
+        std::make_shared<std::atomic<std::size_t>>(shards_.size());
+    auto const done =
+        std::make_shared<std::function<void()>>(std::move(in_force));
+    for (std::size_t i = 0; i < shards_.size(); ++i)
+    {
+        runtimes_[i]->executor.post(
+            [this, i, policy, left, done]
+            {
+                shards_[i]->policy.publish(policy);
+                if (--*left == 0)
+                    control_runtime_.executor.post([done] { (*done)(); });
+            });
+    }
+}
+
+void router_process::publish_endpoints(
+    std::vector<endpoint_info> const& endpoints)
+{
+    set_addresses(endpoints);
+    for (std::size_t i = 0; i < shards_.size(); ++i)
+    {
+        runtimes_[i]->executor.post(
+            [this, i, endpoints]
+            { shards_[i]->shard->set_endpoints(endpoints); });
+    }
+}
+
 /// Runs under the lock of the first shard.
 void router_process::subscribe()
 {
-    for (auto const& agent : shards_.front()->subscribed_agents())
+    for (auto const& agent : shards_.front()->shard->subscribed_agents())
         transport_.send(agent, ping{0});
     runtimes_.front()->timers.schedule(
         subscription_interval, [this] { subscribe(); });
 }
 
+/// Runs under the control lock.
+void router_process::watch_readiness()
+{
+    if (control_->ready())
+        path_->set_ready_until(clock_.now() + readiness_validity);
+    control_runtime_.timers.schedule(
+        readiness_interval, [this] { watch_readiness(); });
+}
+
 void router_process::run()
 {
     transport_.start();
     runtimes_.front()->executor.post([this] { subscribe(); });
-    path_->set_ready(true);
+    control_runtime_.executor.post(
+        [this]
+        {
+            control_->start();
+            watch_readiness();
+        });
     std::vector<log_field> const at = {
         {"http", front_->listening_on()}, {"peer", transport_.listening_on()}};
     std::cout << format_event(false, "listening", at) << std::endl;
     log_event(log_level::info, "started", {{"self", settings_.self().value()}});
     frame_.run(
         [this] { begin_shutdown(); },
-        [this] { return front_->open_requests() == 0; });
+        [this] { return front_->open_requests() == 0 && left_; });
 }
 
 void router_process::begin_shutdown()
 {
     path_->begin_shutdown();
     front_->stop_accepting();
+    control_runtime_.executor.post(
+        [this]
+        {
+            control_runtime_.timers.schedule(
+                leave_timeout, [this] { left_ = true; });
+            control_->stop([this] { left_ = true; });
+        });
 }
 
 } // namespace
--- a/src/process/runtime_services.hpp
+++ b/src/process/runtime_services.hpp
@@ -3,6 +3,9 @@
 #ifndef DOTTERELLOCK_PROCESS_RUNTIME_SERVICES_HPP
 #define DOTTERELLOCK_PROCESS_RUNTIME_SERVICES_HPP
 
+#include <memory>
+#include <utility>
+
 #include <dotterellock/observability.hpp>
 #include <dotterellock/peer_transport.hpp>
 #include <dotterellock/policy.hpp>
@@ -21,19 +24,25 @@
     counter_registry& counters;
 };
 
-/// A policy that stays as the settings gave it.
-class fixed_policy_source : public policy_source
+/// The policy one object graph uses; replaced as a whole under that graph's
+/// lock.
+class published_policy : public policy_source
 {
 public:
-    explicit fixed_policy_source(policy_settings settings)
-        : settings_(std::move(settings))
+    explicit published_policy(policy_settings settings)
+        : policy_(std::make_shared<policy_settings>(std::move(settings)))
     {
     }
 
-    policy_settings const& current() const override { return settings_; }
+    policy_settings const& current() const override { return *policy_; }
+
+    void publish(std::shared_ptr<policy_settings const> policy)
+    {
+        policy_ = std::move(policy);
+    }
 
 private:
-    policy_settings settings_;
+    std::shared_ptr<policy_settings const> policy_;
 };
 
 } // namespace dotterellock
--- a/src/process/unavailable_store.hpp
+++ b/src/process/unavailable_store.hpp
@@ -1,5 +1,5 @@
-// A table service for processes whose settings name none: answers that it is
-// unavailable. Stateless; answers through the poster.
+// Table service and fleet view for processes whose settings name none: they
+// answer that they are unavailable. Stateless; answer through the poster.
 #ifndef DOTTERELLOCK_PROCESS_UNAVAILABLE_STORE_HPP
 #define DOTTERELLOCK_PROCESS_UNAVAILABLE_STORE_HPP
 
@@ -52,6 +52,26 @@
     poster_type const post_;
 };
 
+class unavailable_fleet : public fleet_view
+{
+public:
+    explicit unavailable_fleet(unavailable_store::poster_type post)
+        : post_(std::move(post))
+    {
+    }
+
+    void hosts(duration, std::function<void(fleet_result)> done) override
+    {
+        post_(
+            [done = std::move(done)] {
+                done({store_status::unavailable, {}});
+            });
+    }
+
+private:
+    unavailable_store::poster_type const post_;
+};
+
 } // namespace dotterellock
 
 #endif
--- a/tests/pipeline/pipeline_fixture.hpp
+++ b/tests/pipeline/pipeline_fixture.hpp
@@ -156,7 +156,7 @@
         auto& other = policy.settings.organisations[organisation_id("b")];
         other.highest_rank = rank::standard;
         other.default_rank = rank::background;
-        path.set_ready(true);
+        path.set_ready_until(steady_time::max());
     }
 
     static identify_settings identities()
--- a/tests/pipeline/request_path_test.cpp
+++ b/tests/pipeline/request_path_test.cpp
@@ -393,9 +393,12 @@
     http_input probe;
     probe.method = "GET";
     probe.path = "/readyz";
-    f.path.set_ready(false);
+    f.path.set_ready_until(f.scheduler.now() + milliseconds(100));
+    REQUIRE(f.send(probe)->output.status == 200);
+    f.scheduler.jump(milliseconds(101)); // a paused process
     REQUIRE(f.send(probe)->output.status == 503);
-    f.path.set_ready(true);
+    REQUIRE(f.send(f.completion())->error_code() == "store_unavailable");
+    f.path.set_ready_until(steady_time::max());
     REQUIRE(f.send(probe)->output.status == 200);
     f.path.begin_shutdown();
     REQUIRE(f.send(probe)->output.status == 503);
@@ -404,7 +407,7 @@
     REQUIRE(f.send(probe)->output.status == 200);
     probe.path = "/metrics";
     REQUIRE(
-        f.send(probe)->output.body.find("http_requests_total 1") !=
+        f.send(probe)->output.body.find("http_requests_total 2") !=
         std::string::npos);
 }
 
