--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -128,7 +128,7 @@
 {
     yaml_configuration_parser const parser;
     configuration_operator op(
-        e.clock, e.timers, e.random, e.store, e.objects, parser);
+        e.clock, e.timers, e.random, e.store, e.objects, e.fleet, parser);
     return await<configuration_status>(
         e, [&op](auto done) { op.status(done); });
 }
@@ -198,7 +198,7 @@
         throw usage_error("--author is required");
     yaml_configuration_parser const parser(o.arguments[0]);
     configuration_operator op(
-        e.clock, e.timers, e.random, e.store, e.objects, parser);
+        e.clock, e.timers, e.random, e.store, e.objects, e.fleet, parser);
     std::size_t shown = 0;
     auto const progress = [&e, &shown](fleet_standing const& fleet)
     {
@@ -236,7 +236,7 @@
     std::string const wanted = one ? o.arguments[0] : "";
     yaml_configuration_parser const parser;
     configuration_operator op(
-        e.clock, e.timers, e.random, e.store, e.objects, parser);
+        e.clock, e.timers, e.random, e.store, e.objects, e.fleet, parser);
     // A single version may lie anywhere in the list.
     std::size_t const limit = one ? std::size_t{1000000} : o.limit;
     auto const result =
