--- /dev/null
+++ b/src/process/agent_subscriptions.cpp
@@ -0,0 +1,55 @@
+#include "agent_subscriptions.hpp"
+
+#include <utility>
+
+namespace dotterellock
+{
+
+agent_subscriptions::agent_subscriptions(
+    clock_source& clock, timer_service& timers, peer_transport& transport,
+    std::function<std::set<peer_id>()> agents,
+    std::function<void(peer_id const&)> silent)
+    : clock_(clock), timers_(timers), transport_(transport),
+      agents_(std::move(agents)), silent_(std::move(silent))
+{
+}
+
+agent_subscriptions::~agent_subscriptions()
+{
+    timers_.cancel(timer_);
+}
+
+void agent_subscriptions::heard(peer_id const& peer)
+{
+    auto const found = heard_.find(peer);
+    if (found != heard_.end())
+        found->second = clock_.now();
+}
+
+void agent_subscriptions::tick()
+{
+    steady_time const now = clock_.now();
+    // After a pause of this process the silence was its own.
+    bool const paused = now - last_tick_ > 2 * ping_interval;
+    last_tick_ = now;
+    auto const agents = agents_();
+    std::map<peer_id, steady_time> still;
+    for (auto const& agent : agents)
+    {
+        auto const known = heard_.find(agent);
+        bool const fresh = known == heard_.end() || paused;
+        steady_time const since = fresh ? now : known->second;
+        bool const silent = now - since >= silence_limit;
+        still[agent] = silent ? now : since;
+        if (silent)
+        {
+            transport_.reconnect(agent);
+            silent_(agent);
+        }
+        transport_.send(agent, ping{0});
+    }
+    heard_ = std::move(still);
+    timer_ = timers_.schedule(ping_interval, [this] { tick(); });
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/process/agent_subscriptions.hpp
@@ -0,0 +1,57 @@
+// Keeps the agents of a router's subsets sending load reports, and notices
+// connections that have gone silent while no request is under way on them.
+// One per router, in its first shard and under that shard's lock.
+#ifndef DOTTERELLOCK_PROCESS_AGENT_SUBSCRIPTIONS_HPP
+#define DOTTERELLOCK_PROCESS_AGENT_SUBSCRIPTIONS_HPP
+
+#include <functional>
+#include <map>
+#include <set>
+
+#include <dotterellock/peer_transport.hpp>
+#include <dotterellock/runtime.hpp>
+
+namespace dotterellock
+{
+
+class agent_subscriptions
+{
+public:
+    /// Agents forget a router they have not heard from for several seconds,
+    /// and answer each ping at once.
+    static constexpr milliseconds ping_interval{1000};
+
+    /// Two pings without any message: the connection is replaced.
+    static constexpr milliseconds silence_limit{2000};
+
+    /// @param agents  the agents to follow, asked at each interval
+    /// @param silent  called after the connection to a silent agent was given
+    ///                up; what was sent over it may be lost
+    agent_subscriptions(
+        clock_source& clock, timer_service& timers, peer_transport& transport,
+        std::function<std::set<peer_id>()> agents,
+        std::function<void(peer_id const&)> silent);
+    ~agent_subscriptions();
+
+    agent_subscriptions(agent_subscriptions const&) = delete;
+    agent_subscriptions& operator=(agent_subscriptions const&) = delete;
+
+    void start() { tick(); }
+    void heard(peer_id const& peer);
+
+private:
+    void tick();
+
+    clock_source& clock_;
+    timer_service& timers_;
+    peer_transport& transport_;
+    std::function<std::set<peer_id>()> const agents_;
+    std::function<void(peer_id const&)> const silent_;
+    std::map<peer_id, steady_time> heard_; // or when last reconnected
+    steady_time last_tick_{};
+    timer_id timer_ = 0;
+};
+
+} // namespace dotterellock
+
+#endif
--- a/src/process/logging.cpp
+++ b/src/process/logging.cpp
@@ -15,7 +15,8 @@
 namespace
 {
 
-// Both written by start_logging before any other thread runs.
+// Written by start_logging before any other thread runs.
+std::atomic<bool> started{false};
 std::atomic<bool> json_lines{false};
 std::atomic<bool> log_decisions{true};
 
@@ -89,12 +90,13 @@
     root.removeAllAppenders();
     root.addAppender(appender);
     root.setLogLevel(level_of(settings.level));
+    started = true;
 }
 
 void log_event(
     log_level level, char const* event, std::vector<log_field> const& fields)
 {
-    if (!logger().isEnabledFor(level_of(level)))
+    if (!started || !logger().isEnabledFor(level_of(level)))
         return;
     logger().log(level_of(level), format_event(json_lines, event, fields));
 }
--- a/src/process/logging.hpp
+++ b/src/process/logging.hpp
@@ -31,7 +31,8 @@
 
 using log_field = std::pair<char const*, std::string>;
 
-/// Sends log lines to standard error; called once, before the first event.
+/// Sends log lines to standard error; called once. Events before it are
+/// dropped.
 void start_logging(log_settings const& settings);
 
 void log_event(
--- a/src/process/router_process.cpp
+++ b/src/process/router_process.cpp
@@ -26,9 +26,6 @@
 namespace
 {
 
-// Agents forget a router they have not heard from for several seconds.
-constexpr milliseconds subscription_interval{1000};
-
 // Readiness outlives a late timer, but not a pause in which the fleet may have
 // accepted another configuration.
 constexpr milliseconds readiness_interval{100};
@@ -87,7 +84,6 @@
         std::shared_ptr<policy_settings const> const& policy,
         std::function<void()> in_force);
     void publish_endpoints(std::vector<endpoint_info> const& endpoints);
-    void subscribe();
     void watch_readiness();
     void begin_shutdown();
 
@@ -286,15 +282,6 @@
     }
 }
 
-/// Runs under the lock of the first shard.
-void router_process::subscribe()
-{
-    for (auto const& agent : shards_.front()->shard->subscribed_agents())
-        transport_.send(agent, ping{0});
-    runtimes_.front()->timers.schedule(
-        subscription_interval, [this] { subscribe(); });
-}
-
 /// Runs under the control lock.
 void router_process::watch_readiness()
 {
@@ -307,7 +294,13 @@
 void router_process::run()
 {
     transport_.start();
-    runtimes_.front()->executor.post([this] { subscribe(); });
+    runtimes_.front()->executor.post(
+        [this]
+        {
+            shards_.front()->shard->start_subscriptions(
+                [this](peer_id const& agent)
+                { distribution_->disconnected(agent); });
+        });
     control_runtime_.executor.post(
         [this]
         {
--- a/src/process/router_shard.cpp
+++ b/src/process/router_shard.cpp
@@ -88,7 +88,7 @@
           self, r.clock, r.timers, r.random, transport_, dispatcher_,
           directory_, store_, policy, r.log, r.counters),
       admission_(r.clock, policy, directory_, r.counters),
-      classify_(policy, catalogue_), admit_(admission_)
+      classify_(policy, catalogue_), admit_(admission_), runtime_(r)
 {
     directory_.set_viewpoint(self, location);
 }
@@ -99,8 +99,19 @@
     directory_.set_endpoints(endpoints);
 }
 
+void router_shard::start_subscriptions(
+    std::function<void(peer_id const&)> silent)
+{
+    subscriptions_.emplace(
+        runtime_.clock, runtime_.timers, transport_,
+        [this] { return directory_.subset_agents(); }, std::move(silent));
+    subscriptions_->start();
+}
+
 void router_shard::on_message(peer_id const& from, message const& m)
 {
+    if (subscriptions_)
+        subscriptions_->heard(from);
     if (auto const* const p = std::get_if<pong>(&m))
     {
         relay_.on_message(from, pong{p->sequence / position_.count});
--- a/src/process/router_shard.hpp
+++ b/src/process/router_shard.hpp
@@ -5,13 +5,15 @@
 #define DOTTERELLOCK_PROCESS_ROUTER_SHARD_HPP
 
 #include <cstdint>
+#include <functional>
 #include <map>
-#include <set>
+#include <optional>
 #include <vector>
 
 #include <dotterellock/configuration.hpp>
 #include <dotterellock/platform.hpp>
 
+#include "agent_subscriptions.hpp"
 #include "choice/endpoint_directory.hpp"
 #include "choice/late_binding_dispatcher.hpp"
 #include "choice/link_budget.hpp"
@@ -100,11 +102,9 @@
     /// The filters that run inside the shard, in their order.
     std::vector<filter*> filters() { return {&classify_, &admit_}; }
 
-    /// Agents to ping, so that they keep sending load reports.
-    std::set<peer_id> subscribed_agents() const
-    {
-        return directory_.subset_agents();
-    }
+    /// For one shard of a router only.
+    /// @param silent  tells all shards that the connection was given up
+    void start_subscriptions(std::function<void(peer_id const&)> silent);
 
     /// Generations and calls whose callers still wait.
     std::size_t open_work() const;
@@ -125,6 +125,8 @@
     token_bucket_admission admission_;
     classify_filter classify_;
     admit_filter admit_;
+    runtime_services const runtime_;
+    std::optional<agent_subscriptions> subscriptions_;
 };
 
 /// The shard a message from a peer belongs to; empty: every shard.
