--- a/src/process/message_distribution.cpp
+++ b/src/process/message_distribution.cpp
@@ -21,25 +21,33 @@
 {
     auto const shard =
         destination_shard(m, static_cast<std::uint32_t>(shards_.size()));
-    if (shard)
+    auto const shared = std::make_shared<message const>(std::move(m));
+    auto const pass_to = [&](target const& t)
+    { t.post([&t, from, shared] { t.handler.on_message(from, *shared); }); };
+    if (std::holds_alternative<configuration_digest>(*shared) ||
+        std::holds_alternative<configuration_push>(*shared))
     {
-        target const& t = shards_[*shard];
-        auto const shared = std::make_shared<message const>(std::move(m));
-        t.post([&t, from, shared] { t.handler.on_message(from, *shared); });
-        if (shards_.size() > 1)
-            pass_on_sign_of_life(from, *shard);
+        pass_to(control_);
         return;
     }
-    auto const shared = std::make_shared<message const>(std::move(m));
-    for (target const& t : shards_)
-        t.post([&t, from, shared] { t.handler.on_message(from, *shared); });
+    if (!shard)
+    {
+        for (target const& t : shards_)
+            pass_to(t);
+        return;
+    }
+    pass_to(shards_[*shard]);
+    if (shards_.size() > 1)
+        pass_on_sign_of_life(from, *shard);
 }
 
 void message_distribution::disconnected(peer_id const& peer)
 {
+    auto const tell = [&peer](target const& t)
+    { t.post([&t, peer] { t.handler.on_disconnected(peer); }); };
     for (target const& t : shards_)
-        t.post([&t, peer] { t.handler.on_disconnected(peer); });
-    control_.post([this, peer] { control_.handler.on_disconnected(peer); });
+        tell(t);
+    tell(control_);
 }
 
 message_distribution::last_heard&
--- a/src/process/program_settings.cpp
+++ b/src/process/program_settings.cpp
@@ -223,6 +223,13 @@
     out << YAML::Key << key << YAML::Value << value;
 }
 
+/// Empty texts stand for absent keys.
+void write(YAML::Emitter& out, char const* key, std::string const& value)
+{
+    if (!value.empty())
+        out << YAML::Key << key << YAML::Value << value;
+}
+
 void write_log(YAML::Emitter& out, log_settings const& log)
 {
     static char const* const levels[] = {"debug", "info", "warn", "error"};
