--- /dev/null
+++ b/bench/relay.cpp
@@ -0,0 +1,289 @@
+// Measures what one token costs between an agent and a router: the codec, the
+// transport over loopback with batching of what waits, and memory per
+// connection. Times are CPU time of this process, so that other load on the
+// machine matters little. Prints one JSON document.
+//
+// Baselines: JSON instead of Thrift for the codec; one write and two reads a
+// message instead of batches for the transport.
+#include <array>
+#include <ctime>
+#include <iostream>
+#include <malloc.h>
+#include <memory>
+#include <vector>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <nlohmann/json.hpp>
+
+#include "wire/codec.hpp"
+#include "wire/tcp_peer_transport.hpp"
+
+namespace dotterellock::bench
+{
+
+using asio::ip::tcp;
+using nlohmann::json;
+
+constexpr unsigned codec_rounds = 200'000;
+constexpr unsigned transport_batches = 400'000;
+constexpr unsigned single_batches = 50'000;
+constexpr unsigned burst = 64; // streams that have a token ready at once
+constexpr unsigned connections = 200;
+
+double cpu_seconds()
+{
+    timespec t{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+    return static_cast<double>(t.tv_sec) +
+           1e-9 * static_cast<double>(t.tv_nsec);
+}
+
+class record_list
+{
+public:
+    void
+    add(std::string const& name, char const* unit, double value,
+        double baseline)
+    {
+        records_.push_back(
+            {{"name", name},
+             {"unit", unit},
+             {"value", value},
+             {"baseline", baseline}});
+    }
+
+    /// For figures without a variant to compare with.
+    void add(std::string const& name, char const* unit, double value)
+    {
+        records_.push_back(
+            {{"name", name},
+             {"unit", unit},
+             {"value", value},
+             {"baseline", nullptr}});
+    }
+
+    json const& all() const { return records_; }
+
+private:
+    json records_ = json::array();
+};
+
+token_batch batch_of(unsigned tokens)
+{
+    token_batch batch;
+    batch.request = request_id("organisation/auto-0123456789abcdef01234567");
+    batch.attempt = 1;
+    batch.epoch = 1;
+    batch.first_index = 1000;
+    for (unsigned i = 0; i < tokens; ++i)
+        batch.tokens.push_back(" word" + std::to_string(i % 10));
+    return batch;
+}
+
+json to_json(token_batch const& b)
+{
+    return {{"kind", "token_batch"},  {"request", b.request.value()},
+            {"attempt", b.attempt},   {"epoch", b.epoch},
+            {"first", b.first_index}, {"tokens", b.tokens}};
+}
+
+token_batch from_json(json const& j)
+{
+    token_batch b;
+    b.request = request_id(j.at("request").get<std::string>());
+    b.attempt = j.at("attempt");
+    b.epoch = j.at("epoch");
+    b.first_index = j.at("first");
+    b.tokens = j.at("tokens").get<std::vector<std::string>>();
+    return b;
+}
+
+/// Nanoseconds of one call; `work` returns something to keep it from being
+/// optimised away.
+template<typename Work>
+double nanoseconds(unsigned rounds, Work work)
+{
+    std::size_t sum = 0;
+    for (unsigned i = 0; i < rounds / 10; ++i)
+        sum += work(); // warm up
+    double const start = cpu_seconds();
+    for (unsigned i = 0; i < rounds; ++i)
+        sum += work();
+    double const spent = cpu_seconds() - start;
+    if (sum == 0)
+        std::cerr << "no work was done\n";
+    return spent * 1e9 / rounds;
+}
+
+void measure_codec(record_list& records)
+{
+    for (unsigned const tokens : {1u, 8u, 64u})
+    {
+        token_batch const batch = batch_of(tokens);
+        message const m = batch;
+        std::string const body = encode(m);
+        std::string const text = to_json(batch).dump();
+        unsigned const rounds = codec_rounds / (1 + tokens / 8);
+        std::string const suffix = "_" + std::to_string(tokens) + "_tokens";
+        records.add(
+            "encode" + suffix, "ns",
+            nanoseconds(rounds, [&] { return encode(m).size(); }),
+            nanoseconds(rounds, [&] { return to_json(batch).dump().size(); }));
+        records.add(
+            "decode" + suffix, "ns",
+            nanoseconds(
+                rounds, [&]
+                { return std::get<token_batch>(decode(body)).tokens.size(); }),
+            nanoseconds(
+                rounds,
+                [&] { return from_json(json::parse(text)).tokens.size(); }));
+        records.add(
+            "frame" + suffix, "bytes",
+            static_cast<double>(body.size() + frame_header_bytes),
+            static_cast<double>(text.size() + frame_header_bytes));
+    }
+}
+
+struct node
+{
+    node(asio::io_context& io, std::string const& name, bool listens)
+        : transport(
+              io, settings(name, listens),
+              [this](peer_id const&, message m)
+              {
+                  if (auto const* const b = std::get_if<token_batch>(&m))
+                      tokens += b->tokens.size();
+                  else
+                      ++others;
+              },
+              [](peer_id const& peer)
+              { std::cerr << "lost " << peer.value() << "\n"; },
+              counters)
+    {
+        transport.start();
+    }
+
+    static tcp_transport_settings
+    settings(std::string const& name, bool listens)
+    {
+        tcp_transport_settings s;
+        s.self = peer_id(name);
+        if (listens)
+            s.listen_address = "127.0.0.1:0";
+        return s;
+    }
+
+    counter_registry counters;
+    std::size_t tokens = 0;
+    std::size_t others = 0;
+    tcp_peer_transport transport;
+};
+
+/// Tokens per second of one thread that sends and receives: bursts of batches
+/// of one token, as when one engine step yields a token for each stream.
+double batched_rate()
+{
+    asio::io_context io(1);
+    node router(io, "router/r", true);
+    node agent(io, "agent/e", false);
+    agent.transport.set_address(
+        peer_id("router/r"), router.transport.listening_on());
+    message const m = batch_of(1);
+    double const start = cpu_seconds();
+    for (unsigned sent = 0; sent < transport_batches;)
+    {
+        for (unsigned i = 0; i < burst; ++i, ++sent)
+            agent.transport.send(peer_id("router/r"), m);
+        while (router.tokens < sent)
+            io.run_one();
+    }
+    double const spent = cpu_seconds() - start;
+    return static_cast<double>(router.tokens) / spent;
+}
+
+double single_rate()
+{
+    asio::io_context io(1);
+    tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+    tcp::socket out(io);
+    out.connect(acceptor.local_endpoint());
+    out.set_option(tcp::no_delay(true));
+    tcp::socket in = acceptor.accept();
+    message const m = batch_of(1);
+    std::size_t tokens = 0;
+    double const start = cpu_seconds();
+    for (unsigned i = 0; i < single_batches; ++i)
+    {
+        std::string frame;
+        append_frame(frame, m);
+        asio::write(out, asio::buffer(frame));
+        std::array<char, frame_header_bytes> header{};
+        asio::read(in, asio::buffer(header));
+        std::string body(body_length(header.data()), '\0');
+        asio::read(in, asio::buffer(body));
+        tokens += std::get<token_batch>(decode(body)).tokens.size();
+    }
+    double const spent = cpu_seconds() - start;
+    return static_cast<double>(tokens) / spent;
+}
+
+/// Heap bytes of one end of an open, idle connection.
+double connection_bytes()
+{
+    asio::io_context io(1);
+    node router(io, "router/r", true);
+    std::vector<std::unique_ptr<node>> agents;
+    for (unsigned i = 0; i < connections; ++i)
+    {
+        agents.push_back(
+            std::make_unique<node>(io, "agent/e" + std::to_string(i), false));
+        agents.back()->transport.set_address(
+            peer_id("router/r"), router.transport.listening_on());
+    }
+    std::size_t const before = mallinfo2().uordblks;
+    for (auto& a : agents)
+        a->transport.send(peer_id("router/r"), ping{1});
+    while (router.others < connections)
+        io.run_one();
+    for (unsigned i = 0; i < connections; ++i)
+        router.transport.send(peer_id("agent/e" + std::to_string(i)), pong{1});
+    std::size_t answered = 0;
+    while (answered < connections)
+    {
+        io.run_one();
+        answered = 0;
+        for (auto const& a : agents)
+            answered += a->others;
+    }
+    std::size_t const after = mallinfo2().uordblks;
+    return static_cast<double>(after - before) / (2.0 * connections);
+}
+
+void run()
+{
+    record_list records;
+    // First, while the heap is fresh.
+    records.add("connection_memory", "bytes", connection_bytes());
+    measure_codec(records);
+    records.add(
+        "loopback_rate", "tokens/s/core", batched_rate(), single_rate());
+    std::cout << json{{"records", records.all()}}.dump(1) << "\n";
+}
+
+} // namespace dotterellock::bench
+
+int main()
+{
+    try
+    {
+        dotterellock::bench::run();
+        return 0;
+    }
+    catch (std::exception const& e)
+    {
+        std::cerr << "bench_relay: " << e.what() << "\n";
+        return 1;
+    }
+}
