Give the two process fakes of the tests different names

Cause: two classes named testing::fake_process in different headers broke the one-definition rule; the linker kept one, and the recovery matrix crashed.

--- a/tests/configuration/control_world.hpp
+++ b/tests/configuration/control_world.hpp
@@ -51,7 +51,7 @@
         member.start();
     }
 
-    fake_process process;
+    control_process process;
     seeded_random random;
     counter_registry counters;
     configuration_node node;
@@ -71,7 +71,7 @@
     {
     }
 
-    fake_process process;
+    control_process process;
     seeded_random random;
     configuration_operator op;
     std::optional<apply_result> result;
--- a/tests/placement/lease_test.cpp
+++ b/tests/placement/lease_test.cpp
@@ -25,7 +25,7 @@
     {
     }
 
-    fake_process process;
+    control_process process;
     seeded_random random;
     counter_registry counters;
     lease held;
--- a/tests/placement/placement_world.hpp
+++ b/tests/placement/placement_world.hpp
@@ -130,7 +130,7 @@
 
     duration drain_time{seconds(2)};
     bool draining = false;
-    fake_process process;
+    control_process process;
     seeded_random random;
     counter_registry counters;
     registration member;
@@ -156,7 +156,7 @@
         planner.start();
     }
 
-    fake_process process;
+    control_process process;
     seeded_random random;
     counter_registry counters;
     recording_decision_log log;
