--- a/src/claims/call_coordinator.cpp
+++ b/src/claims/call_coordinator.cpp
@@ -187,7 +187,8 @@
     bool const last = c.waiters.empty();
     bool const searching =
         c.now_in == phase::placing || c.now_in == phase::checking;
-    if (last && searching && !c.sent)
+    bool const in_doubt = unresolved_.count(c.request.request) != 0;
+    if (last && searching && !c.sent && !in_doubt)
     {
         reply = refused_reply(
             error_code::deadline_exceeded, "no place within the timeout");
@@ -278,7 +279,8 @@
 }
 
 /// @param refusal  why there is no place; empty when none was sought yet
-void call_coordinator::check_row(open_call& c, std::optional<error> refusal)
+void call_coordinator::check_row(
+    open_call& c, std::optional<error> const& refusal)
 {
     begin_step(c, phase::checking);
     store_.read(
--- a/src/claims/call_coordinator.hpp
+++ b/src/claims/call_coordinator.hpp
@@ -120,7 +120,7 @@
     void place(open_call& c);
     void on_placed(open_call& c, placement const& place);
     void on_refused(open_call& c, error const& e);
-    void check_row(open_call& c, std::optional<error> refusal);
+    void check_row(open_call& c, std::optional<error> const& refusal);
     void on_checked(
         open_call& c, std::optional<error> const& refusal,
         read_result const& result);
