Separate the agent's memory of decisions and test its bound

Cause: dropping decisions beyond the bound had no test. Change: decision_memory, tested with a small bound.

--- a/src/claims/call_gate.cpp
+++ b/src/claims/call_gate.cpp
@@ -1,7 +1,5 @@
 #include "claims/call_gate.hpp"
 
-#include <xxhash.h>
-
 namespace dotterellock
 {
 
@@ -11,12 +9,6 @@
 // Fixed cost of one kept result: hash node, queue entry, strings' headers.
 constexpr std::size_t record_overhead_bytes = 400;
 
-std::uint64_t digest_of(request_id const& request, incarnation seed)
-{
-    auto const& text = request.value();
-    return XXH64(text.data(), text.size(), seed);
-}
-
 } // namespace
 
 call_gate::call_gate(
@@ -25,6 +17,7 @@
     policy_source const& policy, counter_registry& counters)
     : self_(self), clock_(clock), timers_(timers), transport_(transport),
       service_(service), permits_(permits), policy_(policy),
+      decisions_(self, max_decisions),
       runs_(counters.counter("dotterellock_calls_passed_on_total")),
       refused_(counters.counter("dotterellock_calls_refused_total")),
       queries_(counters.counter("dotterellock_call_queries_total"))
@@ -55,9 +48,7 @@
 
 std::size_t call_gate::memory_bytes() const
 {
-    return finished_bytes_ + passed_on_.memory_bytes() +
-           passed_on_before_.memory_bytes() + closed_.memory_bytes() +
-           closed_before_.memory_bytes();
+    return finished_bytes_ + decisions_.memory_bytes();
 }
 
 // ---- dispatch -------------------------------------------------------------
@@ -90,7 +81,8 @@
         found->second.listeners.insert(from);
         return;
     }
-    if (was_passed_on(call.request) || was_closed(call.request))
+    if (decisions_.was_passed_on(call.request) ||
+        decisions_.was_closed(call.request))
     {
         refused_.add();
         reply(from, known(call.request, call.attempt));
@@ -101,14 +93,14 @@
     if (refused)
     {
         refused_.add();
-        if (!decisions_dropped_)
-            remember_closed(call.request);
+        if (decisions_.complete())
+            decisions_.remember_closed(call.request);
         auto result = known(call.request, call.attempt);
         result.detail = std::string("permit refused: ") + to_string(*refused);
         reply(from, result);
         return;
     }
-    remember_passed_on(call.request);
+    decisions_.remember_passed_on(call.request);
     pass_on(from, call);
 }
 
@@ -219,10 +211,10 @@
                       query.request, query.attempt, call_outcome::running, ""));
         return;
     }
-    bool const never_seen =
-        !was_passed_on(query.request) && !was_closed(query.request);
-    if (query.close_if_not_run && never_seen && !decisions_dropped_)
-        remember_closed(query.request);
+    bool const never_seen = !decisions_.was_passed_on(query.request) &&
+                            !decisions_.was_closed(query.request);
+    if (query.close_if_not_run && never_seen && decisions_.complete())
+        decisions_.remember_closed(query.request);
     auto const found = records_.find(query.request);
     if (found != records_.end() &&
         found->second.result.outcome == call_outcome::running)
@@ -243,13 +235,13 @@
             "dispatched under another attempt");
     }
     // Passed on comes first: should two digests collide, "unknown" is safe.
-    if (was_passed_on(request))
+    if (decisions_.was_passed_on(request))
     {
         return result_for(
             request, attempt, call_outcome::unknown,
             "passed on; the result is no longer kept");
     }
-    if (was_closed(request))
+    if (decisions_.was_closed(request))
     {
         return result_for(
             request, attempt, call_outcome::not_run,
@@ -260,42 +252,6 @@
 
 // ---- memory ---------------------------------------------------------------
 
-bool call_gate::was_passed_on(request_id const& request) const
-{
-    auto const digest = digest_of(request, self_);
-    return passed_on_.contains(digest) || passed_on_before_.contains(digest);
-}
-
-bool call_gate::was_closed(request_id const& request) const
-{
-    auto const digest = digest_of(request, self_);
-    return closed_.contains(digest) || closed_before_.contains(digest);
-}
-
-void call_gate::remember_passed_on(request_id const& request)
-{
-    make_room();
-    passed_on_.insert(digest_of(request, self_));
-}
-
-void call_gate::remember_closed(request_id const& request)
-{
-    make_room();
-    closed_.insert(digest_of(request, self_));
-}
-
-// Dropping old decisions cannot cause a second run: a permit is redeemed once
-// and expires long before this many newer decisions exist.
-void call_gate::make_room()
-{
-    if (passed_on_.size() + closed_.size() < max_decisions)
-        return;
-    decisions_dropped_ = decisions_dropped_ || passed_on_before_.size() != 0 ||
-                         closed_before_.size() != 0;
-    passed_on_before_ = std::exchange(passed_on_, {});
-    closed_before_ = std::exchange(closed_, {});
-}
-
 void call_gate::forget_results()
 {
     while (!finished_.empty() && (finished_.front().first <= clock_.now() ||
--- a/src/claims/call_gate.hpp
+++ b/src/claims/call_gate.hpp
@@ -19,7 +19,7 @@
 #include <dotterellock/policy.hpp>
 #include <dotterellock/runtime.hpp>
 
-#include "claims/digest_set.hpp"
+#include "claims/decision_memory.hpp"
 #include "store/callback_guard.hpp"
 
 namespace dotterellock
@@ -76,11 +76,6 @@
 
     /// What is known of the call; `unknown` when nothing is.
     call_result known(request_id const& request, attempt_number attempt) const;
-    bool was_passed_on(request_id const& request) const;
-    bool was_closed(request_id const& request) const;
-    void remember_passed_on(request_id const& request);
-    void remember_closed(request_id const& request);
-    void make_room();
     void forget_results();
 
     call_result result_for(
@@ -103,9 +98,7 @@
     std::set<attempt_key> running_repeatable_;
     std::size_t running_ = 0; // both kinds
 
-    digest_set passed_on_, passed_on_before_; // recent and older half
-    digest_set closed_, closed_before_;
-    bool decisions_dropped_ = false;
+    decision_memory decisions_;
 
     counter& runs_;
     counter& refused_;
--- a/tests/claims/call_test.cpp
+++ b/tests/claims/call_test.cpp
@@ -2,7 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "call_rig.hpp"
-#include "claims/digest_set.hpp"
+#include "claims/decision_memory.hpp"
 #include "properties.hpp"
 
 using namespace dotterellock;
@@ -163,6 +163,31 @@
     REQUIRE(!decode_claim("no row"));
 }
 
+// Guards against memory without bound, and against a promise never to run that
+// is given although the run may have been forgotten.
+TEST_CASE("dropped decisions are noticed")
+{
+    auto const [decisions, complete] = GENERATE(table<unsigned, bool>(
+        {{8, true}, {16, true}, {17, false}, {99, false}}));
+    decision_memory memory(1, 8);
+    auto const request = [](unsigned i)
+    { return request_id("org/" + std::to_string(i)); };
+    for (unsigned i = 0; i < decisions; ++i)
+    {
+        if (i % 3 == 0)
+            memory.remember_closed(request(i));
+        else
+            memory.remember_passed_on(request(i));
+    }
+    REQUIRE(memory.complete() == complete);
+    REQUIRE(memory.memory_bytes() <= 4 * 64 * sizeof(std::uint64_t));
+    for (unsigned i = decisions < 8 ? 0 : decisions - 8; i < decisions; ++i)
+    {
+        REQUIRE(memory.was_closed(request(i)) == (i % 3 == 0));
+        REQUIRE(memory.was_passed_on(request(i)) == (i % 3 != 0));
+    }
+}
+
 // Guards against a decision that is lost when the set grows.
 TEST_CASE("the digest set agrees with std::set")
 {
