Serve overdue entries after those that can meet their target

Change: an entry carries the time by which it has to begin; within an organisation the oldest one in time goes first, then the overdue ones.

--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -1284,7 +1284,7 @@
         50000,
         [&](unsigned i)
         {
-            auto served = *queue.pop();
+            auto served = *queue.pop({});
             queue.correct(served, 3000);
             served.entry.id = 10000 + i;
             queue.push(served.entry);
--- a/src/queueing/fair_queue.cpp
+++ b/src/queueing/fair_queue.cpp
@@ -23,6 +23,15 @@
 // save up service and then displace urgent work in one block.
 constexpr double max_credit_quanta = 16;
 
+std::deque<queue_entry>::iterator
+next_of(std::deque<queue_entry>& entries, steady_time now)
+{
+    auto const in_time = std::find_if(
+        entries.begin(), entries.end(),
+        [now](queue_entry const& e) { return e.due > now; });
+    return in_time == entries.end() ? entries.begin() : in_time;
+}
+
 } // namespace
 
 push_result fair_queue::push(queue_entry entry)
@@ -82,7 +91,7 @@
     return newest_of_longest(own);
 }
 
-std::optional<served_entry> fair_queue::pop()
+std::optional<served_entry> fair_queue::pop(steady_time now)
 {
     served_entry served;
     rank const* next = nullptr;
@@ -99,7 +108,7 @@
         served.by_floor = *owed != chosen;
         chosen = *owed;
     }
-    served.entry = take(level(chosen));
+    served.entry = take(level(chosen), now);
     charge_floors(chosen, served.entry.tokens, served.by_floor);
     return served;
 }
@@ -136,7 +145,7 @@
     return std::max<std::int64_t>(1, static_cast<std::int64_t>(tokens));
 }
 
-queue_entry fair_queue::take(rank_level& from)
+queue_entry fair_queue::take(rank_level& from, steady_time now)
 {
     for (;;)
     {
@@ -147,13 +156,14 @@
             b.turn_begun = true;
             b.deficit += quantum(o);
         }
-        if (b.deficit < b.entries.front().tokens)
+        auto const next = next_of(b.entries, now);
+        if (b.deficit < next->tokens)
         {
             end_turn(from);
             continue;
         }
-        queue_entry entry = b.entries.front();
-        b.entries.pop_front();
+        queue_entry entry = *next;
+        b.entries.erase(next);
         b.deficit -= entry.tokens;
         --from.count;
         place_.erase(entry.id);
--- a/src/queueing/fair_queue.hpp
+++ b/src/queueing/fair_queue.hpp
@@ -5,7 +5,9 @@
 // Ranks are served in strict priority order, except that each rank earns
 // credit of floor_share tokens per token served while it has work waiting; a
 // rank with credit goes first. Within a rank, deficit round robin over
-// organisations (Shreedhar and Varghese 1995).
+// organisations (Shreedhar and Varghese 1995). Overdue entries of an
+// organisation wait behind the others: in a flood, serving the oldest first
+// would begin all work just after its target.
 #ifndef DOTTERELLOCK_QUEUEING_FAIR_QUEUE_HPP
 #define DOTTERELLOCK_QUEUEING_FAIR_QUEUE_HPP
 
@@ -18,6 +20,7 @@
 #include <unordered_map>
 
 #include <dotterellock/policy.hpp>
+#include <dotterellock/runtime.hpp>
 
 namespace dotterellock
 {
@@ -29,7 +32,8 @@
     queue_entry_id id = 0; // unique in the queue
     organisation_id organisation;
     dotterellock::rank rank = rank::standard;
-    std::uint32_t tokens = 1; // estimated cost
+    std::uint32_t tokens = 1;             // estimated cost
+    steady_time due = steady_time::max(); // to begin within the rank's target
 };
 
 /// An entry that was taken from the queue; kept to correct its cost later.
@@ -54,10 +58,13 @@
     /// evicted; a part of the places is kept for each rank.
     push_result push(queue_entry entry);
 
-    /// Takes the next entry and charges its estimated cost.
-    std::optional<served_entry> pop();
+    /// Takes the next entry and charges its estimated cost. Of an
+    /// organisation's entries the oldest that is not overdue comes first, then
+    /// the overdue ones.
+    std::optional<served_entry> pop(steady_time now);
 
-    /// The entry that pop() would take at the most urgent waiting rank.
+    /// An entry of the most urgent rank that waits, the oldest one of the
+    /// organisation whose turn it is.
     std::optional<queue_entry> most_urgent() const;
 
     /// False when the entry is not in the queue.
@@ -106,7 +113,7 @@
     std::optional<queue_entry_id> victim_for(queue_entry const& entry) const;
     std::optional<rank> rank_with_credit() const;
     std::int64_t quantum(organisation_id const& organisation) const;
-    queue_entry take(rank_level& from);
+    queue_entry take(rank_level& from, steady_time now);
     void end_turn(rank_level& of);
     void resize(rank_level& of, organisation_id const& o, std::size_t before);
     void forget_if_empty(rank_level& of, organisation_id const& o);
--- a/src/queueing/reservation_queue.cpp
+++ b/src/queueing/reservation_queue.cpp
@@ -92,8 +92,8 @@
     permit_id const permit = ++last_permit_;
     std::uint32_t const tokens =
         std::max<std::uint32_t>(asked.estimated_tokens, 1);
-    auto const pushed = queue_.push(
-        queue_entry{permit, asked.organisation, asked.rank, tokens});
+    auto const pushed = queue_.push(queue_entry{
+        permit, asked.organisation, asked.rank, tokens, due(asked)});
     if (!pushed.accepted)
     {
         refuse(from, asked.request, asked.attempt, error_code::overloaded);
@@ -113,6 +113,17 @@
     consider_preemption();
 }
 
+steady_time reservation_queue::due(reserve const& asked) const
+{
+    auto const& r = policy_.current().ranks[index_of(asked.rank)];
+    // The router has waited for what is missing of the limit.
+    bool const known = asked.waiting_budget.count() > 0;
+    milliseconds const waited =
+        known ? std::max(r.waiting_limit - asked.waiting_budget, milliseconds{})
+              : milliseconds{};
+    return clock_.now() + r.first_token_target - waited;
+}
+
 void reservation_queue::on_withdraw(peer_id const& from, withdraw const& w)
 {
     auto const known = by_key_.find(key{from, w.request, w.attempt});
@@ -163,7 +174,7 @@
 {
     while (slots_in_use() < capacity_)
     {
-        auto const next = queue_.pop();
+        auto const next = queue_.pop(clock_.now());
         if (!next)
             return;
         permit_id const permit = next->entry.id;
--- a/src/queueing/reservation_queue.hpp
+++ b/src/queueing/reservation_queue.hpp
@@ -93,6 +93,7 @@
     using reservations = std::map<permit_id, reservation>;
 
     void on_reserve(peer_id const& from, reserve const& asked);
+    steady_time due(reserve const& asked) const;
     void on_withdraw(peer_id const& from, withdraw const& w);
     void offer_slots();
     void send_offer(permit_id permit, reservation const& r);
--- a/tests/queueing/fair_queue_test.cpp
+++ b/tests/queueing/fair_queue_test.cpp
@@ -17,11 +17,13 @@
     fixed_policy policy;
     fair_queue queue{policy};
     queue_entry_id last = 0;
+    steady_time due = steady_time::max();
 
     push_result
     push(std::string const& organisation, rank r, std::uint32_t tokens)
     {
-        return queue.push({++last, organisation_id(organisation), r, tokens});
+        return queue.push(
+            {++last, organisation_id(organisation), r, tokens, due});
     }
 
     void
@@ -54,7 +56,7 @@
     double total = 0;
     while (total < 1.5e6)
     {
-        auto const next = t.queue.pop();
+        auto const next = t.queue.pop({});
         served[index_of(next->entry.rank)] += next->entry.tokens;
         total += next->entry.tokens;
     }
@@ -63,6 +65,23 @@
     CHECK(served[2] / total == Approx(0.05).margin(slack));
 }
 
+// Guards against a flood in which all work begins just after its target, and
+// against overdue work that is never served.
+TEST_CASE("overdue entries wait behind those that can meet their target")
+{
+    queue_under_test t;
+    for (int const at : {1, 2, 3, 4})
+    {
+        t.due = steady_time{} + std::chrono::seconds(at);
+        t.push("org", rank::standard, 100);
+    }
+    std::vector<queue_entry_id> order;
+    while (auto const next =
+               t.queue.pop(steady_time{} + std::chrono::seconds(2)))
+        order.push_back(next->entry.id);
+    CHECK(order == std::vector<queue_entry_id>{3, 4, 1, 2});
+}
+
 // Guards against an idle rank that saves up credit and later displaces urgent
 // work in one block.
 TEST_CASE("an idle lower rank earns no credit")
@@ -70,11 +89,11 @@
     queue_under_test t;
     t.push_many(2000, "org", rank::urgent, 1000);
     for (int i = 0; i < 1000; ++i)
-        t.queue.pop();
+        t.queue.pop({});
     t.push_many(100, "org", rank::background, 1000);
     unsigned background = 0;
     for (int i = 0; i < 100; ++i)
-        background += t.queue.pop()->entry.rank == rank::background;
+        background += t.queue.pop({})->entry.rank == rank::background;
     REQUIRE(background <= 6); // 5 of 100 and one entry of slack
 }
 
@@ -105,7 +124,7 @@
     double total = 0;
     while (total < 6e5)
     {
-        auto const next = *t.queue.pop();
+        auto const next = *t.queue.pop({});
         bool const large = next.entry.organisation == organisation_id("large");
         auto const actual = static_cast<std::uint32_t>(
             next.entry.tokens * (large ? r.actual : 1));
@@ -127,7 +146,7 @@
     bool const withdraws = GENERATE(false, true); // while it is in debt
     queue_under_test t;
     t.push("liar", rank::standard, 1);
-    auto const first = *t.queue.pop();
+    auto const first = *t.queue.pop({});
     if (withdraws)
         t.push("liar", rank::standard, 1);
     auto const withdrawn = t.last;
@@ -140,7 +159,7 @@
         t.push_many(40, "other", rank::standard, 1000);
     t.push("liar", rank::standard, 1);
     unsigned before = 0;
-    while (t.queue.pop()->entry.organisation != organisation_id("liar"))
+    while (t.queue.pop({})->entry.organisation != organisation_id("liar"))
         ++before;
     CHECK((before >= 10) == !idle_rank);
 }
@@ -205,7 +224,7 @@
                     break;
                 }
                 case 2:
-                    if (auto const next = t.queue.pop())
+                    if (auto const next = t.queue.pop({}))
                     {
                         RC_ASSERT(present.erase(next->entry.id) == 1u);
                         served.push_back(*next);
@@ -230,7 +249,7 @@
                 RC_ASSERT(t.queue.waiting_tokens() == tokens);
                 RC_ASSERT(t.queue.organisations_tracked() <= 7u * rank_count);
             }
-            while (auto const next = t.queue.pop())
+            while (auto const next = t.queue.pop({}))
                 RC_ASSERT(present.erase(next->entry.id) == 1u);
             RC_ASSERT(present.empty());
         });
@@ -246,7 +265,7 @@
     for (int i = 0; i < 20000; ++i)
     {
         t.push(std::to_string(i), rank::standard, 1);
-        auto const next = *t.queue.pop();
+        auto const next = *t.queue.pop({});
         t.queue.correct(next, 1u << 20);
     }
     REQUIRE(t.queue.organisations_tracked() <= 8192 + 2);
