--- a/src/queueing/reservation_queue.cpp
+++ b/src/queueing/reservation_queue.cpp
@@ -121,7 +121,9 @@
     milliseconds const waited =
         known ? std::max(r.waiting_limit - asked.waiting_budget, milliseconds{})
               : milliseconds{};
-    return clock_.now() + r.first_token_target - waited;
+    milliseconds const prefill =
+        std::min(usual_prefill, r.first_token_target / 3);
+    return clock_.now() + r.first_token_target - prefill - waited;
 }
 
 void reservation_queue::on_withdraw(peer_id const& from, withdraw const& w)
