--- a/tests/claims/call_test.cpp
+++ b/tests/claims/call_test.cpp
@@ -119,6 +119,15 @@
     REQUIRE(rig.service.runs[request_id("org/k")] == attempts);
 }
 
+// Guards against retries at the endpoint that has just failed.
+TEST_CASE("a retry goes to another endpoint")
+{
+    call_rig rig;
+    rig.network.partition(peer_id("r1"), peer_id("a1"));
+    auto const reply = reply_of(rig, rig.submit(0, "org/k", true));
+    REQUIRE(reply.outcome == call_outcome::done);
+}
+
 // Guards against outcomes that do not follow from what the service did.
 TEST_CASE("what the service did decides the outcome")
 {
