--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -137,6 +137,7 @@
     std::uint32_t cached = 0;
     std::uint32_t produced = 0; // tokens the caller has
     bool refused = false;
+    double refused_at = 0;
 };
 
 /// A serial prefill, parallel decoding, an LRU cache of prompt blocks.
@@ -420,10 +421,16 @@
         }
         catch (error const&)
         {
-            r.refused = true;
+            refuse(r);
         }
     }
 
+    void refuse(request& r)
+    {
+        r.refused = r.first_token < 0;
+        r.refused_at = now();
+    }
+
     void place(request& r, bool retry)
     {
         place_request p;
@@ -453,7 +460,7 @@
                     link_bytes += r.prompt * 4.0 + r.output * 16.0;
                 network_.transport_of(from.self).send(where.agent, d);
             },
-            [&r](error const&) { r.refused = r.first_token < 0; });
+            [this, &r](error const&) { refuse(r); });
     }
 
     // ---- engines ----------------------------------------------------------
@@ -1160,6 +1167,12 @@
                 std::string("ablation/early_refusal/") + to_string(r) +
                     "_within_target_load3.0",
                 "share", met(*a), met(*b));
+            auto const told = [r](experiment const& e)
+            { return time_to_refusal(select(e, inside(e), of_rank(r))); };
+            out_.add(
+                std::string("ablation/early_refusal/") + to_string(r) +
+                    "_time_to_refusal_load3.0",
+                "s", told(*a), told(*b));
         }
     }
 
@@ -1169,6 +1182,18 @@
     {
         return {e.load().warm_up, e.load().end - 35};
     }
+    /// Mean time until a caller was told that its request is refused.
+    static double time_to_refusal(std::vector<request const*> const& requests)
+    {
+        double sum = 0;
+        double n = 0;
+        for (auto const* r : requests)
+        {
+            sum += r->refused ? r->refused_at - r->arrived : 0;
+            n += r->refused;
+        }
+        return n > 0 ? sum / n : 0;
+    }
     static double p95(experiment const& e, rank r)
     {
         return ttft(select(e, inside(e), of_rank(r)), 0.95);
--- a/src/choice/endpoint_directory.cpp
+++ b/src/choice/endpoint_directory.cpp
@@ -462,8 +462,9 @@
         if (other <= r)
             ahead += report.waiting[index_of(other)];
     }
-    // Each request waits at several agents and runs at one.
-    double const copies = std::max(1u, policy.dispatch.reservations);
+    // Where there are queues each request waits at several agents; it runs at
+    // one of them.
+    double const copies = std::max(1u, policy.dispatch.max_reservations);
     double const tokens = static_cast<double>(report.waiting_tokens) / copies;
     double const rate = report.tokens_per_second > 0
                             ? report.tokens_per_second
--- a/tests/choice/directory_test.cpp
+++ b/tests/choice/directory_test.cpp
@@ -221,6 +221,7 @@
                    t.directory.estimated_wait(test_model, of))
             .count();
     };
+    t.policy.settings.dispatch.max_reservations = 2;
     // 50,000 tokens in 2 copies at 100/s; 60% of them urgent.
     CHECK(wait(rank::urgent) == Approx(150));
     CHECK(wait(rank::standard) == Approx(200));
