--- a/src/choice/endpoint_directory.hpp
+++ b/src/choice/endpoint_directory.hpp
@@ -23,6 +23,7 @@
     endpoint_info const* info = nullptr; // valid until set_endpoints
     double score = 0;        // in tokens of work ahead; lower is better
     double prefix_share = 0; // of the prompt that may be cached, 0 to 1
+    bool reported = false;   // a load report is known
     bool has_room = false;   // a free slot, as far as is known
     bool other_region = false;
     bool probe = false; // set aside as a straggler; one try is due
@@ -46,6 +47,10 @@
     /// intervals at most: an agent reports only to routers it hears from.
     void on_silent(endpoint_id const& endpoint);
 
+    /// A reservation was sent there. Agents report to routers they hear from,
+    /// so that one which does not report within two intervals is set aside.
+    void on_reserved(endpoint_id const& endpoint);
+
     /// Work was placed there; counts until the next load report.
     void on_sent(endpoint_id const& endpoint, place_request const& work);
     void on_finished(endpoint_id const& endpoint, bool ok);
@@ -81,6 +86,7 @@
         std::uint64_t sent_tokens = 0; // since the report
         std::uint32_t failures = 0;    // in a row
         bool set_aside = false;        // straggler or failing
+        steady_time asked_at;          // first reservation since the report
         steady_time silent_until;      // an earlier load report ends it
         std::uint32_t probes_left = 0;
         steady_time next_probe;
