--- /dev/null
+++ b/bench/control.cpp
@@ -0,0 +1,621 @@
+// Measures the control plane in virtual time: many configuration nodes and
+// registrations in one process, with the frames of src/wire, against a fleet
+// in which every process polls the store each second. Prints records as JSON.
+//
+// Index
+//   document        : about 20 kB of YAML, as 5,200 organisations would need
+//   cpu_meter       : CPU time spent inside the measured objects
+//   metered_process : one process with its links, counted
+//   fleets          : the measured one and the baseline
+//   measurement     : idle, changes, memory
+#include <algorithm>
+#include <cmath>
+#include <ctime>
+#include <iostream>
+#include <malloc.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "configuration/configuration_node.hpp"
+#include "configuration/configuration_operator.hpp"
+#include "control_fakes.hpp"
+#include "fake_network.hpp"
+#include "membership/registration.hpp"
+#include "settings/fleet_document.hpp"
+#include "wire/codec.hpp"
+
+namespace
+{
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+using nlohmann::json;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// ---- document -------------------------------------------------------------
+
+constexpr unsigned listed_organisations = 260;
+constexpr unsigned listed_exceptions = 12;
+
+std::string document_number(unsigned number)
+{
+    std::string text =
+        "defaults:\n  queue: {quantum_tokens: " + std::to_string(number) +
+        "}\n  organisations:\n";
+    for (unsigned i = 0; i < listed_organisations; ++i)
+    {
+        text += "    organisation-" + std::to_string(i) +
+                ": {requests_per_second: 80, weight: 2}\n";
+    }
+    text += "exceptions:\n";
+    for (unsigned i = 0; i < listed_exceptions; ++i)
+    {
+        text += "  - {name: e" + std::to_string(i) +
+                ", reason: hosts of another generation, owner: ann, scope: "
+                "{host: h" +
+                std::to_string(i) +
+                "}, settings: {queue: {max_reservations: 100}}}\n";
+    }
+    return text;
+}
+
+/// Parses each document once and hands out copies, so that 960 nodes do not
+/// parse the same text 960 times; the cost of parsing is measured by itself.
+class caching_parser : public configuration_parser
+{
+public:
+    policy_settings effective(
+        std::string const& document, node_location const& node,
+        wall_time now) const override
+    {
+        auto& slot = policies_[document];
+        if (!slot)
+            slot = std::make_unique<policy_settings>(
+                parser_.effective(document, node, now));
+        return *slot;
+    }
+
+    std::vector<configuration_exception>
+    exceptions(std::string const&) const override
+    {
+        return {};
+    }
+
+private:
+    yaml_configuration_parser parser_;
+    mutable std::map<std::string, std::unique_ptr<policy_settings>> policies_;
+};
+
+// ---- cpu_meter ------------------------------------------------------------
+
+class cpu_meter
+{
+public:
+    template<typename Function>
+    void run(Function&& f)
+    {
+        if (depth_++ == 0)
+            begin_ = cpu_time();
+        f();
+        if (--depth_ == 0)
+            spent += cpu_time() - begin_;
+    }
+
+    double spent = 0; // microseconds
+
+private:
+    static double cpu_time()
+    {
+        timespec t{};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
+        return static_cast<double>(t.tv_sec) * 1e6 +
+               static_cast<double>(t.tv_nsec) / 1e3;
+    }
+
+    int depth_ = 0;
+    double begin_ = 0;
+};
+
+struct totals
+{
+    cpu_meter cpu;
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+};
+
+// ---- metered_process ------------------------------------------------------
+
+class metered_process : public timer_service,
+                        public table_service,
+                        public peer_transport,
+                        public message_handler
+{
+public:
+    metered_process(
+        manual_scheduler& scheduler, fake_table_service& table,
+        peer_transport& transport, duration store_distance, totals& t)
+        : scheduler_(scheduler), table_(table), transport_(transport),
+          distance_(store_distance), totals_(t)
+    {
+    }
+
+    void set_handler(message_handler& handler) { handler_ = &handler; }
+
+    timer_id schedule(duration delay, std::function<void()> callback) override
+    {
+        return scheduler_.schedule(
+            delay, [this, callback] { totals_.cpu.run(callback); });
+    }
+    void cancel(timer_id id) override { scheduler_.cancel(id); }
+
+    void commit(
+        std::vector<row_write> writes, duration timeout,
+        std::function<void(commit_result)> done) override
+    {
+        ++totals_.writes;
+        table_.commit(std::move(writes), timeout, answered(std::move(done)));
+    }
+    void read(
+        std::vector<std::string> keys, duration timeout,
+        std::function<void(read_result)> done) override
+    {
+        ++totals_.reads;
+        table_.read(std::move(keys), timeout, answered(std::move(done)));
+    }
+    void scan(
+        std::string prefix, duration timeout,
+        std::function<void(read_result)> done) override
+    {
+        ++totals_.reads;
+        table_.scan(std::move(prefix), timeout, answered(std::move(done)));
+    }
+
+    void send(peer_id const& to, message m) override
+    {
+        std::string frame;
+        append_frame(frame, m);
+        ++totals_.messages;
+        totals_.bytes += frame.size();
+        transport_.send(to, std::move(m));
+    }
+    void reconnect(peer_id const& to) override { transport_.reconnect(to); }
+
+    void on_message(peer_id const& from, message const& m) override
+    {
+        totals_.cpu.run([&] { handler_->on_message(from, m); });
+    }
+    void on_disconnected(peer_id const& peer) override
+    {
+        handler_->on_disconnected(peer);
+    }
+
+private:
+    template<typename Result>
+    std::function<void(Result)> answered(std::function<void(Result)> done)
+    {
+        return [this, done = std::move(done)](Result const& result)
+        {
+            scheduler_.schedule(
+                distance_, [this, done, result]
+                { totals_.cpu.run([&] { done(result); }); });
+        };
+    }
+
+    manual_scheduler& scheduler_;
+    fake_table_service& table_;
+    peer_transport& transport_;
+    duration distance_;
+    totals& totals_;
+    message_handler* handler_ = nullptr;
+};
+
+// ---- fleets ---------------------------------------------------------------
+
+struct fleet_size
+{
+    std::size_t routers = 0;
+    std::size_t agents = 0;
+    std::size_t zones = 7; // the last three are in the other region
+
+    std::size_t all() const { return routers + agents; }
+};
+
+/// A process of the measured fleet, or of the baseline.
+class fleet_member
+{
+public:
+    virtual ~fleet_member() = default;
+    virtual configuration_version version() const = 0;
+};
+
+class present_member : public fleet_member
+{
+public:
+    present_member(
+        manual_scheduler& scheduler, metered_process& process,
+        endpoint_info const& info, configuration_parser const& parser,
+        std::vector<configuration_peer> const& peers, std::uint64_t seed)
+        : random_(seed),
+          node_(
+              info.agent, {info.region, info.zone, info.host}, scheduler,
+              process, random_, process, process, parser, peers, counters_),
+          member_(info, scheduler, process, random_, process, counters_)
+    {
+        process.set_handler(node_);
+        node_.start();
+        member_.start();
+    }
+
+    configuration_version version() const override { return node_.version(); }
+
+private:
+    seeded_random random_;
+    counter_registry counters_;
+    configuration_node node_;
+    registration member_;
+};
+
+/// Reads the version row each second and the document when it changed.
+class polling_member : public fleet_member, public message_handler
+{
+public:
+    polling_member(
+        metered_process& process, configuration_parser const& parser,
+        std::uint64_t seed)
+        : process_(process), parser_(parser)
+    {
+        process.set_handler(*this);
+        seeded_random random(seed);
+        process_.schedule(milliseconds(random.below(1000)), [this] { tick(); });
+    }
+
+    configuration_version version() const override { return version_; }
+    void on_message(peer_id const&, message const&) override {}
+    void on_disconnected(peer_id const&) override {}
+
+private:
+    void tick()
+    {
+        process_.schedule(seconds(1), [this] { tick(); });
+        process_.read(
+            {current_configuration_key}, seconds(2),
+            [this](read_result const& r)
+            {
+                auto const record = decode_version_record(r.rows[0].value);
+                if (record && record->version > version_)
+                    fetch(record->version);
+            });
+    }
+
+    void fetch(configuration_version version)
+    {
+        process_.read(
+            {document_key(version)}, seconds(2),
+            [this, version](read_result const& r)
+            {
+                policy_ = std::make_unique<policy_settings>(
+                    parser_.effective(r.rows[0].value, {}, {}));
+                version_ = version;
+            });
+    }
+
+    metered_process& process_;
+    configuration_parser const& parser_;
+    configuration_version version_ = 0;
+    std::unique_ptr<policy_settings> policy_;
+};
+
+std::size_t heap_bytes()
+{
+    return mallinfo2().uordblks;
+}
+
+class fleet
+{
+public:
+    fleet(fleet_size const& size, bool baseline) : size_(size)
+    {
+        std::vector<endpoint_info> infos;
+        for (std::size_t i = 0; i < size.all(); ++i)
+            infos.push_back(info_of(i));
+        std::vector<configuration_peer> peers;
+        for (auto const& info : infos)
+        {
+            peers.push_back({info.agent, info.zone});
+            zones_[info.agent] = info;
+            hosts_.result.hosts.push_back({info.host, {}, {}, {}});
+        }
+        network_.set_delay(duration{});
+        network_.set_rule(
+            [this](auto const& from, auto const& to, auto const&) {
+                return fake_network::treatment{1, latency(from, to)};
+            });
+        std::size_t const before = heap_bytes();
+        for (std::size_t i = 0; i < infos.size(); ++i)
+            add(infos[i], peers, baseline, i + 1);
+        apply(document_number(1));
+        memory_ = static_cast<double>(heap_bytes() - before) /
+                  static_cast<double>(size.all());
+    }
+
+    totals& counted() { return totals_; }
+    double memory() const { return memory_; }
+    manual_scheduler& scheduler() { return scheduler_; }
+
+    /// Times from the record of a version until the last process has it in
+    /// force, and until the operator is told so.
+    struct spread
+    {
+        double in_force = 0;
+        double accepted = 0;
+    };
+
+    spread apply(std::string const& document)
+    {
+        std::optional<apply_result> result;
+        apply_request request;
+        request.document = document;
+        request.author = "bench";
+        if (version_ > 0)
+            request.base = version_;
+        op_.apply(
+            request, {}, [&result](apply_result r) { result = std::move(r); });
+        ++version_;
+        scheduler_.run_until(
+            [this]
+            {
+                auto const record = decode_version_record(
+                    table_.row_at(current_configuration_key).value);
+                return record && record->version == version_;
+            },
+            seconds(10));
+        steady_time const recorded = scheduler_.now();
+        spread times;
+        while (!everywhere())
+            scheduler_.advance(milliseconds(1));
+        times.in_force = since(recorded);
+        // The baseline reports nothing, so its operator never learns.
+        scheduler_.run_until(
+            [&result] { return result.has_value(); }, seconds(20));
+        times.accepted = since(recorded);
+        return times;
+    }
+
+private:
+    endpoint_info info_of(std::size_t i) const
+    {
+        endpoint_info info;
+        bool const router = i < size_.routers;
+        std::string const number = std::to_string(i);
+        std::size_t const zone = i % size_.zones;
+        info.agent = peer_id((router ? "router/" : "agent/") + number);
+        if (!router)
+            info.endpoint = endpoint_id("endpoint-" + number);
+        info.host = host_id("h" + number);
+        info.zone = zone_id("z" + std::to_string(zone));
+        info.region = region_id(zone < 4 ? "main" : "far");
+        info.address = "10.0.0.1:7000";
+        if (!router)
+            info.models = {{"model-1", "", "2026-11"}};
+        return info;
+    }
+
+    duration latency(peer_id const& from, peer_id const& to) const
+    {
+        endpoint_info const& a = zones_.at(from);
+        endpoint_info const& b = zones_.at(to);
+        if (a.region != b.region)
+            return milliseconds(20);
+        return microseconds(a.zone == b.zone ? 100 : 500);
+    }
+
+    void
+    add(endpoint_info const& info, std::vector<configuration_peer> const& peers,
+        bool baseline, std::uint64_t seed)
+    {
+        duration const distance =
+            milliseconds(info.region.value() == "far" ? 40 : 1);
+        processes_.push_back(std::make_unique<metered_process>(
+            scheduler_, table_, network_.transport_of(info.agent), distance,
+            totals_));
+        metered_process& p = *processes_.back();
+        network_.attach(info.agent, p);
+        if (baseline)
+            members_.push_back(
+                std::make_unique<polling_member>(p, parser_, seed));
+        else
+            members_.push_back(std::make_unique<present_member>(
+                scheduler_, p, info, parser_, peers, seed));
+    }
+
+    bool everywhere() const
+    {
+        return std::all_of(
+            members_.begin(), members_.end(),
+            [this](auto const& m) { return m->version() >= version_; });
+    }
+
+    double since(steady_time begin) const
+    {
+        return std::chrono::duration<double>(scheduler_.now() - begin).count();
+    }
+
+    fleet_size size_;
+    manual_scheduler scheduler_;
+    fake_network network_{scheduler_};
+    fake_table_service table_{scheduler_};
+    fake_object_store objects_{scheduler_};
+    fake_fleet_view hosts_{scheduler_};
+    caching_parser parser_;
+    totals totals_;
+    std::map<peer_id, endpoint_info> zones_;
+    std::vector<std::unique_ptr<metered_process>> processes_;
+    std::vector<std::unique_ptr<fleet_member>> members_;
+    control_process operator_process_{scheduler_, table_, &objects_};
+    seeded_random random_{7};
+    configuration_operator op_{
+        scheduler_,
+        operator_process_,
+        random_,
+        operator_process_,
+        operator_process_,
+        hosts_,
+        parser_};
+    configuration_version version_ = 0;
+    double memory_ = 0;
+};
+
+// ---- measurement ----------------------------------------------------------
+
+constexpr unsigned changes = 20;
+constexpr seconds settle{30};
+constexpr seconds idle_time{60};
+constexpr seconds change_time{10}; // each change and its aftermath
+
+using figures = std::map<std::string, std::pair<double, std::string>>;
+
+double quantile(std::vector<double> values, double q)
+{
+    std::sort(values.begin(), values.end());
+    auto const last = static_cast<double>(values.size() - 1);
+    return values[static_cast<std::size_t>(std::lround(q * last))];
+}
+
+struct consumption
+{
+    double cpu;
+    double messages;
+    double bytes;
+    double reads;
+    double writes;
+};
+
+consumption difference(totals const& t, consumption const& from)
+{
+    return {
+        t.cpu.spent - from.cpu, double(t.messages) - from.messages,
+        double(t.bytes) - from.bytes, double(t.reads) - from.reads,
+        double(t.writes) - from.writes};
+}
+
+figures measure(fleet_size const& size, bool baseline)
+{
+    fleet f(size, baseline);
+    totals& t = f.counted();
+    double const n = static_cast<double>(size.all());
+    f.scheduler().advance(settle);
+
+    consumption const none{0, 0, 0, 0, 0};
+    consumption mark = difference(t, none);
+    f.scheduler().advance(idle_time);
+    consumption const idle = difference(t, mark);
+    double const span = static_cast<double>(idle_time.count());
+
+    std::vector<double> in_force;
+    std::vector<double> accepted;
+    mark = difference(t, none);
+    steady_time const begin = f.scheduler().now();
+    for (unsigned i = 0; i < changes; ++i)
+    {
+        auto const times = f.apply(document_number(i + 2));
+        in_force.push_back(times.in_force);
+        accepted.push_back(times.accepted);
+        // Not a multiple of the poll period, so that changes meet every phase.
+        f.scheduler().advance(change_time + milliseconds(137) * i);
+    }
+    double const whole =
+        std::chrono::duration<double>(f.scheduler().now() - begin).count();
+    consumption const busy = difference(t, mark);
+    auto const for_each_change = [&](double consumption::*what)
+    { return (busy.*what - idle.*what * whole / span) / changes; };
+
+    figures result;
+    result["in_force_p50"] = {quantile(in_force, 0.5), "s"};
+    result["in_force_p95"] = {quantile(in_force, 0.95), "s"};
+    result["in_force_max"] = {quantile(in_force, 1), "s"};
+    if (!baseline)
+    {
+        result["accepted_p50"] = {quantile(accepted, 0.5), "s"};
+        result["accepted_p95"] = {quantile(accepted, 0.95), "s"};
+    }
+    result["idle_messages"] = {idle.messages / span / n, "1/s/node"};
+    result["idle_bytes"] = {idle.bytes / span / n, "B/s/node"};
+    result["idle_store_reads"] = {idle.reads / span, "1/s"};
+    result["idle_store_writes"] = {idle.writes / span, "1/s"};
+    result["idle_cpu"] = {idle.cpu / span / n, "us/s/node"};
+    result["change_messages"] = {
+        for_each_change(&consumption::messages) / n, "1/node"};
+    result["change_bytes"] = {
+        for_each_change(&consumption::bytes) / n, "B/node"};
+    result["change_store_reads"] = {for_each_change(&consumption::reads), "1"};
+    result["change_store_writes"] = {
+        for_each_change(&consumption::writes), "1"};
+    result["change_cpu_without_parsing"] = {
+        for_each_change(&consumption::cpu) / n, "us/node"};
+    result["memory"] = {f.memory(), "B/node"};
+    return result;
+}
+
+double parse_time()
+{
+    yaml_configuration_parser const parser;
+    std::string const text = document_number(1);
+    cpu_meter meter;
+    constexpr unsigned rounds = 20;
+    for (unsigned i = 0; i < rounds; ++i)
+    {
+        meter.run(
+            [&]
+            {
+                parser.effective(text, {}, {});
+                parser.exceptions(text);
+            });
+    }
+    return meter.spent / rounds;
+}
+
+} // namespace
+
+int main()
+{
+    json records = json::array();
+    auto const add = [&records](
+                         std::string const& name, std::string const& unit,
+                         double value, json const& baseline)
+    {
+        records.push_back(
+            {{"name", name},
+             {"unit", unit},
+             {"value", value},
+             {"baseline", baseline}});
+    };
+    std::pair<char const*, fleet_size> const sizes[] = {
+        {"10_nodes", {4, 6, 2}},
+        {"100_nodes", {40, 60, 7}},
+        {"960_nodes", {360, 600, 7}}};
+    for (auto const& [label, size] : sizes)
+    {
+        figures const value = measure(size, false);
+        figures baseline = measure(size, true);
+        for (auto const& [name, figure] : value)
+        {
+            auto const other = baseline.find(name);
+            add("control_" + name + "_" + label, figure.second, figure.first,
+                other == baseline.end() ? json() : json(other->second.first));
+        }
+    }
+    add("control_document_size", "B", double(document_number(1).size()),
+        json());
+    // Both fleets parse each document; this one also reads its expiry dates.
+    add("control_change_cpu_parsing", "us/node", parse_time(), json());
+    std::cout << json{{"records", records}}.dump(1) << "\n";
+    return 0;
+}
--- a/src/configuration/configuration_node.cpp
+++ b/src/configuration/configuration_node.cpp
@@ -77,7 +77,7 @@
       store_failures_(counters.counter("configuration_store_failures")),
       documents_sent_(counters.counter("configuration_documents_sent"))
 {
-    set_peers(peers);
+    set_peers(std::move(peers));
 }
 
 configuration_node::~configuration_node()
@@ -91,13 +91,13 @@
     on_change_ = std::move(handler);
 }
 
-void configuration_node::set_peers(std::vector<configuration_peer> const& peers)
+void configuration_node::set_peers(std::vector<configuration_peer> peers)
 {
     std::map<zone_id, std::vector<peer_id>> zones;
-    for (auto const& p : peers)
+    for (auto& p : peers)
     {
         if (p.peer != self_)
-            zones[p.zone].push_back(p.peer);
+            zones[p.zone].push_back(std::move(p.peer));
     }
     zone_peers_ = zones[location_.zone];
     partners_ = rendezvous_order(self_.value(), zone_peers_, partner_count);
--- a/src/configuration/configuration_node.hpp
+++ b/src/configuration/configuration_node.hpp
@@ -71,7 +71,7 @@
     configuration_node& operator=(configuration_node const&) = delete;
 
     void start();
-    void set_peers(std::vector<configuration_peer> const& peers);
+    void set_peers(std::vector<configuration_peer> peers);
 
     /// Without a handler a policy is in force as soon as it is read.
     void set_on_change(change_handler handler);
--- a/src/configuration/configuration_operator.cpp
+++ b/src/configuration/configuration_operator.cpp
@@ -475,7 +475,7 @@
 // ---- reading --------------------------------------------------------------
 
 void configuration_operator::status(
-    std::function<void(configuration_status)> done)
+    std::function<void(configuration_status)> const& done)
 {
     auto const result = std::make_shared<configuration_status>();
     auto const on_standing =
@@ -522,7 +522,7 @@
 }
 
 void configuration_operator::history(
-    std::size_t limit, std::function<void(history_result)> done)
+    std::size_t limit, std::function<void(history_result)> const& done)
 {
     auto const result = std::make_shared<history_result>();
     read_one(
@@ -542,8 +542,8 @@
 
 void configuration_operator::walk(
     std::string const& key, std::size_t limit,
-    std::shared_ptr<history_result> result,
-    std::function<void(history_result)> done)
+    std::shared_ptr<history_result> const& result,
+    std::function<void(history_result)> const& done)
 {
     if (key.empty() || limit == 0)
     {
--- a/src/configuration/configuration_operator.hpp
+++ b/src/configuration/configuration_operator.hpp
@@ -121,10 +121,11 @@
 
     /// Current version, its document, and who lacks it. One look: a dead
     /// process is listed as missing until its registration goes away.
-    void status(std::function<void(configuration_status)> done);
+    void status(std::function<void(configuration_status)> const& done);
 
     /// Walks back from the current version.
-    void history(std::size_t limit, std::function<void(history_result)> done);
+    void
+    history(std::size_t limit, std::function<void(history_result)> const& done);
 
 private:
     struct seen_row
@@ -180,8 +181,8 @@
     void remove_stale_reports(rows const& reports);
     void walk(
         std::string const& key, std::size_t limit,
-        std::shared_ptr<history_result> result,
-        std::function<void(history_result)> done);
+        std::shared_ptr<history_result> const& result,
+        std::function<void(history_result)> const& done);
 
     void read_one(
         std::string const& key,
--- a/src/membership/registration.cpp
+++ b/src/membership/registration.cpp
@@ -95,9 +95,8 @@
     last_seen_ = started_at_;
     provisional_timer_ =
         timers_.schedule(provisional_after, [this] { serve_provisionally(); });
-    poll_timer_ =
-        timers_.schedule(jittered(desired_interval), [this] { poll_tick(); });
-    read_desired();
+    if (polls_desired())
+        poll_tick();
     read_own_row();
 }
 
@@ -112,7 +111,8 @@
 
 bool registration::may_offer() const
 {
-    bool const stalled = clock_.now() - last_seen_ > pause_limit;
+    bool const stalled =
+        polls_desired() && clock_.now() - last_seen_ > pause_limit;
     return !drain_ && !superseded() && desired_known_ && !stalled;
 }
 
@@ -143,6 +143,13 @@
 
 // ---- desired state --------------------------------------------------------
 
+/// Operators drain endpoints; a router has none, and 360 of them would cost
+/// 190 reads a second.
+bool registration::polls_desired() const
+{
+    return !record_.info.endpoint.empty() || !watched_.empty();
+}
+
 void registration::poll_tick()
 {
     poll_timer_ =
@@ -153,13 +160,15 @@
 
 void registration::notice_pause()
 {
-    bool const paused = clock_.now() - last_seen_ > pause_limit;
+    duration const gap = clock_.now() - last_seen_;
     last_seen_ = clock_.now();
-    if (!paused)
+    // Without the poll only the heartbeat keeps time.
+    duration const usual = polls_desired() ? duration{} : heartbeat_interval;
+    if (gap <= usual + pause_limit)
         return;
     pauses_.add();
     paused_once_ = true;
-    desired_known_ = false;
+    desired_known_ = !polls_desired();
     // Another run may have registered meanwhile.
     if (state_ == state::confirmed)
         state_ = state::provisional;
--- a/src/membership/registration.hpp
+++ b/src/membership/registration.hpp
@@ -88,6 +88,7 @@
         superseded
     };
 
+    bool polls_desired() const;
     void poll_tick();
     void notice_pause();
     void read_desired();
--- a/src/placement/lease.cpp
+++ b/src/placement/lease.cpp
@@ -62,9 +62,9 @@
 }
 
 lease::lease(
-    peer_id self, std::string name, clock_source& clock, timer_service& timers,
-    random_source& random, table_service& store, duration term,
-    counter_registry& counters)
+    peer_id self, std::string const& name, clock_source& clock,
+    timer_service& timers, random_source& random, table_service& store,
+    duration term, counter_registry& counters)
     : self_(std::move(self)), key_(lease_key(name)), run_(random_name(random)),
       clock_(clock), timers_(timers), random_(random), store_(store),
       term_(term), acquired_(counters.counter("lease_acquired")),
--- a/src/placement/lease.hpp
+++ b/src/placement/lease.hpp
@@ -43,7 +43,7 @@
 {
 public:
     lease(
-        peer_id self, std::string name, clock_source& clock,
+        peer_id self, std::string const& name, clock_source& clock,
         timer_service& timers, random_source& random, table_service& store,
         duration term, counter_registry& counters);
     ~lease();
