--- a/tests/placement/placement_matrix_test.cpp
+++ b/tests/placement/placement_matrix_test.cpp
@@ -336,6 +336,7 @@
     for (std::size_t n = 0; n < sequences; ++n)
     {
         placement_world w("a");
+        w.look_interval = milliseconds(500); // a third of the lease's margin
         w.plan({{{"a", "", "2"}, {}, 1, ""}}, {{"a", 1}});
         // The lease is held and the first order is about to be written.
         w.run(seconds(14));
