Route router-agent traffic through the link stand-in in process tests

Cause: routers took the agents' own addresses, so the link carried nothing and the tests of silence and partition tested nothing. Found by a check that the link lost bytes (0 before). Agents advertise the link's address now.

dotterellock_process_tests 'a silent*,a part*': both pass with lost bytes > 0.

--- a/standins/local_fleet.cpp
+++ b/standins/local_fleet.cpp
@@ -118,8 +118,6 @@
             "service-" + std::to_string(i + 1), {"--kind", "service"}));
         start_agent(options_.engines + i);
     }
-    for (std::size_t i = 0; options_.links && i < agents_.size(); ++i)
-        start_link(i);
     routers_.resize(options_.routers);
     for (auto& r : routers_)
     {
@@ -172,7 +170,9 @@
     std::string const name = "agent-" + endpoint_name(number);
     member& m = agents_[number];
     if (m.peer_address.empty())
-        m.peer_address = any_port;
+        m.peer_address = options_.links ? free_address() : any_port;
+    if (options_.links && links_.size() == number)
+        start_link(number);
     std::string const file = write_settings(name, agent_settings(number));
     m.process = std::make_unique<child_process>(
         binary_directory_ + "/dotterellock-agent",
@@ -237,6 +237,8 @@
       << "peer_listen: " << agents_[number].peer_address
       << "\ncapacity: " << options_.capacity
       << "\ntable_service_url: " << table_url_ << "\n";
+    if (options_.links)
+        y << "peer_address: " << links_[number].peer_address << "\n";
     if (is_engine)
         y << "engine_url: " << engines_[index].url
           << "\nengine_checks_fencing_token: true\nmodels:\n  - name: " << model
@@ -268,10 +270,10 @@
     {
         bool const is_engine = i < options_.engines;
         std::size_t const local = is_engine ? i : i - options_.engines;
-        y << "  - endpoint: " << endpoint_name(i)
-          << "\n    address: " << agents_[i].peer_address << "\n    host: host-"
-          << endpoint_name(i) << "\n    zone: " << zone_of(local)
-          << "\n    region: region-1\n";
+        y << "  - endpoint: " << endpoint_name(i) << "\n    address: "
+          << (options_.links ? links_ : agents_)[i].peer_address
+          << "\n    host: host-" << endpoint_name(i)
+          << "\n    zone: " << zone_of(local) << "\n    region: region-1\n";
         if (is_engine)
             y << "    models:\n      - name: " << model
               << "\n        version: \"" << model_version << "\"\n";
--- a/tests/process/fault_test.cpp
+++ b/tests/process/fault_test.cpp
@@ -71,6 +71,13 @@
     return runs;
 }
 
+unsigned bytes_lost_by(local_fleet const& fleet, std::size_t link)
+{
+    json const stats =
+        json::parse(http_get(fleet.link_url(link) + "/admin/stats").body);
+    return stats.at("lost_bytes").get<unsigned>();
+}
+
 struct stream_fault
 {
     char const* name;
@@ -162,10 +169,7 @@
         json::parse(http_get(fleet.engine_url(busy) + "/admin/stats").body);
     REQUIRE(stats.at("tokens_produced") == answer_tokens);
     REQUIRE(caller.result().reconnects == 0);
-    // The fault took effect: the old connection lost bytes.
-    auto const link =
-        json::parse(http_get(fleet.link_url(busy) + "/admin/stats").body);
-    REQUIRE(link.at("lost_bytes").get<unsigned>() > 0);
+    REQUIRE(bytes_lost_by(fleet, busy) > 0); // the fault took effect
 }
 
 // Guards against an answer that stops when its endpoint is cut off.
@@ -181,6 +185,7 @@
     REQUIRE(caller.wait_for_tokens(mid_stream + 30, limit));
     http_post(fleet.link_url(busy) + "/admin/fault", R"({"partition":false})");
     require_whole(caller, "cut");
+    REQUIRE(bytes_lost_by(fleet, busy) > 0);
 }
 
 // Guards against an agent that wakes from a pause and delivers old tokens.
