--- a/tests/claims/call_test.cpp
+++ b/tests/claims/call_test.cpp
@@ -128,6 +128,30 @@
     REQUIRE(reply.outcome == call_outcome::done);
 }
 
+// Guards against a late result of another submission that passes for this one.
+TEST_CASE("results of other attempts are ignored")
+{
+    auto const outcome = GENERATE(
+        call_outcome::done, call_outcome::not_run, call_outcome::unknown);
+    auto const repeatable = GENERATE(false, true);
+    call_rig rig;
+    rig.on_step = [&](step at)
+    {
+        if (at != step::run)
+            return;
+        call_result stale;
+        stale.request = request_id("org/k");
+        stale.attempt = 1u << 31; // outside the range of random attempts
+        stale.incarnation = rig.agents[0]->handler.self;
+        stale.outcome = outcome;
+        stale.body = "stale";
+        rig.routers[0]->coordinator.on_message(peer_id("a1"), stale);
+    };
+    auto const reply = reply_of(rig, rig.submit(0, "org/k", repeatable));
+    REQUIRE(reply.outcome == call_outcome::done);
+    REQUIRE(reply.body == "result of org/k");
+}
+
 // Guards against outcomes that do not follow from what the service did.
 TEST_CASE("what the service did decides the outcome")
 {
