--- a/src/queueing/reservation_queue.hpp
+++ b/src/queueing/reservation_queue.hpp
@@ -54,6 +54,11 @@
     /// Enables suspension of lower-rank generations; empty disables it.
     void set_preemption(suspend_function suspend);
 
+    /// The gate's measurement of one decoding stream, in tokens per second.
+    /// Without any, reports carry no pace and routers look for no stragglers
+    /// by pace.
+    void observe_pace(double tokens_per_second);
+
     load_report report() const;
     bool idle() const { return entries_.empty(); }
     std::uint32_t slots_in_use() const { return offered_ + running(); }
@@ -76,6 +81,7 @@
         steady_time deadline; // of waiting or of the offer
         served_entry served;  // from offered on
         bool suspending = false;
+        timer_id paced = 0; // delays the offer
     };
 
     std::uint32_t running() const
@@ -87,9 +93,11 @@
     using reservations = std::map<permit_id, reservation>;
 
     void on_reserve(peer_id const& from, reserve const& asked);
+    steady_time due(reserve const& asked) const;
     void on_withdraw(peer_id const& from, withdraw const& w);
     void offer_slots();
     void send_offer(permit_id permit, reservation const& r);
+    void pace_offer(permit_id permit, reservation& r);
     void refuse(
         peer_id const& to, request_id const& request, attempt_number attempt,
         error_code reason);
@@ -104,7 +112,7 @@
     void arm();
     void send_reports();
     milliseconds retry_after() const;
-    double pace() const;
+    double tokens_per_second() const;
 
     endpoint_id self_;
     dotterellock::incarnation incarnation_;
@@ -124,13 +132,16 @@
     reservations entries_;
     std::map<key, permit_id> by_key_;
     std::set<permit_id> running_permits_;
+    std::deque<steady_time> recent_starts_; // within the prefill time
     std::set<std::pair<steady_time, permit_id>> deadlines_;
     std::unordered_map<peer_id, steady_time> routers_; // last message of each
     permit_id last_permit_ = 0;
     std::uint32_t offered_ = 0;
     std::uint32_t suspending_ = 0;
     bool draining_ = false;
-    double stream_pace_ = 0; // tokens/s, mean of completed work; 0: unknown
+    double stream_pace_ = 0;       // mean of observations; 0: none yet
+    double completed_tokens_ = 0;  // decaying sums over completed work
+    double completed_seconds_ = 0; // of its run time
     suspend_function suspend_;
     timer_id deadline_timer_ = 0;
     timer_id report_timer_ = 0;
--- a/tests/choice/directory_test.cpp
+++ b/tests/choice/directory_test.cpp
@@ -147,6 +147,15 @@
         t.directory.on_silent(e0);
         t.scheduler.advance(seconds(2));
     }
+    SECTION("without reports although reservations are sent")
+    {
+        t.directory.on_reserved(e0);
+        t.scheduler.advance(seconds(3));
+        CHECK(t.candidates().count("e0") == 1); // nothing sent since
+        t.directory.on_reserved(e0);
+        CHECK(t.candidates().count("e0") == 0);
+        t.scheduler.advance(seconds(10));
+    }
     SECTION("draining, until it returns")
     {
         t.report(0, 30, 1, true);
@@ -221,6 +230,7 @@
                    t.directory.estimated_wait(test_model, of))
             .count();
     };
+    t.policy.settings.dispatch.max_reservations = 2;
     // 50,000 tokens in 2 copies at 100/s; 60% of them urgent.
     CHECK(wait(rank::urgent) == Approx(150));
     CHECK(wait(rank::standard) == Approx(200));
