Mend lint findings of the shell

clang-tidy over src/wire, src/pipeline, src/process, src/front, both apps and bench/relay.cpp named four places, all in vector growth or copied parameters.

--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -341,7 +341,8 @@
 
 void http_front::stop_accepting()
 {
-    implementation_->server->close_async([] {}, [](std::exception_ptr) {});
+    implementation_->server->close_async(
+        [] {}, [](std::exception_ptr const&) {});
 }
 
 std::size_t http_front::open_requests() const
--- a/src/process/agent_graph.cpp
+++ b/src/process/agent_graph.cpp
@@ -34,6 +34,7 @@
 peers_of(std::vector<router_entry> const& routers)
 {
     std::vector<configuration_peer> peers;
+    peers.reserve(routers.size());
     for (auto const& r : routers)
         peers.push_back({r.info.router, r.info.zone});
     return peers;
--- a/src/process/program_settings.cpp
+++ b/src/process/program_settings.cpp
@@ -115,6 +115,7 @@
     std::vector<std::string> names;
     reader.optional("services", names);
     std::vector<service_name> services;
+    services.reserve(names.size());
     for (auto const& name : names)
         services.emplace_back(name);
     return services;
--- a/src/process/router_control.cpp
+++ b/src/process/router_control.cpp
@@ -27,6 +27,7 @@
     std::vector<endpoint_info> const& endpoints)
 {
     std::vector<configuration_peer> peers;
+    peers.reserve(routers.size() + endpoints.size());
     for (auto const& r : routers)
         peers.push_back({r.info.router, r.info.zone});
     for (auto const& e : endpoints)
