Tell a refused submission from a call that was not run

Cause: with the store unreadable a router answered not_run for a key that another router may have run; a caller would then book again with a new key. The outcome 'refused' now covers one submission only and carries its code (store_unavailable, overloaded, key_reused); not_run is always final.

Ruled out: answering outcome_unknown for every refusal, which hides that a retry with the same key is safe and useful.

--- a/include/dotterellock/call.hpp
+++ b/include/dotterellock/call.hpp
@@ -30,11 +30,12 @@
 struct call_reply
 {
     call_outcome outcome = call_outcome::unknown;
+    error_code code = error_code::outcome_unknown; // unless done
     int status = 0;
     std::string content_type;
     std::string body;
     std::string detail;
-    milliseconds retry_after{0}; // for not_run and unknown; 0: no advice
+    milliseconds retry_after{0}; // for refused and unknown; 0: no advice
 };
 
 class call_service
--- a/include/dotterellock/messages.hpp
+++ b/include/dotterellock/messages.hpp
@@ -208,7 +208,9 @@
     done,    // ran; the answer is included
     not_run, // did not run and never will
     unknown, // may have run
-    running  // passed on, no answer yet
+    running, // passed on, no answer yet
+    refused  // replies only: this submission was not accepted, which says
+             // nothing of earlier ones with the same key
 };
 
 struct call_result
--- a/src/claims/call_coordinator.cpp
+++ b/src/claims/call_coordinator.cpp
@@ -29,19 +29,22 @@
 {
     call_reply reply;
     reply.outcome = outcome;
+    reply.code = code;
     reply.status = http_status(code);
     reply.detail = std::string(to_string(code)) + ": " + std::move(detail);
     reply.retry_after = retry_after;
     return reply;
 }
 
-/// Nothing was sent and no claim is held; the key may be submitted again.
+/// Nothing was sent and no claim is held; the key may be submitted again. It
+/// is not `not_run`: without its row nobody can tell whether an earlier
+/// submission of the key ran.
 call_reply refused_reply(
     error_code code, std::string detail,
     milliseconds retry_after = milliseconds{0})
 {
     return make_reply(
-        call_outcome::not_run, code, std::move(detail),
+        call_outcome::refused, code, std::move(detail),
         retry_after.count() > 0 ? retry_after : resubmit_after);
 }
 
@@ -61,7 +64,7 @@
 call_reply key_reused_reply()
 {
     return make_reply(
-        call_outcome::not_run, error_code::key_reused,
+        call_outcome::refused, error_code::key_reused,
         "the key belongs to a call with another body");
 }
 
@@ -98,6 +101,8 @@
           counters.counter("dotterellock_calls_total", "outcome=\"done\"")),
       not_run_total_(
           counters.counter("dotterellock_calls_total", "outcome=\"not_run\"")),
+      refused_total_(
+          counters.counter("dotterellock_calls_total", "outcome=\"refused\"")),
       unknown_total_(
           counters.counter("dotterellock_calls_total", "outcome=\"unknown\"")),
       retries_total_(counters.counter("dotterellock_call_retries_total")),
@@ -513,6 +518,8 @@
         else
             outcome_unknown(c, result.detail);
         return;
+    case call_outcome::refused:
+        return; // agents do not send it
     }
 }
 
@@ -798,10 +805,22 @@
 
 void call_coordinator::count(call_reply const& reply)
 {
-    counter& total = reply.outcome == call_outcome::done      ? done_total_
-                     : reply.outcome == call_outcome::not_run ? not_run_total_
-                                                              : unknown_total_;
-    total.add();
+    switch (reply.outcome)
+    {
+    case call_outcome::done:
+        done_total_.add();
+        return;
+    case call_outcome::not_run:
+        not_run_total_.add();
+        return;
+    case call_outcome::refused:
+        refused_total_.add();
+        return;
+    case call_outcome::unknown:
+    case call_outcome::running:
+        unknown_total_.add();
+        return;
+    }
 }
 
 void call_coordinator::remember_unresolved(open_call const& c)
--- a/src/claims/call_coordinator.hpp
+++ b/src/claims/call_coordinator.hpp
@@ -51,10 +51,9 @@
     call_coordinator(call_coordinator const&) = delete;
     call_coordinator& operator=(call_coordinator const&) = delete;
 
-    /// A `not_run` reply without retry_after is final: the key is closed. One
-    /// with retry_after covers this submission only; the key may be submitted
-    /// again. A key that was used with another body is `not_run` with the
-    /// HTTP status of key_reused.
+    /// A `not_run` reply is final: the key is closed. `refused` covers this
+    /// submission only; the same key may be submitted again, except after
+    /// key_reused.
     void
     call(call_request request, std::function<void(call_reply)> done) override;
 
@@ -204,6 +203,7 @@
 
     counter& done_total_;
     counter& not_run_total_;
+    counter& refused_total_;
     counter& unknown_total_;
     counter& retries_total_;
     counter& queries_total_;
--- a/src/pipeline/error_response.cpp
+++ b/src/pipeline/error_response.cpp
@@ -53,12 +53,9 @@
             {},
             std::move(reply.body)};
     case call_outcome::not_run:
-    {
-        bool const reused = reply.status == http_status(error_code::key_reused);
-        return error_response(error(
-            reused ? error_code::key_reused : error_code::not_run, "call", "",
-            reply.detail, reply.retry_after));
-    }
+    case call_outcome::refused:
+        return error_response(
+            error(reply.code, "call", "", reply.detail, reply.retry_after));
     case call_outcome::unknown:
     case call_outcome::running:
         break;
--- a/src/pipeline/error_response.hpp
+++ b/src/pipeline/error_response.hpp
@@ -16,8 +16,9 @@
 /// Status by code, and Retry-After when the error advises one.
 http_output error_response(error const& e);
 
-/// done: the service's own answer. not_run: 503, or 422 for a key that was
-/// used with another request. unknown: 504 with Retry-After.
+/// done: the service's own answer. not_run: 503. refused: status of its code,
+/// such as 503 store_unavailable or 422 key_reused. unknown: 504 with
+/// Retry-After.
 http_output call_response(call_reply reply);
 
 /// Quotes and escapes; invalid UTF-8 is replaced.
