--- a/src/recovery/generation_relay.cpp
+++ b/src/recovery/generation_relay.cpp
@@ -124,7 +124,7 @@
     generation_request request, std::shared_ptr<generation_listener> listener)
 {
     request_id const id = request.request;
-    auto const g = std::make_shared<generation>(
+    auto g = std::make_shared<generation>(
         std::move(request),
         journal_writer(transport_, journals_, journal_bytes_));
     g->listener = std::move(listener);
