--- a/tests/queueing/reservation_queue_test.cpp
+++ b/tests/queueing/reservation_queue_test.cpp
@@ -189,6 +189,28 @@
     }
 }
 
+// Guards against work that begins just too late for its target, and against a
+// target that starts anew with each reservation of the same request.
+TEST_CASE("work counts as overdue a prefill before its target")
+{
+    auto const [budget, waits, first] =
+        GENERATE(table<milliseconds, milliseconds, std::string>({
+            {milliseconds(5000), milliseconds(999), "a"}, // 1500 less 500
+            {milliseconds(5000), milliseconds(1000), "b"},
+            {milliseconds(4500), milliseconds(499), "a"}, // router waited 500
+            {milliseconds(4500), milliseconds(500), "b"},
+        }));
+    agent_under_test t(1);
+    t.ask("running");
+    REQUIRE(t.redeem(t.answers.offers.at(0)));
+    t.ask("a", rank::urgent, budget);
+    t.scheduler.advance(waits);
+    t.ask("b", rank::urgent, milliseconds(5000));
+    t.queue.release(t.answers.offers[0].permit, 10);
+    t.settle();
+    CHECK(t.answers.offers.back().request == request_id(first));
+}
+
 // Guards against reports that stop, lack figures, or go on to routers that
 // have been gone for long.
 TEST_CASE("load reports go once a second to routers seen in the last 10 s")
