--- a/tests/pipeline/pipeline_fixture.hpp
+++ b/tests/pipeline/pipeline_fixture.hpp
@@ -77,10 +77,10 @@
     void
     start(generation_request r, std::shared_ptr<generation_listener> l) override
     {
+        listener = std::move(l);
         if (refuse)
             throw error(error_code::shutting_down, "start", "", "refused");
         started.push_back(std::move(r));
-        listener = std::move(l);
     }
     void resume(
         generation_request r, resume_point const& from,
