Hold the response weakly in write callbacks

Cause: LeakSanitizer on the pipeline tests found a cycle from the connection's pending callback over the response and its sink back to the connection. The relay keeps the response while it delivers.

--- a/src/pipeline/generation_response.cpp
+++ b/src/pipeline/generation_response.cpp
@@ -170,9 +170,15 @@
     if (!begun_)
         begin_stream();
     quiet_ = false;
+    // Weak: the connection may keep the callback, and the sink keeps the
+    // connection.
     sink_->write(
         std::move(bytes),
-        [self = shared_from_this(), next] { self->on_written(next); });
+        [weak = weak_from_this(), next]
+        {
+            if (auto const self = weak.lock())
+                self->on_written(next);
+        });
 }
 
 /// Posts one report at a time; it covers what was written in the meantime.
