--- a/Makefile
+++ b/Makefile
@@ -22,11 +22,11 @@
 	ctest --test-dir $(BUILD) --output-on-failure
 
 test-asan:
-	$(MAKE) build BUILD=build-asan CMAKE_FLAGS="-DDOTTERELLOCK_SANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Debug"
+	$(MAKE) build BUILD=build-asan CMAKE_FLAGS="-DDOTTERELLOCK_SANITIZE=address,undefined -DCMAKE_BUILD_TYPE=RelWithDebInfo"
 	ctest --test-dir build-asan --output-on-failure -R unit
 
 test-tsan:
-	$(MAKE) build BUILD=build-tsan CMAKE_FLAGS="-DDOTTERELLOCK_SANITIZE=thread -DCMAKE_BUILD_TYPE=Debug"
+	$(MAKE) build BUILD=build-tsan CMAKE_FLAGS="-DDOTTERELLOCK_SANITIZE=thread -DCMAKE_BUILD_TYPE=RelWithDebInfo"
 	ctest --test-dir build-tsan --output-on-failure -R unit
 
 bench: build
