Divide organisations' rates; serve an agent's metrics; unify metric names

Cause: reading the programs as an operator showed settings and counters that did nothing or could not be read. - Each shard of each router admitted an organisation's full rate. The rate is divided by routers and shards now; test 'a shard admits its share'. - An agent's counters were unreachable: optional http_listen serves /healthz, /readyz and /metrics through the router's HTTP front. - call.claim_batch_delay_ms and call.default_timeout_ms had no effect; the router's object_store_url is gone. - Metrics share the prefix dotterellock_ and the suffixes _total and _seconds.

--- a/bench/recovery.cpp
+++ b/bench/recovery.cpp
@@ -173,7 +173,7 @@
     u.prompt += static_cast<double>(c.request.prompt.size()) / 4;
     u.output = produced - length;
     u.journal = static_cast<double>(
-        world.counters.counter("relay_journal_bytes").value());
+        world.counters.counter("relay_journal_bytes_total").value());
     u.buffer = bytes_per_token * static_cast<double>(buffered);
     return u;
 }
--- a/include/dotterellock/policy.hpp
+++ b/include/dotterellock/policy.hpp
@@ -74,8 +74,8 @@
 
 struct call_policy
 {
-    milliseconds default_timeout{5000};
-    milliseconds claim_batch_delay{5};
+    milliseconds default_timeout{5000}; // of operations without one
+    milliseconds claim_batch_delay{5};  // read at start
     milliseconds store_timeout{1000};
     milliseconds result_kept_for{600000}; // agent's memory of finished calls
 };
@@ -84,7 +84,7 @@
 struct operation_policy
 {
     bool repeatable = false;
-    milliseconds timeout{5000};
+    milliseconds timeout{0}; // 0: call_policy::default_timeout
 };
 
 struct policy_settings
--- a/src/claims/call_coordinator.cpp
+++ b/src/claims/call_coordinator.cpp
@@ -97,18 +97,14 @@
     : self_(std::move(self)), clock_(clock), timers_(timers), random_(random),
       transport_(transport), dispatcher_(dispatch), endpoints_(endpoints),
       store_(store), policy_(policy), log_(log),
-      done_total_(
-          counters.counter("dotterellock_calls_total", "outcome=\"done\"")),
-      not_run_total_(
-          counters.counter("dotterellock_calls_total", "outcome=\"not_run\"")),
-      refused_total_(
-          counters.counter("dotterellock_calls_total", "outcome=\"refused\"")),
-      unknown_total_(
-          counters.counter("dotterellock_calls_total", "outcome=\"unknown\"")),
-      retries_total_(counters.counter("dotterellock_call_retries_total")),
-      queries_total_(counters.counter("dotterellock_call_queries_sent_total")),
-      conflicts_total_(counters.counter("dotterellock_claim_conflicts_total")),
-      claim_seconds_(counters.histogram("dotterellock_claim_seconds"))
+      done_total_(counters.counter("calls_total", "outcome=\"done\"")),
+      not_run_total_(counters.counter("calls_total", "outcome=\"not_run\"")),
+      refused_total_(counters.counter("calls_total", "outcome=\"refused\"")),
+      unknown_total_(counters.counter("calls_total", "outcome=\"unknown\"")),
+      retries_total_(counters.counter("call_retries_total")),
+      queries_total_(counters.counter("call_queries_sent_total")),
+      conflicts_total_(counters.counter("claim_conflicts_total")),
+      claim_seconds_(counters.histogram("claim_seconds"))
 {
 }
 
--- a/src/claims/call_gate.cpp
+++ b/src/claims/call_gate.cpp
@@ -18,9 +18,9 @@
     : self_(self), clock_(clock), timers_(timers), transport_(transport),
       service_(service), permits_(permits), policy_(policy),
       decisions_(self, max_decisions),
-      runs_(counters.counter("dotterellock_calls_passed_on_total")),
-      refused_(counters.counter("dotterellock_calls_refused_total")),
-      queries_(counters.counter("dotterellock_call_queries_total"))
+      runs_(counters.counter("calls_passed_on_total")),
+      refused_(counters.counter("calls_refused_total")),
+      queries_(counters.counter("call_queries_total"))
 {
 }
 
--- a/src/configuration/configuration_node.cpp
+++ b/src/configuration/configuration_node.cpp
@@ -70,12 +70,13 @@
     : self_(std::move(self)), location_(std::move(location)), clock_(clock),
       timers_(timers), random_(random), transport_(transport), store_(store),
       parser_(parser), policy_(std::make_shared<policy_settings>()),
-      adopted_(counters.counter("configuration_versions_adopted")),
-      rejected_count_(counters.counter("configuration_versions_rejected")),
-      pauses_(counters.counter("configuration_pauses")),
-      store_behind_(counters.counter("configuration_store_behind")),
-      store_failures_(counters.counter("configuration_store_failures")),
-      documents_sent_(counters.counter("configuration_documents_sent"))
+      adopted_(counters.counter("configuration_versions_adopted_total")),
+      rejected_count_(
+          counters.counter("configuration_versions_rejected_total")),
+      pauses_(counters.counter("configuration_pauses_total")),
+      store_behind_(counters.counter("configuration_store_behind_total")),
+      store_failures_(counters.counter("configuration_store_failures_total")),
+      documents_sent_(counters.counter("configuration_documents_sent_total"))
 {
     set_peers(std::move(peers));
 }
--- a/src/core/observability.cpp
+++ b/src/core/observability.cpp
@@ -8,9 +8,11 @@
 namespace
 {
 
+constexpr char const* name_prefix = "dotterellock_";
+
 std::string series(std::string const& name, std::string const& labels)
 {
-    return labels.empty() ? name : name + "{" + labels + "}";
+    return name_prefix + (labels.empty() ? name : name + "{" + labels + "}");
 }
 
 std::string bucket_series(
@@ -18,7 +20,8 @@
     std::string const& bound)
 {
     std::string const separator = labels.empty() ? "" : ",";
-    return name + "_bucket{" + labels + separator + "le=\"" + bound + "\"}";
+    return name_prefix + name + "_bucket{" + labels + separator + "le=\"" +
+           bound + "\"}";
 }
 
 } // namespace
--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -6,6 +6,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include <dotterellock/error.hpp>
+
 #include <restinio/all.hpp>
 
 namespace dotterellock
@@ -263,16 +265,16 @@
 
 http_front::http_front(
     asio::io_context& io, http_front_settings const& settings,
-    request_path& path)
+    http_request_handler& handler)
     : implementation_(std::make_unique<implementation>())
 {
     auto const on_request =
-        [&path, watch = implementation_->watch,
+        [&handler, watch = implementation_->watch,
          open = implementation_->open](restinio::request_handle_t request)
     {
         auto const id = request->connection_id();
         http_input input = describe(*request);
-        auto e = path.handle(
+        auto e = handler.handle(
             std::move(input),
             std::make_shared<restinio_sink>(std::move(request), open));
         if (e)
--- a/src/front/http_front.hpp
+++ b/src/front/http_front.hpp
@@ -1,4 +1,4 @@
-// The HTTP server of a router. The only user of RESTinio. Runs on the threads
+// The HTTP server of a process. The only user of RESTinio. Runs on the threads
 // of the io_context; owns the open connections.
 #ifndef DOTTERELLOCK_FRONT_HTTP_FRONT_HPP
 #define DOTTERELLOCK_FRONT_HTTP_FRONT_HPP
@@ -9,7 +9,7 @@
 
 #include <asio/io_context.hpp>
 
-#include "pipeline/request_path.hpp"
+#include "pipeline/operator_pages.hpp"
 
 namespace dotterellock
 {
@@ -27,7 +27,7 @@
     /// of the io_context must have ended before this object is destroyed.
     http_front(
         asio::io_context& io, http_front_settings const& settings,
-        request_path& path);
+        http_request_handler& handler);
     ~http_front();
 
     std::string listening_on() const;
--- a/src/membership/membership_view.cpp
+++ b/src/membership/membership_view.cpp
@@ -29,9 +29,9 @@
     table_service& store, dotterellock::fleet_view& fleet,
     counter_registry& counters)
     : clock_(clock), timers_(timers), random_(random), store_(store),
-      fleet_(fleet), scans_(counters.counter("membership_scans")),
-      store_failures_(counters.counter("membership_view_failures")),
-      expired_(counters.counter("membership_rows_expired"))
+      fleet_(fleet), scans_(counters.counter("membership_scans_total")),
+      store_failures_(counters.counter("membership_view_failures_total")),
+      expired_(counters.counter("membership_rows_expired_total"))
 {
 }
 
--- a/src/membership/registration.cpp
+++ b/src/membership/registration.cpp
@@ -46,10 +46,10 @@
     random_source& random, table_service& store, counter_registry& counters)
     : clock_(clock), timers_(timers), random_(random), store_(store),
       key_(registration_key(self)),
-      registrations_(counters.counter("membership_registrations")),
-      heartbeats_(counters.counter("membership_heartbeats")),
-      store_failures_(counters.counter("membership_store_failures")),
-      pauses_(counters.counter("membership_pauses"))
+      registrations_(counters.counter("membership_registrations_total")),
+      heartbeats_(counters.counter("membership_heartbeats_total")),
+      store_failures_(counters.counter("membership_store_failures_total")),
+      pauses_(counters.counter("membership_pauses_total"))
 {
     record_.info = std::move(self);
     record_.run = random_name(random);
--- a/src/pipeline/request_path.cpp
+++ b/src/pipeline/request_path.cpp
@@ -10,16 +10,6 @@
 namespace dotterellock
 {
 
-namespace
-{
-
-http_output plain_text(int status, std::string text)
-{
-    return {status, "text/plain; version=0.0.4", {}, std::move(text)};
-}
-
-} // namespace
-
 std::size_t shard_of(request_id const& request, std::size_t shards)
 {
     auto const& text = request.value();
@@ -63,6 +53,14 @@
     std::vector<filter*> edge, std::vector<request_shard> shards,
     counter_registry& counters)
     : edge_(std::move(edge)), shards_(std::move(shards)), counters_(counters),
+      operators_(
+          [this]() -> std::string
+          {
+              if (shutting_down_)
+                  return "shutting down";
+              return ready() ? "" : "not ready";
+          },
+          counters),
       requests_(counters.counter("http_requests_total")),
       refused_(counters.counter("http_requests_refused_total")),
       ready_until_(steady_time::min().time_since_epoch().count())
@@ -94,7 +92,7 @@
 std::shared_ptr<exchange> request_path::handle(
     http_input input, std::shared_ptr<response_sink> const& sink)
 {
-    if (answer_operators(input, *sink))
+    if (operators_.answer(input, *sink))
         return nullptr;
     requests_.add();
     auto const context = std::make_shared<request_context>();
@@ -123,31 +121,6 @@
     return opened;
 }
 
-bool request_path::answer_operators(
-    http_input const& input, response_sink& sink) const
-{
-    if (input.path == "/healthz")
-    {
-        sink.respond(plain_text(200, "ok\n"));
-        return true;
-    }
-    if (input.path == "/readyz")
-    {
-        sink.respond(
-            ready()
-                ? plain_text(200, "ready\n")
-                : plain_text(
-                      503, shutting_down_ ? "shutting down\n" : "not ready\n"));
-        return true;
-    }
-    if (input.path == "/metrics")
-    {
-        sink.respond(plain_text(200, counters_.prometheus_text()));
-        return true;
-    }
-    return false;
-}
-
 void request_path::hand_over(
     request_shard& shard, std::shared_ptr<request_context> const& context,
     std::shared_ptr<response_sink> const& sink,
--- a/src/pipeline/request_path.hpp
+++ b/src/pipeline/request_path.hpp
@@ -13,6 +13,7 @@
 
 #include "filter.hpp"
 #include "generation_response.hpp"
+#include "operator_pages.hpp"
 
 namespace dotterellock
 {
@@ -31,17 +32,7 @@
 /// Shard of a request; the same in every part of the process.
 std::size_t shard_of(request_id const& request, std::size_t shards);
 
-/// One HTTP request under way, as the HTTP front sees it.
-class exchange
-{
-public:
-    virtual ~exchange() = default;
-
-    /// The connection ended before the response did; any thread.
-    virtual void caller_gone() = 0;
-};
-
-class request_path
+class request_path : public http_request_handler
 {
 public:
     /// @param edge  filters for the I/O thread: parse, identify
@@ -49,9 +40,8 @@
         std::vector<filter*> edge, std::vector<request_shard> shards,
         counter_registry& counters);
 
-    /// Never blocks and never throws; answers through the sink.
-    std::shared_ptr<exchange>
-    handle(http_input input, std::shared_ptr<response_sink> const& sink);
+    std::shared_ptr<exchange> handle(
+        http_input input, std::shared_ptr<response_sink> const& sink) override;
 
     /// /readyz fails and new requests are refused from now on.
     void begin_shutdown() { shutting_down_ = true; }
@@ -70,7 +60,6 @@
     bool ready() const;
     void check_accepting() const;
 
-    bool answer_operators(http_input const& input, response_sink& sink) const;
     void hand_over(
         request_shard& shard, std::shared_ptr<request_context> const& context,
         std::shared_ptr<response_sink> const& sink,
@@ -80,6 +69,7 @@
     std::vector<filter*> const edge_;
     std::vector<request_shard> shards_;
     counter_registry& counters_;
+    operator_pages const operators_;
     counter& requests_;
     counter& refused_;
     std::atomic<bool> shutting_down_{false};
--- a/src/placement/lease.cpp
+++ b/src/placement/lease.cpp
@@ -67,10 +67,10 @@
     duration term, counter_registry& counters)
     : self_(std::move(self)), key_(lease_key(name)), run_(random_name(random)),
       clock_(clock), timers_(timers), random_(random), store_(store),
-      term_(term), acquired_(counters.counter("lease_acquired")),
-      lost_(counters.counter("lease_lost")),
-      pauses_(counters.counter("lease_pauses")),
-      store_failures_(counters.counter("lease_store_failures"))
+      term_(term), acquired_(counters.counter("lease_acquired_total")),
+      lost_(counters.counter("lease_lost_total")),
+      pauses_(counters.counter("lease_pauses_total")),
+      store_failures_(counters.counter("lease_store_failures_total"))
 {
 }
 
--- a/src/placement/placement_gate.cpp
+++ b/src/placement/placement_gate.cpp
@@ -32,10 +32,10 @@
     : endpoint_(std::move(endpoint)), fencing_(fencing),
       loaded_(std::move(loaded)), engine_(engine), clock_(clock),
       timers_(timers), store_(store), hooks_(std::move(hooks)),
-      orders_(counters.counter("placement_orders")),
-      stale_orders_(counters.counter("placement_stale_orders")),
-      failed_orders_(counters.counter("placement_failed_orders")),
-      given_up_(counters.counter("placement_changes_given_up"))
+      orders_(counters.counter("placement_orders_total")),
+      stale_orders_(counters.counter("placement_stale_orders_total")),
+      failed_orders_(counters.counter("placement_failed_orders_total")),
+      given_up_(counters.counter("placement_changes_given_up_total"))
 {
 }
 
--- a/src/placement/placement_planner.cpp
+++ b/src/placement/placement_planner.cpp
@@ -23,10 +23,10 @@
     placement_settings settings, counter_registry& counters)
     : holder_(holder), clock_(clock), timers_(timers), store_(store),
       weights_(weights), fleet_(fleet), log_(log), settings_(settings),
-      changes_(counters.counter("placement_changes")),
-      adopted_orders_(counters.counter("placement_orders_adopted")),
-      store_failures_(counters.counter("placement_store_failures")),
-      removed_rows_(counters.counter("placement_rows_removed"))
+      changes_(counters.counter("placement_changes_total")),
+      adopted_orders_(counters.counter("placement_orders_adopted_total")),
+      store_failures_(counters.counter("placement_store_failures_total")),
+      removed_rows_(counters.counter("placement_rows_removed_total"))
 {
 }
 
--- a/src/process/agent_process.cpp
+++ b/src/process/agent_process.cpp
@@ -1,11 +1,14 @@
 #include "agent_process.hpp"
 
+#include <atomic>
 #include <iostream>
 #include <memory>
 #include <utility>
 
 #include "agent_graph.hpp"
 #include "asio_timer_service.hpp"
+#include "front/http_front.hpp"
+#include "pipeline/operator_pages.hpp"
 #include "platform/curl_executor.hpp"
 #include "platform/http_engine.hpp"
 #include "platform/http_plain_service.hpp"
@@ -31,7 +34,11 @@
 {
 public:
     explicit agent_process(agent_settings const& settings);
-    ~agent_process() { transport_.stop(); }
+    ~agent_process()
+    {
+        transport_.stop();
+        front_.reset(); // before what its handler refers to
+    }
 
     agent_process(agent_process const&) = delete;
     agent_process& operator=(agent_process const&) = delete;
@@ -40,6 +47,7 @@
 
 private:
     void make_graph();
+    void start_operator_pages();
 
     agent_settings const settings_;
     counter_registry counters_;
@@ -55,6 +63,9 @@
     std::unique_ptr<plain_service> service_;
     std::unique_ptr<table_service> store_;
     std::unique_ptr<agent_graph> graph_;
+    std::atomic<bool> stopping_{false};
+    std::unique_ptr<operator_pages> pages_;
+    std::unique_ptr<http_front> front_;
 };
 
 agent_process::agent_process(agent_settings const& settings)
@@ -110,15 +121,36 @@
         });
 }
 
+void agent_process::start_operator_pages()
+{
+    constexpr std::size_t max_body_bytes = 1024; // these pages take none
+    if (settings_.http_listen.empty())
+        return;
+    pages_ = std::make_unique<operator_pages>(
+        [this] { return std::string(stopping_ ? "shutting down" : ""); },
+        counters_);
+    front_ = std::make_unique<http_front>(
+        frame_.io(), http_front_settings{settings_.http_listen, max_body_bytes},
+        *pages_);
+}
+
 void agent_process::run()
 {
     transport_.start();
+    start_operator_pages();
     executor_.post([this] { graph_->start(); });
-    std::vector<log_field> const at = {{"peer", transport_.listening_on()}};
+    std::vector<log_field> at = {{"peer", transport_.listening_on()}};
+    if (front_)
+        at.insert(at.begin(), {"http", front_->listening_on()});
     std::cout << format_event(false, "listening", at) << std::endl;
     log_event(log_level::info, "started", {{"self", settings_.self().value()}});
     frame_.run(
-        [this] { executor_.post([this] { graph_->begin_shutdown(); }); }, [this]
+        [this]
+        {
+            stopping_ = true;
+            executor_.post([this] { graph_->begin_shutdown(); });
+        },
+        [this]
         { return executor_.run([this] { return graph_->finished(); }); });
 }
 
--- a/src/process/program_settings.cpp
+++ b/src/process/program_settings.cpp
@@ -333,7 +333,6 @@
     root.optional("shards", s.shards, 1u, max_shards);
     root.optional("threads", s.threads, 1u, max_threads);
     s.table_service_url = optional_url(root, "table_service_url");
-    s.object_store_url = optional_url(root, "object_store_url");
     s.fleet_view_url = optional_url(root, "fleet_view_url");
     s.peer_address = optional_address(root, "peer_address");
     s.routers = read_routers(root);
@@ -367,6 +366,7 @@
     s.endpoint = required_id<endpoint_id>(root, "endpoint");
     s.location = read_location(root);
     s.peer_listen = required_address(root, "peer_listen");
+    s.http_listen = optional_address(root, "http_listen");
     root.required("capacity", s.capacity, 1u, max_capacity);
     s.engine_url = optional_url(root, "engine_url");
     s.service_url = optional_url(root, "service_url");
@@ -411,7 +411,6 @@
     write(out, "shards", s.shards);
     write(out, "threads", s.threads);
     write(out, "table_service_url", s.table_service_url);
-    write(out, "object_store_url", s.object_store_url);
     write(out, "fleet_view_url", s.fleet_view_url);
     write(out, "peer_address", s.peer_address);
     write_routers(out, s.routers);
@@ -434,6 +433,7 @@
     write(out, "endpoint", s.endpoint.value());
     write_location(out, s.location);
     write(out, "peer_listen", s.peer_listen);
+    write(out, "http_listen", s.http_listen);
     write(out, "capacity", s.capacity);
     if (!s.engine_url.empty())
     {
--- a/src/process/program_settings.hpp
+++ b/src/process/program_settings.hpp
@@ -32,7 +32,6 @@
     std::uint32_t shards = 1;
     std::uint32_t threads = 2;
     std::string table_service_url; // empty: no calls that may not be repeated
-    std::string object_store_url;
     std::string fleet_view_url;
     std::string peer_address;             // advertised; empty: as listened on
     std::vector<router_entry> routers;    // this one may be included
@@ -50,6 +49,7 @@
     endpoint_id endpoint;
     node_location location;
     std::string peer_listen;
+    std::string http_listen; // health and metrics; empty: not served
     std::uint32_t capacity = 1;
     std::string engine_url;  // exactly one of
     std::string service_url; // the two
--- a/src/process/router_shard.cpp
+++ b/src/process/router_shard.cpp
@@ -22,16 +22,24 @@
     return 1.0 / (static_cast<double>(sharers) * position.count);
 }
 
+/// Shards of all routers, among which budgets of the fleet are divided.
+double
+sharers_of(shard_position position, std::vector<router_info> const& routers)
+{
+    return static_cast<double>(std::max<std::size_t>(routers.size(), 1)) *
+           position.count;
+}
+
 /// The store's budget for the fleet is divided among routers and shards.
 store_settings store_settings_for(
-    shard_position position, std::vector<router_info> const& routers)
+    policy_settings const& policy, shard_position position,
+    std::vector<router_info> const& routers)
 {
     // A lone shard of a large fleet must still be able to write a claim.
     constexpr double least_per_second = 1;
     store_settings s;
-    double const sharers =
-        static_cast<double>(std::max<std::size_t>(routers.size(), 1)) *
-        position.count;
+    s.batch_delay = policy.call.claim_batch_delay;
+    double const sharers = sharers_of(position, routers);
     s.writes_per_second =
         std::max(s.writes_per_second / sharers, least_per_second);
     s.reads_per_second =
@@ -83,11 +91,13 @@
       holder_(r.clock, r.timers, transport_, policy, r.counters),
       store_(
           store_backend, r.clock, r.timers, r.random,
-          store_settings_for(position, routers), r.counters),
+          store_settings_for(policy.current(), position, routers), r.counters),
       coordinator_(
           self, r.clock, r.timers, r.random, transport_, dispatcher_,
           directory_, store_, policy, r.log, r.counters),
-      admission_(r.clock, policy, directory_, r.counters),
+      admission_(
+          r.clock, policy, directory_, r.counters,
+          1.0 / sharers_of(position, routers)),
       classify_(policy, catalogue_), admit_(admission_), runtime_(r)
 {
     directory_.set_viewpoint(self, location);
--- a/src/queueing/admission.cpp
+++ b/src/queueing/admission.cpp
@@ -12,6 +12,10 @@
 // is dropped beyond that; it is the one most likely to be full again.
 constexpr std::size_t max_buckets = 8192;
 
+// A share of a burst over many shards would refuse two requests that happen to
+// meet in one of them.
+constexpr double smallest_burst = 5;
+
 constexpr milliseconds shortest_retry{100};
 constexpr milliseconds longest_retry{30000};
 
@@ -26,8 +30,8 @@
 
 token_bucket_admission::token_bucket_admission(
     clock_source& clock, policy_source const& policy,
-    wait_estimator const& waits, counter_registry& counters)
-    : clock_(clock), policy_(policy), waits_(waits),
+    wait_estimator const& waits, counter_registry& counters, double share)
+    : clock_(clock), policy_(policy), waits_(waits), share_(share),
       admitted_(counters.counter("admission_admitted_total")),
       rate_limited_(counters.counter("admission_rate_limited_total")),
       overloaded_(counters.counter("admission_overloaded_total"))
@@ -57,7 +61,7 @@
         {
             rate_limited_.add();
             std::chrono::duration<double> const missing{
-                (1 - b.requests) / limits.requests_per_second};
+                (1 - b.requests) / (limits.requests_per_second * share_)};
             throw error(
                 error_code::rate_limited, "admit", {},
                 "request rate of the organisation exceeds its limit",
@@ -72,7 +76,9 @@
     organisation_id const& organisation, organisation_policy const& limits)
 {
     steady_time const now = clock_.now();
-    double const burst = std::max(limits.burst_requests, 1.0);
+    double const burst = std::max(
+        limits.burst_requests * share_,
+        std::min(limits.burst_requests, smallest_burst));
     auto const found = index_.find(organisation);
     if (found == index_.end())
     {
@@ -90,7 +96,8 @@
     std::chrono::duration<double> const passed = now - b.updated;
     b.updated = now;
     b.requests = std::min(
-        burst, b.requests + passed.count() * limits.requests_per_second);
+        burst,
+        b.requests + passed.count() * limits.requests_per_second * share_);
     return b;
 }
 
--- a/src/queueing/admission.hpp
+++ b/src/queueing/admission.hpp
@@ -25,9 +25,12 @@
 class token_bucket_admission : public admission_control
 {
 public:
+    /// @param share  of an organisation's rate: 1 / (routers * shards), as the
+    ///               balancer spreads its requests evenly
     token_bucket_admission(
         clock_source& clock, policy_source const& policy,
-        wait_estimator const& waits, counter_registry& counters);
+        wait_estimator const& waits, counter_registry& counters,
+        double share = 1);
 
     void admit(
         organisation_id const& organisation, rank rank,
@@ -50,6 +53,7 @@
     clock_source& clock_;
     policy_source const& policy_;
     wait_estimator const& waits_;
+    double const share_;
     counter& admitted_;
     counter& rate_limited_;
     counter& overloaded_;
--- a/src/recovery/generation_gate.cpp
+++ b/src/recovery/generation_gate.cpp
@@ -27,11 +27,11 @@
     policy_source const& policy, counter_registry& counters)
     : self_(self), clock_(clock), timers_(timers), transport_(transport),
       engine_(engine), permits_(permits), policy_(policy),
-      started_(counters.counter("gate_runs_started")),
-      duplicates_(counters.counter("gate_duplicate_dispatches")),
-      stale_(counters.counter("gate_stale_messages")),
-      takeovers_(counters.counter("gate_takeovers")),
-      orphans_(counters.counter("gate_runs_without_owner"))
+      started_(counters.counter("gate_runs_started_total")),
+      duplicates_(counters.counter("gate_duplicate_dispatches_total")),
+      stale_(counters.counter("gate_stale_messages_total")),
+      takeovers_(counters.counter("gate_takeovers_total")),
+      orphans_(counters.counter("gate_runs_without_owner_total"))
 {
 }
 
--- a/src/recovery/generation_relay.cpp
+++ b/src/recovery/generation_relay.cpp
@@ -23,16 +23,16 @@
     : self_(std::move(self)), clock_(clock), timers_(timers), random_(random),
       transport_(transport), dispatcher_(dispatcher), endpoints_(endpoints),
       journals_(journals), policy_(policy), log_(log),
-      relayed_(counters.counter("relay_tokens")),
-      dropped_(counters.counter("relay_dropped_messages")),
-      attempts_(counters.counter("relay_attempts")),
-      hedged_(counters.counter("relay_hedged_attempts")),
-      takeovers_(counters.counter("relay_takeovers")),
-      checks_(counters.counter("relay_attach_checks")),
-      stale_(counters.counter("relay_lost_ownership")),
-      pauses_(counters.counter("relay_own_pauses")),
-      journal_bytes_(counters.counter("relay_journal_bytes")),
-      resume_latency_(counters.histogram("relay_resume_latency"))
+      relayed_(counters.counter("relay_tokens_total")),
+      dropped_(counters.counter("relay_dropped_messages_total")),
+      attempts_(counters.counter("relay_attempts_total")),
+      hedged_(counters.counter("relay_hedged_attempts_total")),
+      takeovers_(counters.counter("relay_takeovers_total")),
+      checks_(counters.counter("relay_attach_checks_total")),
+      stale_(counters.counter("relay_lost_ownership_total")),
+      pauses_(counters.counter("relay_own_pauses_total")),
+      journal_bytes_(counters.counter("relay_journal_bytes_total")),
+      resume_latency_(counters.histogram("relay_resume_latency_seconds"))
 {
 }
 
--- a/src/recovery/journal_holder.cpp
+++ b/src/recovery/journal_holder.cpp
@@ -20,9 +20,9 @@
     clock_source& clock, timer_service& timers, peer_transport& transport,
     policy_source const& policy, counter_registry& counters)
     : clock_(clock), timers_(timers), transport_(transport), policy_(policy),
-      bytes_(counters.counter("journal_bytes_received")),
-      expired_(counters.counter("journal_entries_expired")),
-      refused_(counters.counter("journal_refused_writers"))
+      bytes_(counters.counter("journal_bytes_received_total")),
+      expired_(counters.counter("journal_entries_expired_total")),
+      refused_(counters.counter("journal_refused_writers_total"))
 {
 }
 
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -45,19 +45,17 @@
     table_service& backend, clock_source& clock, timer_service& timers,
     random_source& random, store_settings settings, counter_registry& counters)
     : backend_(backend), clock_(clock), timers_(timers), random_(random),
-      settings_(settings),
-      retries_(counters.counter("dotterellock_store_retries_total")),
-      refused_(counters.counter("dotterellock_store_refused_total")),
-      read_backs_(counters.counter("dotterellock_store_read_backs_total")),
-      breaker_opened_(
-          counters.counter("dotterellock_store_breaker_opened_total"))
+      settings_(settings), retries_(counters.counter("store_retries_total")),
+      refused_(counters.counter("store_refused_total")),
+      read_backs_(counters.counter("store_read_backs_total")),
+      breaker_opened_(counters.counter("store_breaker_opened_total"))
 {
     writes_.rate = settings.writes_per_second;
-    writes_.requests = &counters.counter(
-        "dotterellock_store_requests_total", "kind=\"write\"");
+    writes_.requests =
+        &counters.counter("store_requests_total", "kind=\"write\"");
     reads_.rate = settings.reads_per_second;
     reads_.requests =
-        &counters.counter("dotterellock_store_requests_total", "kind=\"read\"");
+        &counters.counter("store_requests_total", "kind=\"read\"");
     for (lane* const l : {&writes_, &reads_})
     {
         l->tokens = std::max(1.0, l->rate * settings.burst_seconds);
--- a/standins/local_fleet.cpp
+++ b/standins/local_fleet.cpp
@@ -234,8 +234,8 @@
     std::ostringstream y;
     y << "endpoint: " << endpoint << "\nhost: host-" << endpoint
       << "\nzone: " << zone_of(index) << "\nregion: region-1\n"
-      << "peer_listen: " << agents_[number].peer_address
-      << "\ncapacity: " << options_.capacity
+      << "http_listen: 127.0.0.1:0\npeer_listen: "
+      << agents_[number].peer_address << "\ncapacity: " << options_.capacity
       << "\ntable_service_url: " << table_url_ << "\n";
     if (options_.links)
         y << "peer_address: " << links_[number].peer_address << "\n";
@@ -259,8 +259,7 @@
       << "http_listen: " << address_of(routers_[index].url)
       << "\npeer_listen: " << routers_[index].peer_address
       << "\nshards: " << options_.shards
-      << "\ntable_service_url: " << table_url_
-      << "\nobject_store_url: " << object_url_ << "\nrouters:\n";
+      << "\ntable_service_url: " << table_url_ << "\nrouters:\n";
     for (std::size_t i = 0; i < routers_.size(); ++i)
         y << "  - router: r" << i + 1
           << "\n    address: " << routers_[i].peer_address
--- a/tests/queueing/limits_test.cpp
+++ b/tests/queueing/limits_test.cpp
@@ -182,3 +182,46 @@
         });
     REQUIRE(ok);
 }
+
+// Guards against a fleet that admits an organisation's rate once for each
+// shard of each router.
+TEST_CASE("a shard admits its share of an organisation's rate")
+{
+    auto const [sharers, admitted] =
+        GENERATE(table<int, int>({{1, 100}, {4, 25}, {10, 10}, {100, 5}}));
+    manual_scheduler scheduler;
+    fixed_policy policy;
+    policy.settings.organisation.requests_per_second = 50;
+    policy.settings.organisation.burst_requests = 100;
+    struct no_wait : wait_estimator
+    {
+        duration estimated_wait(model_ref const&, rank) const override
+        {
+            return {};
+        }
+    } const waits;
+    counter_registry counters;
+    token_bucket_admission admission(
+        scheduler, policy, waits, counters, 1.0 / sharers);
+    organisation_id const organisation("o");
+    auto const admits = [&]
+    {
+        int count = 0;
+        try
+        {
+            while (count < 1000)
+            {
+                admission.admit(organisation, rank::standard, {});
+                ++count;
+            }
+        }
+        catch (error const& e)
+        {
+            REQUIRE(e.code() == error_code::rate_limited);
+        }
+        return count;
+    };
+    REQUIRE(admits() == admitted);
+    scheduler.advance(std::chrono::seconds(sharers));
+    REQUIRE(std::abs(admits() - std::min(50, admitted)) <= 1);
+}
