--- a/bench/whole_path.cpp
+++ b/bench/whole_path.cpp
@@ -91,6 +91,10 @@
     json records_ = json::array();
 };
 
+/// The bench's load comes from one organisation and must not be limited.
+constexpr char const* unlimited_organisations =
+    "  organisation:\n    requests_per_second: 0\n";
+
 load::experiment
 steady_experiment(double rate, milliseconds duration, std::uint32_t tokens)
 {
@@ -122,6 +126,7 @@
 void measure_added_latency(std::string const& binaries, record_list& records)
 {
     fleet_options options;
+    options.policy = unlimited_organisations;
     options.engines = 1;
     options.services = 0;
     options.step_ms = 10;
@@ -165,6 +170,7 @@
 void measure_throughput(std::string const& binaries, record_list& records)
 {
     fleet_options options;
+    options.policy = unlimited_organisations;
     options.engines = 3;
     options.services = 0;
     options.routers = 1;
@@ -196,6 +202,7 @@
 {
     constexpr unsigned open = 300;
     fleet_options options;
+    options.policy = unlimited_organisations;
     options.engines = 2;
     options.services = 0;
     options.routers = 1;
@@ -238,6 +245,7 @@
 void measure_idle_cpu(std::string const& binaries, record_list& records)
 {
     fleet_options options;
+    options.policy = unlimited_organisations;
     options.services = 0;
     local_fleet fleet(binaries, options);
     constexpr std::chrono::seconds window{5};
@@ -318,6 +326,7 @@
     constexpr unsigned rounds = 10;
     constexpr milliseconds between_faults{2500};
     fleet_options options;
+    options.policy = unlimited_organisations;
     options.services = 0;
     options.answer_tokens = 150;
     local_fleet fleet(binaries, options);
--- a/include/dotterellock/admission.hpp
+++ b/include/dotterellock/admission.hpp
@@ -28,6 +28,10 @@
     /// The work of a redeemed permit has ended.
     /// @param tokens  actual cost, which corrects the fair shares
     virtual void release(permit_id permit, std::uint32_t tokens) = 0;
+
+    /// Pace of one decoding stream, for load reports: routers set endpoints
+    /// aside whose pace is far below the median.
+    virtual void observe_pace(double /*tokens_per_second*/) {}
 };
 
 /// Router side, before anything is queued. Throws error(rate_limited) or
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -267,6 +267,15 @@
 
 // ---- endpoints ------------------------------------------------------------
 
+/// As the agent last reported, which may be older than the operator's wish.
+void print_state(std::ostream& out, registration_record const& r)
+{
+    out << (r.left       ? "left"
+            : r.draining ? "draining"
+                         : "in service")
+        << ", in flight: " << r.in_flight << "\n";
+}
+
 void print_endpoint(std::ostream& out, endpoint_status const& s)
 {
     if (!s.registered)
@@ -282,10 +291,7 @@
         out << "model: " << to_string(m) << "\n";
     for (auto const& service : r.info.services)
         out << "service: " << service.value() << "\n";
-    out << (r.left       ? "left"
-            : r.draining ? "draining"
-                         : "in service")
-        << ", in flight: " << r.in_flight << "\n";
+    print_state(out, r);
     if (s.desired.drain)
     {
         out << "drain wanted by " << s.desired.author << " since "
@@ -357,7 +363,7 @@
     auto const progress = [&e](endpoint_status const& s)
     {
         if (s.registered)
-            e.out << "in flight: " << s.registered->in_flight << "\n";
+            print_state(e.out, *s.registered);
     };
     using outcome = std::pair<endpoint_outcome, endpoint_status>;
     auto const result = await<outcome>(
--- a/src/recovery/generation_gate.cpp
+++ b/src/recovery/generation_gate.cpp
@@ -19,6 +19,9 @@
 // coming back for the output.
 constexpr std::size_t max_buffer_windows = 4;
 
+// Long against one step of an engine, short against a generation.
+constexpr std::chrono::duration<double> pace_window{0.5};
+
 } // namespace
 
 generation_gate::generation_gate(
@@ -274,8 +277,28 @@
     return r != nullptr && r->serial == serial && !r->ended() ? r : nullptr;
 }
 
+/// Counts from one batch of tokens to another, so that neither prefill nor the
+/// wait for the first token is taken for a slow stream.
+void generation_gate::measure_pace(run& r, std::size_t tokens)
+{
+    steady_time const now = clock_.now();
+    if (r.pace_from == steady_time{})
+    {
+        r.pace_from = now;
+        return;
+    }
+    r.pace_tokens += static_cast<std::uint32_t>(tokens);
+    std::chrono::duration<double> const elapsed = now - r.pace_from;
+    if (elapsed < pace_window)
+        return;
+    permits_.observe_pace(r.pace_tokens / elapsed.count());
+    r.pace_from = now;
+    r.pace_tokens = 0;
+}
+
 void generation_gate::on_tokens(run& r, std::vector<std::string> tokens)
 {
+    measure_pace(r, tokens.size());
     for (auto& token : tokens)
         r.buffer.push_back(std::move(token));
     std::size_t const limit =
--- a/src/recovery/generation_gate.hpp
+++ b/src/recovery/generation_gate.hpp
@@ -63,6 +63,8 @@
         std::optional<generation_failed> failed;
         steady_time ended_at{};
         timer_id flush = 0;
+        steady_time pace_from{};       // first token of the present measurement
+        std::uint32_t pace_tokens = 0; // since then
 
         token_index next_index() const
         {
@@ -93,6 +95,7 @@
     run* find(request_id const& request);
     run* find(request_id const& request, std::uint64_t serial);
 
+    void measure_pace(run& r, std::size_t tokens);
     void on_tokens(run& r, std::vector<std::string> tokens);
     void on_ended(run& r);
     void schedule_flush(run& r);
--- a/standins/child_process.cpp
+++ b/standins/child_process.cpp
@@ -129,6 +129,21 @@
     }
 }
 
+bool child_process::wait_for_log(
+    std::string const& text, std::chrono::milliseconds limit)
+{
+    auto const end = std::chrono::steady_clock::now() + limit;
+    while (log().find(text) == std::string::npos)
+    {
+        bool const ended = poll();
+        bool const late = std::chrono::steady_clock::now() >= end;
+        if (ended || late)
+            return log().find(text) != std::string::npos;
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return true;
+}
+
 std::string child_process::log() const
 {
     std::ifstream in(log_file_);
--- a/standins/child_process.hpp
+++ b/standins/child_process.hpp
@@ -38,6 +38,9 @@
     std::string
     logged_value(std::string const& key, std::chrono::milliseconds limit);
 
+    /// False when the text did not appear in the log in time.
+    bool wait_for_log(std::string const& text, std::chrono::milliseconds limit);
+
     std::string log() const;
 
 private:
--- a/standins/local_fleet.cpp
+++ b/standins/local_fleet.cpp
@@ -349,6 +349,16 @@
     start_router(i);
 }
 
+std::unique_ptr<child_process>
+local_fleet::start_ctl(std::vector<std::string> arguments) const
+{
+    arguments.insert(
+        arguments.end(), {"--table", table_url_, "--author", "local_fleet"});
+    return std::make_unique<child_process>(
+        binary_directory_ + "/dotterellock-ctl", arguments,
+        directory_ + "/ctl.log");
+}
+
 bool local_fleet::stop(milliseconds limit)
 {
     std::vector<child_process*> order;
--- a/standins/local_fleet.hpp
+++ b/standins/local_fleet.hpp
@@ -67,6 +67,10 @@
     void restart_agent(std::size_t i);
     void restart_router(std::size_t i);
 
+    /// Starts dotterellock-ctl against the fleet's table service.
+    std::unique_ptr<child_process>
+    start_ctl(std::vector<std::string> arguments) const;
+
     /// SIGTERM to routers, then agents, then stand-ins; true when each ended
     /// with status 0 in time.
     bool stop(std::chrono::milliseconds limit);
--- a/tests/process/fault_test.cpp
+++ b/tests/process/fault_test.cpp
@@ -219,6 +219,39 @@
     REQUIRE(stopping.wait(limit) == 0);
 }
 
+// Guards against a drained endpoint that gets new work, and against a drain
+// that cuts the work in flight.
+TEST_CASE("a drained endpoint finishes its work and gets no more")
+{
+    local_fleet fleet(DOTTERELLOCK_BINARY_DIR, small_fleet());
+    streaming_caller caller(request_to(fleet, "drained"));
+    REQUIRE(caller.wait_for_tokens(mid_stream, limit));
+    std::size_t const busy = fleet.busy_engine(limit);
+    std::string const endpoint = "e" + std::to_string(busy + 1);
+    auto const ctl = fleet.start_ctl(
+        {"endpoint", "drain", endpoint, "--reason", "process test"});
+    bool const seen = ctl->wait_for_log("draining, in flight", limit);
+    INFO(ctl->log());
+    REQUIRE(seen);
+    auto const runs = [&]
+    {
+        return json::parse(http_get(fleet.engine_url(busy) + "/admin/stats")
+                               .body)["runs"]
+            .get<unsigned>();
+    };
+    unsigned const before = runs();
+    for (int i = 0; i < 6; ++i)
+    {
+        std::string const key = "after-drain-" + std::to_string(i);
+        streaming_caller later(request_to(fleet, key));
+        require_whole(later, key);
+    }
+    REQUIRE(runs() == before);
+    require_whole(caller, "drained");
+    REQUIRE(caller.result().reconnects == 0);
+    REQUIRE(ctl->wait(limit) == 0);
+}
+
 // Guards against a second run of a call that may not be repeated, and against
 // "not run" while the key's row cannot be read.
 TEST_CASE("a non-repeatable call runs at most once")
--- a/tests/recovery/gate_test.cpp
+++ b/tests/recovery/gate_test.cpp
@@ -220,6 +220,19 @@
     CHECK(f.permits.held.empty());
 }
 
+// Guards against a prefill that passes for a slow stream, and against reports
+// without a pace, which hide stragglers from the routers.
+TEST_CASE("The gate reports the pace of decoding", "[recovery][gate]")
+{
+    gate_fixture f;
+    f.engine.prefill_time = std::chrono::seconds(5);
+    f.engine.token_time = milliseconds(20);
+    f.from("r1", f.work(1, 1));
+    f.scheduler.advance(std::chrono::seconds(5) + milliseconds(590));
+    REQUIRE(f.permits.paces.size() == 1);
+    REQUIRE(f.permits.paces[0] == Approx(50));
+}
+
 // Guards against runs that outlive their caller, output that is dropped too
 // early, and an agent that seems dead while its engine is at the prompt.
 TEST_CASE("The gate keeps runs for the grace period", "[recovery][gate]")
--- a/tests/support/recovery_world.hpp
+++ b/tests/support/recovery_world.hpp
@@ -145,7 +145,13 @@
         held.erase(permit);
     }
 
+    void observe_pace(double tokens_per_second) override
+    {
+        paces.push_back(tokens_per_second);
+    }
+
     std::set<permit_id> held;
+    std::vector<double> paces;
 
 private:
     permit_id last_ = 0;
