Share the benches' record list; use the test scheduler in bench_claims

Cause: six bench programs each had their own list of records, and bench_claims its own scheduler, because the test scheduler once searched all events to cancel one; it no longer does.

--- a/bench/claims.cpp
+++ b/bench/claims.cpp
@@ -19,9 +19,11 @@
 #include "claims/call_coordinator.hpp"
 #include "claims/call_gate.hpp"
 #include "fake_platform.hpp"
+#include "records.hpp"
 #include "store/store_client.hpp"
 
 using namespace dotterellock;
+using bench::record_list;
 using namespace dotterellock::testing;
 using namespace std::chrono_literals;
 
@@ -32,56 +34,9 @@
 constexpr duration service_delay = 5ms;
 constexpr duration store_delay = 2ms;
 
-/// The test scheduler searches all events to cancel one; CPU figures need one
-/// that does not.
-class virtual_time : public clock_source, public timer_service
-{
-public:
-    steady_time now() const override { return now_; }
-    wall_time wall_now() const override { return {}; }
-
-    timer_id schedule(duration delay, std::function<void()> action) override
-    {
-        timer_id const id = ++last_;
-        events_.emplace(std::pair{now_ + delay, id}, std::move(action));
-        due_.emplace(id, now_ + delay);
-        return id;
-    }
-
-    void cancel(timer_id id) override
-    {
-        auto const found = due_.find(id);
-        if (found == due_.end())
-            return;
-        events_.erase({found->second, id});
-        due_.erase(found);
-    }
-
-    void advance(duration span)
-    {
-        steady_time const end = now_ + span;
-        while (!events_.empty() && events_.begin()->first.first <= end)
-        {
-            auto const first = events_.begin();
-            now_ = first->first.first;
-            due_.erase(first->first.second);
-            auto const action = std::move(first->second);
-            events_.erase(first);
-            action();
-        }
-        now_ = end;
-    }
-
-private:
-    steady_time now_{1h};
-    timer_id last_ = 0;
-    std::map<std::pair<steady_time, timer_id>, std::function<void()>> events_;
-    std::unordered_map<timer_id, steady_time> due_;
-};
-
 struct memory_table : table_service
 {
-    explicit memory_table(virtual_time& t) : time(t) {}
+    explicit memory_table(manual_scheduler& t) : time(t) {}
     void commit(
         std::vector<row_write> writes, duration,
         std::function<void(commit_result)> done) override
@@ -125,7 +80,7 @@
     void scan(std::string, duration, std::function<void(read_result)>) override
     {
     }
-    virtual_time& time;
+    manual_scheduler& time;
     std::uint64_t commits = 0;
     std::uint64_t reads = 0;
     row_version last = 0;
@@ -205,7 +160,7 @@
         time.advance(5s);
     }
 
-    virtual_time time;
+    manual_scheduler time;
     seeded_random random{1};
     counter_registry counters;
     fixed_policy policy;
@@ -263,30 +218,6 @@
     permit_id permit_ = 0;
 };
 
-class report
-{
-public:
-    void
-    add(std::string const& name, char const* unit, double value,
-        std::optional<double> baseline = std::nullopt)
-    {
-        records_.push_back(
-            {{"name", name},
-             {"unit", unit},
-             {"value", value},
-             {"baseline",
-              baseline ? nlohmann::json(*baseline) : nlohmann::json()}});
-    }
-    void print() const
-    {
-        nlohmann::json const document = {{"records", records_}};
-        std::puts(document.dump(2).c_str());
-    }
-
-private:
-    nlohmann::json records_ = nlohmann::json::array();
-};
-
 store_settings unlimited(bool group_commit)
 {
     store_settings s;
@@ -305,7 +236,7 @@
     return values[static_cast<std::size_t>(std::lround(share * last))];
 }
 
-void measure_store(report& out, unsigned per_second)
+void measure_store(record_list& out, unsigned per_second)
 {
     std::size_t const calls = per_second * 10;
     double writes[2];
@@ -333,7 +264,7 @@
         done[0]);
 }
 
-void measure_latency(report& out)
+void measure_latency(record_list& out)
 {
     world claimed(unlimited(true));
     claimed.load(100, 10'000, false);
@@ -359,7 +290,7 @@
     return double(std::clock() - begun) * 1e6 / CLOCKS_PER_SEC / double(calls);
 }
 
-void measure_cpu(report& out)
+void measure_cpu(record_list& out)
 {
     for (std::size_t const remembered : {0, 1'000, 10'000, 100'000})
     {
@@ -372,7 +303,7 @@
 
 /// Heap growth of an agent a finished call, while the result is kept and after
 /// it was dropped; the baseline is what the gate accounts for.
-void measure_memory(report& out, std::size_t calls)
+void measure_memory(record_list& out, std::size_t calls)
 {
     world w(unlimited(true));
     auto const before = mallinfo2().uordblks;
@@ -403,7 +334,7 @@
 
 int main()
 {
-    report out;
+    record_list out;
     for (unsigned const rate : {10u, 100u, 1000u})
         measure_store(out, rate);
     measure_latency(out);
--- a/bench/control.cpp
+++ b/bench/control.cpp
@@ -25,6 +25,7 @@
 #include "control_fakes.hpp"
 #include "fake_network.hpp"
 #include "membership/registration.hpp"
+#include "records.hpp"
 #include "settings/fleet_document.hpp"
 #include "wire/codec.hpp"
 
@@ -32,6 +33,7 @@
 {
 
 using namespace dotterellock;
+using bench::record_list;
 using namespace dotterellock::testing;
 using nlohmann::json;
 using std::chrono::microseconds;
@@ -586,17 +588,7 @@
 
 int main()
 {
-    json records = json::array();
-    auto const add = [&records](
-                         std::string const& name, std::string const& unit,
-                         double value, json const& baseline)
-    {
-        records.push_back(
-            {{"name", name},
-             {"unit", unit},
-             {"value", value},
-             {"baseline", baseline}});
-    };
+    record_list records;
     std::pair<char const*, fleet_size> const sizes[] = {
         {"10_nodes", {4, 6, 2}},
         {"100_nodes", {40, 60, 7}},
@@ -608,14 +600,16 @@
         for (auto const& [name, figure] : value)
         {
             auto const other = baseline.find(name);
-            add("control_" + name + "_" + label, figure.second, figure.first,
-                other == baseline.end() ? json() : json(other->second.first));
+            records.add(
+                "control_" + name + "_" + label, figure.second, figure.first,
+                other == baseline.end() ? std::nullopt
+                                        : std::optional(other->second.first));
         }
     }
-    add("control_document_size", "B", double(document_number(1).size()),
-        json());
+    records.add(
+        "control_document_size", "B", double(document_number(1).size()));
     // Both fleets parse each document; this one also reads its expiry dates.
-    add("control_change_cpu_parsing", "us/node", parse_time(), json());
-    std::cout << json{{"records", records}}.dump(1) << "\n";
+    records.add("control_change_cpu_parsing", "us/node", parse_time());
+    records.print();
     return 0;
 }
--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -26,6 +26,7 @@
 #include "fake_network.hpp"
 #include "queueing/admission.hpp"
 #include "queueing/reservation_queue.hpp"
+#include "records.hpp"
 
 namespace dotterellock::bench
 {
@@ -776,27 +777,7 @@
 
 // ---- experiments ----------------------------------------------------------
 
-class report
-{
-public:
-    void
-    add(std::string const& name, std::string const& unit, double value,
-        std::optional<double> base = std::nullopt)
-    {
-        json r = {{"name", name}, {"unit", unit}, {"value", rounded(value)}};
-        r["baseline"] = base ? json(rounded(*base)) : json();
-        records_.push_back(std::move(r));
-    }
-
-    json const& records() const { return records_; }
-
-private:
-    static double rounded(double v) { return std::round(v * 1e4) / 1e4; }
-
-    json records_ = json::array();
-};
-
-void load_level(report& out, double load)
+void load_level(record_list& out, double load)
 {
     workload w;
     w.load = load;
@@ -857,7 +838,7 @@
     return settled - f.until;
 }
 
-void floods(report& out, rank of)
+void floods(record_list& out, rank of)
 {
     workload const w = flood_of(of);
     auto const ours = measured(w, {});
@@ -916,7 +897,7 @@
         quantile);
 }
 
-void fairness(report& out)
+void fairness(record_list& out)
 {
     auto const alone = measured(small_and_large(true), {});
     auto const beside = measured(small_and_large(false), {});
@@ -970,7 +951,7 @@
     return cached / total;
 }
 
-void prefixes(report& out)
+void prefixes(record_list& out)
 {
     for (double const load : {0.7, 1.0})
     {
@@ -997,7 +978,7 @@
     }
 }
 
-void link_use(report& out)
+void link_use(record_list& out)
 {
     workload w;
     w.load = 0.8;
@@ -1020,7 +1001,7 @@
 class ablation
 {
 public:
-    explicit ablation(report& out) : out_(out) {}
+    explicit ablation(record_list& out) : out_(out) {}
 
     void floors()
     {
@@ -1214,7 +1195,7 @@
             figure(*measured(w, without)));
     }
 
-    report& out_;
+    record_list& out_;
 };
 
 // ---- cost -----------------------------------------------------------------
@@ -1243,7 +1224,7 @@
     return all.count() / n;
 }
 
-void dispatch_cost(report& out, unsigned endpoints)
+void dispatch_cost(record_list& out, unsigned endpoints)
 {
     manual_scheduler scheduler;
     fixed_policy policy;
@@ -1292,7 +1273,7 @@
     out.add(at + "directory", "B", double(after - before));
 }
 
-void queue_cost(report& out, unsigned organisations)
+void queue_cost(record_list& out, unsigned organisations)
 {
     fixed_policy policy;
     policy.settings.queue.max_reservations = 2 * 5200;
@@ -1320,7 +1301,7 @@
     out.add(at + "queue_of_5200", "B", double(after - before));
 }
 
-void admission_cost(report& out, unsigned organisations)
+void admission_cost(record_list& out, unsigned organisations)
 {
     manual_scheduler scheduler;
     fixed_policy policy;
@@ -1344,7 +1325,7 @@
     out.add(at + "buckets", "B", double(heap_bytes() - before));
 }
 
-void costs(report& out)
+void costs(record_list& out)
 {
     for (unsigned const n : {10u, 100u, 600u})
         dispatch_cost(out, n);
@@ -1358,26 +1339,31 @@
 /// Runs the chosen experiments on a few threads; costs are timed alone.
 int run(std::string const& prefix)
 {
-    using experiment_function = std::function<void(report&)>;
+    using experiment_function = std::function<void(record_list&)>;
     std::vector<std::pair<std::string, experiment_function>> const all = {
-        {"load0.7", [](report& r) { load_level(r, 0.7); }},
-        {"load1.0", [](report& r) { load_level(r, 1.0); }},
-        {"load1.5", [](report& r) { load_level(r, 1.5); }},
-        {"load3.0", [](report& r) { load_level(r, 3.0); }},
-        {"flood_background", [](report& r) { floods(r, rank::background); }},
-        {"flood_urgent", [](report& r) { floods(r, rank::urgent); }},
+        {"load0.7", [](record_list& r) { load_level(r, 0.7); }},
+        {"load1.0", [](record_list& r) { load_level(r, 1.0); }},
+        {"load1.5", [](record_list& r) { load_level(r, 1.5); }},
+        {"load3.0", [](record_list& r) { load_level(r, 3.0); }},
+        {"flood_background",
+         [](record_list& r) { floods(r, rank::background); }},
+        {"flood_urgent", [](record_list& r) { floods(r, rank::urgent); }},
         {"fairness", fairness},
         {"prefix", prefixes},
         {"link", link_use},
-        {"ablation_floors", [](report& r) { ablation(r).floors(); }},
-        {"ablation_drr", [](report& r) { ablation(r).drr(); }},
-        {"ablation_late", [](report& r) { ablation(r).late_binding(); }},
-        {"ablation_extra", [](report& r) { ablation(r).extra_reservation(); }},
-        {"ablation_affinity", [](report& r) { ablation(r).affinity(); }},
-        {"ablation_stragglers", [](report& r) { ablation(r).stragglers(); }},
-        {"ablation_preemption", [](report& r) { ablation(r).preemption(); }},
-        {"ablation_refusal", [](report& r) { ablation(r).early_refusal(); }}};
-    std::vector<report> parts(all.size() + 1);
+        {"ablation_floors", [](record_list& r) { ablation(r).floors(); }},
+        {"ablation_drr", [](record_list& r) { ablation(r).drr(); }},
+        {"ablation_late", [](record_list& r) { ablation(r).late_binding(); }},
+        {"ablation_extra",
+         [](record_list& r) { ablation(r).extra_reservation(); }},
+        {"ablation_affinity", [](record_list& r) { ablation(r).affinity(); }},
+        {"ablation_stragglers",
+         [](record_list& r) { ablation(r).stragglers(); }},
+        {"ablation_preemption",
+         [](record_list& r) { ablation(r).preemption(); }},
+        {"ablation_refusal",
+         [](record_list& r) { ablation(r).early_refusal(); }}};
+    std::vector<record_list> parts(all.size() + 1);
     std::atomic<std::size_t> next{0};
     auto const work = [&]
     {
@@ -1394,13 +1380,10 @@
         t.get();
     if (std::string("cost").compare(0, prefix.size(), prefix) == 0)
         costs(parts.back());
-    json records = json::array();
+    record_list records;
     for (auto const& part : parts)
-    {
-        for (auto const& r : part.records())
-            records.push_back(r);
-    }
-    std::cout << json{{"records", records}}.dump(1) << "\n";
+        records.append(part);
+    records.print();
     return 0;
 }
 
--- a/bench/recovery.cpp
+++ b/bench/recovery.cpp
@@ -10,39 +10,16 @@
 
 #include <nlohmann/json.hpp>
 
+#include "records.hpp"
 #include "recovery_faults.hpp"
 
 using namespace dotterellock;
+using bench::record_list;
 using namespace dotterellock::testing;
 
 namespace
 {
 
-class report
-{
-public:
-    void
-    add(std::string const& name, char const* unit, double value,
-        double baseline)
-    {
-        records_.push_back(
-            {{"name", name},
-             {"unit", unit},
-             {"value", value},
-             {"baseline", baseline}});
-    }
-
-    void print() const
-    {
-        nlohmann::json document;
-        document["records"] = records_;
-        std::puts(document.dump(2).c_str());
-    }
-
-private:
-    nlohmann::json records_ = nlohmann::json::array();
-};
-
 /// Attempts after the first run from the beginning; the relay drops what the
 /// caller has already.
 void restart_from_beginning(recovery_world& world)
@@ -104,7 +81,7 @@
     return sorted[static_cast<std::size_t>(p * last)];
 }
 
-void measure_latency(report& out)
+void measure_latency(record_list& out)
 {
     struct fault_row
     {
@@ -180,7 +157,7 @@
 
 /// Always-on duplication runs the request twice from the start, fault or not,
 /// and carries the second output to the router as well.
-void measure_usages(report& out)
+void measure_usages(record_list& out)
 {
     for (token_index const length : {100u, 1000u, 5000u, 20000u})
     {
@@ -385,7 +362,7 @@
     std::vector<std::shared_ptr<empty_listener>> listeners_;
 };
 
-void measure_cpu(report& out)
+void measure_cpu(record_list& out)
 {
     constexpr std::size_t streams = 100;
     constexpr std::size_t tokens = 2000; // of each stream
@@ -413,7 +390,7 @@
 
 int main()
 {
-    report out;
+    record_list out;
     measure_latency(out);
     measure_usages(out);
     measure_cpu(out);
--- a/bench/relay.cpp
+++ b/bench/relay.cpp
@@ -17,6 +17,7 @@
 #include <asio/write.hpp>
 #include <nlohmann/json.hpp>
 
+#include "records.hpp"
 #include "wire/codec.hpp"
 #include "wire/tcp_peer_transport.hpp"
 
@@ -40,36 +41,6 @@
            1e-9 * static_cast<double>(t.tv_nsec);
 }
 
-class record_list
-{
-public:
-    void
-    add(std::string const& name, char const* unit, double value,
-        double baseline)
-    {
-        records_.push_back(
-            {{"name", name},
-             {"unit", unit},
-             {"value", value},
-             {"baseline", baseline}});
-    }
-
-    /// For figures without a variant to compare with.
-    void add(std::string const& name, char const* unit, double value)
-    {
-        records_.push_back(
-            {{"name", name},
-             {"unit", unit},
-             {"value", value},
-             {"baseline", nullptr}});
-    }
-
-    json const& all() const { return records_; }
-
-private:
-    json records_ = json::array();
-};
-
 token_batch batch_of(unsigned tokens)
 {
     token_batch batch;
@@ -287,7 +258,7 @@
     measure_load_report(records);
     records.add(
         "loopback_rate", "tokens/s/core", batched_rate(), single_rate());
-    std::cout << json{{"records", records.all()}}.dump(1) << "\n";
+    records.print();
 }
 
 } // namespace dotterellock::bench
--- a/bench/whole_path.cpp
+++ b/bench/whole_path.cpp
@@ -27,11 +27,13 @@
 #include "../src/load/streaming_caller.hpp"
 #include "../src/process/system_runtime.hpp"
 #include "../standins/local_fleet.hpp"
+#include "records.hpp"
 
 namespace
 {
 
 using namespace dotterellock;
+using bench::record_list;
 using nlohmann::json;
 using standins::child_process;
 using standins::fleet_options;
@@ -71,26 +73,6 @@
     return usage;
 }
 
-class record_list
-{
-public:
-    void
-    add(std::string const& name, std::string const& unit, double value,
-        json baseline = nullptr)
-    {
-        records_.push_back(
-            {{"name", name},
-             {"unit", unit},
-             {"value", value},
-             {"baseline", std::move(baseline)}});
-    }
-
-    json const& all() const { return records_; }
-
-private:
-    json records_ = json::array();
-};
-
 /// The bench's load comes from one organisation and must not be limited.
 constexpr char const* unlimited_organisations =
     "  organisation:\n    requests_per_second: 0\n";
@@ -396,6 +378,6 @@
         std::cerr << "bench_whole_path: " << e.what() << '\n';
         return 1;
     }
-    std::cout << json{{"records", records.all()}}.dump(2) << '\n';
+    records.print();
     return 0;
 }
