--- a/apps/ctl.cpp
+++ b/apps/ctl.cpp
@@ -7,8 +7,8 @@
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 
+#include "clients/http_stores.hpp"
 #include "ctl/commands.hpp"
-#include "platform/http_stores.hpp"
 #include "process/asio_timer_service.hpp"
 #include "process/shard_executor.hpp"
 #include "process/system_runtime.hpp"
--- a/include/dotterellock/platform.hpp
+++ b/include/dotterellock/external_services.hpp
@@ -1,5 +1,5 @@
 // Interfaces to everything outside the system: engine, plain service, table
-// service, object store, weight store, fleet view. src/platform implements
+// service, object store, weight store, fleet view. src/clients implements
 // them with libcurl; tests use small fakes. All are asynchronous: a callback
 // runs once, never inside the call that registered it, under the lock of the
 // object graph that called.
@@ -8,8 +8,8 @@
 //   engine, plain_service             : beside an agent
 //   table_service, object_store       : storage with conditions and outages
 //   weight_store, fleet_view          : placement and membership
-#ifndef DOTTERELLOCK_PLATFORM_HPP
-#define DOTTERELLOCK_PLATFORM_HPP
+#ifndef DOTTERELLOCK_EXTERNAL_SERVICES_HPP
+#define DOTTERELLOCK_EXTERNAL_SERVICES_HPP
 
 #include <cstdint>
 #include <functional>
--- a/src/claims/call_coordinator.hpp
+++ b/src/claims/call_coordinator.hpp
@@ -17,9 +17,9 @@
 
 #include <dotterellock/call.hpp>
 #include <dotterellock/dispatch.hpp>
+#include <dotterellock/external_services.hpp>
 #include <dotterellock/observability.hpp>
 #include <dotterellock/peer_transport.hpp>
-#include <dotterellock/platform.hpp>
 #include <dotterellock/policy.hpp>
 #include <dotterellock/runtime.hpp>
 
--- a/src/claims/call_gate.hpp
+++ b/src/claims/call_gate.hpp
@@ -13,9 +13,9 @@
 #include <utility>
 
 #include <dotterellock/admission.hpp>
+#include <dotterellock/external_services.hpp>
 #include <dotterellock/observability.hpp>
 #include <dotterellock/peer_transport.hpp>
-#include <dotterellock/platform.hpp>
 #include <dotterellock/policy.hpp>
 #include <dotterellock/runtime.hpp>
 
--- a/src/platform/curl_executor.hpp
+++ b/src/clients/curl_executor.hpp
@@ -2,8 +2,8 @@
 // Submitting and aborting is allowed from any thread. Handlers run on the
 // executor's thread, so clients hand their results to a poster, which runs
 // them under the mutex of the object graph that asked.
-#ifndef DOTTERELLOCK_PLATFORM_CURL_EXECUTOR_HPP
-#define DOTTERELLOCK_PLATFORM_CURL_EXECUTOR_HPP
+#ifndef DOTTERELLOCK_CLIENTS_CURL_EXECUTOR_HPP
+#define DOTTERELLOCK_CLIENTS_CURL_EXECUTOR_HPP
 
 #include <chrono>
 #include <cstdint>
--- a/src/platform/http_engine.hpp
+++ b/src/clients/http_engine.hpp
@@ -1,12 +1,12 @@
 // Engine client: streams completions as server-sent events and sends orders.
 // All state is touched only in functions run by the poster or called by the
 // owner, that is, under the owner's mutex.
-#ifndef DOTTERELLOCK_PLATFORM_HTTP_ENGINE_HPP
-#define DOTTERELLOCK_PLATFORM_HTTP_ENGINE_HPP
+#ifndef DOTTERELLOCK_CLIENTS_HTTP_ENGINE_HPP
+#define DOTTERELLOCK_CLIENTS_HTTP_ENGINE_HPP
 
 #include <memory>
 
-#include <dotterellock/platform.hpp>
+#include <dotterellock/external_services.hpp>
 
 #include "curl_executor.hpp"
 
--- a/src/platform/http_plain_service.hpp
+++ b/src/clients/http_plain_service.hpp
@@ -1,10 +1,10 @@
 // Client of the plain service beside an agent. Calls that may not be repeated
 // use a connection of their own, since libcurl repeats a request by itself
 // when a reused connection turns out to be closed.
-#ifndef DOTTERELLOCK_PLATFORM_HTTP_PLAIN_SERVICE_HPP
-#define DOTTERELLOCK_PLATFORM_HTTP_PLAIN_SERVICE_HPP
+#ifndef DOTTERELLOCK_CLIENTS_HTTP_PLAIN_SERVICE_HPP
+#define DOTTERELLOCK_CLIENTS_HTTP_PLAIN_SERVICE_HPP
 
-#include <dotterellock/platform.hpp>
+#include <dotterellock/external_services.hpp>
 
 #include "curl_executor.hpp"
 
--- a/src/platform/http_stores.hpp
+++ b/src/clients/http_stores.hpp
@@ -4,10 +4,10 @@
 // Object store  : PUT and GET /v1/objects/KEY
 // Weight store  : POST /v1/weights/describe
 // Fleet view    : GET /v1/hosts
-#ifndef DOTTERELLOCK_PLATFORM_HTTP_STORES_HPP
-#define DOTTERELLOCK_PLATFORM_HTTP_STORES_HPP
+#ifndef DOTTERELLOCK_CLIENTS_HTTP_STORES_HPP
+#define DOTTERELLOCK_CLIENTS_HTTP_STORES_HPP
 
-#include <dotterellock/platform.hpp>
+#include <dotterellock/external_services.hpp>
 
 #include "curl_executor.hpp"
 
--- a/src/platform/sse_parser.hpp
+++ b/src/clients/sse_parser.hpp
@@ -1,7 +1,7 @@
 // Splits a stream of server-sent events into the data of its events. Bytes may
 // arrive in pieces of any size. One parser belongs to one stream.
-#ifndef DOTTERELLOCK_PLATFORM_SSE_PARSER_HPP
-#define DOTTERELLOCK_PLATFORM_SSE_PARSER_HPP
+#ifndef DOTTERELLOCK_CLIENTS_SSE_PARSER_HPP
+#define DOTTERELLOCK_CLIENTS_SSE_PARSER_HPP
 
 #include <cstddef>
 #include <string>
--- a/src/configuration/configuration_node.hpp
+++ b/src/configuration/configuration_node.hpp
@@ -32,9 +32,9 @@
 #include <vector>
 
 #include <dotterellock/configuration.hpp>
+#include <dotterellock/external_services.hpp>
 #include <dotterellock/observability.hpp>
 #include <dotterellock/peer_transport.hpp>
-#include <dotterellock/platform.hpp>
 #include <dotterellock/policy.hpp>
 #include <dotterellock/runtime.hpp>
 
--- a/src/configuration/configuration_operator.hpp
+++ b/src/configuration/configuration_operator.hpp
@@ -28,7 +28,7 @@
 #include <vector>
 
 #include <dotterellock/configuration.hpp>
-#include <dotterellock/platform.hpp>
+#include <dotterellock/external_services.hpp>
 #include <dotterellock/runtime.hpp>
 
 #include "configuration/configuration_rows.hpp"
--- a/src/ctl/commands.hpp
+++ b/src/ctl/commands.hpp
@@ -7,7 +7,7 @@
 #include <ostream>
 #include <string>
 
-#include <dotterellock/platform.hpp>
+#include <dotterellock/external_services.hpp>
 #include <dotterellock/runtime.hpp>
 
 #include "ctl/options.hpp"
--- a/src/ctl/endpoint_operator.hpp
+++ b/src/ctl/endpoint_operator.hpp
@@ -8,7 +8,7 @@
 #include <optional>
 #include <string>
 
-#include <dotterellock/platform.hpp>
+#include <dotterellock/external_services.hpp>
 #include <dotterellock/runtime.hpp>
 
 #include "membership/registration_record.hpp"
--- /dev/null
+++ b/src/gateway/attempt_policy.hpp
@@ -0,0 +1,81 @@
+// What follows the end of an attempt. A request that may run once is sent
+// again only when the endpoint proved that it did not run it; one that may be
+// repeated is sent again while attempts, time and the retry budget last.
+#ifndef DOTTERELLOCK_GATEWAY_ATTEMPT_POLICY_HPP
+#define DOTTERELLOCK_GATEWAY_ATTEMPT_POLICY_HPP
+
+#include <chrono>
+#include <cstdint>
+
+#include "endpoint_state.hpp"
+#include "routing_table.hpp"
+
+namespace dotterellock
+{
+
+/// Progress of one request over its attempts.
+struct attempt_history
+{
+    std::uint32_t runs = 0;     // endpoints that may have begun to run it
+    std::uint32_t refusals = 0; // endpoints that proved that they did not
+    std::uint32_t unsent = 0;   // connections that were not established
+};
+
+enum class attempt_verdict
+{
+    retry,
+    answer_not_run, // 503 with a time to return; nothing ran
+    answer_unknown, // 502; it may have run
+    forward_failure // the endpoint's own error is the answer
+};
+
+struct attempt_policy
+{
+    // Refused and unreachable endpoints cost no run; each try still takes
+    // time and counts against the retry budget, so they are bounded.
+    static constexpr std::uint32_t max_refusals = 4;
+    static constexpr std::uint32_t max_unsent = 6;
+
+    /// Whether an attempt that ended so left the request not run.
+    static bool proven_not_run(endpoint_outcome outcome)
+    {
+        return outcome == endpoint_outcome::refused ||
+               outcome == endpoint_outcome::misdirected ||
+               outcome == endpoint_outcome::unreachable;
+    }
+
+    static void count(attempt_history& history, endpoint_outcome outcome)
+    {
+        if (outcome == endpoint_outcome::unreachable)
+            ++history.unsent;
+        else if (proven_not_run(outcome))
+            ++history.refusals;
+        else
+            ++history.runs;
+    }
+
+    /// @param history  with the attempt that just ended
+    /// @param budget   whether the retry budget allows one more arrival
+    static attempt_verdict decide(
+        gateway_route const& route, attempt_history const& history,
+        endpoint_outcome outcome, bool time_left, bool budget)
+    {
+        bool const answered = outcome == endpoint_outcome::failed_answer;
+        bool const not_run = history.runs == 0;
+        bool const may_run_again =
+            not_run ||
+            (route.repeatable() && history.runs < route.max_attempts);
+        bool const bounded =
+            history.refusals <= max_refusals && history.unsent <= max_unsent;
+        if (may_run_again && bounded && time_left && budget)
+            return attempt_verdict::retry;
+        if (answered)
+            return attempt_verdict::forward_failure;
+        return not_run ? attempt_verdict::answer_not_run
+                       : attempt_verdict::answer_unknown;
+    }
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/gateway/endpoint_selection.cpp
@@ -0,0 +1,176 @@
+#include "endpoint_selection.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+#include "choice/rendezvous.hpp"
+
+namespace dotterellock
+{
+
+namespace
+{
+
+// Part of an endpoint's memory that own work may fill; prompts that other
+// gateways sent there need the rest.
+constexpr double usable_memory = 0.75;
+
+} // namespace
+
+topology::distance topology::to(zone_id const& other) const
+{
+    if (other == zone)
+        return distance::same_zone;
+    auto const here = region_of.find(zone.value());
+    auto const there = region_of.find(other.value());
+    bool const same = here != region_of.end() && there != region_of.end() &&
+                      here->second == there->second;
+    return same ? distance::same_region : distance::other_region;
+}
+
+std::vector<endpoint_selection::candidate>
+endpoint_selection::usable(work_request const& work, steady_time now) const
+{
+    std::vector<candidate> healthy;
+    std::vector<candidate> doubtful; // suspended, or in a suspect zone
+    std::vector<candidate> leaving;
+    for (auto const& endpoint : endpoints_.of(work.service))
+    {
+        if (endpoint->gone(now) ||
+            work.avoid.count(endpoint->record().id.value()) != 0)
+            continue;
+        candidate const c{
+            endpoint,
+            rendezvous_weight(work.affinity, endpoint->record().address)};
+        if (endpoint->leaving())
+            leaving.push_back(c);
+        else if (endpoint->suspended(now) || zones_.suspect(*endpoint, now))
+            doubtful.push_back(c);
+        else
+            healthy.push_back(c);
+    }
+    if (!healthy.empty())
+        return healthy;
+    return doubtful.empty() ? leaving : doubtful;
+}
+
+bool endpoint_selection::has_room(
+    endpoint_state const& endpoint, work_request const& work,
+    engine_spec const& engine) const
+{
+    auto const& load = endpoint.load;
+    auto const memory = load.memory_tokens + work.memory_tokens();
+    return load.requests < engine.slots &&
+           (engine.memory_tokens == 0 || load.requests == 0 ||
+            double(memory) <= usable_memory * double(engine.memory_tokens));
+}
+
+endpoint_ptr endpoint_selection::choose(
+    work_request const& work, engine_spec const* engine, steady_time now) const
+{
+    auto const candidates = usable(work, now);
+    if (candidates.empty())
+        return nullptr;
+    return engine != nullptr ? choose_for_prompt(candidates, work, *engine)
+                             : choose_for_call(candidates);
+}
+
+endpoint_ptr endpoint_selection::choose_for_prompt(
+    std::vector<candidate> const& candidates, work_request const& work,
+    engine_spec const& engine) const
+{
+    // Endpoints that read no prompt for this gateway come first, the nearest
+    // of them, then in the prompt's own order; else the shortest queue.
+    auto const order = [this, &engine](candidate const& c)
+    {
+        auto const& load = c.endpoint->load;
+        bool const troubled = c.endpoint->failure_rate() > 0.3;
+        bool const full = load.requests * 2 > engine.slots;
+        return std::make_tuple(
+            troubled, full, load.prefill_tokens,
+            place_.to(c.endpoint->record().zone), ~c.weight);
+    };
+    candidate const* best = nullptr;
+    for (auto const& c : candidates)
+    {
+        if (!has_room(*c.endpoint, work, engine))
+            continue;
+        if (best == nullptr || order(c) < order(*best))
+            best = &c;
+    }
+    return best == nullptr ? nullptr : best->endpoint;
+}
+
+endpoint_ptr endpoint_selection::choose_for_call(
+    std::vector<candidate> const& candidates) const
+{
+    auto const cost = [this](endpoint_state const& e)
+    {
+        auto const latency = e.measured() ? e.latency() : unmeasured_latency;
+        double us = double(latency.count());
+        auto const slots = std::max<std::uint32_t>(e.record().slots, 1);
+        us *= 1.0 + double(e.load.requests) / double(slots);
+        us += e.failure_rate() * double(failure_cost.count());
+        us += e.error_rate() * double(error_cost.count());
+        switch (place_.to(e.record().zone))
+        {
+        case topology::distance::same_zone:
+            break;
+        case topology::distance::same_region:
+            us += double(same_region_cost.count());
+            break;
+        case topology::distance::other_region:
+            us += double(other_region_cost.count());
+            break;
+        }
+        return us;
+    };
+    return std::min_element(
+               candidates.begin(), candidates.end(),
+               [&cost](candidate const& a, candidate const& b)
+               { return cost(*a.endpoint) < cost(*b.endpoint); })
+        ->endpoint;
+}
+
+endpoint_ptr endpoint_selection::choose_standby(
+    work_request const& work, engine_spec const& engine,
+    endpoint_state const& primary, steady_time now) const
+{
+    auto const zone = primary.record().zone;
+    candidate const* best = nullptr;
+    auto const candidates = usable(work, now);
+    auto const order = [this](candidate const& c)
+    {
+        auto const& load = c.endpoint->load;
+        return std::make_tuple(
+            load.memory_tokens / 10000, place_.to(c.endpoint->record().zone),
+            ~c.weight);
+    };
+    for (auto const& c : candidates)
+    {
+        if (c.endpoint->record().zone == zone || c.endpoint->leaving() ||
+            c.endpoint->suspended(now) || zones_.suspect(*c.endpoint, now) ||
+            !has_room(*c.endpoint, work, engine))
+            continue;
+        if (best == nullptr || order(c) < order(*best))
+            best = &c;
+    }
+    return best == nullptr ? nullptr : best->endpoint;
+}
+
+double endpoint_selection::utilisation(
+    service_name const& service, steady_time now) const
+{
+    double used = 0;
+    double slots = 0;
+    for (auto const& endpoint : endpoints_.of(service))
+    {
+        if (endpoint->leaving() || endpoint->suspended(now))
+            continue;
+        used += double(endpoint->load.requests);
+        slots += double(endpoint->record().slots);
+    }
+    return slots == 0 ? 1.0 : used / slots;
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/gateway/endpoint_state.hpp
@@ -0,0 +1,177 @@
+// What a gateway knows of one incarnation of an endpoint: its registration,
+// its own work there and how that work fared. Decisions read it; only the
+// table and the relays change it.
+#ifndef DOTTERELLOCK_GATEWAY_ENDPOINT_STATE_HPP
+#define DOTTERELLOCK_GATEWAY_ENDPOINT_STATE_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <dotterellock/runtime.hpp>
+#include <dotterellock/types.hpp>
+
+namespace dotterellock
+{
+
+/// One row of the platform's list of endpoints.
+struct endpoint_record
+{
+    endpoint_id id; // of one incarnation, unless it restarted under its id
+    service_name service;
+    std::string address; // IP:PORT
+    zone_id zone;
+    std::uint64_t born = 0; // start of the incarnation; 0 when not stated
+    std::uint32_t slots = 1;
+    bool draining = false;
+    std::chrono::milliseconds warming{0}; // slow for this much longer
+};
+
+/// What an endpoint says of its load, as of some moment before.
+struct endpoint_report
+{
+    struct run
+    {
+        std::uint64_t memory_tokens = 0;
+        std::uint64_t events = 0;
+    };
+
+    std::uint32_t waiting = 0;
+    std::uint32_t running = 0;
+    std::uint64_t used_tokens = 0; // memory that cannot yield
+    std::uint64_t total_tokens = 0;
+    std::map<std::string, run> runs; // by request id
+};
+
+/// How one attempt at an endpoint ended, as far as its health is concerned.
+enum class endpoint_outcome
+{
+    served,
+    failed_answer, // it answered with an error of its own
+    refused,       // it proved that it did not run the request
+    misdirected,   // another incarnation has the address
+    unreachable,   // no connection
+    lost,          // a connection broke, or carried no answer
+    silent         // nothing came for too long
+};
+
+class endpoint_state
+{
+public:
+    explicit endpoint_state(endpoint_record record) : record_(std::move(record))
+    {
+    }
+
+    endpoint_record const& record() const { return record_; }
+    void update(endpoint_record record)
+    {
+        record_ = std::move(record);
+        listed_ = true;
+    }
+
+    /// The platform's list does not name it any more.
+    void unlist() { listed_ = false; }
+    bool listed() const { return listed_; }
+
+    // Registration ----------------------------------------------------------
+
+    /// Takes no new work but as a last resort until `until`.
+    void leave(steady_time until)
+    {
+        if (!leaves_at_ || until < *leaves_at_)
+            leaves_at_ = until;
+    }
+    void stay() { leaves_at_.reset(); }
+    bool leaving() const { return leaves_at_.has_value(); }
+    bool gone(steady_time now) const
+    {
+        return leaves_at_ && now >= *leaves_at_;
+    }
+
+    // Health ----------------------------------------------------------------
+
+    void record_outcome(endpoint_outcome outcome, steady_time now);
+
+    /// Bytes came from it, or a connection was accepted.
+    void record_activity(steady_time now) { active_at_ = now; }
+    steady_time active_at() const { return active_at_; }
+
+    bool suspended(steady_time now) const { return now < suspended_until_; }
+    steady_time failed_at() const { return failed_at_; }
+
+    /// Share of recent attempts that did not end in an answer, 0 to 1.
+    double failure_rate() const { return failure_rate_; }
+
+    /// Share of recent answers that were errors of the endpoint's own.
+    double error_rate() const { return error_rate_; }
+
+    void record_latency(std::chrono::microseconds latency);
+    std::chrono::microseconds latency() const { return latency_; }
+    bool measured() const { return latency_.count() > 0; }
+
+    // Own work --------------------------------------------------------------
+
+    struct workload
+    {
+        std::uint32_t requests = 0;       // under way
+        std::uint64_t memory_tokens = 0;  // of those, and of standby copies
+        std::uint64_t prefill_tokens = 0; // not yet answered by an event
+    };
+
+    workload load; // maintained by endpoint_reservation
+
+private:
+    // A short suspension first, as a crashed endpoint may be back at once;
+    // doubled while it keeps failing.
+    static constexpr std::chrono::milliseconds first_suspension{400};
+    static constexpr std::chrono::milliseconds longest_suspension{3000};
+
+    // One attempt moves the rates by this much of the difference.
+    static constexpr double smoothing = 0.15;
+
+    endpoint_record record_;
+    bool listed_ = true;
+    std::optional<steady_time> leaves_at_;
+    steady_time suspended_until_{};
+    steady_time failed_at_{};
+    steady_time active_at_{};
+    std::chrono::milliseconds next_suspension_ = first_suspension;
+    double failure_rate_ = 0;
+    double error_rate_ = 0;
+    std::chrono::microseconds latency_{0};
+};
+
+/// Counts one attempt or standby copy in its endpoint's workload while it
+/// lives.
+class endpoint_reservation
+{
+public:
+    endpoint_reservation() = default;
+    endpoint_reservation(
+        std::shared_ptr<endpoint_state> endpoint,
+        endpoint_state::workload const& share);
+    endpoint_reservation(endpoint_reservation&& other) noexcept
+        : endpoint_(std::move(other.endpoint_)), share_(other.share_)
+    {
+        other.endpoint_.reset();
+    }
+    endpoint_reservation& operator=(endpoint_reservation&& other) noexcept;
+    ~endpoint_reservation() { release(); }
+
+    void release();
+
+    /// The prompt has been read; the memory stays in use.
+    void prefill_done();
+
+private:
+    std::shared_ptr<endpoint_state> endpoint_;
+    endpoint_state::workload share_;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/gateway/endpoint_table.cpp
@@ -0,0 +1,102 @@
+#include "endpoint_table.hpp"
+
+#include <algorithm>
+
+namespace dotterellock
+{
+
+void endpoint_table::put(endpoint_record const& record, steady_time now)
+{
+    auto const found = by_id_.find(record.id.value());
+    if (found != by_id_.end())
+    {
+        auto const& known = found->second->record();
+        bool const same = known.born == record.born &&
+                          known.address == record.address &&
+                          known.service == record.service;
+        if (same)
+        {
+            found->second->update(record);
+            if (record.draining)
+                found->second->leave(now + last_resort_);
+            else
+                found->second->stay();
+            return;
+        }
+        detach(found->second);
+    }
+    // An address has one owner: the endpoint that held it before is gone.
+    for (auto const& [id, other] : by_id_)
+    {
+        if (other->record().address == record.address &&
+            id != record.id.value() && other->record().born <= record.born)
+            other->leave(now);
+    }
+    auto endpoint = std::make_shared<endpoint_state>(record);
+    if (record.draining)
+        endpoint->leave(now + last_resort_);
+    by_id_[record.id.value()] = endpoint;
+    by_service_[record.service.value()].push_back(std::move(endpoint));
+}
+
+void endpoint_table::remove(endpoint_id const& id, steady_time now)
+{
+    auto const found = by_id_.find(id.value());
+    if (found == by_id_.end())
+        return;
+    found->second->leave(now + last_resort_);
+    found->second->unlist();
+}
+
+void endpoint_table::keep_only(
+    std::set<std::string> const& ids, steady_time now)
+{
+    for (auto const& [id, endpoint] : by_id_)
+    {
+        if (ids.count(id) != 0)
+            continue;
+        endpoint->leave(now + last_resort_);
+        endpoint->unlist();
+    }
+}
+
+void endpoint_table::collect(steady_time now)
+{
+    std::vector<endpoint_ptr> ended;
+    for (auto const& [id, endpoint] : by_id_)
+    {
+        if (endpoint->gone(now) && endpoint->load.requests == 0)
+            ended.push_back(endpoint);
+    }
+    for (auto const& endpoint : ended)
+    {
+        // A listed row stays known, so that a later change of it is not taken
+        // for a new endpoint.
+        if (endpoint->listed())
+            continue;
+        by_id_.erase(endpoint->record().id.value());
+        detach(endpoint);
+    }
+}
+
+std::vector<endpoint_ptr> const&
+endpoint_table::of(service_name const& service) const
+{
+    static std::vector<endpoint_ptr> const none;
+    auto const found = by_service_.find(service.value());
+    return found == by_service_.end() ? none : found->second;
+}
+
+endpoint_ptr endpoint_table::find(endpoint_id const& id) const
+{
+    auto const found = by_id_.find(id.value());
+    return found == by_id_.end() ? nullptr : found->second;
+}
+
+void endpoint_table::detach(endpoint_ptr const& endpoint)
+{
+    auto& list = by_service_[endpoint->record().service.value()];
+    list.erase(std::remove(list.begin(), list.end(), endpoint), list.end());
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/gateway/endpoint_table.hpp
@@ -0,0 +1,62 @@
+// The endpoints of all services, kept from the platform's list. A row that
+// disappears, or says that it drains, takes its endpoint out of choice at once
+// where others can serve, and for good before the platform's drain bound.
+#ifndef DOTTERELLOCK_GATEWAY_ENDPOINT_TABLE_HPP
+#define DOTTERELLOCK_GATEWAY_ENDPOINT_TABLE_HPP
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "endpoint_state.hpp"
+
+namespace dotterellock
+{
+
+using endpoint_ptr = std::shared_ptr<endpoint_state>;
+
+class endpoint_table
+{
+public:
+    /// @param last_resort  how long a leaving endpoint may still be chosen
+    ///                     when no other endpoint of its service can
+    explicit endpoint_table(std::chrono::milliseconds last_resort)
+        : last_resort_(last_resort)
+    {
+    }
+
+    void set_last_resort(std::chrono::milliseconds last_resort)
+    {
+        last_resort_ = last_resort;
+    }
+
+    /// A row as it stands now. Another incarnation replaces the endpoint with
+    /// one that has no history.
+    void put(endpoint_record const& record, steady_time now);
+
+    void remove(endpoint_id const& id, steady_time now);
+
+    /// Removes all endpoints that a complete listing does not name.
+    void keep_only(std::set<std::string> const& ids, steady_time now);
+
+    /// Drops endpoints that are gone and carry no work.
+    void collect(steady_time now);
+
+    std::vector<endpoint_ptr> const& of(service_name const& service) const;
+    endpoint_ptr find(endpoint_id const& id) const;
+    std::size_t size() const { return by_id_.size(); }
+
+private:
+    void detach(endpoint_ptr const& endpoint);
+
+    std::chrono::milliseconds last_resort_;
+    std::map<std::string, endpoint_ptr> by_id_;
+    std::map<std::string, std::vector<endpoint_ptr>> by_service_;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/gateway/liveness.hpp
@@ -0,0 +1,135 @@
+// Decides when an attempt that makes no progress is checked and when it is
+// given up. An endpoint that lost power sends no reset, and a connection may
+// fall silent while new ones work; both show only as silence.
+//
+// Load: the loss of a zone without resets while its endpoints read prompts,
+// and endpoints that accept requests and never answer them.
+#ifndef DOTTERELLOCK_GATEWAY_LIVENESS_HPP
+#define DOTTERELLOCK_GATEWAY_LIVENESS_HPP
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+
+#include <dotterellock/runtime.hpp>
+
+#include "routing_table.hpp"
+
+namespace dotterellock
+{
+
+enum class liveness_verdict
+{
+    wait,
+    check,  // ask the endpoint whether it still runs the request
+    give_up // go on elsewhere
+};
+
+/// Progress of one attempt; durations up to now.
+struct attempt_progress
+{
+    bool engine = false; // a prompt for a model engine
+    bool stream_begun = false;
+    duration since_sent{};
+    duration since_progress{};  // last event, or the sending
+    duration since_heard{};     // anything from the endpoint, on any connection
+    duration expected_first{};  // estimate up to the first event
+    bool run_confirmed = false; // a report after the last check named the run
+};
+
+class liveness_policy
+{
+public:
+    // Events of a stream come a few tens of milliseconds apart, up to 250 ms
+    // while other prompts are read beside it.
+    static constexpr std::chrono::milliseconds check_stream_after{300};
+
+    // A prompt takes a second or more; a check costs one short call.
+    static constexpr std::chrono::milliseconds check_prompt_after{500};
+
+    // Part of the tolerated pause after which a silent stream goes on
+    // elsewhere; the rest is needed to go on.
+    static constexpr double give_up_share = 0.8;
+
+    static liveness_verdict
+    judge(gateway_route const& route, attempt_progress const& p)
+    {
+        if (!p.engine)
+            return liveness_verdict::wait;
+        return p.stream_begun ? judge_stream(route, p) : judge_prompt(route, p);
+    }
+
+    /// How long an attempt at a short call that may be repeated waits, so that
+    /// a second one still answers in time.
+    /// @param latency  of the endpoint's recent answers
+    static duration
+    call_timeout(gateway_route const& route, std::chrono::microseconds latency)
+    {
+        auto const target = std::chrono::microseconds(route.first_byte_target);
+        return std::clamp<std::chrono::microseconds>(
+            latency * 6, target / 4, target / 2);
+    }
+
+private:
+    static liveness_verdict
+    judge_stream(gateway_route const& route, attempt_progress const& p)
+    {
+        auto const limit =
+            std::chrono::duration<double>(route.event_gap_target) *
+            give_up_share;
+        if (p.since_progress > limit)
+            return liveness_verdict::give_up;
+        return p.since_progress > check_stream_after &&
+                       p.since_heard > check_stream_after
+                   ? liveness_verdict::check
+                   : liveness_verdict::wait;
+    }
+
+    static liveness_verdict
+    judge_prompt(gateway_route const& route, attempt_progress const& p)
+    {
+        duration const target = route.first_byte_target;
+        duration const suspicious = std::max<duration>(
+            target / 2, 2 * p.expected_first + std::chrono::milliseconds(400));
+        duration const hopeless =
+            std::max<duration>(target, 4 * p.expected_first);
+        if (p.since_sent > (p.run_confirmed ? hopeless : suspicious))
+            return liveness_verdict::give_up;
+        bool const overdue =
+            p.since_sent > suspicious - std::chrono::milliseconds(300) &&
+            !p.run_confirmed;
+        return p.since_heard > check_prompt_after || overdue
+                   ? liveness_verdict::check
+                   : liveness_verdict::wait;
+    }
+};
+
+/// Learns how long a service takes from sending a prompt to its first event.
+class first_event_estimate
+{
+public:
+    void record(std::uint64_t prompt_tokens, duration took)
+    {
+        if (prompt_tokens < min_tokens)
+            return;
+        double const per_token =
+            std::chrono::duration<double>(took).count() / double(prompt_tokens);
+        seconds_per_token_ += smoothing * (per_token - seconds_per_token_);
+    }
+
+    duration expected(std::uint64_t tokens) const
+    {
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(double(tokens) * seconds_per_token_));
+    }
+
+private:
+    static constexpr std::uint64_t min_tokens = 500; // shorter ones say little
+    static constexpr double smoothing = 0.1;
+
+    double seconds_per_token_ = 0.0002; // until the first answer: 5 a ms
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/gateway/routing_table.cpp
@@ -0,0 +1,73 @@
+#include "routing_table.hpp"
+
+#include <utility>
+
+namespace dotterellock
+{
+
+routing_table::routing_table(gateway_configuration configuration)
+    : configuration_(std::move(configuration))
+{
+    auto const& c = configuration_;
+    for (std::size_t i = 0; i < c.routes.size(); ++i)
+        routes_[c.routes[i].host][c.routes[i].prefix] = i;
+    for (std::size_t i = 0; i < c.services.size(); ++i)
+        services_[c.services[i].name.value()] = i;
+    for (std::size_t i = 0; i < c.organisations.size(); ++i)
+    {
+        for (auto const& key : c.organisations[i].keys)
+            keys_[key] = i;
+    }
+}
+
+gateway_route const*
+routing_table::match(std::string_view host, std::string_view path) const
+{
+    auto const prefixes = routes_.find(std::string(host));
+    if (prefixes == routes_.end())
+        return nullptr;
+    while (true)
+    {
+        auto const slash = path.rfind('/');
+        if (slash == std::string_view::npos)
+            return nullptr;
+        std::string const prefix(path.substr(0, slash + 1));
+        auto const found = prefixes->second.find(prefix);
+        if (found != prefixes->second.end())
+            return &configuration_.routes[found->second];
+        path = path.substr(0, slash);
+    }
+}
+
+organisation_spec const*
+routing_table::organisation(std::string const& key) const
+{
+    auto const found = keys_.find(key);
+    return found == keys_.end() ? nullptr
+                                : &configuration_.organisations[found->second];
+}
+
+service_spec const* routing_table::service(service_name const& name) const
+{
+    auto const found = services_.find(name.value());
+    return found == services_.end() ? nullptr
+                                    : &configuration_.services[found->second];
+}
+
+service_name const&
+routing_table::target_of(gateway_route const& route, std::uint64_t draw)
+{
+    std::uint64_t total = 0;
+    for (auto const& target : route.targets)
+        total += target.weight;
+    std::uint64_t position = total == 0 ? 0 : draw % total;
+    for (auto const& target : route.targets)
+    {
+        if (position < target.weight)
+            return target.service;
+        position -= target.weight;
+    }
+    return route.targets.back().service;
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/gateway/routing_table.hpp
@@ -0,0 +1,126 @@
+// Routes, services and organisations of one configuration version, indexed for
+// the request path. Immutable after construction; shared by all requests that
+// started under the version.
+#ifndef DOTTERELLOCK_GATEWAY_ROUTING_TABLE_HPP
+#define DOTTERELLOCK_GATEWAY_ROUTING_TABLE_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include <dotterellock/types.hpp>
+
+namespace dotterellock
+{
+
+/// One target of a route; traffic is divided by weight.
+struct route_target
+{
+    service_name service;
+    std::uint32_t weight = 1;
+};
+
+struct gateway_route
+{
+    std::string name;
+    std::string host;
+    std::string prefix; // begins and ends with '/'
+    std::vector<route_target> targets;
+    bool idempotent = false;    // the request may run more than once
+    bool event_stream = false;  // answered by events with increasing ids
+    bool resumable = false;     // a stream may go on after its last event
+    bool anonymous = false;     // needs no key
+    bool engine_prompt = false; // carries a prompt for a model engine
+    std::uint32_t rank = 0;     // 0 is the most urgent
+    std::uint32_t max_attempts = 1;
+    std::chrono::milliseconds timeout{30000};
+    std::chrono::milliseconds first_byte_target{1000};
+    std::chrono::milliseconds event_gap_target{1000};
+
+    /// Whether a second run of the request does no harm.
+    bool repeatable() const { return event_stream ? resumable : idempotent; }
+};
+
+/// A service's model engine, where it has one.
+struct engine_spec
+{
+    std::uint32_t slots = 1;
+    std::uint64_t memory_tokens = 0;
+    bool standby_copies = false; // copies running memory to another endpoint
+};
+
+struct service_spec
+{
+    service_name name;
+    std::uint32_t max_connections = 100; // of all callers together
+    std::optional<engine_spec> engine;
+};
+
+/// What a caller may send and how long it may take.
+struct caller_limits
+{
+    std::size_t max_header_bytes = 16384;
+    std::size_t max_body_bytes = 1048576;
+    std::chrono::milliseconds header_timeout{3000};
+    std::chrono::milliseconds idle_timeout{15000};
+};
+
+struct organisation_spec
+{
+    organisation_id name;
+    std::vector<std::string> keys;
+    std::optional<std::uint32_t> rank; // takes precedence over the route's
+};
+
+struct gateway_configuration
+{
+    std::uint64_t version = 0;
+    std::vector<gateway_route> routes;
+    std::vector<service_spec> services;
+    std::vector<organisation_spec> organisations; // empty: no keys are needed
+    caller_limits limits;
+};
+
+class routing_table
+{
+public:
+    explicit routing_table(gateway_configuration configuration);
+
+    routing_table(routing_table const&) = delete;
+    routing_table& operator=(routing_table const&) = delete;
+
+    std::uint64_t version() const { return configuration_.version; }
+    caller_limits const& limits() const { return configuration_.limits; }
+    bool needs_keys() const { return !configuration_.organisations.empty(); }
+
+    /// The route of that host with the longest prefix of the path.
+    /// @param path  without a query
+    gateway_route const*
+    match(std::string_view host, std::string_view path) const;
+
+    /// The holder of a key, or null.
+    organisation_spec const* organisation(std::string const& key) const;
+
+    service_spec const* service(service_name const& name) const;
+
+    /// Divides traffic by weight; the same draw gives the same target.
+    /// @param draw  uniform over all values
+    static service_name const&
+    target_of(gateway_route const& route, std::uint64_t draw);
+
+private:
+    using prefix_index = std::unordered_map<std::string, std::size_t>;
+
+    gateway_configuration const configuration_;
+    std::unordered_map<std::string, prefix_index> routes_; // host, prefix
+    std::unordered_map<std::string, std::size_t> keys_;
+    std::unordered_map<std::string, std::size_t> services_;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/gateway/table_watch.hpp
@@ -0,0 +1,131 @@
+// Follows one table of the platform's store: one listing, then changes, each
+// call answered as soon as there is one. Lost history leads to a new listing.
+// Calls are bounded by the client; this decides what to ask and when.
+#ifndef DOTTERELLOCK_GATEWAY_TABLE_WATCH_HPP
+#define DOTTERELLOCK_GATEWAY_TABLE_WATCH_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <dotterellock/runtime.hpp>
+
+#include "event_log.hpp"
+
+namespace dotterellock
+{
+
+struct store_row
+{
+    std::string key;
+    std::string value; // decoded bytes
+    std::uint64_t revision = 0;
+    bool deleted = false;
+};
+
+enum class store_status
+{
+    ok,
+    history_lost, // the asked revision is no longer available
+    refused,      // nothing was done; may be tried again
+    failed        // no answer, or one that cannot be read
+};
+
+struct store_answer
+{
+    store_status status = store_status::failed;
+    std::vector<store_row> rows;
+    std::uint64_t revision = 0; // of the whole store, when it answered
+    bool more = false;          // a listing goes on after its last row
+    std::string detail;         // of a failure
+};
+
+/// Reading access to the platform's store. One call at a time.
+class row_reader
+{
+public:
+    using handler = std::function<void(store_answer)>;
+
+    virtual ~row_reader() = default;
+
+    /// @param from  first key, or empty for all
+    virtual void
+    list(std::string const& table, std::string const& from, handler done) = 0;
+
+    /// Changes after a revision; answered at once when there are any, else
+    /// after `wait`.
+    virtual void changes(
+        std::string const& table, std::uint64_t after,
+        std::chrono::milliseconds wait, handler done) = 0;
+};
+
+/// Receives the content of a table.
+class table_sink
+{
+public:
+    virtual ~table_sink() = default;
+    virtual void on_listing(std::vector<store_row> const& rows) = 0;
+    virtual void on_change(store_row const& row) = 0;
+
+    /// What was received is complete as of `sent`.
+    virtual void on_proof(steady_time sent) = 0;
+};
+
+struct watch_settings
+{
+    std::chrono::milliseconds wait{900};       // of one call for changes
+    std::chrono::milliseconds first_retry{50}; // doubled up to the longest
+    std::chrono::milliseconds longest_retry{400};
+};
+
+class table_watch
+{
+public:
+    table_watch(
+        std::string table, watch_settings const& settings, row_reader& store,
+        table_sink& sink, clock_source const& clock, random_source& random,
+        event_log& log);
+
+    table_watch(table_watch const&) = delete;
+    table_watch& operator=(table_watch const&) = delete;
+
+    /// Makes the next call when it is due; called many times a second.
+    void poll();
+
+    bool listed() const { return listed_; }
+    bool connected() const { return failures_ == 0 && listed_; }
+    std::uint64_t calls() const { return calls_; }
+
+private:
+    void list();
+    void follow();
+    void on_page(steady_time sent, store_answer answer);
+    void on_changes(steady_time sent, store_answer answer);
+    void succeeded();
+    void failed(store_answer const& answer);
+
+    std::string const table_;
+    watch_settings const settings_;
+    row_reader& store_;
+    table_sink& sink_;
+    clock_source const& clock_;
+    random_source& random_;
+    event_log& log_;
+
+    bool calling_ = false;
+    bool listed_ = false; // followed from a complete listing
+    bool ever_listed_ = false;
+    std::uint64_t revision_ = 0;
+    std::uint64_t calls_ = 0;
+    std::uint32_t failures_ = 0; // in a row
+    steady_time next_call_{};
+    std::vector<store_row> pages_;
+    std::uint64_t first_page_revision_ = 0;
+    steady_time first_page_sent_{};
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/gateway/zone_watch.hpp
@@ -0,0 +1,75 @@
+// Notices that most of an availability zone failed at once. Several endpoints
+// of one service and zone that fail within a moment make the whole zone
+// suspect: those that were not heard of since are avoided and checked, before
+// each of them costs a request of its own.
+//
+// Load: a zone that loses nine tenths of its endpoints without a reset, while
+// a third of all streams run there.
+#ifndef DOTTERELLOCK_GATEWAY_ZONE_WATCH_HPP
+#define DOTTERELLOCK_GATEWAY_ZONE_WATCH_HPP
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "endpoint_state.hpp"
+
+namespace dotterellock
+{
+
+class zone_watch
+{
+public:
+    // Two endpoints fail together by chance now and then; three hardly do.
+    static constexpr std::size_t failures_for_suspicion = 3;
+    static constexpr std::chrono::milliseconds failure_window{1000};
+
+    // Longer than restarts usually take; one answer ends it per endpoint.
+    static constexpr std::chrono::milliseconds suspicion{1300};
+
+    /// @return true when this failure made the zone suspect
+    bool record_failure(endpoint_record const& endpoint, steady_time now)
+    {
+        auto& zone = zones_[{endpoint.service.value(), endpoint.zone.value()}];
+        while (!zone.failures.empty() &&
+               zone.failures.front().first + failure_window < now)
+            zone.failures.pop_front();
+        zone.failures.emplace_back(now, endpoint.id.value());
+        std::set<std::string> distinct;
+        for (auto const& [at, id] : zone.failures)
+            distinct.insert(id);
+        if (distinct.size() < failures_for_suspicion)
+            return false;
+        bool const fresh = now >= zone.suspect_until;
+        if (fresh)
+            zone.suspected_at = zone.failures.front().first;
+        zone.suspect_until = now + suspicion;
+        return fresh;
+    }
+
+    /// Whether the endpoint's zone is suspect and it was not heard of since.
+    bool suspect(endpoint_state const& endpoint, steady_time now) const
+    {
+        auto const& r = endpoint.record();
+        auto const found = zones_.find({r.service.value(), r.zone.value()});
+        return found != zones_.end() && now < found->second.suspect_until &&
+               endpoint.active_at() <= found->second.suspected_at;
+    }
+
+private:
+    struct zone_state
+    {
+        std::deque<std::pair<steady_time, std::string>> failures;
+        steady_time suspected_at{};
+        steady_time suspect_until{};
+    };
+
+    std::map<std::pair<std::string, std::string>, zone_state> zones_;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/http/message_parser.cpp
@@ -0,0 +1,294 @@
+#include "message_parser.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace dotterellock
+{
+
+namespace
+{
+
+// Trailing fields of a chunked body are dropped; they count towards nothing.
+constexpr std::size_t max_fields = 200;
+
+// ": " and the line's end.
+constexpr std::size_t header_overhead = 4;
+
+char lower(char c)
+{
+    return c >= 'A' && c <= 'Z' ? char(c - 'A' + 'a') : c;
+}
+
+bool lists_token(std::string_view list, std::string_view token)
+{
+    while (!list.empty())
+    {
+        auto const comma = list.find(',');
+        auto item = list.substr(0, comma);
+        while (!item.empty() && (item.front() == ' ' || item.front() == '\t'))
+            item.remove_prefix(1);
+        while (!item.empty() && (item.back() == ' ' || item.back() == '\t'))
+            item.remove_suffix(1);
+        if (equal_ignoring_case(item, token))
+            return true;
+        if (comma == std::string_view::npos)
+            break;
+        list.remove_prefix(comma + 1);
+    }
+    return false;
+}
+
+message_parser& self(http_parser* p)
+{
+    return *static_cast<message_parser*>(p->data);
+}
+
+} // namespace
+
+bool equal_ignoring_case(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() &&
+           std::equal(
+               a.begin(), a.end(), b.begin(),
+               [](char x, char y) { return lower(x) == lower(y); });
+}
+
+std::string const*
+find_header(header_list const& headers, std::string_view name)
+{
+    for (auto const& [field, value] : headers)
+    {
+        if (equal_ignoring_case(field, name))
+            return &value;
+    }
+    return nullptr;
+}
+
+bool is_hop_by_hop(header_list const& headers, std::string_view name)
+{
+    static constexpr std::string_view standard[] = {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "upgrade",
+        "transfer-encoding",
+        "content-length",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "expect"};
+    for (auto const& s : standard)
+    {
+        if (equal_ignoring_case(name, s))
+            return true;
+    }
+    for (auto const& [field, value] : headers)
+    {
+        if (equal_ignoring_case(field, "connection") &&
+            lists_token(value, name))
+            return true;
+    }
+    return false;
+}
+
+message_parser::message_parser(kind k, message_sink& sink)
+    : kind_(k), sink_(sink)
+{
+    http_parser_init(
+        &parser_, k == kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser_.data = this;
+}
+
+std::size_t message_parser::feed(std::string_view bytes)
+{
+    if (problem_ != parse_problem::none)
+        return 0;
+    http_parser_pause(&parser_, 0);
+    std::size_t taken =
+        http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
+    auto const code = HTTP_PARSER_ERRNO(&parser_);
+    if (code == HPE_PAUSED)
+    {
+        // The byte that ended the message counts as taken only after the
+        // parser runs on.
+        http_parser_pause(&parser_, 0);
+    }
+    else if (code != HPE_OK && problem_ == parse_problem::none)
+    {
+        problem_ = code == HPE_HEADER_OVERFLOW ? parse_problem::head_too_large
+                                               : parse_problem::malformed;
+    }
+    if (parser_.upgrade != 0)
+        problem_ = parse_problem::malformed;
+    if (started_ && !head_complete_)
+    {
+        head_bytes_ += taken;
+        if (head_bytes_ > max_head_bytes_ && problem_ == parse_problem::none)
+            problem_ = parse_problem::head_too_large;
+    }
+    return taken;
+}
+
+bool message_parser::finish()
+{
+    if (!in_message())
+        return true;
+    if (problem_ != parse_problem::none)
+        return false;
+    http_parser_pause(&parser_, 0);
+    http_parser_execute(&parser_, &callbacks(), nullptr, 0);
+    return complete_ && problem_ == parse_problem::none;
+}
+
+http_parser_settings const& message_parser::callbacks()
+{
+    static http_parser_settings const settings = []
+    {
+        http_parser_settings s;
+        http_parser_settings_init(&s);
+        s.on_message_begin = &message_parser::message_begin;
+        s.on_url = &message_parser::url;
+        s.on_status = &message_parser::status;
+        s.on_header_field = &message_parser::field;
+        s.on_header_value = &message_parser::value;
+        s.on_headers_complete = &message_parser::headers_complete;
+        s.on_body = &message_parser::body;
+        s.on_message_complete = &message_parser::message_complete;
+        return s;
+    }();
+    return settings;
+}
+
+int message_parser::message_begin(http_parser* p)
+{
+    auto& m = self(p);
+    m.head_ = {};
+    m.in_value_ = false;
+    m.started_ = true;
+    m.head_complete_ = false;
+    m.complete_ = false;
+    m.unframed_ = false;
+    m.head_bytes_ = 0;
+    return 0;
+}
+
+int message_parser::url(http_parser* p, char const* at, std::size_t length)
+{
+    self(p).head_.target.append(at, length);
+    return 0;
+}
+
+int message_parser::status(http_parser* p, char const* at, std::size_t length)
+{
+    self(p).head_.reason.append(at, length);
+    return 0;
+}
+
+int message_parser::field(http_parser* p, char const* at, std::size_t length)
+{
+    auto& m = self(p);
+    if (m.head_complete_)
+        return 0; // a trailer
+    auto& headers = m.head_.headers;
+    if (headers.empty() || m.in_value_)
+    {
+        if (headers.size() >= max_fields)
+        {
+            m.problem_ = parse_problem::head_too_large;
+            return 1;
+        }
+        headers.emplace_back();
+        m.in_value_ = false;
+    }
+    headers.back().first.append(at, length);
+    return 0;
+}
+
+int message_parser::value(http_parser* p, char const* at, std::size_t length)
+{
+    auto& m = self(p);
+    if (m.head_complete_)
+        return 0;
+    m.in_value_ = true;
+    m.head_.headers.back().second.append(at, length);
+    return 0;
+}
+
+int message_parser::headers_complete(http_parser* p)
+{
+    return self(p).end_of_head();
+}
+
+int message_parser::body(http_parser* p, char const* at, std::size_t length)
+{
+    self(p).sink_.on_body(std::string_view(at, length));
+    return 0;
+}
+
+int message_parser::message_complete(http_parser* p)
+{
+    auto& m = self(p);
+    m.keep_alive_ = http_should_keep_alive(p) != 0 && !m.unframed_;
+    m.complete_ = true;
+    http_parser_pause(p, 1);
+    m.sink_.on_complete();
+    return 0;
+}
+
+int message_parser::end_of_head()
+{
+    head_.http_1_0 = parser_.http_major == 1 && parser_.http_minor == 0;
+    head_complete_ = true;
+    if (parser_.http_major != 1 || !framing_is_unambiguous())
+    {
+        problem_ = parse_problem::malformed;
+        return -1;
+    }
+    std::size_t size = head_.target.size();
+    for (auto const& [name, value] : head_.headers)
+        size += name.size() + value.size() + header_overhead;
+    if (size > max_head_bytes_)
+    {
+        problem_ = parse_problem::head_too_large;
+        return -1;
+    }
+    if (kind_ == kind::request)
+        head_.method =
+            http_method_str(static_cast<http_method>(parser_.method));
+    else
+        head_.status = parser_.status_code;
+    bool const bodiless = no_body_ || head_.status < 200 ||
+                          head_.status == 204 || head_.status == 304;
+    unframed_ = kind_ == kind::response && !bodiless &&
+                find_header(head_.headers, "content-length") == nullptr &&
+                find_header(head_.headers, "transfer-encoding") == nullptr;
+    sink_.on_head(std::move(head_));
+    return no_body_ ? 1 : 0;
+}
+
+bool message_parser::framing_is_unambiguous() const
+{
+    std::size_t lengths = 0;
+    std::size_t encodings = 0;
+    std::size_t hosts = 0;
+    for (auto const& [name, value] : head_.headers)
+    {
+        if (equal_ignoring_case(name, "content-length"))
+            ++lengths;
+        if (equal_ignoring_case(name, "host"))
+            ++hosts;
+        if (!equal_ignoring_case(name, "transfer-encoding"))
+            continue;
+        ++encodings;
+        if (!equal_ignoring_case(value, "chunked"))
+            return false;
+    }
+    if (lengths + encodings > 1)
+        return false;
+    return kind_ == kind::response || hosts == 1 ||
+           (hosts == 0 && head_.http_1_0);
+}
+
+} // namespace dotterellock
--- a/src/placement/placement_decision.hpp
+++ b/src/placement/placement_decision.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include <dotterellock/platform.hpp>
+#include <dotterellock/external_services.hpp>
 
 #include "placement/placement_records.hpp"
 
--- a/src/placement/placement_gate.hpp
+++ b/src/placement/placement_gate.hpp
@@ -18,8 +18,8 @@
 #include <string>
 #include <vector>
 
+#include <dotterellock/external_services.hpp>
 #include <dotterellock/observability.hpp>
-#include <dotterellock/platform.hpp>
 #include <dotterellock/runtime.hpp>
 
 #include "placement/lease.hpp"
--- a/src/process/agent_node.hpp
+++ b/src/process/agent_node.hpp
@@ -5,7 +5,7 @@
 
 #include <optional>
 
-#include <dotterellock/platform.hpp>
+#include <dotterellock/external_services.hpp>
 
 #include "claims/call_gate.hpp"
 #include "queueing/reservation_queue.hpp"
--- a/src/process/program.cpp
+++ b/src/process/program.cpp
@@ -1,5 +1,6 @@
 #include "program.hpp"
 
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -49,9 +50,20 @@
     return static_cast<int>(code);
 }
 
+/// The settings file by option or environment; empty when neither names one.
+std::string settings_file(program const& p, cxxopts::ParseResult const& args)
+{
+    if (args.count("config") != 0)
+        return args["config"].as<std::string>();
+    char const* const named = p.settings_variable == nullptr
+                                  ? nullptr
+                                  : std::getenv(p.settings_variable);
+    return named == nullptr ? "" : named;
+}
+
 int run_with_settings(program const& p, cxxopts::ParseResult const& args)
 {
-    auto const file = args["config"].as<std::string>();
+    auto const file = settings_file(p, args);
     std::string text;
     std::string effective;
     try
@@ -90,7 +102,7 @@
             std::cout << p.name << ' ' << DOTTERELLOCK_VERSION << '\n';
             return static_cast<int>(exit_code::ok);
         }
-        if (!args.unmatched().empty() || args.count("config") == 0)
+        if (!args.unmatched().empty() || settings_file(p, args).empty())
             return fail(p, exit_code::usage, "--config FILE is required");
         return run_with_settings(p, args);
     }
--- a/src/process/program.hpp
+++ b/src/process/program.hpp
@@ -29,6 +29,10 @@
 
     /// Runs until a signal ends the process.
     std::function<void(std::string const& text, std::string const& file)> run;
+
+    /// Environment variable that names the settings file when --config is
+    /// absent; null for none.
+    char const* settings_variable = nullptr;
 };
 
 /// Options: --config FILE, --check, --print-effective, --help, --version.
--- a/src/process/router_process.cpp
+++ b/src/process/router_process.cpp
@@ -6,11 +6,11 @@
 #include <utility>
 
 #include "asio_timer_service.hpp"
+#include "clients/curl_executor.hpp"
+#include "clients/http_stores.hpp"
 #include "front/http_front.hpp"
 #include "message_distribution.hpp"
 #include "pipeline/request_path.hpp"
-#include "platform/curl_executor.hpp"
-#include "platform/http_stores.hpp"
 #include "process_frame.hpp"
 #include "process_log.hpp"
 #include "router_control.hpp"
--- a/src/process/router_shard.hpp
+++ b/src/process/router_shard.hpp
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include <dotterellock/configuration.hpp>
-#include <dotterellock/platform.hpp>
+#include <dotterellock/external_services.hpp>
 
 #include "agent_subscriptions.hpp"
 #include "choice/endpoint_directory.hpp"
--- a/src/process/system_runtime.cpp
+++ b/src/process/system_runtime.cpp
@@ -1,6 +1,7 @@
 #include "system_runtime.hpp"
 
 #include <cerrno>
+#include <ctime>
 #include <system_error>
 
 #include <sys/random.h>
@@ -8,6 +9,16 @@
 namespace dotterellock
 {
 
+steady_time suspension_clock::now() const
+{
+    timespec t{};
+    if (::clock_gettime(CLOCK_BOOTTIME, &t) != 0)
+        throw std::system_error(
+            errno, std::generic_category(), "clock_gettime");
+    return steady_time(
+        std::chrono::seconds(t.tv_sec) + std::chrono::nanoseconds(t.tv_nsec));
+}
+
 std::uint64_t system_random::next()
 {
     std::uint64_t value = 0;
--- a/src/process/system_runtime.hpp
+++ b/src/process/system_runtime.hpp
@@ -21,6 +21,17 @@
     }
 };
 
+/// Counts the time for which the host was suspended, as a lease must.
+class suspension_clock : public clock_source
+{
+public:
+    steady_time now() const override;
+    wall_time wall_now() const override
+    {
+        return std::chrono::system_clock::now();
+    }
+};
+
 class system_random : public random_source
 {
 public:
--- a/src/process/unavailable_store.hpp
+++ b/src/process/unavailable_store.hpp
@@ -5,7 +5,7 @@
 
 #include <utility>
 
-#include <dotterellock/platform.hpp>
+#include <dotterellock/external_services.hpp>
 
 namespace dotterellock
 {
--- a/src/recovery/generation_gate.hpp
+++ b/src/recovery/generation_gate.hpp
@@ -18,9 +18,9 @@
 #include <vector>
 
 #include <dotterellock/admission.hpp>
+#include <dotterellock/external_services.hpp>
 #include <dotterellock/observability.hpp>
 #include <dotterellock/peer_transport.hpp>
-#include <dotterellock/platform.hpp>
 #include <dotterellock/policy.hpp>
 
 namespace dotterellock
--- /dev/null
+++ b/src/relay/connection_pool.cpp
@@ -0,0 +1,117 @@
+#include "connection_pool.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include <asio/ip/address.hpp>
+
+namespace dotterellock
+{
+
+std::optional<asio::ip::tcp::endpoint> parse_address(std::string const& text)
+{
+    auto const colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    asio::error_code e;
+    auto const ip = asio::ip::make_address_v4(text.substr(0, colon), e);
+    unsigned short port = 0;
+    auto const begin = text.data() + colon + 1;
+    auto const end = text.data() + text.size();
+    auto const r = std::from_chars(begin, end, port);
+    if (e || r.ec != std::errc{} || r.ptr != end || port == 0)
+        return std::nullopt;
+    return asio::ip::tcp::endpoint(ip, port);
+}
+
+std::string connection_pool::key(endpoint_record const& endpoint)
+{
+    return endpoint.address + ' ' + endpoint.id.value() + ' ' +
+           std::to_string(endpoint.born);
+}
+
+bool connection_pool::fit(idle_connection const& idle, bool fresh) const
+{
+    auto const age = clock_.now() - idle.connection->last_used();
+    auto const allowed = fresh ? idle.allowed_idle / 2 : idle.allowed_idle;
+    return idle.connection->reusable() && age < allowed;
+}
+
+std::shared_ptr<http_connection>
+connection_pool::acquire(endpoint_record const& endpoint, bool fresh)
+{
+    auto const found = idle_.find(key(endpoint));
+    if (found != idle_.end())
+    {
+        auto& list = found->second;
+        for (auto i = list.rbegin(); i != list.rend(); ++i)
+        {
+            if (!fit(*i, fresh))
+                continue;
+            auto connection = std::move(i->connection);
+            list.erase(std::next(i).base());
+            return connection;
+        }
+    }
+    ++opened_;
+    return std::make_shared<http_connection>(io_, clock_);
+}
+
+void connection_pool::release(
+    endpoint_record const& endpoint,
+    std::shared_ptr<http_connection> connection,
+    std::optional<std::chrono::milliseconds> idle_timeout)
+{
+    if (!connection->reusable())
+        return;
+    auto const allowed = idle_timeout && *idle_timeout > idle_margin * 2
+                             ? *idle_timeout - idle_margin
+                             : unstated_idle;
+    auto const k = key(endpoint);
+    auto const raw = connection.get();
+    connection->watch_idle(
+        [this, k, raw]
+        {
+            auto const found = idle_.find(k);
+            if (found == idle_.end())
+                return;
+            auto& list = found->second;
+            list.erase(
+                std::remove_if(
+                    list.begin(), list.end(),
+                    [raw](idle_connection const& i)
+                    { return i.connection.get() == raw; }),
+                list.end());
+        });
+    idle_[k].push_back({std::move(connection), allowed});
+}
+
+void connection_pool::drop(endpoint_record const& endpoint)
+{
+    auto const found = idle_.find(key(endpoint));
+    if (found == idle_.end())
+        return;
+    auto const list = std::move(found->second);
+    idle_.erase(found);
+    for (auto const& idle : list)
+        idle.connection->abandon();
+}
+
+void connection_pool::sweep()
+{
+    std::vector<idle_connection> expired;
+    for (auto i = idle_.begin(); i != idle_.end();)
+    {
+        auto& list = i->second;
+        auto const kept = std::stable_partition(
+            list.begin(), list.end(),
+            [this](idle_connection const& idle) { return fit(idle, false); });
+        std::move(kept, list.end(), std::back_inserter(expired));
+        list.erase(kept, list.end());
+        i = list.empty() ? idle_.erase(i) : std::next(i);
+    }
+    for (auto const& idle : expired)
+        idle.connection->abandon();
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/relay/exchange.hpp
@@ -0,0 +1,197 @@
+// One caller's request from its admission to the end of its answer, over as
+// many attempts as it takes. Runs on the I/O thread of its gateway.
+#ifndef DOTTERELLOCK_RELAY_EXCHANGE_HPP
+#define DOTTERELLOCK_RELAY_EXCHANGE_HPP
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "client_session.hpp"
+#include "connection_pool.hpp"
+#include "gateway/arrival_budget.hpp"
+#include "gateway/attempt_policy.hpp"
+#include "gateway/endpoint_selection.hpp"
+#include "gateway/event_log.hpp"
+#include "gateway/event_splitter.hpp"
+#include "gateway/liveness.hpp"
+#include "http_connection.hpp"
+#include "request_dialect.hpp"
+
+namespace dotterellock
+{
+
+class exchange;
+
+/// What exchanges share. The gateway owns all of it and outlives them.
+class exchange_host
+{
+public:
+    virtual ~exchange_host() = default;
+    virtual clock_source const& clock() const = 0;
+    virtual endpoint_selection const& selection() const = 0;
+    virtual request_dialect const& dialect() const = 0;
+    virtual connection_pool& pool() = 0;
+    virtual event_log& log() = 0;
+    virtual arrival_budget& budget(service_name const& service) = 0;
+    virtual first_event_estimate& estimate(service_name const& service) = 0;
+
+    /// An attempt ended; updates the health of its endpoint and zone.
+    virtual void
+    report_outcome(endpoint_ptr const& endpoint, endpoint_outcome outcome) = 0;
+
+    /// Asks the endpoint for its report, unless a question is under way.
+    virtual void check_endpoint(endpoint_ptr const& endpoint) = 0;
+
+    /// Keeps the exchange until an endpoint has room.
+    virtual bool wait_for_room(std::shared_ptr<exchange> const& e) = 0;
+
+    /// Endpoints may have room again.
+    virtual void room_freed(service_name const& service) = 0;
+
+    virtual void finished(std::shared_ptr<exchange> const& e) = 0;
+};
+
+/// What was decided about a request before its first attempt.
+struct admitted_request
+{
+    std::shared_ptr<routing_table const> table;
+    gateway_route const* route = nullptr; // of table
+    service_name service;
+    organisation_id organisation;
+    std::uint32_t rank = 0;
+    caller_terms terms;
+    caller_message message;
+};
+
+class exchange : public std::enable_shared_from_this<exchange>,
+                 private answer_sink
+{
+public:
+    exchange(
+        std::uint64_t number, std::shared_ptr<client_session> session,
+        admitted_request request, exchange_host& host);
+
+    exchange(exchange const&) = delete;
+    exchange& operator=(exchange const&) = delete;
+
+    void start();
+
+    /// Enforces the deadline and judges progress; called many times a second.
+    /// @param paused  the process itself just stood still, so that silence
+    ///                says nothing about endpoints
+    void check(steady_time now, bool paused);
+
+    /// Tries to leave the waiting line. False when there is still no room.
+    bool try_dispatch();
+
+    /// The endpoint was found dead by a check that began at `checked`.
+    void endpoint_dead(endpoint_state const& endpoint, steady_time checked);
+
+    /// The endpoint answered a check with its report.
+    void endpoint_reported(
+        endpoint_state const& endpoint, endpoint_report const& report,
+        steady_time checked);
+
+    /// Refuses a request that waits for room.
+    void refuse(char const* reason, std::chrono::milliseconds retry_after);
+
+    std::uint64_t number() const { return number_; }
+    admitted_request const& request() const { return request_; }
+    work_request const& work() const { return work_; }
+    bool waiting() const { return state_ == state::waiting; }
+    bool attempting() const { return state_ == state::attempting; }
+    endpoint_ptr const& endpoint() const { return endpoint_; }
+    steady_time received() const { return request_.message.received; }
+    steady_time deadline() const { return deadline_; }
+
+private:
+    enum class state
+    {
+        fresh,
+        waiting,    // for room at an endpoint
+        attempting, // sent, or being sent, to endpoint_
+        done
+    };
+
+    // Answers up to this size are held until they are complete, so that a
+    // broken one can be repeated.
+    static constexpr std::size_t max_held_bytes = 256u << 10;
+
+    // A caller that takes nothing holds no more of a stream than this.
+    static constexpr std::size_t max_unsent_bytes = 1u << 20;
+
+    // An attempt with less time than this is not worth its arrival.
+    static constexpr std::chrono::milliseconds min_time_left{5};
+
+    engine_spec const* engine() const;
+    bool streaming() const { return request_.route->event_stream; }
+
+    void attempt_next();
+    void attempt(endpoint_ptr endpoint, std::optional<memory_copy> copy);
+    std::string forwarded_request(
+        endpoint_record const& endpoint,
+        std::optional<memory_copy> const& copy) const;
+    void release_attempt();
+    void attempt_failed(endpoint_outcome outcome, char const* reason);
+    void give_up_attempt(endpoint_outcome outcome, char const* reason);
+
+    void on_connected() override;
+    void on_answer_head(message_head head) override;
+    void on_answer_body(std::string_view bytes) override;
+    void on_answer_complete() override;
+    void on_failure(connection_failure failure) override;
+
+    void take_events();
+    void begin_answer();
+    void complete_whole();
+    void complete_stream();
+    header_list answer_headers() const;
+
+    void fail(unsigned status, char const* reason);
+    void caller_gone();
+    void finish(char const* outcome, unsigned status, std::string reason);
+
+    std::uint64_t const number_;
+    std::shared_ptr<client_session> const session_;
+    admitted_request request_;
+    exchange_host& host_;
+    work_request work_;
+    steady_time deadline_;
+    bool timeout_first_ = false; // the route's timeout ends it, not the caller
+    state state_ = state::fresh;
+    attempt_history history_;
+
+    // The attempt under way
+    endpoint_ptr endpoint_;
+    endpoint_reservation reservation_;
+    endpoint_ptr standby_;
+    endpoint_reservation standby_reservation_;
+    std::shared_ptr<http_connection> connection_;
+    bool used_copy_ = false;
+    bool reused_connection_ = false;
+    bool alone_ = false; // no other prompt was read there for this gateway
+    steady_time sent_{};
+    steady_time progress_{};
+    bool run_confirmed_ = false;
+    std::optional<message_head> head_; // of the attempt's answer
+    answer_terms answer_;
+    std::string held_; // body of an answer that is not a stream
+    event_splitter events_;
+    bool attempt_streams_ = false;
+
+    // The answer to the caller
+    bool answer_begun_ = false;
+    bool passing_ = false; // a large answer is passed on as it comes
+    std::optional<std::uint64_t> last_event_;
+    std::size_t events_sent_ = 0;
+    std::optional<steady_time> first_byte_;
+    duration longest_gap_{};
+    steady_time last_sent_{};
+    std::string trail_; // endpoints and outcomes, for the log
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/relay/gateway.cpp
@@ -0,0 +1,875 @@
+// Index: sinks of the store's tables; checks of endpoints; status pages;
+// construction; admission; exchanges; waiting; time; shutdown.
+#include "gateway.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <asio/post.hpp>
+
+#include <dotterellock/error.hpp>
+
+namespace dotterellock
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// Deadlines and silence are judged this often; the finest limit is 40 ms.
+constexpr milliseconds tick_interval{20};
+
+// A tick that comes later than this means that the process stood still.
+constexpr milliseconds pause_threshold{150};
+
+// Connections, lines and tables are swept at this interval.
+constexpr milliseconds sweep_interval{200};
+
+// A refusal by "unknown key" or "no such route" needs a copy of the
+// configuration that is newer than versions may lag.
+constexpr milliseconds certain_age{2200};
+
+// When a process that knows no configuration is expected to know one.
+constexpr milliseconds retry_when_unconfigured{1000};
+
+// The balancer has taken a stopping host out of rotation by then: two missed
+// questions, one a second.
+constexpr milliseconds leave_rotation{2500};
+
+// The rest of the grace period is kept for the end of the process.
+constexpr milliseconds shutdown_margin{400};
+
+// An endpoint that does not answer a check by then is taken for dead; the
+// longest round trip between regions is 40 ms, and a new connection needs two.
+constexpr milliseconds check_timeout{180};
+
+// Checks of one endpoint are at least this far apart.
+constexpr milliseconds check_interval{250};
+
+// Leaves room for a listing that is one heartbeat behind after a store outage.
+constexpr milliseconds last_resort_margin{500};
+
+// Bodies that are read or relayed may use this part of the memory limit.
+constexpr std::size_t body_memory_divisor = 4;
+
+// Part of the descriptors that callers may use; the rest is for endpoints.
+constexpr std::size_t caller_descriptors_percent = 60;
+
+std::string_view path_of(std::string_view target)
+{
+    return target.substr(0, target.find_first_of("?#"));
+}
+
+std::string host_of(message_head const& head)
+{
+    auto const* const host = find_header(head.headers, "host");
+    if (host == nullptr)
+        return {};
+    std::string name = host->substr(0, host->find(':'));
+    std::transform(
+        name.begin(), name.end(), name.begin(),
+        [](unsigned char c) { return char(std::tolower(c)); });
+    return name;
+}
+
+} // namespace
+
+// Sinks of the store's tables ------------------------------------------------
+
+class gateway::configuration_sink : public table_sink
+{
+public:
+    explicit configuration_sink(gateway& owner) : owner_(owner) {}
+
+    void on_listing(std::vector<store_row> const& rows) override
+    {
+        for (auto const& row : rows)
+            on_change(row);
+    }
+
+    void on_change(store_row const& row) override
+    {
+        if (row.deleted)
+            return; // the last version stays in force
+        try
+        {
+            if (auto c = owner_.env_.codec.read_configuration(row))
+                owner_.apply(std::move(*c), row.revision);
+        }
+        catch (error const& e)
+        {
+            owner_.env_.log.record(
+                event_level::error, "configuration_unreadable",
+                {{"key", row.key},
+                 {"revision", std::to_string(row.revision)},
+                 {"detail", e.detail()}});
+        }
+    }
+
+    void on_proof(steady_time sent) override { owner_.lease_.prove(sent); }
+
+private:
+    gateway& owner_;
+};
+
+class gateway::endpoint_sink : public table_sink
+{
+public:
+    explicit endpoint_sink(gateway& owner) : owner_(owner) {}
+
+    void on_listing(std::vector<store_row> const& rows) override
+    {
+        std::set<std::string> ids;
+        for (auto const& row : rows)
+        {
+            ids.insert(row.key);
+            on_change(row);
+        }
+        owner_.endpoints_.keep_only(ids, owner_.env_.clock.now());
+    }
+
+    void on_change(store_row const& row) override
+    {
+        auto const now = owner_.env_.clock.now();
+        if (row.deleted)
+        {
+            owner_.endpoints_.remove(endpoint_id(row.key), now);
+            log(row, "removed", {});
+            return;
+        }
+        try
+        {
+            auto const record = owner_.env_.codec.read_endpoint(row);
+            owner_.endpoints_.put(record, now);
+            log(row, record.draining ? "draining" : "ready", record.address);
+            if (record.draining)
+                owner_.pool_.drop(record);
+            owner_.room_freed(record.service);
+        }
+        catch (error const& e)
+        {
+            // A row that names no endpoint takes nothing out of service.
+            log(row, "unreadable", e.detail());
+        }
+    }
+
+    void on_proof(steady_time) override {}
+
+private:
+    void log(store_row const& row, char const* state, std::string const& detail)
+    {
+        owner_.env_.log.record(
+            event_level::info, "endpoint",
+            {{"endpoint", row.key},
+             {"state", state},
+             {"detail", detail.empty() ? "-" : detail},
+             {"revision", std::to_string(row.revision)}});
+    }
+
+    gateway& owner_;
+};
+
+// Checks of endpoints --------------------------------------------------------
+
+/// Asks one endpoint for its report over a new connection, as one that has
+/// fallen silent would prove nothing.
+class gateway::endpoint_check : private answer_sink
+{
+public:
+    endpoint_check(gateway& owner, endpoint_ptr endpoint)
+        : owner_(owner), endpoint_(std::move(endpoint)),
+          began_(owner.env_.clock.now())
+    {
+    }
+
+    void start()
+    {
+        auto const address = parse_address(endpoint_->record().address);
+        if (!address)
+        {
+            finish(std::nullopt, false);
+            return;
+        }
+        connection_ = std::make_shared<http_connection>(
+            owner_.env_.io, owner_.env_.clock);
+        connection_->send(
+            *address, owner_.env_.dialect.report_request(), *this);
+    }
+
+    void cancel()
+    {
+        if (connection_)
+            connection_->abandon();
+    }
+
+    /// @param paused  the process stood still; the time does not count
+    void check_time(steady_time now, bool paused)
+    {
+        if (paused)
+            began_ = now;
+        if (done_ || now - began_ < check_timeout)
+            return;
+        connection_->abandon();
+        finish(std::nullopt, accepted_);
+    }
+
+    bool done() const { return done_; }
+    steady_time began() const { return began_; }
+
+private:
+    void on_connected() override { accepted_ = true; }
+    void on_answer_head(message_head head) override { status_ = head.status; }
+    void on_answer_body(std::string_view bytes) override
+    {
+        body_.append(bytes);
+    }
+    void on_answer_complete() override
+    {
+        std::optional<endpoint_report> report;
+        try
+        {
+            if (status_ == 200)
+                report = owner_.env_.dialect.read_report(body_);
+        }
+        catch (error const& e)
+        {
+            owner_.env_.log.record(
+                event_level::warn, "report_unreadable",
+                {{"endpoint", endpoint_->record().id.value()},
+                 {"detail", e.detail()}});
+        }
+        owner_.pool_.release(
+            endpoint_->record(), std::move(connection_), std::nullopt);
+        finish(std::move(report), true);
+    }
+    void on_failure(connection_failure) override
+    {
+        finish(std::nullopt, false);
+    }
+
+    void finish(std::optional<endpoint_report> report, bool accepted)
+    {
+        done_ = true;
+        owner_.check_finished(endpoint_, began_, std::move(report), accepted);
+    }
+
+    gateway& owner_;
+    endpoint_ptr const endpoint_;
+    steady_time began_;
+    std::shared_ptr<http_connection> connection_;
+    bool accepted_ = false;
+    bool done_ = false;
+    unsigned status_ = 0;
+    std::string body_;
+};
+
+// Status pages ---------------------------------------------------------------
+
+/// Answers the balancer's question and serves the metrics.
+class gateway::status_service : public session_host
+{
+public:
+    status_service(gateway& owner, std::string const& address)
+        : owner_(owner), acceptor_(owner.env_.io)
+    {
+        owner_.listen(acceptor_, address);
+        accept();
+    }
+
+    void check_time(steady_time now)
+    {
+        auto const sessions = sessions_;
+        for (auto const& [raw, session] : sessions)
+            session->check_time(now);
+    }
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept(
+            [this](asio::error_code const& e, asio::ip::tcp::socket socket)
+            {
+                if (e == asio::error::operation_aborted)
+                    return;
+                if (!e)
+                {
+                    auto session = std::make_shared<client_session>(
+                        std::move(socket), owner_.env_.clock, *this);
+                    sessions_.emplace(session.get(), session);
+                    session->start();
+                }
+                accept();
+            });
+    }
+
+    void on_request(
+        std::shared_ptr<client_session> session,
+        caller_message message) override
+    {
+        auto const path = path_of(message.head.target);
+        if (path == "/metrics")
+        {
+            session->answer(
+                200, "OK", {{"Content-Type", "text/plain; version=0.0.4"}},
+                owner_.metrics());
+            return;
+        }
+        bool const ready = owner_.ready();
+        session->answer(
+            ready ? 200 : 503, ready ? "OK" : "Service Unavailable",
+            {{"Content-Type", "text/plain"}},
+            ready ? "ready\n" : "not ready\n");
+    }
+
+    void on_rejected(client_session const&, unsigned, char const*) override {}
+    void on_closed(client_session& session) override
+    {
+        sessions_.erase(&session);
+    }
+    caller_limits limits() const override { return {}; }
+    bool last_answer() const override { return owner_.shutting_down_; }
+    bool reserve_body(std::size_t) override { return false; }
+    void release_body(std::size_t) override {}
+
+    gateway& owner_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::unordered_map<client_session*, std::shared_ptr<client_session>>
+        sessions_;
+};
+
+// Construction ---------------------------------------------------------------
+
+gateway::gateway(gateway_settings settings, gateway_environment environment)
+    : settings_(std::move(settings)), env_(environment),
+      endpoints_(settings_.drain_bound - last_resort_margin),
+      selection_(
+          endpoints_, zones_, {zone_id(settings_.zone), settings_.regions}),
+      pool_(env_.io, env_.clock), lease_(settings_.key_withdrawal_bound),
+      configuration_sink_(std::make_unique<configuration_sink>(*this)),
+      endpoint_sink_(std::make_unique<endpoint_sink>(*this)),
+      configuration_watch_(
+          env_.codec.configuration_table(), watch_settings{},
+          env_.configuration_reader, *configuration_sink_, env_.clock,
+          env_.random, env_.log),
+      endpoint_watch_(
+          env_.codec.endpoint_table(), watch_settings{}, env_.endpoint_reader,
+          *endpoint_sink_, env_.clock, env_.random, env_.log),
+      acceptor_(env_.io), tick_timer_(env_.io)
+{
+}
+
+gateway::~gateway()
+{
+    for (auto const& [raw, check] : checks_)
+        check->cancel();
+}
+
+void gateway::start()
+{
+    listen(acceptor_, settings_.listen);
+    status_ = std::make_unique<status_service>(*this, settings_.status_listen);
+    last_tick_ = last_sweep_ = env_.clock.now();
+    accept();
+    configuration_watch_.poll();
+    endpoint_watch_.poll();
+    schedule_tick();
+}
+
+void gateway::listen(
+    asio::ip::tcp::acceptor& acceptor, std::string const& address)
+{
+    auto const endpoint = parse_address(address);
+    if (!endpoint)
+        throw error(
+            error_code::invalid_argument, "listen", address,
+            "is not an IPv4 address with a port");
+    acceptor.open(asio::ip::tcp::v4());
+    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    acceptor.bind(*endpoint);
+    acceptor.listen(1024);
+}
+
+void gateway::accept()
+{
+    acceptor_.async_accept(
+        [this](asio::error_code const& e, asio::ip::tcp::socket socket)
+        {
+            if (e == asio::error::operation_aborted)
+                return;
+            auto const most =
+                settings_.max_descriptors * caller_descriptors_percent / 100;
+            if (!e && sessions_.size() < most)
+            {
+                auto session = std::make_shared<client_session>(
+                    std::move(socket), env_.clock, *this);
+                sessions_.emplace(session.get(), session);
+                session->start();
+            }
+            else
+            {
+                env_.counters.counter("callers_turned_away_total").add();
+            }
+            accept();
+        });
+}
+
+void gateway::reload(gateway_settings const& settings)
+{
+    settings_.key_withdrawal_bound = settings.key_withdrawal_bound;
+    settings_.drain_bound = settings.drain_bound;
+    settings_.shutdown_grace = settings.shutdown_grace;
+    settings_.retries = settings.retries;
+    lease_.set_bound(settings.key_withdrawal_bound);
+    endpoints_.set_last_resort(settings.drain_bound - last_resort_margin);
+}
+
+void gateway::apply(gateway_configuration configuration, std::uint64_t revision)
+{
+    auto const version = configuration.version;
+    bool const older =
+        table_ && (version < table_->version() || revision < table_revision_);
+    bool const same = table_ && revision == table_revision_;
+    if (same)
+        return;
+    env_.log.record(
+        older ? event_level::warn : event_level::info,
+        older ? "configuration_ignored" : "configuration_applied",
+        {{"version", std::to_string(version)},
+         {"revision", std::to_string(revision)},
+         {"in_force", table_ ? std::to_string(table_->version()) : "-"},
+         {"routes", std::to_string(configuration.routes.size())}});
+    if (older)
+        return;
+    table_ = std::make_shared<routing_table const>(std::move(configuration));
+    table_revision_ = revision;
+    env_.counters.counter("configuration_version").set(version);
+}
+
+// Admission ------------------------------------------------------------------
+
+caller_limits gateway::limits() const
+{
+    return table_ ? table_->limits() : caller_limits{};
+}
+
+bool gateway::reserve_body(std::size_t bytes)
+{
+    std::size_t const most =
+        settings_.memory_mb * (1u << 20) / body_memory_divisor;
+    if (body_bytes_ + bytes > most)
+        return false;
+    body_bytes_ += bytes;
+    return true;
+}
+
+void gateway::release_body(std::size_t bytes)
+{
+    body_bytes_ -= bytes;
+}
+
+bool gateway::fresh(milliseconds age) const
+{
+    auto const proven = lease_.age(env_.clock.now());
+    return proven && *proven < age;
+}
+
+void gateway::on_rejected(
+    client_session const& session, unsigned status, char const* why)
+{
+    env_.counters
+        .counter("rejected_total", "status=\"" + std::to_string(status) + '"')
+        .add();
+    env_.log.record(
+        event_level::warn, "rejected",
+        {{"peer", session.peer()},
+         {"status", std::to_string(status)},
+         {"reason", why}});
+}
+
+void gateway::on_closed(client_session& session)
+{
+    sessions_.erase(&session);
+}
+
+void gateway::reject(
+    client_session& session, std::string const& id, unsigned status,
+    char const* reason, std::string const& detail)
+{
+    header_list headers{{"Content-Type", "application/json"}};
+    char const* phrase = "Bad Request";
+    if (status == 503)
+    {
+        headers.emplace_back(
+            "Retry-After",
+            std::to_string(retry_when_unconfigured.count() / 1000));
+        phrase = "Service Unavailable";
+    }
+    else if (status == 404)
+        phrase = "Not Found";
+    else if (status == 401)
+        phrase = "Unauthorized";
+    auto const age = lease_.age(env_.clock.now());
+    env_.counters
+        .counter(
+            "rejected_total", "status=\"" + std::to_string(status) +
+                                  "\",reason=\"" + reason + '"')
+        .add();
+    env_.log.record(
+        event_level::warn, "rejected",
+        {{"request", id.empty() ? "-" : id},
+         {"status", std::to_string(status)},
+         {"reason", reason},
+         {"detail", detail.empty() ? "-" : detail},
+         {"configuration", table_ ? std::to_string(table_->version()) : "none"},
+         {"age_ms",
+          age ? std::to_string(
+                    std::chrono::duration_cast<milliseconds>(*age).count())
+              : "-"}});
+    session.answer(
+        status, phrase, headers,
+        std::string("{\"error\":\"") + reason + "\"}\n");
+}
+
+void gateway::on_request(
+    std::shared_ptr<client_session> session, caller_message message)
+{
+    admitted_request r;
+    try
+    {
+        r.terms = env_.dialect.read_request(message.head);
+    }
+    catch (error const& e)
+    {
+        reject(*session, {}, 400, "bad_request", e.detail());
+        return;
+    }
+    auto const& id = r.terms.id.value();
+    if (!table_)
+    {
+        reject(*session, id, 503, "no_configuration", {});
+        return;
+    }
+    auto const path = path_of(message.head.target);
+    r.table = table_;
+    r.route = table_->match(host_of(message.head), path);
+    if (r.route == nullptr)
+    {
+        bool const certain = fresh(certain_age);
+        reject(
+            *session, id, certain ? 404 : 503,
+            certain ? "no_route" : "stale_configuration", std::string(path));
+        return;
+    }
+    r.rank = r.route->rank;
+    if (table_->needs_keys() && !r.route->anonymous)
+    {
+        if (!lease_.valid(env_.clock.now()))
+        {
+            reject(*session, id, 503, "stale_configuration", r.route->name);
+            return;
+        }
+        auto const* const organisation = table_->organisation(r.terms.key);
+        if (organisation == nullptr)
+        {
+            bool const certain = fresh(certain_age);
+            reject(
+                *session, id, certain ? 401 : 503,
+                certain ? "unknown_key" : "stale_configuration", r.route->name);
+            return;
+        }
+        r.organisation = organisation->name;
+        r.rank = organisation->rank.value_or(r.rank);
+    }
+    r.service = routing_table::target_of(*r.route, env_.random.next());
+    r.message = std::move(message);
+    auto const e = std::make_shared<exchange>(
+        ++last_exchange_, std::move(session), std::move(r), *this);
+    exchanges_.emplace(e->number(), e);
+    e->start();
+}
+
+// Exchanges ------------------------------------------------------------------
+
+arrival_budget& gateway::budget(service_name const& service)
+{
+    return budgets_.try_emplace(service, settings_.retries).first->second;
+}
+
+first_event_estimate& gateway::estimate(service_name const& service)
+{
+    return estimates_[service];
+}
+
+void gateway::report_outcome(
+    endpoint_ptr const& endpoint, endpoint_outcome outcome)
+{
+    auto const now = env_.clock.now();
+    endpoint->record_outcome(outcome, now);
+    bool const failed = outcome == endpoint_outcome::unreachable ||
+                        outcome == endpoint_outcome::lost ||
+                        outcome == endpoint_outcome::silent;
+    if (!failed)
+        return;
+    pool_.drop(endpoint->record());
+    if (zones_.record_failure(endpoint->record(), now))
+    {
+        env_.log.record(
+            event_level::warn, "zone_suspect",
+            {{"service", endpoint->record().service.value()},
+             {"zone", endpoint->record().zone.value()},
+             {"endpoint", endpoint->record().id.value()}});
+        check_zone(endpoint->record());
+    }
+}
+
+void gateway::check_zone(endpoint_record const& failed)
+{
+    for (auto const& endpoint : endpoints_.of(failed.service))
+    {
+        if (endpoint->record().zone == failed.zone &&
+            endpoint->load.requests > 0)
+            check_endpoint(endpoint);
+    }
+}
+
+void gateway::check_endpoint(endpoint_ptr const& endpoint)
+{
+    auto const now = env_.clock.now();
+    auto const found = checks_.find(endpoint.get());
+    if (found != checks_.end())
+    {
+        if (!found->second->done() ||
+            now - found->second->began() < check_interval)
+            return;
+        checks_.erase(found);
+    }
+    env_.counters.counter("endpoint_checks_total").add();
+    auto const check = std::make_shared<endpoint_check>(*this, endpoint);
+    checks_.emplace(endpoint.get(), check);
+    check->start();
+}
+
+void gateway::check_finished(
+    endpoint_ptr const& endpoint, steady_time began,
+    std::optional<endpoint_report> report, bool accepted)
+{
+    auto const now = env_.clock.now();
+    env_.log.record(
+        event_level::info, "endpoint_checked",
+        {{"endpoint", endpoint->record().id.value()},
+         {"zone", endpoint->record().zone.value()},
+         {"accepted", accepted ? "1" : "0"},
+         {"running", report ? std::to_string(report->running) : "-"},
+         {"waiting", report ? std::to_string(report->waiting) : "-"}});
+    if (accepted)
+        endpoint->record_activity(now);
+    std::vector<std::shared_ptr<exchange>> here;
+    for (auto const& [number, e] : exchanges_)
+    {
+        if (e->attempting() && e->endpoint() == endpoint)
+            here.push_back(e);
+    }
+    if (!accepted)
+    {
+        report_outcome(endpoint, endpoint_outcome::unreachable);
+        for (auto const& e : here)
+            e->endpoint_dead(*endpoint, began);
+        return;
+    }
+    if (!report)
+        return;
+    for (auto const& e : here)
+        e->endpoint_reported(*endpoint, *report, began);
+}
+
+void gateway::finished(std::shared_ptr<exchange> const& e)
+{
+    auto const line = lines_.find(e->request().service);
+    if (line != lines_.end())
+        line->second->erase(e->number());
+    exchanges_.erase(e->number());
+}
+
+// Waiting --------------------------------------------------------------------
+
+bool gateway::wait_for_room(std::shared_ptr<exchange> const& e)
+{
+    auto const& r = e->request();
+    auto& line = lines_[r.service];
+    if (!line)
+        line = std::make_unique<waiting_line>(line_policy_);
+    auto const now = env_.clock.now();
+    // What remains of the target has to do for the first event itself.
+    auto const begin_by =
+        std::min(e->deadline(), e->received() + r.route->first_byte_target);
+    auto const refusal = line->enter(
+        {e->number(), r.organisation, r.rank, e->work().prompt_tokens, now,
+         std::max(begin_by, now + r.route->first_byte_target / 4)},
+        now);
+    if (refusal)
+        refuse_from_line(*refusal);
+    return true;
+}
+
+void gateway::refuse_from_line(line_refusal const& refusal)
+{
+    auto const found = exchanges_.find(refusal.id);
+    if (found == exchanges_.end())
+        return;
+    auto const e = found->second;
+    e->refuse("no_room", refusal.retry_after);
+}
+
+void gateway::room_freed(service_name const&)
+{
+    if (dispatch_posted_)
+        return;
+    bool waiting = false;
+    for (auto const& [service, line] : lines_)
+        waiting = waiting || line->size() > 0;
+    if (!waiting)
+        return;
+    dispatch_posted_ = true;
+    asio::post(
+        env_.io,
+        [this]
+        {
+            dispatch_posted_ = false;
+            dispatch_waiting();
+        });
+}
+
+void gateway::dispatch_waiting()
+{
+    for (auto const& [service, line] : lines_)
+        check_line(service, *line);
+}
+
+void gateway::check_line(service_name const&, waiting_line& line)
+{
+    auto const now = env_.clock.now();
+    for (auto const& refusal : line.expired(now))
+        refuse_from_line(refusal);
+    for (std::size_t n = line.size(); n > 0; --n)
+    {
+        auto const next = line.next(now);
+        if (!next)
+            return;
+        auto const found = exchanges_.find(*next);
+        if (found == exchanges_.end())
+            continue;
+        auto const e = found->second;
+        if (!e->try_dispatch())
+        {
+            wait_for_room(e);
+            return;
+        }
+    }
+}
+
+// Time -----------------------------------------------------------------------
+
+void gateway::schedule_tick()
+{
+    tick_timer_.expires_after(tick_interval);
+    tick_timer_.async_wait(
+        [this](asio::error_code const& e)
+        {
+            if (!e)
+                tick();
+        });
+}
+
+void gateway::tick()
+{
+    auto const now = env_.clock.now();
+    bool const paused = now - last_tick_ > pause_threshold;
+    if (paused)
+        env_.log.record(
+            event_level::warn, "process_paused",
+            {{"ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                       now - last_tick_)
+                                       .count())}});
+    last_tick_ = now;
+    configuration_watch_.poll();
+    endpoint_watch_.poll();
+    std::vector<std::shared_ptr<endpoint_check>> checks;
+    for (auto const& [raw, check] : checks_)
+        checks.push_back(check);
+    for (auto const& check : checks)
+        check->check_time(now, paused);
+    std::vector<std::shared_ptr<exchange>> exchanges;
+    exchanges.reserve(exchanges_.size());
+    for (auto const& [number, e] : exchanges_)
+        exchanges.push_back(e);
+    for (auto const& e : exchanges)
+        e->check(now, paused);
+    bool const valid = table_ && lease_.valid(now);
+    if (valid != was_fresh_)
+    {
+        was_fresh_ = valid;
+        env_.log.record(
+            valid ? event_level::info : event_level::warn,
+            valid ? "configuration_fresh" : "configuration_stale", {});
+    }
+    if (now - last_sweep_ >= sweep_interval)
+    {
+        last_sweep_ = now;
+        pool_.sweep();
+        endpoints_.collect(now);
+        for (auto i = checks_.begin(); i != checks_.end();)
+        {
+            bool const old =
+                i->second->done() && now - i->second->began() > check_interval;
+            i = old ? checks_.erase(i) : std::next(i);
+        }
+        dispatch_waiting();
+        status_->check_time(now);
+        std::vector<std::shared_ptr<client_session>> sessions;
+        for (auto const& [raw, session] : sessions_)
+            sessions.push_back(session);
+        bool const close_idle =
+            shutting_down_ && now - shutdown_began_ > leave_rotation;
+        for (auto const& session : sessions)
+        {
+            session->check_time(now);
+            if (close_idle)
+                session->close_idle();
+        }
+    }
+    schedule_tick();
+}
+
+// Shutdown -------------------------------------------------------------------
+
+bool gateway::ready() const
+{
+    return !shutting_down_ && table_ && endpoint_watch_.listed() &&
+           lease_.valid(env_.clock.now());
+}
+
+void gateway::begin_shutdown()
+{
+    if (shutting_down_)
+        return;
+    shutting_down_ = true;
+    shutdown_began_ = env_.clock.now();
+}
+
+bool gateway::finished() const
+{
+    if (!shutting_down_)
+        return false;
+    auto const passed = env_.clock.now() - shutdown_began_;
+    bool const idle = exchanges_.empty() && sessions_.empty();
+    return passed > settings_.shutdown_grace - shutdown_margin ||
+           (idle && passed > leave_rotation);
+}
+
+std::string gateway::metrics() const
+{
+    return env_.counters.prometheus_text();
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/relay/gateway.hpp
@@ -0,0 +1,179 @@
+// The process's object graph for direct dispatch: accepts callers, admits
+// their requests under the configuration in force and relays them to
+// endpoints. One I/O thread owns all of it: the hosts that it runs on have a
+// fraction of one core.
+#ifndef DOTTERELLOCK_RELAY_GATEWAY_HPP
+#define DOTTERELLOCK_RELAY_GATEWAY_HPP
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <dotterellock/observability.hpp>
+#include <dotterellock/policy.hpp>
+
+#include "exchange.hpp"
+#include "gateway/freshness_lease.hpp"
+#include "gateway/table_watch.hpp"
+#include "gateway/waiting_line.hpp"
+#include "settings/gateway_settings.hpp"
+
+namespace dotterellock
+{
+
+/// Turns rows of the store into product types. An adapter implements it.
+class row_codec
+{
+public:
+    virtual ~row_codec() = default;
+
+    /// The row of the configuration, or no value for another row. Throws
+    /// error(protocol_error) for one that cannot be read.
+    virtual std::optional<gateway_configuration>
+    read_configuration(store_row const& row) const = 0;
+
+    /// Throws error(protocol_error) for a row that names no endpoint.
+    virtual endpoint_record read_endpoint(store_row const& row) const = 0;
+
+    virtual std::string configuration_table() const = 0;
+    virtual std::string endpoint_table() const = 0;
+};
+
+/// What a gateway works with; owned by the process, outlives the gateway.
+struct gateway_environment
+{
+    asio::io_context& io;
+    clock_source const& clock; // counts suspension
+    random_source& random;
+    request_dialect const& dialect;
+    row_codec const& codec;
+    row_reader& configuration_reader;
+    row_reader& endpoint_reader;
+    event_log& log;
+    counter_registry& counters;
+};
+
+class gateway : public session_host, public exchange_host
+{
+public:
+    gateway(gateway_settings settings, gateway_environment environment);
+    ~gateway() override;
+
+    gateway(gateway const&) = delete;
+    gateway& operator=(gateway const&) = delete;
+
+    /// Opens the listening sockets. Throws std::system_error.
+    void start();
+
+    /// Takes changed bounds into use; addresses stay as they are.
+    void reload(gateway_settings const& settings);
+
+    /// Finishes what is under way; finished() holds at the end.
+    void begin_shutdown();
+    bool finished() const;
+
+    bool ready() const;
+    std::string metrics() const;
+
+private:
+    class configuration_sink;
+    class endpoint_sink;
+    class status_service;
+    class endpoint_check;
+
+    // session_host
+    void on_request(
+        std::shared_ptr<client_session> session,
+        caller_message message) override;
+    void on_rejected(
+        client_session const& session, unsigned status,
+        char const* why) override;
+    void on_closed(client_session& session) override;
+    caller_limits limits() const override;
+    bool last_answer() const override { return shutting_down_; }
+    bool reserve_body(std::size_t bytes) override;
+    void release_body(std::size_t bytes) override;
+
+    // exchange_host
+    clock_source const& clock() const override { return env_.clock; }
+    endpoint_selection const& selection() const override { return selection_; }
+    request_dialect const& dialect() const override { return env_.dialect; }
+    connection_pool& pool() override { return pool_; }
+    event_log& log() override { return env_.log; }
+    arrival_budget& budget(service_name const& service) override;
+    first_event_estimate& estimate(service_name const& service) override;
+    void report_outcome(
+        endpoint_ptr const& endpoint, endpoint_outcome outcome) override;
+    void check_endpoint(endpoint_ptr const& endpoint) override;
+    bool wait_for_room(std::shared_ptr<exchange> const& e) override;
+    void room_freed(service_name const& service) override;
+    void finished(std::shared_ptr<exchange> const& e) override;
+
+    void listen(asio::ip::tcp::acceptor& acceptor, std::string const& address);
+    void accept();
+    void tick();
+    void schedule_tick();
+    void check_line(service_name const& service, waiting_line& line);
+    void dispatch_waiting();
+    void refuse_from_line(line_refusal const& refusal);
+    void check_zone(endpoint_record const& failed);
+    void check_finished(
+        endpoint_ptr const& endpoint, steady_time began,
+        std::optional<endpoint_report> report, bool accepted);
+
+    void reject(
+        client_session& session, std::string const& id, unsigned status,
+        char const* reason, std::string const& detail);
+    bool fresh(std::chrono::milliseconds age) const;
+    void apply(gateway_configuration configuration, std::uint64_t revision);
+
+    gateway_settings settings_;
+    gateway_environment const env_;
+    endpoint_table endpoints_;
+    zone_watch zones_;
+    endpoint_selection selection_;
+    connection_pool pool_;
+    freshness_lease lease_;
+    std::shared_ptr<routing_table const> table_;
+    std::uint64_t table_revision_ = 0;
+    std::unique_ptr<configuration_sink> configuration_sink_;
+    std::unique_ptr<endpoint_sink> endpoint_sink_;
+    table_watch configuration_watch_;
+    table_watch endpoint_watch_;
+
+    asio::ip::tcp::acceptor acceptor_;
+    std::unique_ptr<status_service> status_;
+    asio::steady_timer tick_timer_;
+    steady_time last_tick_{};
+    steady_time last_sweep_{};
+
+    std::unordered_map<client_session*, std::shared_ptr<client_session>>
+        sessions_;
+    std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> exchanges_;
+    std::uint64_t last_exchange_ = 0;
+    std::map<service_name, arrival_budget> budgets_;
+    std::map<service_name, first_event_estimate> estimates_;
+    struct fixed_policy : policy_source
+    {
+        policy_settings settings;
+        policy_settings const& current() const override { return settings; }
+    } line_policy_;
+    std::map<service_name, std::unique_ptr<waiting_line>> lines_;
+    bool dispatch_posted_ = false;
+    std::map<endpoint_state const*, std::shared_ptr<endpoint_check>> checks_;
+    std::size_t body_bytes_ = 0;
+    bool shutting_down_ = false;
+    bool was_fresh_ = false;
+    steady_time shutdown_began_{};
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/relay/gateway_process.cpp
@@ -0,0 +1,121 @@
+#include "gateway_process.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+#include <dotterellock/error.hpp>
+
+namespace dotterellock
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds poll_interval{100};
+
+// The settings file may change without a signal.
+constexpr unsigned polls_between_reads = 10;
+
+} // namespace
+
+gateway_process::gateway_process(
+    std::string settings_file, std::string settings_text,
+    gateway_settings const& settings, gateway_environment environment)
+    : file_(std::move(settings_file)), text_(std::move(settings_text)),
+      env_(environment), gateway_(settings, environment),
+      stop_signals_(env_.io, SIGTERM, SIGINT), reload_signals_(env_.io, SIGHUP),
+      timer_(env_.io)
+{
+}
+
+void gateway_process::run()
+{
+    wait_for_signal();
+    wait_for_reload();
+    watch();
+    gateway_.start();
+    env_.log.record(
+        event_level::info, "started",
+        {{"version", DOTTERELLOCK_VERSION}, {"settings", file_}});
+    env_.io.run();
+    env_.log.record(event_level::info, "stopped", {});
+}
+
+void gateway_process::wait_for_signal()
+{
+    stop_signals_.async_wait(
+        [this](asio::error_code const& e, int signal)
+        {
+            if (e)
+                return;
+            env_.log.record(
+                event_level::info, "stopping",
+                {{"signal", std::to_string(signal)}});
+            gateway_.begin_shutdown();
+            wait_for_signal();
+        });
+}
+
+void gateway_process::wait_for_reload()
+{
+    reload_signals_.async_wait(
+        [this](asio::error_code const& e, int)
+        {
+            if (e)
+                return;
+            reload("signal");
+            wait_for_reload();
+        });
+}
+
+void gateway_process::watch()
+{
+    timer_.expires_after(poll_interval);
+    timer_.async_wait(
+        [this](asio::error_code const& e)
+        {
+            if (e)
+                return;
+            if (gateway_.finished())
+            {
+                env_.io.stop();
+                return;
+            }
+            if (++polls_ % polls_between_reads == 0)
+                reload("change");
+            watch();
+        });
+}
+
+void gateway_process::reload(char const* cause)
+{
+    std::ifstream in(file_);
+    std::ostringstream text;
+    if (in)
+        text << in.rdbuf();
+    if (!in)
+    {
+        env_.log.record(
+            event_level::error, "settings_unreadable", {{"file", file_}});
+        return;
+    }
+    if (text.str() == text_)
+        return;
+    text_ = text.str();
+    try
+    {
+        gateway_.reload(read_gateway_settings(text_, file_));
+        env_.log.record(
+            event_level::info, "settings_reloaded", {{"cause", cause}});
+    }
+    catch (error const& e)
+    {
+        env_.log.record(
+            event_level::error, "settings_ignored",
+            {{"cause", cause}, {"detail", e.detail()}});
+    }
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/relay/gateway_process.hpp
@@ -0,0 +1,44 @@
+// A gateway as a process: signals, changes of the settings file, the end.
+#ifndef DOTTERELLOCK_RELAY_GATEWAY_PROCESS_HPP
+#define DOTTERELLOCK_RELAY_GATEWAY_PROCESS_HPP
+
+#include <string>
+
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include "gateway.hpp"
+
+namespace dotterellock
+{
+
+class gateway_process
+{
+public:
+    gateway_process(
+        std::string settings_file, std::string settings_text,
+        gateway_settings const& settings, gateway_environment environment);
+
+    /// Returns after a signal to stop, when all work is finished or the grace
+    /// period is over.
+    void run();
+
+private:
+    void wait_for_signal();
+    void wait_for_reload();
+    void watch();
+    void reload(char const* cause);
+
+    std::string const file_;
+    std::string text_;
+    gateway_environment const env_;
+    gateway gateway_;
+    asio::signal_set stop_signals_;
+    asio::signal_set reload_signals_;
+    asio::steady_timer timer_;
+    unsigned polls_ = 0;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/relay/request_dialect.hpp
@@ -0,0 +1,92 @@
+// How callers and endpoints spell what a relay needs to know of requests and
+// answers. An adapter translates; it decides nothing.
+#ifndef DOTTERELLOCK_RELAY_REQUEST_DIALECT_HPP
+#define DOTTERELLOCK_RELAY_REQUEST_DIALECT_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <dotterellock/types.hpp>
+
+#include "gateway/endpoint_state.hpp"
+#include "http/message_parser.hpp"
+
+namespace dotterellock
+{
+
+/// What the head of a caller's request says.
+struct caller_terms
+{
+    request_id id;
+    std::string key;                                   // empty: none was sent
+    std::optional<std::chrono::milliseconds> deadline; // time it will wait
+    std::optional<std::uint64_t> last_event; // the last event that it received
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t output_tokens = 0; // at most
+    std::string last_prompt_part;    // belongs to this request or its session
+};
+
+/// What the head of an endpoint's answer says.
+struct answer_terms
+{
+    std::optional<request_id> id;
+    bool sealed = false;  // signed by the endpoint
+    bool not_run = false; // the endpoint proves that it did not run it
+    std::optional<std::chrono::milliseconds> idle_timeout;
+    std::optional<std::chrono::milliseconds> retry_after;
+};
+
+/// Where a copy of a run's memory lies.
+struct memory_copy
+{
+    std::string address; // of the endpoint that keeps it
+    std::string run;     // names the run there
+};
+
+/// What the gateway tells an endpoint beside the caller's request.
+struct forward_terms
+{
+    request_id id;
+    std::chrono::milliseconds time_left{0};
+    endpoint_id expected;         // any other incarnation refuses
+    organisation_id organisation; // empty: none
+    std::optional<std::uint32_t> rank;
+    std::optional<std::uint64_t> last_event;
+    std::optional<std::string> standby; // address that receives a copy
+    std::optional<memory_copy> copy;    // to go on from
+};
+
+class request_dialect
+{
+public:
+    virtual ~request_dialect() = default;
+
+    /// Throws error(invalid_argument) for values that cannot be read.
+    virtual caller_terms read_request(message_head const& head) const = 0;
+
+    virtual answer_terms read_answer(message_head const& head) const = 0;
+
+    /// Whether a caller's header goes on to the endpoint as it is. False for
+    /// those that the gateway sets itself or keeps to itself.
+    virtual bool forwarded(std::string_view header) const = 0;
+
+    /// The request that asks an endpoint for its report.
+    virtual std::string report_request() const = 0;
+
+    /// Throws error(protocol_error) for a report that cannot be read.
+    virtual endpoint_report read_report(std::string const& body) const = 0;
+
+    /// Appends header lines to the head of a request.
+    virtual void
+    write_terms(forward_terms const& terms, std::string& head) const = 0;
+
+    /// What an answer of the gateway's own says of its request.
+    virtual header_list own_answer_headers(request_id const& id) const = 0;
+};
+
+} // namespace dotterellock
+
+#endif
--- a/standins/storage_standins.hpp
+++ b/standins/storage_standins.hpp
@@ -1,5 +1,5 @@
 // Stand-ins of the platform's storage and fleet view; protocols as in
-// src/platform/http_stores.hpp, faults by POST /admin/fault.
+// src/clients/http_stores.hpp, faults by POST /admin/fault.
 #ifndef DOTTERELLOCK_STANDINS_STORAGE_STANDINS_HPP
 #define DOTTERELLOCK_STANDINS_STORAGE_STANDINS_HPP
 
--- a/tests/load/load_test.cpp
+++ b/tests/load/load_test.cpp
@@ -4,9 +4,9 @@
 
 #include <dotterellock/error.hpp>
 
+#include "../../src/clients/sse_parser.hpp"
 #include "../../src/load/experiment.hpp"
 #include "../../src/load/load_report.hpp"
-#include "../../src/platform/sse_parser.hpp"
 #include "../../standins/expected_answer.hpp"
 
 using namespace dotterellock;
--- a/tests/support/control_fakes.hpp
+++ b/tests/support/control_fakes.hpp
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-#include <dotterellock/platform.hpp>
+#include <dotterellock/external_services.hpp>
 
 #include "fake_platform.hpp"
 
--- a/tests/support/fake_platform.hpp
+++ b/tests/support/fake_platform.hpp
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include <dotterellock/platform.hpp>
+#include <dotterellock/external_services.hpp>
 
 #include "manual_scheduler.hpp"
 
