Spread prompts over the least loaded endpoints; accept callers once the tables are known

Causes: restarted gateways refused requests before their first listing; log4cplus kept a stopping process alive until it was killed; copies were asked for before the first event, when none exists; prompts slowed streams beside them. Ruled out: retry budget alone (allowance for 32 gateways was too small, now 8).

--- a/src/gateway/arrival_budget.hpp
+++ b/src/gateway/arrival_budget.hpp
@@ -20,7 +20,7 @@
     double ratio = 0.8;                      // of the fleet
     std::chrono::milliseconds window{10000}; // sliding
     double allowance = 150;                  // of the fleet, in one window
-    double fleet_size = 32; // gateways assumed to share the allowance
+    double fleet_size = 8; // gateways assumed to share the allowance
 };
 
 class arrival_budget
@@ -50,7 +50,7 @@
 private:
     // Requests and their repeats fall into different windows of the fleet's
     // count; the rest of the ratio covers that.
-    static constexpr double ratio_share = 0.85;
+    static constexpr double ratio_share = 0.95;
 
     void forget(std::deque<steady_time>& times, steady_time now) const
     {
--- a/src/gateway/endpoint_selection.cpp
+++ b/src/gateway/endpoint_selection.cpp
@@ -79,16 +79,19 @@
     std::vector<candidate> const& candidates, work_request const& work,
     engine_spec const& engine) const
 {
-    // Endpoints that read no prompt for this gateway come first, the nearest
-    // of them, then in the prompt's own order; else the shortest queue.
+    // A prompt that is read slows every stream beside it to a fraction, and
+    // waits for other prompts: the endpoint with the least of both comes first.
+    // Another zone costs as much as one stream that is slowed.
     auto const order = [this, &engine](candidate const& c)
     {
         auto const& load = c.endpoint->load;
         bool const troubled = c.endpoint->failure_rate() > 0.3;
         bool const full = load.requests * 2 > engine.slots;
+        auto const place = place_.to(c.endpoint->record().zone);
+        auto const disturbance =
+            load.requests + (place == topology::distance::same_zone ? 0u : 1u);
         return std::make_tuple(
-            troubled, full, load.prefill_tokens,
-            place_.to(c.endpoint->record().zone), ~c.weight);
+            troubled, full, load.prefill_tokens, disturbance, place, ~c.weight);
     };
     candidate const* best = nullptr;
     for (auto const& c : candidates)
--- a/src/gateway/table_watch.cpp
+++ b/src/gateway/table_watch.cpp
@@ -114,6 +114,8 @@
         sink_.on_change(row);
     revision_ = answer.revision;
     sink_.on_proof(sent);
+    if (!answer.rows.empty())
+        next_call_ = clock_.now() + settings_.pause_after_change;
     poll();
 }
 
--- a/src/gateway/table_watch.hpp
+++ b/src/gateway/table_watch.hpp
@@ -75,7 +75,8 @@
 
 struct watch_settings
 {
-    std::chrono::milliseconds wait{900};       // of one call for changes
+    std::chrono::milliseconds wait{1400};            // of one call for changes
+    std::chrono::milliseconds pause_after_change{0}; // gathers more of them
     std::chrono::milliseconds first_retry{50}; // doubled up to the longest
     std::chrono::milliseconds longest_retry{400};
 };
--- a/src/process/bounded_log.cpp
+++ b/src/process/bounded_log.cpp
@@ -5,7 +5,7 @@
 
 #include <chrono>
 
-#include "logging.hpp"
+#include "log_format.hpp"
 
 namespace dotterellock
 {
--- a/src/process/logging.hpp
+++ b/src/process/logging.hpp
@@ -11,6 +11,8 @@
 #include <dotterellock/error.hpp>
 #include <dotterellock/observability.hpp>
 
+#include "log_format.hpp"
+
 namespace dotterellock
 {
 
@@ -29,8 +31,6 @@
     bool decisions = true; // log routing and placement decisions
 };
 
-using log_field = std::pair<char const*, std::string>;
-
 /// Sends log lines to standard error; called once. Events before it are
 /// dropped.
 void start_logging(log_settings const& settings);
@@ -41,10 +41,6 @@
 /// Fields code, step, peer and detail.
 std::vector<log_field> fields_of(error const& e);
 
-/// The text of one line, without time and level; for log_event and tests.
-std::string format_event(
-    bool json, char const* event, std::vector<log_field> const& fields);
-
 class log4cplus_decision_log : public decision_log
 {
 public:
--- a/src/process/program.cpp
+++ b/src/process/program.cpp
@@ -9,8 +9,6 @@
 
 #include <dotterellock/error.hpp>
 
-#include "logging.hpp"
-
 namespace dotterellock
 {
 
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -72,8 +72,9 @@
     return "unknown";
 }
 
-// A copy is made several times a second; before that there is none to use.
-constexpr milliseconds copy_exists_after{250};
+// Copying begins with the first event and goes on several times a second;
+// before that there is nothing to go on from.
+constexpr milliseconds copy_exists_after{150};
 
 } // namespace
 
@@ -135,8 +136,9 @@
 {
     auto const now = host_.clock().now();
     // A run whose memory was copied goes on from the copy.
-    if (standby_ && now - sent_ > copy_exists_after && !standby_->gone(now) &&
-        !standby_->suspended(now))
+    bool const copied =
+        stream_began_ && now - *stream_began_ > copy_exists_after;
+    if (standby_ && copied && !standby_->gone(now) && !standby_->suspended(now))
     {
         auto const target = std::exchange(standby_, nullptr);
         standby_reservation_.release();
@@ -187,6 +189,7 @@
                 endpoint_reservation(standby_, {0, work_.memory_tokens(), 0});
     }
     sent_ = progress_ = now;
+    stream_began_.reset();
     run_confirmed_ = false;
     head_.reset();
     held_.clear();
@@ -404,6 +407,8 @@
     progress_ = now;
     if (!any)
         return;
+    if (!stream_began_)
+        stream_began_ = now;
     if (!answer_begun_)
     {
         reservation_.prefill_done();
@@ -624,8 +629,9 @@
     if (state_ != state::attempting || endpoint_.get() != &endpoint)
         return;
     auto const run = report.runs.find(request_.terms.id.value());
-    // A report shows a run some hundred milliseconds after it began.
-    run_confirmed_ = run != report.runs.end() && checked >= sent_;
+    // A report names the runs that have been admitted; others may wait.
+    bool const known = run != report.runs.end() || report.waiting > 0;
+    run_confirmed_ = known && checked >= sent_;
 }
 
 // The end --------------------------------------------------------------------
--- a/src/relay/exchange.hpp
+++ b/src/relay/exchange.hpp
@@ -174,6 +174,7 @@
     bool alone_ = false; // no other prompt was read there for this gateway
     steady_time sent_{};
     steady_time progress_{};
+    std::optional<steady_time> stream_began_; // of the attempt
     bool run_confirmed_ = false;
     std::optional<message_head> head_; // of the attempt's answer
     answer_terms answer_;
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -28,7 +28,7 @@
 
 // A refusal by "unknown key" or "no such route" needs a copy of the
 // configuration that is newer than versions may lag.
-constexpr milliseconds certain_age{2200};
+constexpr milliseconds certain_age{3200};
 
 // When a process that knows no configuration is expected to know one.
 constexpr milliseconds retry_when_unconfigured{1000};
@@ -56,6 +56,20 @@
 // Part of the descriptors that callers may use; the rest is for endpoints.
 constexpr std::size_t caller_descriptors_percent = 60;
 
+// Callers that connect to a process which is just starting wait in the
+// backlog until it knows the configuration and the endpoints; those that come
+// while the store is away get an answer after this time.
+constexpr milliseconds longest_start{600};
+
+// The lease on the configuration outlives two calls of this length and the
+// detection of a connection that fell silent.
+constexpr watch_settings configuration_calls{
+    milliseconds(1400), milliseconds(0)};
+
+// A zone that restarts changes many rows within a moment; the pause reads
+// them with a few calls. Both are short against the drain bound.
+constexpr watch_settings endpoint_calls{milliseconds(4000), milliseconds(200)};
+
 std::string_view path_of(std::string_view target)
 {
     return target.substr(0, target.find_first_of("?#"));
@@ -107,7 +121,11 @@
         }
     }
 
-    void on_proof(steady_time sent) override { owner_.lease_.prove(sent); }
+    void on_proof(steady_time sent) override
+    {
+        owner_.lease_.prove(sent);
+        owner_.accept_when_ready();
+    }
 
 private:
     gateway& owner_;
@@ -154,7 +172,7 @@
         }
     }
 
-    void on_proof(steady_time) override {}
+    void on_proof(steady_time) override { owner_.accept_when_ready(); }
 
 private:
     void log(store_row const& row, char const* state, std::string const& detail)
@@ -349,11 +367,11 @@
       configuration_sink_(std::make_unique<configuration_sink>(*this)),
       endpoint_sink_(std::make_unique<endpoint_sink>(*this)),
       configuration_watch_(
-          env_.codec.configuration_table(), watch_settings{},
+          env_.codec.configuration_table(), configuration_calls,
           env_.configuration_reader, *configuration_sink_, env_.clock,
           env_.random, env_.log),
       endpoint_watch_(
-          env_.codec.endpoint_table(), watch_settings{}, env_.endpoint_reader,
+          env_.codec.endpoint_table(), endpoint_calls, env_.endpoint_reader,
           *endpoint_sink_, env_.clock, env_.random, env_.log),
       acceptor_(env_.io), tick_timer_(env_.io)
 {
@@ -369,8 +387,7 @@
 {
     listen(acceptor_, settings_.listen);
     status_ = std::make_unique<status_service>(*this, settings_.status_listen);
-    last_tick_ = last_sweep_ = env_.clock.now();
-    accept();
+    last_tick_ = last_sweep_ = started_ = env_.clock.now();
     configuration_watch_.poll();
     endpoint_watch_.poll();
     schedule_tick();
@@ -390,6 +407,15 @@
     acceptor.listen(1024);
 }
 
+void gateway::accept_when_ready()
+{
+    bool const known = table_ && endpoint_watch_.listed();
+    if (accepting_ || (!known && env_.clock.now() - started_ < longest_start))
+        return;
+    accepting_ = true;
+    accept();
+}
+
 void gateway::accept()
 {
     acceptor_.async_accept(
@@ -794,6 +820,7 @@
     last_tick_ = now;
     configuration_watch_.poll();
     endpoint_watch_.poll();
+    accept_when_ready();
     std::vector<std::shared_ptr<endpoint_check>> checks;
     for (auto const& [raw, check] : checks_)
         checks.push_back(check);
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -117,6 +117,7 @@
     void finished(std::shared_ptr<exchange> const& e) override;
 
     void listen(asio::ip::tcp::acceptor& acceptor, std::string const& address);
+    void accept_when_ready();
     void accept();
     void tick();
     void schedule_tick();
@@ -151,6 +152,8 @@
     asio::ip::tcp::acceptor acceptor_;
     std::unique_ptr<status_service> status_;
     asio::steady_timer tick_timer_;
+    steady_time started_{};
+    bool accepting_ = false;
     steady_time last_tick_{};
     steady_time last_sweep_{};
 
