Renew lost standby copies; send returning callers to the endpoint that caches their prompt

Causes: a stream whose standby zone had failed before was read again when its own zone failed; callers that came back after all gateways were lost had their prompts read again; streams taken late in a shutdown were cut at its end. Ruled out: a copy during prefill (endpoints make none before the first event).

--- a/src/gateway/endpoint_selection.cpp
+++ b/src/gateway/endpoint_selection.cpp
@@ -98,6 +98,9 @@
     {
         if (!has_room(*c.endpoint, work, engine))
             continue;
+        if (!work.cached_at.empty() &&
+            c.endpoint->record().id == work.cached_at)
+            return c.endpoint;
         if (best == nullptr || order(c) < order(*best))
             best = &c;
     }
--- a/src/gateway/endpoint_selection.hpp
+++ b/src/gateway/endpoint_selection.hpp
@@ -50,6 +50,7 @@
     std::string affinity; // last part of the prompt; may be empty
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0; // at most
+    endpoint_id cached_at;           // keeps the prompt; may be empty
     std::set<std::string> avoid;     // endpoints that already failed it
 
     std::uint64_t memory_tokens() const
@@ -91,6 +92,8 @@
         work_request const& work, engine_spec const& engine,
         endpoint_state const& primary, steady_time now) const;
 
+    topology const& place() const { return place_; }
+
     /// Share of the slots of a service's usable endpoints that own work takes.
     double utilisation(service_name const& service, steady_time now) const;
 
--- /dev/null
+++ b/src/gateway/prompt_cache_index.hpp
@@ -0,0 +1,83 @@
+// Which endpoints still cache the prompts of callers that may come back.
+//
+// Load: all gateways lose power while their callers are in the middle of
+// answers. The callers return within a second; a prompt that goes to the
+// endpoint that read it before is not read again.
+#ifndef DOTTERELLOCK_GATEWAY_PROMPT_CACHE_INDEX_HPP
+#define DOTTERELLOCK_GATEWAY_PROMPT_CACHE_INDEX_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "endpoint_state.hpp"
+
+namespace dotterellock
+{
+
+/// One part of a prompt that an endpoint keeps.
+struct cached_part
+{
+    std::string part;
+    std::uint64_t tokens = 0;
+};
+
+class prompt_cache_index
+{
+public:
+    // Endpoints drop what was not used for some seconds.
+    static constexpr std::chrono::milliseconds validity{10000};
+
+    // Parts shared by many prompts are short; only a long part decides.
+    static constexpr std::uint64_t min_tokens = 1000;
+
+    void
+    put(endpoint_id const& endpoint, std::vector<cached_part> const& parts,
+        steady_time now)
+    {
+        for (auto const& cached : parts)
+        {
+            if (cached.tokens < min_tokens)
+                continue;
+            auto& entry = holders_[cached.part];
+            if (entry.tokens <= cached.tokens || now - entry.seen > validity)
+                entry = {endpoint, cached.tokens, now};
+        }
+    }
+
+    /// The endpoint that keeps most of the part; empty when none is known.
+    endpoint_id holder(std::string const& part, steady_time now) const
+    {
+        auto const found = holders_.find(part);
+        return found == holders_.end() || now - found->second.seen > validity
+                   ? endpoint_id{}
+                   : found->second.endpoint;
+    }
+
+    void forget_old(steady_time now)
+    {
+        for (auto i = holders_.begin(); i != holders_.end();)
+        {
+            bool const old = now - i->second.seen > validity;
+            i = old ? holders_.erase(i) : std::next(i);
+        }
+    }
+
+    std::size_t size() const { return holders_.size(); }
+
+private:
+    struct entry
+    {
+        endpoint_id endpoint;
+        std::uint64_t tokens = 0;
+        steady_time seen{};
+    };
+
+    std::unordered_map<std::string, entry> holders_;
+};
+
+} // namespace dotterellock
+
+#endif
--- a/src/relay/connection_pool.cpp
+++ b/src/relay/connection_pool.cpp
@@ -53,6 +53,11 @@
             return connection;
         }
     }
+    return open();
+}
+
+std::shared_ptr<http_connection> connection_pool::open()
+{
     ++opened_;
     return std::make_shared<http_connection>(io_, clock_);
 }
--- a/src/relay/connection_pool.hpp
+++ b/src/relay/connection_pool.hpp
@@ -38,6 +38,9 @@
     std::shared_ptr<http_connection>
     acquire(endpoint_record const& endpoint, bool fresh);
 
+    /// A new connection.
+    std::shared_ptr<http_connection> open();
+
     /// Keeps a reusable connection.
     /// @param idle_timeout  as the endpoint stated it
     void release(
--- /dev/null
+++ b/src/relay/endpoint_call.cpp
@@ -0,0 +1,85 @@
+#include "endpoint_call.hpp"
+
+#include <utility>
+
+namespace dotterellock
+{
+
+endpoint_call::endpoint_call(
+    connection_pool& pool, endpoint_record const& endpoint,
+    std::chrono::milliseconds timeout, handler done)
+    : pool_(pool), endpoint_(endpoint), timeout_(timeout),
+      done_(std::move(done))
+{
+}
+
+void endpoint_call::start(std::string request, steady_time now, bool probe)
+{
+    began_ = now;
+    auto const address = parse_address(endpoint_.address);
+    if (!address)
+    {
+        finish();
+        return;
+    }
+    connection_ = probe ? pool_.open() : pool_.acquire(endpoint_, false);
+    reply_.accepted = connection_->connected();
+    connection_->send(*address, std::move(request), *this);
+}
+
+void endpoint_call::cancel()
+{
+    done_ = nullptr;
+    if (connection_)
+        connection_->abandon();
+    connection_.reset();
+}
+
+void endpoint_call::check_time(steady_time now, bool paused)
+{
+    if (paused)
+        began_ = now;
+    if (done() || now - began_ < timeout_)
+        return;
+    connection_->abandon();
+    connection_.reset();
+    finish();
+}
+
+void endpoint_call::on_answer_head(message_head head)
+{
+    status_ = head.status;
+}
+
+void endpoint_call::on_answer_body(std::string_view bytes)
+{
+    if (reply_.body.size() < max_body)
+        reply_.body.append(bytes);
+}
+
+void endpoint_call::on_answer_complete()
+{
+    reply_.status = status_;
+    pool_.release(endpoint_, std::move(connection_), std::nullopt);
+    connection_.reset();
+    finish();
+}
+
+void endpoint_call::on_failure(connection_failure failure)
+{
+    // A connection that was accepted and then reset shows a live host whose
+    // process may be gone; it does not count as accepted.
+    if (failure != connection_failure::closed)
+        reply_.accepted = false;
+    connection_.reset();
+    finish();
+}
+
+void endpoint_call::finish()
+{
+    auto const done = std::exchange(done_, nullptr);
+    if (done)
+        done(std::move(reply_));
+}
+
+} // namespace dotterellock
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <dotterellock/error.hpp>
+
 namespace dotterellock
 {
 
@@ -76,6 +78,12 @@
 // before that there is nothing to go on from.
 constexpr milliseconds copy_exists_after{150};
 
+// A copy made on demand expires after some four seconds unless it is renewed;
+// renewing it moves only what is new.
+constexpr milliseconds copy_renewal_interval{2500};
+constexpr milliseconds copy_retry_interval{500};
+constexpr milliseconds copy_timeout{400};
+
 } // namespace
 
 // Construction and dispatch --------------------------------------------------
@@ -105,7 +113,7 @@
     return service != nullptr && service->engine ? &*service->engine : nullptr;
 }
 
-void exchange::start()
+void exchange::watch_caller()
 {
     auto const weak = weak_from_this();
     session_->on_caller_gone(
@@ -114,6 +122,13 @@
             if (auto const self = weak.lock())
                 self->caller_gone();
         });
+}
+
+void exchange::start(endpoint_id const& cached_at)
+{
+    if (state_ != state::fresh)
+        return; // its caller left while the caches were listed
+    work_.cached_at = cached_at;
     host_.budget(request_.service).request_started(host_.clock().now());
     attempt_next();
 }
@@ -174,6 +189,9 @@
     auto const now = host_.clock().now();
     auto const* const spec = engine();
     state_ = state::attempting;
+    copy_.reset();
+    copied_at_.reset();
+    copying_ = false;
     endpoint_ = std::move(endpoint);
     used_copy_ = copy.has_value();
     alone_ = endpoint_->load.prefill_tokens == 0;
@@ -213,6 +231,8 @@
          {"prefill", std::to_string(endpoint_->load.prefill_tokens)},
          {"standby", standby_ ? standby_->record().id.value() : "-"},
          {"copy", used_copy_ ? "1" : "0"},
+         {"prompt", std::to_string(work_.prompt_tokens)},
+         {"after_event", last_event_ ? std::to_string(*last_event_) : "-"},
          {"runs", std::to_string(history_.runs)},
          {"left_ms", ms_text(deadline_ - now)}});
     bool const fresh = !request_.route->repeatable();
@@ -269,6 +289,94 @@
     reservation_.release();
 }
 
+void exchange::renew_standby(steady_time now)
+{
+    auto const* const spec = engine();
+    if (spec == nullptr || !spec->standby_copies ||
+        !request_.route->resumable || !stream_began_ || copying_)
+        return;
+    bool const lost = !standby_ || standby_->gone(now) || standby_->leaving() ||
+                      standby_->suspended(now);
+    bool const expiring =
+        copied_at_ && now - *copied_at_ > copy_renewal_interval;
+    if (!lost && !expiring)
+        return;
+    if (copied_at_ && now - *copied_at_ < copy_retry_interval)
+        return;
+    copied_at_ = now;
+    if (lost)
+    {
+        standby_reservation_.release();
+        standby_ =
+            host_.selection().choose_standby(work_, *spec, *endpoint_, now);
+        copy_.reset();
+        if (!standby_)
+            return;
+        standby_reservation_ =
+            endpoint_reservation(standby_, {0, work_.memory_tokens(), 0});
+    }
+    copying_ = true;
+    auto const weak = weak_from_this();
+    auto const source = endpoint_;
+    host_.call(
+        endpoint_->record(), copy_timeout,
+        host_.dialect().copy_request(
+            request_.terms.id, standby_->record().address),
+        false,
+        [weak, source](endpoint_reply reply)
+        {
+            if (auto const self = weak.lock())
+                self->standby_copied(*source, reply);
+        });
+}
+
+void exchange::standby_copied(
+    endpoint_state const& source, endpoint_reply const& reply)
+{
+    if (state_ != state::attempting || endpoint_.get() != &source)
+        return;
+    copying_ = false;
+    std::string name;
+    try
+    {
+        if (reply.status == 200)
+            name = host_.dialect().read_copy(reply.body);
+    }
+    catch (error const& e)
+    {
+        host_.log().record(
+            event_level::warn, "copy_unreadable",
+            {{"request", request_.terms.id.value()}, {"detail", e.detail()}});
+    }
+    host_.log().record(
+        name.empty() ? event_level::warn : event_level::info, "standby_renewed",
+        {{"request", request_.terms.id.value()},
+         {"endpoint", endpoint_->record().id.value()},
+         {"standby", standby_ ? standby_->record().id.value() : "-"},
+         {"status", std::to_string(reply.status)},
+         {"copy", name.empty() ? "-" : name}});
+    if (!name.empty())
+    {
+        copy_ = name;
+        return;
+    }
+    standby_.reset();
+    standby_reservation_.release();
+    copy_.reset();
+}
+
+void exchange::free_copy()
+{
+    if (!copy_ || !endpoint_)
+        return;
+    // It would expire by itself; until then it takes memory.
+    host_.call(
+        endpoint_->record(), copy_timeout,
+        host_.dialect().free_copy_request(*copy_), false,
+        [](endpoint_reply const&) {});
+    copy_.reset();
+}
+
 void exchange::attempt_failed(endpoint_outcome outcome, char const* reason)
 {
     auto const now = host_.clock().now();
@@ -538,9 +646,12 @@
         return;
     }
     host_.report_outcome(endpoint_, endpoint_outcome::served);
+    host_.stream_took(
+        request_.service, host_.clock().now() - request_.message.received);
     if (!answer_begun_)
         begin_answer();
     session_->end_stream();
+    free_copy();
     finish("served", head_->status, {});
 }
 
@@ -575,6 +686,7 @@
             give_up_attempt(endpoint_outcome::unreachable, "connect_timeout");
         return;
     }
+    renew_standby(now);
     auto const& route = *request_.route;
     bool const may_repeat =
         route.repeatable() && history_.runs + 1 < route.max_attempts;
--- a/src/relay/exchange.hpp
+++ b/src/relay/exchange.hpp
@@ -10,6 +10,7 @@
 
 #include "client_session.hpp"
 #include "connection_pool.hpp"
+#include "endpoint_call.hpp"
 #include "gateway/arrival_budget.hpp"
 #include "gateway/attempt_policy.hpp"
 #include "gateway/endpoint_selection.hpp"
@@ -44,6 +45,14 @@
     /// Asks the endpoint for its report, unless a question is under way.
     virtual void check_endpoint(endpoint_ptr const& endpoint) = 0;
 
+    /// A request of the gateway's own; ends within its time.
+    virtual void call(
+        endpoint_record const& endpoint, std::chrono::milliseconds timeout,
+        std::string request, bool probe, endpoint_call::handler done) = 0;
+
+    /// A stream was answered whole.
+    virtual void stream_took(service_name const& service, duration took) = 0;
+
     /// Keeps the exchange until an endpoint has room.
     virtual bool wait_for_room(std::shared_ptr<exchange> const& e) = 0;
 
@@ -76,7 +85,11 @@
     exchange(exchange const&) = delete;
     exchange& operator=(exchange const&) = delete;
 
-    void start();
+    /// @param cached_at  the endpoint that caches the prompt; may be empty
+    void start(endpoint_id const& cached_at);
+
+    /// Learns from now on when the caller leaves.
+    void watch_caller();
 
     /// Enforces the deadline and judges progress; called many times a second.
     /// @param paused  the process itself just stood still, so that silence
@@ -134,6 +147,10 @@
         endpoint_record const& endpoint,
         std::optional<memory_copy> const& copy) const;
     void release_attempt();
+    void renew_standby(steady_time now);
+    void
+    standby_copied(endpoint_state const& source, endpoint_reply const& reply);
+    void free_copy();
     void attempt_failed(endpoint_outcome outcome, char const* reason);
     void give_up_attempt(endpoint_outcome outcome, char const* reason);
 
@@ -168,6 +185,9 @@
     endpoint_reservation reservation_;
     endpoint_ptr standby_;
     endpoint_reservation standby_reservation_;
+    std::optional<std::string> copy_; // name of a copy made on demand
+    std::optional<steady_time> copied_at_;
+    bool copying_ = false;
     std::shared_ptr<http_connection> connection_;
     bool used_copy_ = false;
     bool reused_connection_ = false;
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -1,5 +1,5 @@
-// Index: sinks of the store's tables; checks of endpoints; status pages;
-// construction; admission; exchanges; waiting; time; shutdown.
+// Index: sinks of the store's tables; status pages; construction; admission;
+// exchanges; waiting; time; shutdown.
 #include "gateway.hpp"
 
 #include <algorithm>
@@ -40,9 +40,18 @@
 // The rest of the grace period is kept for the end of the process.
 constexpr milliseconds shutdown_margin{400};
 
-// An endpoint that does not answer a check by then is taken for dead; the
-// longest round trip between regions is 40 ms, and a new connection needs two.
-constexpr milliseconds check_timeout{180};
+// An endpoint that accepts no connection by then is taken for dead. A round
+// trip takes 2 ms within a region and 40 ms between regions, and a new
+// connection with a question needs two.
+constexpr milliseconds check_timeout{110};
+constexpr milliseconds far_check_timeout{180};
+
+// Callers whose gateway was lost come back within a few seconds.
+constexpr milliseconds returning_callers{4000};
+
+// One listing of the caches serves all callers that come back together.
+constexpr milliseconds cache_lookup_interval{1500};
+constexpr milliseconds cache_lookup_timeout{120};
 
 // Checks of one endpoint are at least this far apart.
 constexpr milliseconds check_interval{250};
@@ -188,100 +197,6 @@
     gateway& owner_;
 };
 
-// Checks of endpoints --------------------------------------------------------
-
-/// Asks one endpoint for its report over a new connection, as one that has
-/// fallen silent would prove nothing.
-class gateway::endpoint_check : private answer_sink
-{
-public:
-    endpoint_check(gateway& owner, endpoint_ptr endpoint)
-        : owner_(owner), endpoint_(std::move(endpoint)),
-          began_(owner.env_.clock.now())
-    {
-    }
-
-    void start()
-    {
-        auto const address = parse_address(endpoint_->record().address);
-        if (!address)
-        {
-            finish(std::nullopt, false);
-            return;
-        }
-        connection_ = std::make_shared<http_connection>(
-            owner_.env_.io, owner_.env_.clock);
-        connection_->send(
-            *address, owner_.env_.dialect.report_request(), *this);
-    }
-
-    void cancel()
-    {
-        if (connection_)
-            connection_->abandon();
-    }
-
-    /// @param paused  the process stood still; the time does not count
-    void check_time(steady_time now, bool paused)
-    {
-        if (paused)
-            began_ = now;
-        if (done_ || now - began_ < check_timeout)
-            return;
-        connection_->abandon();
-        finish(std::nullopt, accepted_);
-    }
-
-    bool done() const { return done_; }
-    steady_time began() const { return began_; }
-
-private:
-    void on_connected() override { accepted_ = true; }
-    void on_answer_head(message_head head) override { status_ = head.status; }
-    void on_answer_body(std::string_view bytes) override
-    {
-        body_.append(bytes);
-    }
-    void on_answer_complete() override
-    {
-        std::optional<endpoint_report> report;
-        try
-        {
-            if (status_ == 200)
-                report = owner_.env_.dialect.read_report(body_);
-        }
-        catch (error const& e)
-        {
-            owner_.env_.log.record(
-                event_level::warn, "report_unreadable",
-                {{"endpoint", endpoint_->record().id.value()},
-                 {"detail", e.detail()}});
-        }
-        owner_.pool_.release(
-            endpoint_->record(), std::move(connection_), std::nullopt);
-        finish(std::move(report), true);
-    }
-    void on_failure(connection_failure) override
-    {
-        finish(std::nullopt, false);
-    }
-
-    void finish(std::optional<endpoint_report> report, bool accepted)
-    {
-        done_ = true;
-        owner_.check_finished(endpoint_, began_, std::move(report), accepted);
-    }
-
-    gateway& owner_;
-    endpoint_ptr const endpoint_;
-    steady_time began_;
-    std::shared_ptr<http_connection> connection_;
-    bool accepted_ = false;
-    bool done_ = false;
-    unsigned status_ = 0;
-    std::string body_;
-};
-
 // Status pages ---------------------------------------------------------------
 
 /// Answers the balancer's question and serves the metrics.
@@ -377,11 +292,7 @@
 {
 }
 
-gateway::~gateway()
-{
-    for (auto const& [raw, check] : checks_)
-        check->cancel();
-}
+gateway::~gateway() = default;
 
 void gateway::start()
 {
@@ -608,11 +519,45 @@
         r.rank = organisation->rank.value_or(r.rank);
     }
     r.service = routing_table::target_of(*r.route, env_.random.next());
+    if (shutting_down_ && !can_finish(*r.route, r.service))
+    {
+        reject(*session, id, 503, "shutting_down", r.route->name);
+        return;
+    }
     r.message = std::move(message);
     auto const e = std::make_shared<exchange>(
         ++last_exchange_, std::move(session), std::move(r), *this);
     exchanges_.emplace(e->number(), e);
-    e->start();
+    e->watch_caller();
+    bool const may_be_cached =
+        e->request().route->engine_prompt &&
+        (e->request().terms.last_event ||
+         (!settings_.first_start &&
+          env_.clock.now() - started_ < returning_callers));
+    if (may_be_cached)
+        start_with_cache_index(e);
+    else
+        e->start({});
+}
+
+bool gateway::can_finish(
+    gateway_route const& route, service_name const& service) const
+{
+    auto const passed = env_.clock.now() - shutdown_began_;
+    auto const left = settings_.shutdown_grace - shutdown_margin - passed;
+    auto const found = durations_.find(service);
+    duration const expected = route.event_stream && found != durations_.end()
+                                  ? duration(found->second)
+                                  : duration(route.first_byte_target);
+    return expected < left;
+}
+
+void gateway::stream_took(service_name const& service, duration took)
+{
+    // The mean over about the last twenty streams.
+    constexpr int samples = 20;
+    auto const found = durations_.try_emplace(service, took).first;
+    found->second += (took - found->second) / samples;
 }
 
 // Exchanges ------------------------------------------------------------------
@@ -662,53 +607,146 @@
 void gateway::check_endpoint(endpoint_ptr const& endpoint)
 {
     auto const now = env_.clock.now();
-    auto const found = checks_.find(endpoint.get());
-    if (found != checks_.end())
-    {
-        if (!found->second->done() ||
-            now - found->second->began() < check_interval)
-            return;
-        checks_.erase(found);
-    }
+    auto const id = endpoint->record().id.value();
+    auto const last = checked_at_.find(id);
+    if (last != checked_at_.end() && now - last->second < check_interval)
+        return;
+    checked_at_[id] = now;
     env_.counters.counter("endpoint_checks_total").add();
-    auto const check = std::make_shared<endpoint_check>(*this, endpoint);
-    checks_.emplace(endpoint.get(), check);
-    check->start();
+    auto const& place = selection_.place();
+    bool const far =
+        place.to(endpoint->record().zone) == topology::distance::other_region;
+    call(
+        endpoint->record(), far ? far_check_timeout : check_timeout,
+        env_.dialect.report_request(), true,
+        [this, endpoint, now](endpoint_reply reply)
+        { check_finished(endpoint, now, std::move(reply)); });
 }
 
 void gateway::check_finished(
-    endpoint_ptr const& endpoint, steady_time began,
-    std::optional<endpoint_report> report, bool accepted)
+    endpoint_ptr const& endpoint, steady_time began, endpoint_reply reply)
 {
     auto const now = env_.clock.now();
+    std::optional<endpoint_report> report;
+    try
+    {
+        if (reply.status == 200)
+            report = env_.dialect.read_report(reply.body);
+    }
+    catch (error const& e)
+    {
+        env_.log.record(
+            event_level::warn, "report_unreadable",
+            {{"endpoint", endpoint->record().id.value()},
+             {"detail", e.detail()}});
+    }
     env_.log.record(
         event_level::info, "endpoint_checked",
         {{"endpoint", endpoint->record().id.value()},
          {"zone", endpoint->record().zone.value()},
-         {"accepted", accepted ? "1" : "0"},
+         {"accepted", reply.accepted ? "1" : "0"},
          {"running", report ? std::to_string(report->running) : "-"},
          {"waiting", report ? std::to_string(report->waiting) : "-"}});
-    if (accepted)
-        endpoint->record_activity(now);
     std::vector<std::shared_ptr<exchange>> here;
     for (auto const& [number, e] : exchanges_)
     {
         if (e->attempting() && e->endpoint() == endpoint)
             here.push_back(e);
     }
-    if (!accepted)
+    if (!reply.accepted)
     {
         report_outcome(endpoint, endpoint_outcome::unreachable);
         for (auto const& e : here)
             e->endpoint_dead(*endpoint, began);
         return;
     }
+    endpoint->record_activity(now);
     if (!report)
         return;
     for (auto const& e : here)
         e->endpoint_reported(*endpoint, *report, began);
 }
 
+void gateway::call(
+    endpoint_record const& endpoint, milliseconds timeout, std::string request,
+    bool probe, endpoint_call::handler done)
+{
+    auto const call = std::make_shared<endpoint_call>(
+        pool_, endpoint, timeout, std::move(done));
+    calls_.push_back(call);
+    call->start(std::move(request), env_.clock.now(), probe);
+}
+
+// Callers that come back -----------------------------------------------------
+
+void gateway::start_with_cache_index(std::shared_ptr<exchange> const& e)
+{
+    auto const now = env_.clock.now();
+    auto const& service = e->request().service;
+    auto& lookup = cache_lookups_[service];
+    bool const recent =
+        lookup.began && now - *lookup.began < cache_lookup_interval;
+    if (recent && lookup.open == 0)
+    {
+        e->start(cache_index_.holder(e->work().affinity, now));
+        return;
+    }
+    lookup.waiting.push_back(e);
+    if (recent)
+        return;
+    lookup.began = now;
+    auto const endpoints = endpoints_.of(service);
+    lookup.open = 1; // until all calls are made
+    for (auto const& endpoint : endpoints)
+    {
+        if (endpoint->leaving() || endpoint->suspended(now))
+            continue;
+        ++lookup.open;
+        call(
+            endpoint->record(), cache_lookup_timeout,
+            env_.dialect.cache_request(), false,
+            [this, service, endpoint](endpoint_reply reply)
+            { cache_listed(service, *endpoint, reply); });
+    }
+    cache_lookup_ended(service);
+}
+
+void gateway::cache_listed(
+    service_name const& service, endpoint_state const& endpoint,
+    endpoint_reply const& reply)
+{
+    try
+    {
+        if (reply.status == 200)
+            cache_index_.put(
+                endpoint.record().id, env_.dialect.read_cache(reply.body),
+                env_.clock.now());
+    }
+    catch (error const& e)
+    {
+        env_.log.record(
+            event_level::warn, "cache_list_unreadable",
+            {{"endpoint", endpoint.record().id.value()},
+             {"detail", e.detail()}});
+    }
+    cache_lookup_ended(service);
+}
+
+void gateway::cache_lookup_ended(service_name const& service)
+{
+    auto& lookup = cache_lookups_[service];
+    if (--lookup.open > 0)
+        return;
+    auto const now = env_.clock.now();
+    env_.log.record(
+        event_level::info, "prompt_caches_listed",
+        {{"service", service.value()},
+         {"parts", std::to_string(cache_index_.size())},
+         {"waiting", std::to_string(lookup.waiting.size())}});
+    for (auto const& e : std::exchange(lookup.waiting, {}))
+        e->start(cache_index_.holder(e->work().affinity, now));
+}
+
 void gateway::finished(std::shared_ptr<exchange> const& e)
 {
     auto const line = lines_.find(e->request().service);
@@ -821,11 +859,14 @@
     configuration_watch_.poll();
     endpoint_watch_.poll();
     accept_when_ready();
-    std::vector<std::shared_ptr<endpoint_check>> checks;
-    for (auto const& [raw, check] : checks_)
-        checks.push_back(check);
-    for (auto const& check : checks)
-        check->check_time(now, paused);
+    auto const calls = calls_;
+    for (auto const& call : calls)
+        call->check_time(now, paused);
+    calls_.erase(
+        std::remove_if(
+            calls_.begin(), calls_.end(),
+            [](std::shared_ptr<endpoint_call> const& c) { return c->done(); }),
+        calls_.end());
     std::vector<std::shared_ptr<exchange>> exchanges;
     exchanges.reserve(exchanges_.size());
     for (auto const& [number, e] : exchanges_)
@@ -845,11 +886,11 @@
         last_sweep_ = now;
         pool_.sweep();
         endpoints_.collect(now);
-        for (auto i = checks_.begin(); i != checks_.end();)
+        cache_index_.forget_old(now);
+        for (auto i = checked_at_.begin(); i != checked_at_.end();)
         {
-            bool const old =
-                i->second->done() && now - i->second->began() > check_interval;
-            i = old ? checks_.erase(i) : std::next(i);
+            bool const old = now - i->second > check_interval;
+            i = old ? checked_at_.erase(i) : std::next(i);
         }
         dispatch_waiting();
         status_->check_time(now);
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -86,7 +86,6 @@
     class configuration_sink;
     class endpoint_sink;
     class status_service;
-    class endpoint_check;
 
     // session_host
     void on_request(
@@ -112,6 +111,10 @@
     void report_outcome(
         endpoint_ptr const& endpoint, endpoint_outcome outcome) override;
     void check_endpoint(endpoint_ptr const& endpoint) override;
+    void call(
+        endpoint_record const& endpoint, std::chrono::milliseconds timeout,
+        std::string request, bool probe, endpoint_call::handler done) override;
+    void stream_took(service_name const& service, duration took) override;
     bool wait_for_room(std::shared_ptr<exchange> const& e) override;
     void room_freed(service_name const& service) override;
     void finished(std::shared_ptr<exchange> const& e) override;
@@ -126,8 +129,14 @@
     void refuse_from_line(line_refusal const& refusal);
     void check_zone(endpoint_record const& failed);
     void check_finished(
-        endpoint_ptr const& endpoint, steady_time began,
-        std::optional<endpoint_report> report, bool accepted);
+        endpoint_ptr const& endpoint, steady_time began, endpoint_reply reply);
+    void start_with_cache_index(std::shared_ptr<exchange> const& e);
+    void cache_listed(
+        service_name const& service, endpoint_state const& endpoint,
+        endpoint_reply const& reply);
+    void cache_lookup_ended(service_name const& service);
+    bool
+    can_finish(gateway_route const& route, service_name const& service) const;
 
     void reject(
         client_session& session, std::string const& id, unsigned status,
@@ -170,7 +179,20 @@
     } line_policy_;
     std::map<service_name, std::unique_ptr<waiting_line>> lines_;
     bool dispatch_posted_ = false;
-    std::map<endpoint_state const*, std::shared_ptr<endpoint_check>> checks_;
+    std::vector<std::shared_ptr<endpoint_call>> calls_;
+    std::map<std::string, steady_time> checked_at_; // by endpoint
+    std::map<service_name, duration> durations_;    // of whole streams
+
+    /// One listing of the prompt caches of a service's endpoints.
+    struct cache_lookup
+    {
+        std::optional<steady_time> began;
+        std::size_t open = 0; // calls that have not ended
+        std::vector<std::shared_ptr<exchange>> waiting;
+    };
+
+    prompt_cache_index cache_index_;
+    std::map<service_name, cache_lookup> cache_lookups_;
     std::size_t body_bytes_ = 0;
     bool shutting_down_ = false;
     bool was_fresh_ = false;
--- a/src/relay/request_dialect.hpp
+++ b/src/relay/request_dialect.hpp
@@ -8,10 +8,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <dotterellock/types.hpp>
 
 #include "gateway/endpoint_state.hpp"
+#include "gateway/prompt_cache_index.hpp"
 #include "http/message_parser.hpp"
 
 namespace dotterellock
@@ -79,6 +81,24 @@
     /// Throws error(protocol_error) for a report that cannot be read.
     virtual endpoint_report read_report(std::string const& body) const = 0;
 
+    /// The request that asks an endpoint which parts of prompts it caches.
+    virtual std::string cache_request() const = 0;
+
+    /// Throws error(protocol_error) for a list that cannot be read.
+    virtual std::vector<cached_part>
+    read_cache(std::string const& body) const = 0;
+
+    /// The request that copies a run's memory from the endpoint that runs it
+    /// to the one at `address`.
+    virtual std::string
+    copy_request(request_id const& run, std::string const& address) const = 0;
+
+    /// The name of the copy. Throws error(protocol_error).
+    virtual std::string read_copy(std::string const& body) const = 0;
+
+    /// The request that frees a copy, at the endpoint that made it.
+    virtual std::string free_copy_request(std::string const& copy) const = 0;
+
     /// Appends header lines to the head of a request.
     virtual void
     write_terms(forward_terms const& terms, std::string& head) const = 0;
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -48,6 +48,7 @@
         root, "key_withdrawal_bound_ms", s.key_withdrawal_bound, 1, 500);
     read_duration(root, "drain_bound_ms", s.drain_bound, 1, 600);
     read_duration(root, "shutdown_grace_s", s.shutdown_grace, 1000, 500);
+    root.optional("first_start", s.first_start);
     if (auto retries = root.child("retries"))
     {
         retries->optional("ratio", s.retries.ratio, 0.0, 100.0);
@@ -85,6 +86,7 @@
         << s.drain_bound.count();
     out << YAML::Key << "shutdown_grace_s" << YAML::Value
         << double(s.shutdown_grace.count()) / 1000;
+    out << YAML::Key << "first_start" << YAML::Value << s.first_start;
     out << YAML::Key << "retries" << YAML::Value << YAML::BeginMap;
     out << YAML::Key << "ratio" << YAML::Value << s.retries.ratio;
     out << YAML::Key << "window_s" << YAML::Value
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -30,6 +30,10 @@
     /// Time between the signal to stop and the end of the process.
     std::chrono::milliseconds shutdown_grace{8000};
 
+    /// The whole fleet starts for the first time: no endpoint caches a prompt
+    /// of a caller that comes back.
+    bool first_start = false;
+
     arrival_budget_settings retries;
     std::size_t memory_mb = 256; // limit of the process
     std::size_t max_descriptors = 4096;
