--- /dev/null
+++ b/src/gateway/shutdown_policy.hpp
@@ -0,0 +1,56 @@
+// Which requests a stopping gateway still takes. A request that would be cut
+// at the end is refused instead, so that its caller goes elsewhere at once and
+// nothing is read for nothing.
+//
+// Load: gateways that are restarted one after the other while their zone's
+// callers still reach them, as the balancer has no other one in the zone.
+#ifndef DOTTERELLOCK_GATEWAY_SHUTDOWN_POLICY_HPP
+#define DOTTERELLOCK_GATEWAY_SHUTDOWN_POLICY_HPP
+
+#include <chrono>
+#include <optional>
+
+#include <dotterellock/runtime.hpp>
+
+#include "routing_table.hpp"
+
+namespace dotterellock
+{
+
+struct shutdown_policy
+{
+    // The balancer asks once a second and needs two misses; later requests
+    // come from callers that no one else serves, or over kept connections.
+    static constexpr std::chrono::milliseconds leave_rotation{2500};
+
+    // Part of the grace period that is kept for the end of the process.
+    static constexpr std::chrono::milliseconds end_margin{400};
+
+    /// @param passed    since the signal to stop
+    /// @param longest   what the request may take at most
+    /// @param expected  duration of recent streams, if there were any
+    static bool accepts(
+        gateway_route const& route, duration passed,
+        std::chrono::milliseconds grace, duration longest,
+        std::optional<duration> expected)
+    {
+        duration const left = grace - end_margin - passed;
+        if (longest < left)
+            return true;
+        if (!route.event_stream)
+            return false;
+        return passed < leave_rotation &&
+               expected.value_or(route.first_byte_target) < left;
+    }
+
+    /// Whether the process may end.
+    static bool
+    finished(duration passed, std::chrono::milliseconds grace, bool idle)
+    {
+        return passed > grace - end_margin || (idle && passed > leave_rotation);
+    }
+};
+
+} // namespace dotterellock
+
+#endif
--- a/src/load/load_runner.hpp
+++ b/src/load/load_runner.hpp
@@ -14,8 +14,8 @@
 #include <dotterellock/observability.hpp>
 #include <dotterellock/runtime.hpp>
 
-#include "../platform/curl_executor.hpp"
-#include "../platform/sse_parser.hpp"
+#include "../clients/curl_executor.hpp"
+#include "../clients/sse_parser.hpp"
 #include "experiment.hpp"
 #include "load_report.hpp"
 
--- a/src/load/streaming_caller.hpp
+++ b/src/load/streaming_caller.hpp
@@ -13,7 +13,7 @@
 #include <thread>
 #include <vector>
 
-#include "../platform/sse_parser.hpp"
+#include "../clients/sse_parser.hpp"
 
 namespace dotterellock::load
 {
--- a/src/relay/client_session.cpp
+++ b/src/relay/client_session.cpp
@@ -57,11 +57,6 @@
 {
 }
 
-client_session::~client_session()
-{
-    host_.release_body(reserved_body_);
-}
-
 void client_session::start()
 {
     asio::error_code ignored; // without these only detection is slower
@@ -416,6 +411,8 @@
     if (state_ == state::closed)
         return;
     state_ = state::closed;
+    host_.release_body(reserved_body_);
+    reserved_body_ = 0;
     asio::error_code ignored; // the connection is given up either way
     socket_.close(ignored);
     host_.on_closed(*this);
--- a/src/relay/client_session.hpp
+++ b/src/relay/client_session.hpp
@@ -65,7 +65,6 @@
     client_session(
         asio::ip::tcp::socket socket, clock_source const& clock,
         session_host& host);
-    ~client_session();
 
     client_session(client_session const&) = delete;
     client_session& operator=(client_session const&) = delete;
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -33,13 +33,6 @@
 // When a process that knows no configuration is expected to know one.
 constexpr milliseconds retry_when_unconfigured{1000};
 
-// The balancer has taken a stopping host out of rotation by then: two missed
-// questions, one a second.
-constexpr milliseconds leave_rotation{2500};
-
-// The rest of the grace period is kept for the end of the process.
-constexpr milliseconds shutdown_margin{400};
-
 // An endpoint that accepts no connection by then is taken for dead. A round
 // trip takes 2 ms within a region and 40 ms between regions, and a new
 // connection with a question needs two.
@@ -298,6 +291,9 @@
 {
     listen(acceptor_, settings_.listen);
     status_ = std::make_unique<status_service>(*this, settings_.status_listen);
+    if (!settings_.metrics_listen.empty())
+        metrics_ =
+            std::make_unique<status_service>(*this, settings_.metrics_listen);
     last_tick_ = last_sweep_ = started_ = env_.clock.now();
     configuration_watch_.poll();
     endpoint_watch_.poll();
@@ -519,7 +515,7 @@
         r.rank = organisation->rank.value_or(r.rank);
     }
     r.service = routing_table::target_of(*r.route, env_.random.next());
-    if (shutting_down_ && !can_finish(*r.route, r.service))
+    if (shutting_down_ && !accepted_at_shutdown(r))
     {
         reject(*session, id, 503, "shutting_down", r.route->name);
         return;
@@ -540,16 +536,17 @@
         e->start({});
 }
 
-bool gateway::can_finish(
-    gateway_route const& route, service_name const& service) const
+bool gateway::accepted_at_shutdown(admitted_request const& r) const
 {
-    auto const passed = env_.clock.now() - shutdown_began_;
-    auto const left = settings_.shutdown_grace - shutdown_margin - passed;
-    auto const found = durations_.find(service);
-    duration const expected = route.event_stream && found != durations_.end()
-                                  ? duration(found->second)
-                                  : duration(route.first_byte_target);
-    return expected < left;
+    auto const found = durations_.find(r.service);
+    std::optional<duration> expected;
+    if (found != durations_.end())
+        expected = found->second;
+    auto const longest =
+        std::min(r.terms.deadline.value_or(r.route->timeout), r.route->timeout);
+    return shutdown_policy::accepts(
+        *r.route, env_.clock.now() - shutdown_began_, settings_.shutdown_grace,
+        longest, expected);
 }
 
 void gateway::stream_took(service_name const& service, duration took)
@@ -894,11 +891,14 @@
         }
         dispatch_waiting();
         status_->check_time(now);
+        if (metrics_)
+            metrics_->check_time(now);
         std::vector<std::shared_ptr<client_session>> sessions;
         for (auto const& [raw, session] : sessions_)
             sessions.push_back(session);
         bool const close_idle =
-            shutting_down_ && now - shutdown_began_ > leave_rotation;
+            shutting_down_ &&
+            now - shutdown_began_ > shutdown_policy::leave_rotation;
         for (auto const& session : sessions)
         {
             session->check_time(now);
@@ -929,10 +929,9 @@
 {
     if (!shutting_down_)
         return false;
-    auto const passed = env_.clock.now() - shutdown_began_;
-    bool const idle = exchanges_.empty() && sessions_.empty();
-    return passed > settings_.shutdown_grace - shutdown_margin ||
-           (idle && passed > leave_rotation);
+    return shutdown_policy::finished(
+        env_.clock.now() - shutdown_began_, settings_.shutdown_grace,
+        exchanges_.empty() && sessions_.empty());
 }
 
 std::string gateway::metrics() const
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -21,6 +21,7 @@
 
 #include "exchange.hpp"
 #include "gateway/freshness_lease.hpp"
+#include "gateway/shutdown_policy.hpp"
 #include "gateway/table_watch.hpp"
 #include "gateway/waiting_line.hpp"
 #include "settings/gateway_settings.hpp"
@@ -135,8 +136,7 @@
         service_name const& service, endpoint_state const& endpoint,
         endpoint_reply const& reply);
     void cache_lookup_ended(service_name const& service);
-    bool
-    can_finish(gateway_route const& route, service_name const& service) const;
+    bool accepted_at_shutdown(admitted_request const& r) const;
 
     void reject(
         client_session& session, std::string const& id, unsigned status,
@@ -160,6 +160,7 @@
 
     asio::ip::tcp::acceptor acceptor_;
     std::unique_ptr<status_service> status_;
+    std::unique_ptr<status_service> metrics_;
     asio::steady_timer tick_timer_;
     steady_time started_{};
     bool accepting_ = false;
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -78,7 +78,8 @@
     out << YAML::Key << "regions" << YAML::Value << s.regions;
     out << YAML::Key << "listen" << YAML::Value << s.listen;
     out << YAML::Key << "status_listen" << YAML::Value << s.status_listen;
-    out << YAML::Key << "metrics_listen" << YAML::Value << s.metrics_listen;
+    if (!s.metrics_listen.empty())
+        out << YAML::Key << "metrics_listen" << YAML::Value << s.metrics_listen;
     out << YAML::Key << "store" << YAML::Value << s.store;
     out << YAML::Key << "key_withdrawal_bound_ms" << YAML::Value
         << s.key_withdrawal_bound.count();
--- /dev/null
+++ b/tests/gateway/decisions_test.cpp
@@ -0,0 +1,347 @@
+// Index: routes; freshness; budget; repetition; shutdown; liveness; events.
+#include <catch2/catch.hpp>
+
+#include "gateway/arrival_budget.hpp"
+#include "gateway/attempt_policy.hpp"
+#include "gateway/event_splitter.hpp"
+#include "gateway/freshness_lease.hpp"
+#include "gateway/liveness.hpp"
+#include "gateway/shutdown_policy.hpp"
+#include "gateway_fixture.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+
+// Routes ---------------------------------------------------------------------
+
+namespace
+{
+
+gateway_configuration routes()
+{
+    gateway_configuration c;
+    c.version = 7;
+    for (auto const& [host, prefix] :
+         std::vector<std::pair<std::string, std::string>>{
+             {"one.example", "/"},
+             {"one.example", "/a/"},
+             {"one.example", "/a/b/"},
+             {"two.example", "/x/"}})
+    {
+        gateway_route r;
+        r.name = host + prefix;
+        r.host = host;
+        r.prefix = prefix;
+        r.targets = {{service_name("s"), 3}, {service_name("t"), 1}};
+        c.routes.push_back(r);
+    }
+    organisation_spec o;
+    o.name = organisation_id("acme");
+    o.keys = {"k1", "k2"};
+    c.organisations.push_back(o);
+    return c;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the path selects the route", "[routes]")
+{
+    routing_table const table(routes());
+    struct row
+    {
+        char const* host;
+        char const* path;
+        char const* route; // empty: none
+    };
+    auto const r = GENERATE(
+        row{"one.example", "/", "one.example/"},
+        row{"one.example", "/a", "one.example/"},
+        row{"one.example", "/a/", "one.example/a/"},
+        row{"one.example", "/a/bc", "one.example/a/"},
+        row{"one.example", "/a/b/c/d", "one.example/a/b/"},
+        row{"two.example", "/x/y", "two.example/x/"},
+        row{"two.example", "/y", ""}, row{"two.example", "/x", ""},
+        row{"three.example", "/", ""}, row{"one.example", "", ""});
+    auto const* const found = table.match(r.host, r.path);
+    REQUIRE((found == nullptr ? std::string() : found->name) == r.route);
+}
+
+TEST_CASE("traffic is divided by weight and a key names its holder", "[routes]")
+{
+    routing_table const table(routes());
+    auto const* const route = table.match("one.example", "/");
+    int first = 0;
+    for (std::uint64_t draw = 0; draw < 400; ++draw)
+        first += routing_table::target_of(*route, draw).value() == "s" ? 1 : 0;
+    REQUIRE(first == 300);
+    REQUIRE(table.organisation("k2")->name.value() == "acme");
+    REQUIRE(table.organisation("k3") == nullptr);
+}
+
+// Freshness ------------------------------------------------------------------
+
+// A key that was withdrawn while the process was cut off, paused or suspended
+// must not be served after the bound.
+TEST_CASE("the lease ends before the bound after the last proof", "[lease]")
+{
+    freshness_lease lease{milliseconds(5000)};
+    REQUIRE_FALSE(lease.valid(at(0)));
+    lease.prove(at(1000));
+    lease.prove(at(500)); // an older call that was answered later
+    struct row
+    {
+        int now;
+        bool valid;
+    };
+    auto const r = GENERATE(
+        row{1000, true}, row{5000, true}, row{5749, true}, row{5750, false},
+        row{6000, false}, row{60000, false});
+    REQUIRE(lease.valid(at(r.now)) == r.valid);
+}
+
+// Budget ---------------------------------------------------------------------
+
+// A fleet that repeats everything at once must stay within the ratio plus the
+// allowance in every window.
+TEST_CASE("repeats stay within the fleet's budget", "[budget]")
+{
+    arrival_budget_settings s;
+    s.fleet_size = 4;
+    int repeats = 0;
+    int requests = 0;
+    std::vector<arrival_budget> fleet(4, arrival_budget(s));
+    for (int ms = 0; ms < 10000; ms += 100)
+    {
+        for (auto& gateway : fleet)
+        {
+            gateway.request_started(at(ms));
+            ++requests;
+            for (int n = 0; n < 5; ++n)
+                repeats += gateway.try_spend(at(ms)) ? 1 : 0;
+        }
+    }
+    REQUIRE(repeats > requests / 2);
+    REQUIRE(double(repeats) <= s.ratio * requests + s.allowance);
+}
+
+TEST_CASE("the budget recovers after its window", "[budget]")
+{
+    arrival_budget_settings s;
+    s.allowance = 1;
+    s.fleet_size = 1;
+    arrival_budget budget(s);
+    REQUIRE(budget.try_spend(at(0)));
+    REQUIRE_FALSE(budget.try_spend(at(9000)));
+    REQUIRE(budget.try_spend(at(10001)));
+}
+
+// Repetition -----------------------------------------------------------------
+
+namespace
+{
+
+gateway_route route_of(char const* kind)
+{
+    std::string const k = kind;
+    gateway_route r;
+    r.event_stream = k == "stream" || k == "resumable";
+    r.resumable = k == "resumable";
+    r.idempotent = k == "safe";
+    r.max_attempts = k == "unsafe" ? 1 : 3;
+    return r;
+}
+
+} // namespace
+
+// Guards against a second run of a request that may run once, and against
+// "not run" when it may have run.
+TEST_CASE("what follows an attempt", "[repetition]")
+{
+    using o = endpoint_outcome;
+    using v = attempt_verdict;
+    struct row
+    {
+        char const* kind;
+        std::vector<o> outcomes; // the last one has just happened
+        bool time;
+        bool budget;
+        v verdict;
+    };
+    auto const r = GENERATE(values<row>({
+        {"unsafe", {o::unreachable}, true, true, v::retry},
+        {"unsafe", {o::refused}, true, true, v::retry},
+        {"unsafe", {o::misdirected}, true, true, v::retry},
+        {"unsafe", {o::lost}, true, true, v::answer_unknown},
+        {"unsafe", {o::silent}, true, true, v::answer_unknown},
+        {"unsafe", {o::refused, o::lost}, true, true, v::answer_unknown},
+        {"unsafe", {o::failed_answer}, true, true, v::forward_failure},
+        {"unsafe", {o::refused}, false, true, v::answer_not_run},
+        {"unsafe", {o::refused}, true, false, v::answer_not_run},
+        {"stream", {o::lost}, true, true, v::answer_unknown},
+        {"stream", {o::refused}, true, true, v::retry},
+        {"safe", {o::lost}, true, true, v::retry},
+        {"safe", {o::failed_answer}, true, true, v::retry},
+        {"safe", {o::lost}, true, false, v::answer_unknown},
+        {"safe", {o::lost}, false, true, v::answer_unknown},
+        {"safe", {o::lost, o::lost, o::lost}, true, true, v::answer_unknown},
+        {"safe",
+         {o::lost, o::lost, o::failed_answer},
+         true,
+         true,
+         v::forward_failure},
+        {"resumable", {o::lost, o::silent}, true, true, v::retry},
+        {"resumable",
+         {o::refused, o::refused, o::refused, o::refused, o::refused},
+         true,
+         true,
+         v::answer_not_run},
+        {"safe", {o::lost, o::refused}, false, true, v::answer_unknown},
+    }));
+    attempt_history history;
+    for (auto const outcome : r.outcomes)
+        attempt_policy::count(history, outcome);
+    REQUIRE(
+        attempt_policy::decide(
+            route_of(r.kind), history, r.outcomes.back(), r.time, r.budget) ==
+        r.verdict);
+}
+
+// Shutdown -------------------------------------------------------------------
+
+// Found by hunting: a stream that arrived five seconds after SIGTERM was cut
+// at the end of the grace period.
+TEST_CASE("a stopping gateway takes only what it can finish", "[shutdown]")
+{
+    struct row
+    {
+        bool stream;
+        int passed;
+        int longest;
+        int expected; // 0: unknown
+        bool accepted;
+    };
+    auto const r = GENERATE(
+        row{true, 100, 25000, 5000, true},   // early: it will do
+        row{true, 100, 25000, 9000, false},  // would be cut
+        row{true, 2000, 25000, 6000, false}, // would be cut
+        row{true, 2600, 25000, 1000, false}, // may take longer than expected
+        row{true, 100, 25000, 0, true},      // nothing is known yet
+        row{true, 5000, 2000, 0, true},      // ends by its own limit
+        row{false, 3000, 1000, 0, true}, row{false, 7000, 1000, 0, false},
+        row{false, 4000, 4000, 0, false});
+    gateway_route route;
+    route.event_stream = r.stream;
+    std::optional<duration> expected;
+    if (r.expected > 0)
+        expected = milliseconds(r.expected);
+    REQUIRE(
+        shutdown_policy::accepts(
+            route, milliseconds(r.passed), milliseconds(8000),
+            milliseconds(r.longest), expected) == r.accepted);
+}
+
+TEST_CASE("a stopping gateway ends when idle, or with its grace", "[shutdown]")
+{
+    milliseconds const grace(8000);
+    REQUIRE_FALSE(shutdown_policy::finished(milliseconds(1000), grace, true));
+    REQUIRE(shutdown_policy::finished(milliseconds(2501), grace, true));
+    REQUIRE_FALSE(shutdown_policy::finished(milliseconds(7000), grace, false));
+    REQUIRE(shutdown_policy::finished(milliseconds(7601), grace, false));
+}
+
+// Liveness -------------------------------------------------------------------
+
+// Guards against an endpoint without power that holds a stream longer than its
+// caller tolerates, and against giving up prompts that only wait.
+TEST_CASE("silence is checked, then given up", "[liveness]")
+{
+    using v = liveness_verdict;
+    struct row
+    {
+        bool begun;
+        int sent;
+        int progress;
+        int heard;
+        int expected;
+        bool confirmed;
+        v verdict;
+    };
+    auto const r = GENERATE(
+        row{true, 3000, 100, 100, 1000, false, v::wait},
+        row{true, 3000, 310, 310, 1000, false, v::check},
+        row{true, 3000, 310, 50, 1000, false, v::wait}, // others flow there
+        row{true, 3000, 570, 50, 1000, false, v::give_up},
+        row{false, 400, 400, 400, 1000, false, v::wait},
+        row{false, 600, 600, 600, 1000, false, v::check},
+        row{false, 600, 600, 100, 1000, false, v::wait},
+        row{false, 2300, 2300, 100, 1000, false, v::check}, // overdue
+        row{false, 2500, 2500, 100, 1000, false, v::give_up},
+        row{false, 2500, 2500, 100, 1000, true, v::wait}, // it runs there
+        row{false, 4100, 4100, 100, 1000, true, v::give_up},
+        row{false, 4100, 4100, 100, 2000, true, v::wait}); // a long queue
+    gateway_route route;
+    route.event_stream = true;
+    route.first_byte_target = milliseconds(4000);
+    route.event_gap_target = milliseconds(700);
+    attempt_progress p;
+    p.engine = true;
+    p.stream_begun = r.begun;
+    p.since_sent = milliseconds(r.sent);
+    p.since_progress = milliseconds(r.progress);
+    p.since_heard = milliseconds(r.heard);
+    p.expected_first = milliseconds(r.expected);
+    p.run_confirmed = r.confirmed;
+    REQUIRE(liveness_policy::judge(route, p) == r.verdict);
+}
+
+TEST_CASE("a short call leaves time for a second one", "[liveness]")
+{
+    gateway_route route;
+    route.first_byte_target = milliseconds(200);
+    struct row
+    {
+        int latency_ms;
+        int timeout_ms;
+    };
+    auto const r = GENERATE(row{1, 50}, row{15, 90}, row{100, 100});
+    REQUIRE(
+        liveness_policy::call_timeout(
+            route, std::chrono::milliseconds(r.latency_ms)) ==
+        milliseconds(r.timeout_ms));
+}
+
+// Events ---------------------------------------------------------------------
+
+// Guards against an event that is forwarded in part and then repeated.
+TEST_CASE("events are cut whole however their bytes arrive", "[events]")
+{
+    auto const end = GENERATE(as<std::string>{}, "\n", "\r\n");
+    std::string text;
+    for (int i = 1; i <= 5; ++i)
+        text += "id: " + std::to_string(i) + end + "data: x" + end + end;
+    auto const step = GENERATE(range(std::size_t{1}, std::size_t{20}));
+    event_splitter splitter;
+    std::string joined;
+    std::uint64_t expected = 1;
+    for (std::size_t i = 0; i < text.size(); i += step)
+    {
+        splitter.append(text.substr(i, step));
+        while (auto const event = splitter.next())
+        {
+            REQUIRE(event->id == expected);
+            ++expected;
+            joined += event->bytes;
+        }
+    }
+    REQUIRE(joined == text);
+    REQUIRE(splitter.partial_bytes() == 0);
+}
+
+TEST_CASE("an event without its end is not handed out", "[events]")
+{
+    event_splitter splitter;
+    splitter.append("id: 1\ndata: a\n\nid: 2\ndata: b\n");
+    REQUIRE(splitter.next()->id == 1u);
+    REQUIRE_FALSE(splitter.next());
+    REQUIRE(splitter.partial_bytes() == 14);
+}
--- /dev/null
+++ b/tests/gateway/endpoints_test.cpp
@@ -0,0 +1,305 @@
+// Index: the table; health; selection under load; zones; prompt caches.
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include "gateway/prompt_cache_index.hpp"
+#include "gateway_fixture.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+
+namespace
+{
+
+/// A service of three zones with `each` endpoints in each.
+struct fleet
+{
+    explicit fleet(int each)
+    {
+        for (auto const* zone : {"a1", "a2", "b1"})
+        {
+            for (int i = 0; i < each; ++i)
+                table.put(endpoint(zone + std::to_string(i), zone), at(0));
+        }
+    }
+
+    endpoint_ptr choose(work_request const& w, int now = 0) const
+    {
+        auto const e = engine();
+        return selection.choose(w, &e, at(now));
+    }
+
+    endpoint_table table{milliseconds(2000)};
+    zone_watch zones;
+    endpoint_selection selection{table, zones, place()};
+};
+
+endpoint_reservation run(endpoint_ptr const& e)
+{
+    return endpoint_reservation(e, {1, 8650, 0});
+}
+
+} // namespace
+
+// The table ------------------------------------------------------------------
+
+// Guards against work for an endpoint that the platform said is leaving, and
+// against losing a service whose rows lapse for a moment.
+TEST_CASE("a leaving endpoint is the last resort for a while", "[endpoints]")
+{
+    endpoint_table table{milliseconds(2000)};
+    zone_watch zones;
+    endpoint_selection selection(table, zones, place());
+    auto const e = engine();
+    table.put(endpoint("one", "a1"), at(0));
+    table.put(endpoint("two", "a1"), at(0));
+    auto const how =
+        GENERATE(as<std::string>{}, "removed", "draining", "unlisted");
+    if (how == "removed")
+        table.remove(endpoint_id("one"), at(100));
+    else if (how == "unlisted")
+        table.keep_only({"two"}, at(100));
+    else
+    {
+        auto r = endpoint("one", "a1");
+        r.draining = true;
+        table.put(r, at(100));
+    }
+    for (int i = 0; i < 20; ++i)
+    {
+        auto const chosen =
+            selection.choose(prompt(std::to_string(i)), &e, at(200));
+        REQUIRE(chosen->record().id.value() == "two");
+    }
+    table.remove(endpoint_id("two"), at(1000));
+    REQUIRE(selection.choose(prompt(), &e, at(2000)) != nullptr);
+    REQUIRE(
+        selection.choose(prompt(), &e, at(2500))->record().id.value() == "two");
+    REQUIRE(selection.choose(prompt(), &e, at(3001)) == nullptr);
+}
+
+TEST_CASE("an entry that comes back stays", "[endpoints]")
+{
+    endpoint_table table{milliseconds(2000)};
+    table.put(endpoint("one", "a1"), at(0));
+    table.remove(endpoint_id("one"), at(100));
+    table.put(endpoint("one", "a1"), at(1500));
+    table.collect(at(5000));
+    REQUIRE(table.size() == 1);
+    REQUIRE_FALSE(table.find(endpoint_id("one"))->leaving());
+}
+
+// A restarted endpoint holds nothing of before; its failures are not its own.
+TEST_CASE("another incarnation has no history", "[endpoints]")
+{
+    endpoint_table table{milliseconds(2000)};
+    auto r = endpoint("one", "a1");
+    r.born = 10;
+    table.put(r, at(0));
+    auto const old = table.find(r.id);
+    old->record_outcome(endpoint_outcome::lost, at(10));
+    SECTION("under its id")
+    {
+        r.born = 20;
+        table.put(r, at(20));
+        REQUIRE(table.find(r.id) != old);
+        REQUIRE_FALSE(table.find(r.id)->suspended(at(20)));
+    }
+    SECTION("under another id at the same address")
+    {
+        auto const address = r.address;
+        r = endpoint("two", "a1");
+        r.address = address;
+        r.born = 20;
+        table.put(r, at(20));
+        REQUIRE(old->gone(at(20)));
+        REQUIRE_FALSE(table.find(r.id)->gone(at(20)));
+    }
+}
+
+// Health ---------------------------------------------------------------------
+
+TEST_CASE("suspension doubles while an endpoint keeps failing", "[endpoints]")
+{
+    endpoint_state e(endpoint("one", "a1"));
+    int now = 0;
+    for (int const expected : {400, 800, 1600, 3000, 3000})
+    {
+        e.record_outcome(endpoint_outcome::unreachable, at(now));
+        REQUIRE(e.suspended(at(now + expected - 1)));
+        REQUIRE_FALSE(e.suspended(at(now + expected)));
+        now += expected;
+    }
+    e.record_outcome(endpoint_outcome::served, at(now));
+    e.record_outcome(endpoint_outcome::lost, at(now));
+    REQUIRE_FALSE(e.suspended(at(now + 400)));
+}
+
+TEST_CASE("a reservation counts while it lives", "[endpoints]")
+{
+    auto const e = std::make_shared<endpoint_state>(endpoint("one", "a1"));
+    {
+        endpoint_reservation one(e, {1, 100, 50});
+        endpoint_reservation two(std::move(one));
+        two.prefill_done();
+        REQUIRE(e->load.requests == 1);
+        REQUIRE(e->load.memory_tokens == 100);
+        REQUIRE(e->load.prefill_tokens == 0);
+    }
+    REQUIRE(e->load.requests == 0);
+    REQUIRE(e->load.memory_tokens == 0);
+}
+
+// Selection under load -------------------------------------------------------
+
+// The load of a burst: prompts arrive while others are read and run. No
+// endpoint may read two prompts while another one reads none.
+TEST_CASE("prompts spread over idle endpoints first", "[selection]")
+{
+    fleet f(4);
+    std::vector<endpoint_reservation> held;
+    std::map<std::string, int> reading;
+    for (int i = 0; i < 12; ++i)
+    {
+        auto const chosen = f.choose(prompt("part" + std::to_string(i)));
+        REQUIRE(chosen != nullptr);
+        ++reading[chosen->record().id.value()];
+        held.emplace_back(chosen, endpoint_state::workload{1, 8650, 8000});
+    }
+    REQUIRE(reading.size() == 12);
+}
+
+// A prompt slows the streams beside it: it goes where the fewest run.
+TEST_CASE("prompts avoid endpoints with running streams", "[selection]")
+{
+    fleet f(2);
+    auto const a = run(f.table.find(endpoint_id("a10")));
+    auto const b = run(f.table.find(endpoint_id("a10")));
+    auto const c = run(f.table.find(endpoint_id("a11")));
+    auto const d = run(f.table.find(endpoint_id("a11")));
+    auto const chosen = f.choose(prompt());
+    REQUIRE(chosen->record().zone.value() == "a2");
+}
+
+TEST_CASE("a prompt goes where it is cached", "[selection]")
+{
+    fleet f(3);
+    auto w = prompt();
+    w.cached_at = endpoint_id("b11");
+    auto const busy = run(f.table.find(w.cached_at));
+    REQUIRE(f.choose(w)->record().id == w.cached_at);
+    f.table.find(w.cached_at)->record_outcome(endpoint_outcome::lost, at(0));
+    REQUIRE(f.choose(w)->record().id != w.cached_at);
+}
+
+// Guards against prompts that overflow the memory of endpoints, which then
+// preempt running streams.
+TEST_CASE("no endpoint is filled beyond its memory", "[selection]")
+{
+    fleet f(1);
+    std::vector<endpoint_reservation> held;
+    int placed = 0;
+    while (auto const chosen = f.choose(prompt(std::to_string(placed))))
+    {
+        held.push_back(run(chosen));
+        ++placed;
+        REQUIRE(double(chosen->load.memory_tokens) <= 0.75 * 88000);
+    }
+    REQUIRE(placed == 3 * 7);
+}
+
+// The failure domain of a run is its zone: a copy beside it is lost with it.
+TEST_CASE("the standby lies in another zone that is sound", "[selection]")
+{
+    fleet f(3);
+    auto const e = engine();
+    for (auto const& primary : f.table.of(service_name("llm")))
+    {
+        auto const standby =
+            f.selection.choose_standby(prompt(), e, *primary, at(0));
+        REQUIRE(standby != nullptr);
+        REQUIRE(standby->record().zone != primary->record().zone);
+    }
+    for (int i = 0; i < 3; ++i)
+        f.zones.record_failure(
+            f.table.find(endpoint_id("a2" + std::to_string(i)))->record(),
+            at(10));
+    auto const standby = f.selection.choose_standby(
+        prompt(), e, *f.table.find(endpoint_id("a10")), at(20));
+    REQUIRE(standby->record().zone.value() == "b1");
+}
+
+// The load of a grey endpoint: short calls fail there while its health check
+// is good. They go elsewhere until it recovers.
+TEST_CASE("short calls avoid endpoints that fail them", "[selection]")
+{
+    endpoint_table table{milliseconds(2000)};
+    zone_watch zones;
+    endpoint_selection selection(table, zones, place());
+    for (auto const* zone : {"a1", "a2", "b1"})
+    {
+        table.put(endpoint(zone, zone, "app"), at(0));
+        table.find(endpoint_id(zone))
+            ->record_latency(std::chrono::milliseconds(15));
+    }
+    work_request w;
+    w.service = service_name("app");
+    REQUIRE(selection.choose(w, nullptr, at(0))->record().zone.value() == "a1");
+    auto const grey = table.find(endpoint_id("a1"));
+    grey->record_outcome(endpoint_outcome::lost, at(0));
+    grey->record_outcome(endpoint_outcome::lost, at(0));
+    REQUIRE(
+        selection.choose(w, nullptr, at(5000))->record().zone.value() == "a2");
+    for (int i = 0; i < 40; ++i)
+        grey->record_outcome(endpoint_outcome::served, at(5000));
+    REQUIRE(
+        selection.choose(w, nullptr, at(5000))->record().zone.value() == "a1");
+}
+
+// Zones ----------------------------------------------------------------------
+
+// The load of a zone that loses power: three failures stand for all of it, but
+// an endpoint that was heard of since is sound.
+TEST_CASE("several failures make a zone suspect", "[zones]")
+{
+    fleet f(5);
+    auto const e = [&f](int i)
+    { return f.table.find(endpoint_id("a1" + std::to_string(i))); };
+    REQUIRE_FALSE(f.zones.record_failure(e(0)->record(), at(0)));
+    REQUIRE_FALSE(f.zones.record_failure(e(0)->record(), at(10)));
+    REQUIRE_FALSE(f.zones.record_failure(e(1)->record(), at(20)));
+    REQUIRE_FALSE(f.zones.suspect(*e(3), at(20)));
+    REQUIRE(f.zones.record_failure(e(2)->record(), at(30)));
+    REQUIRE(f.zones.suspect(*e(3), at(40)));
+    e(4)->record_activity(at(50));
+    REQUIRE_FALSE(f.zones.suspect(*e(4), at(60)));
+    REQUIRE_FALSE(f.zones.suspect(*e(3), at(30 + 1300)));
+    REQUIRE_FALSE(f.zones.suspect(*f.table.find(endpoint_id("a20")), at(40)));
+}
+
+TEST_CASE("failures far apart are chance", "[zones]")
+{
+    fleet f(5);
+    for (int i = 0; i < 5; ++i)
+    {
+        auto const id = endpoint_id("a1" + std::to_string(i));
+        REQUIRE_FALSE(
+            f.zones.record_failure(f.table.find(id)->record(), at(i * 600)));
+    }
+}
+
+// Prompt caches --------------------------------------------------------------
+
+TEST_CASE("the endpoint that keeps most of a part holds it", "[cache]")
+{
+    prompt_cache_index index;
+    index.put(endpoint_id("one"), {{"p", 4000}, {"shared", 200}}, at(0));
+    index.put(endpoint_id("two"), {{"p", 8000}}, at(10));
+    index.put(endpoint_id("three"), {{"p", 5000}}, at(20));
+    REQUIRE(index.holder("p", at(30)).value() == "two");
+    REQUIRE(index.holder("shared", at(30)).empty());
+    REQUIRE(index.holder("p", at(10011)).empty());
+    index.forget_old(at(10011));
+    REQUIRE(index.size() == 0);
+}
--- /dev/null
+++ b/tests/gateway/waiting_line_test.cpp
@@ -0,0 +1,149 @@
+// The heaviest load: prompts beyond what all endpoints hold. Plays arrivals
+// and ends on a fake clock and checks what callers get.
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include "gateway/waiting_line.hpp"
+#include "gateway_fixture.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+
+namespace
+{
+
+struct fixed_policy : policy_source
+{
+    policy_settings settings;
+    policy_settings const& current() const override { return settings; }
+};
+
+line_entry entry(
+    std::uint64_t id, std::uint32_t rank, int now, int patience = 2000,
+    std::string const& organisation = "acme")
+{
+    line_entry e;
+    e.id = id;
+    e.organisation = organisation_id(organisation);
+    e.rank = rank;
+    e.tokens = 8000;
+    e.arrived = at(now);
+    e.begin_by = at(now + patience);
+    return e;
+}
+
+} // namespace
+
+TEST_CASE("the most urgent request goes first", "[line]")
+{
+    fixed_policy const policy;
+    waiting_line line(policy);
+    REQUIRE_FALSE(line.enter(entry(1, 2, 0), at(0)));
+    REQUIRE_FALSE(line.enter(entry(2, 1, 0), at(0)));
+    REQUIRE_FALSE(line.enter(entry(3, 0, 0), at(0)));
+    REQUIRE(line.next(at(10)) == 3u);
+    REQUIRE(line.next(at(10)) == 2u);
+    REQUIRE(line.next(at(10)) == 1u);
+    REQUIRE_FALSE(line.next(at(10)));
+}
+
+// A request that cannot begin in time is refused when it comes, not when its
+// time is over, with a time after which the line is shorter.
+TEST_CASE("a request that would wait too long is refused at once", "[line]")
+{
+    fixed_policy const policy;
+    waiting_line line(policy);
+    std::uint64_t id = 0;
+    for (int i = 0; i < 4; ++i)
+        REQUIRE_FALSE(line.enter(entry(++id, 0, 0, 60000), at(0)));
+    line.next(at(1000));
+    line.next(at(2000)); // one begins a second
+    auto const refusal = line.enter(entry(++id, 0, 2000, 2000), at(2000));
+    REQUIRE(refusal);
+    REQUIRE(refusal->id == id);
+    REQUIRE(refusal->retry_after == milliseconds(3000));
+    REQUIRE_FALSE(line.enter(entry(++id, 0, 2000, 4000), at(2000)));
+}
+
+TEST_CASE("a request whose time to begin is over is refused", "[line]")
+{
+    fixed_policy const policy;
+    waiting_line line(policy);
+    REQUIRE_FALSE(line.enter(entry(1, 0, 0, 500), at(0)));
+    REQUIRE_FALSE(line.enter(entry(2, 0, 0, 900), at(0)));
+    REQUIRE(line.expired(at(499)).empty());
+    auto const late = line.expired(at(500));
+    REQUIRE(late.size() == 1);
+    REQUIRE(late[0].id == 1);
+    REQUIRE(line.size() == 1);
+}
+
+// A flood of general questions, three times what begins, beside urgent ones.
+TEST_CASE("urgent work begins in time beside a flood", "[line]")
+{
+    fixed_policy const policy;
+    waiting_line line(policy);
+    std::map<std::uint64_t, std::pair<std::uint32_t, int>> open;
+    std::map<std::uint32_t, int> asked;
+    std::map<std::uint32_t, int> begun;
+    int slowest_urgent = 0;
+    std::uint64_t id = 0;
+    for (int now = 0; now < 20000; now += 100)
+    {
+        // Ten begin a second; four urgent ones and thirty others arrive.
+        for (int n = 0; n < 3 + (now % 500 < 200 ? 1 : 0); ++n)
+        {
+            std::uint32_t const rank = n == 3 ? 0 : 2;
+            ++asked[rank];
+            open[++id] = {rank, now};
+            if (auto const refusal = line.enter(entry(id, rank, now), at(now)))
+                open.erase(refusal->id);
+        }
+        for (auto const& late : line.expired(at(now)))
+            open.erase(late.id);
+        if (auto const next = line.next(at(now)))
+        {
+            auto const [rank, since] = open.at(*next);
+            ++begun[rank];
+            if (rank == 0)
+                slowest_urgent = std::max(slowest_urgent, now - since);
+            open.erase(*next);
+        }
+    }
+    REQUIRE(begun[0] >= asked[0] * 95 / 100);
+    REQUIRE(slowest_urgent <= 1000);
+    REQUIRE(begun[2] > 100); // what is left of the capacity
+}
+
+// One organisation asks fifty times more than the other.
+TEST_CASE("a small organisation is served beside a large one", "[line]")
+{
+    fixed_policy const policy;
+    waiting_line line(policy);
+    std::map<std::uint64_t, std::string> open;
+    std::map<std::string, int> asked;
+    std::map<std::string, int> begun;
+    std::uint64_t id = 0;
+    for (int now = 0; now < 20000; now += 100)
+    {
+        for (int n = 0; n < 5; ++n)
+        {
+            bool const small = n == 0 && now % 1000 == 0;
+            std::string const who = small ? "small" : "large";
+            ++asked[who];
+            open[++id] = who;
+            if (auto const refusal =
+                    line.enter(entry(id, 1, now, 2000, who), at(now)))
+                open.erase(refusal->id);
+        }
+        for (auto const& late : line.expired(at(now)))
+            open.erase(late.id);
+        if (auto const next = line.next(at(now)))
+        {
+            ++begun[open.at(*next)];
+            open.erase(*next);
+        }
+    }
+    REQUIRE(begun["small"] >= asked["small"] * 9 / 10);
+}
--- /dev/null
+++ b/tests/platform/adapter_test.cpp
@@ -0,0 +1,301 @@
+// Index: callers' requests; endpoints' answers; rows; the store's answers;
+// settings; arbitrary bytes.
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <sstream>
+
+#include <rapidcheck.h>
+
+#include <dotterellock/error.hpp>
+
+#include "platform/row_store_client.hpp"
+#include "platform/wire_dialect.hpp"
+#include "platform/wire_rows.hpp"
+
+using namespace dotterellock;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+message_head head_with(header_list headers)
+{
+    message_head head;
+    head.headers = std::move(headers);
+    return head;
+}
+
+store_row row(std::string key, std::string value)
+{
+    store_row r;
+    r.key = std::move(key);
+    r.value = std::move(value);
+    r.revision = 5;
+    return r;
+}
+
+std::string const configuration_text = R"({"version":7,"routes":[
+ {"name":"r1","host":"One.Example","prefix":"/p/","routeType":"streaming",
+  "timeoutMs":25000,"targetLatencyMs":4000,"priority":2,
+  "trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+  "maxAttempts":5,"anonymous":false,"sticky":true,"resumable":true,
+  "gapTargetMs":700},
+ {"name":"r2","host":"one.example","prefix":"/q/","routeType":"unsafe",
+  "timeoutMs":1000,"service":"s2","maxAttempts":1,"anonymous":true}],
+ "services":[{"name":"s1","maxConns":300,"engine":{"slots":48,
+  "kvCapacity":88000,"linkMbps":1500000.0,"backups":true}},
+  {"name":"s2","maxConns":100}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
+  "headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"acme","apiKeys":["k1","k2"],"priority":1}]})";
+
+std::string const endpoint_text =
+    R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","version":"v1",
+ "slots":48,"state":"ready","coldLeftMs":0,"seqNo":4,"born":1700000000000})";
+
+} // namespace
+
+// Callers' requests ----------------------------------------------------------
+
+TEST_CASE("a caller's terms are read from its head", "[platform]")
+{
+    auto const terms = wire_dialect().read_request(head_with(
+        {{"Request-Id", "abc"},
+         {"Deadline-Ms", "25000"},
+         {"authorization", "bearer KEY"},
+         {"Last-Event-Id", "12"},
+         {"Token-Counts", "1460,80"},
+         {"Prompt-Prefix", "5c1e:800,91bd:410,e440:250"}}));
+    REQUIRE(terms.id.value() == "abc");
+    REQUIRE(terms.deadline == milliseconds(25000));
+    REQUIRE(terms.key == "KEY");
+    REQUIRE(terms.last_event == 12u);
+    REQUIRE(terms.prompt_tokens == 1460);
+    REQUIRE(terms.output_tokens == 80);
+    REQUIRE(terms.last_prompt_part == "e440");
+}
+
+TEST_CASE(
+    "requests without an id or with a bad deadline are errors", "[platform]")
+{
+    auto const headers = GENERATE(values<header_list>(
+        {{},
+         {{"Request-Id", ""}},
+         {{"Request-Id", "a"}, {"Deadline-Ms", "soon"}},
+         {{"Request-Id", "a"}, {"Deadline-Ms", "-1"}}}));
+    REQUIRE_THROWS_AS(wire_dialect().read_request(head_with(headers)), error);
+}
+
+// A caller must not set what is the system's to set, and its key stays here.
+TEST_CASE("headers of the system's own are not forwarded", "[platform]")
+{
+    struct entry
+    {
+        char const* name;
+        bool forwarded;
+    };
+    auto const e = GENERATE(
+        entry{"authorization", false}, entry{"tenant-id", false},
+        entry{"KV-BACKUP", false}, entry{"Kv-From", false},
+        entry{"Kv-Fetch", false}, entry{"Hold", false}, entry{"Pin-Ms", false},
+        entry{"Expect-Instance", false}, entry{"Request-Urgency", false},
+        entry{"Deadline-Ms", false}, entry{"Last-Event-Id", false},
+        entry{"Request-Id", true}, entry{"Model-Name", true},
+        entry{"Token-Counts", true}, entry{"Prompt-Prefix", true},
+        entry{"Content-Type", true}, entry{"X-Any", true});
+    REQUIRE(wire_dialect().forwarded(e.name) == e.forwarded);
+}
+
+TEST_CASE("terms for an endpoint are written once each", "[platform]")
+{
+    forward_terms terms;
+    terms.id = request_id("abc");
+    terms.time_left = milliseconds(900);
+    terms.expected = endpoint_id("i-1");
+    terms.organisation = organisation_id("acme");
+    terms.rank = 12;
+    terms.last_event = 7;
+    terms.standby = "10.0.0.2:80";
+    terms.copy = memory_copy{"10.0.0.3:81", "abc"};
+    std::string head;
+    wire_dialect().write_terms(terms, head);
+    REQUIRE(
+        head == "Deadline-Ms: 900\r\nExpect-Instance: i-1\r\n"
+                "Tenant-Id: acme\r\nRequest-Urgency: 9\r\n"
+                "Last-Event-Id: 7\r\nKv-Backup: 10.0.0.2:80\r\n"
+                "Kv-From: 10.0.0.3:81/abc\r\n");
+}
+
+// Endpoints' answers ---------------------------------------------------------
+
+TEST_CASE("an endpoint's answer is read from its head", "[platform]")
+{
+    auto const terms = wire_dialect().read_answer(head_with(
+        {{"Request-Id", "abc"},
+         {"Not-Executed", "1"},
+         {"Keep-Alive", "timeout=5, max=100"},
+         {"Retry-After", "1.5"}}));
+    REQUIRE(terms.id->value() == "abc");
+    REQUIRE(terms.not_run);
+    REQUIRE_FALSE(terms.sealed);
+    REQUIRE(terms.idle_timeout == milliseconds(5000));
+    REQUIRE(terms.retry_after == milliseconds(1500));
+}
+
+TEST_CASE("reports, caches and copies are read", "[platform]")
+{
+    wire_dialect const dialect;
+    auto const report = dialect.read_report(
+        R"({"queueDepth":1,"activeSeqs":12,"kvUsed":41000,"kvTotal":90000,
+            "runs":[["r1",8000,3,0]]})");
+    REQUIRE(report.running == 12);
+    REQUIRE(report.runs.at("r1").events == 3);
+    auto const parts = dialect.read_cache(
+        R"({"epoch":1,"next":2,"held":[["","e4",8000,"m"]]})");
+    REQUIRE(parts.size() == 1);
+    REQUIRE(parts[0].part == "e4");
+    REQUIRE(dialect.read_copy(R"({"handle":"h1","created":9})") == "h1");
+    REQUIRE_THROWS_AS(dialect.read_report("[]"), error);
+    REQUIRE_THROWS_AS(dialect.read_report(R"({"runs":[["r1"]]})"), error);
+    REQUIRE_THROWS_AS(dialect.read_cache(R"({"held":[[1,2]]})"), error);
+    REQUIRE_THROWS_AS(dialect.read_copy("{}"), error);
+}
+
+// Rows -----------------------------------------------------------------------
+
+TEST_CASE("the configuration row is decoded", "[platform]")
+{
+    auto const c =
+        wire_rows().read_configuration(row("config", configuration_text));
+    REQUIRE(c);
+    REQUIRE(c->version == 7);
+    auto const& stream = c->routes[0];
+    REQUIRE(stream.host == "one.example");
+    REQUIRE(stream.event_stream);
+    REQUIRE(stream.repeatable());
+    REQUIRE(stream.engine_prompt);
+    REQUIRE(stream.rank == 2);
+    REQUIRE(stream.targets[1].weight == 10);
+    REQUIRE(stream.event_gap_target == milliseconds(700));
+    auto const& booking = c->routes[1];
+    REQUIRE_FALSE(booking.repeatable());
+    REQUIRE(booking.anonymous);
+    REQUIRE(booking.timeout == milliseconds(1000));
+    REQUIRE(c->services[0].engine->standby_copies);
+    REQUIRE_FALSE(c->services[1].engine);
+    REQUIRE(c->limits.idle_timeout == milliseconds(15000));
+    REQUIRE(c->organisations[0].rank == 1u);
+    REQUIRE_FALSE(wire_rows().read_configuration(row("other", "x")));
+}
+
+TEST_CASE("an endpoint's row is decoded", "[platform]")
+{
+    auto const e = wire_rows().read_endpoint(row("i-1", endpoint_text));
+    REQUIRE(e.id.value() == "i-1");
+    REQUIRE(e.service.value() == "s1");
+    REQUIRE(e.born == 1700000000000);
+    REQUIRE_FALSE(e.draining);
+}
+
+// Rows of other writers name no endpoint and break nothing.
+TEST_CASE("foreign rows are errors", "[platform]")
+{
+    auto const text = GENERATE(
+        as<std::string>{}, "", "\xff\xfe", "[]", "{}",
+        R"({"service":1,"address":"a:1","zone":"z","state":"ready","slots":1})",
+        R"({"service":"s","address":"a:1","zone":"z","state":"odd","slots":1})",
+        R"({"service":"s","address":"a:1","zone":"z","state":"ready"})",
+        R"({"service":"s","address":"a:1","zone":"z","state":"ready","slots":"6"})");
+    REQUIRE_THROWS_AS(wire_rows().read_endpoint(row("x", text)), error);
+    REQUIRE_THROWS_AS(
+        wire_rows().read_configuration(row("config", text)), error);
+}
+
+// The store's answers --------------------------------------------------------
+
+TEST_CASE("rows of the store are decoded", "[platform]")
+{
+    auto const answer = decode_rows(
+        R"({"rows":[{"table":"t","part":"","key":"a","value":"bm9kZS0x",
+            "ver":4},{"key":"b","isDeleted":true,"ver":5},
+            {"key":"c","value":"*no base64*","ver":6}],
+            "hasMore":true,"ver":9,"nowMs":1})");
+    REQUIRE(answer.status == store_status::ok);
+    REQUIRE(answer.revision == 9);
+    REQUIRE(answer.more);
+    REQUIRE(answer.rows[0].value == "node-1");
+    REQUIRE(answer.rows[1].deleted);
+    REQUIRE(answer.rows[2].value.empty());
+}
+
+// Arbitrary bytes ------------------------------------------------------------
+
+TEST_CASE(
+    "arbitrary bytes are errors or values, never crashes", "[platform][fuzz]")
+{
+    auto const damaged = [](std::string text, std::string const& junk,
+                            std::size_t at, std::size_t cut)
+    {
+        at %= text.size();
+        text.replace(at, std::min(cut % 30, text.size() - at), junk);
+        return text;
+    };
+    wire_dialect const dialect;
+    auto const tolerate = [](auto const& read)
+    {
+        try
+        {
+            read();
+        }
+        catch (error const&)
+        {
+            // what a reader is allowed to throw
+        }
+    };
+    REQUIRE(rc::check(
+        "damaged texts",
+        [&](std::string const& junk, std::size_t at, std::size_t cut)
+        {
+            tolerate(
+                [&]
+                {
+                    wire_rows().read_configuration(row(
+                        "config", damaged(configuration_text, junk, at, cut)));
+                });
+            tolerate(
+                [&]
+                {
+                    wire_rows().read_endpoint(
+                        row("i", damaged(endpoint_text, junk, at, cut)));
+                });
+            tolerate(
+                [&]
+                {
+                    decode_rows(damaged(
+                        R"({"rows":[{"key":"a","value":"bm9k","ver":4}],"ver":9})",
+                        junk, at, cut));
+                });
+            tolerate(
+                [&]
+                {
+                    dialect.read_report(damaged(
+                        R"({"kvUsed":41000,"runs":[["r1",8000,3,0]]})", junk,
+                        at, cut));
+                });
+            tolerate([&] { dialect.read_cache(junk); });
+            tolerate(
+                [&]
+                {
+                    dialect.read_request(head_with(
+                        {{"Request-Id", "a"},
+                         {"Deadline-Ms", junk},
+                         {"Token-Counts", junk},
+                         {"Prompt-Prefix", junk},
+                         {"Authorization", junk},
+                         {"Last-Event-Id", junk}}));
+                });
+            dialect.read_answer(
+                head_with({{"Keep-Alive", junk}, {"Retry-After", junk}}));
+        }));
+}
--- /dev/null
+++ b/tests/relay/relay_fixture.hpp
@@ -0,0 +1,331 @@
+// A gateway on loopback with scripted endpoints and an in-memory store. All of
+// it runs on one io_context, in steps, until a test's condition holds.
+#ifndef DOTTERELLOCK_TESTS_RELAY_FIXTURE_HPP
+#define DOTTERELLOCK_TESTS_RELAY_FIXTURE_HPP
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <asio.hpp>
+
+#include "platform/wire_dialect.hpp"
+#include "platform/wire_rows.hpp"
+#include "relay/gateway.hpp"
+
+namespace dotterellock::testing
+{
+
+using std::chrono::milliseconds;
+
+class steady_test_clock : public clock_source
+{
+public:
+    steady_time now() const override
+    {
+        return std::chrono::steady_clock::now() + ahead;
+    }
+    wall_time wall_now() const override { return {}; }
+
+    duration ahead{};
+};
+
+class counting_random : public random_source
+{
+public:
+    std::uint64_t next() override { return ++value_; }
+
+private:
+    std::uint64_t value_ = 0;
+};
+
+struct collecting_log : event_log
+{
+    void record(
+        event_level, char const* event,
+        std::vector<event_field> const& fields) override
+    {
+        std::string line = event;
+        for (auto const& [name, value] : fields)
+            line += std::string(" ") + name + '=' + value;
+        lines.push_back(line);
+    }
+
+    std::vector<std::string> lines;
+};
+
+/// A table that answers a listing at once and then stays silent.
+class memory_table : public row_reader
+{
+public:
+    explicit memory_table(asio::io_context& io) : io_(io) {}
+
+    void list(std::string const&, std::string const&, handler done) override
+    {
+        asio::post(
+            io_,
+            [this, done]
+            {
+                store_answer a;
+                a.status = available ? store_status::ok : store_status::refused;
+                a.rows = rows;
+                a.revision = 1;
+                done(a);
+            });
+    }
+    void changes(
+        std::string const&, std::uint64_t, milliseconds, handler done) override
+    {
+        waiting = std::move(done);
+    }
+
+    void change(store_row row)
+    {
+        store_answer a;
+        a.status = store_status::ok;
+        row.revision = ++revision;
+        a.rows = {std::move(row)};
+        a.revision = revision;
+        std::exchange(waiting, nullptr)(a);
+    }
+
+    bool available = true;
+    std::vector<store_row> rows;
+    std::uint64_t revision = 1;
+    handler waiting;
+
+private:
+    asio::io_context& io_;
+};
+
+/// One side of a connection whose bytes a test reads and writes by hand.
+struct test_peer : std::enable_shared_from_this<test_peer>
+{
+    explicit test_peer(asio::ip::tcp::socket s) : socket(std::move(s)) {}
+
+    void read()
+    {
+        auto self = shared_from_this();
+        socket.async_read_some(
+            asio::buffer(buffer),
+            [this, self](asio::error_code const& e, std::size_t n)
+            {
+                if (e)
+                {
+                    closed = true;
+                    return;
+                }
+                received.append(buffer.data(), n);
+                read();
+            });
+    }
+
+    void send(std::string const& text)
+    {
+        asio::error_code ignored; // tests look at what arrives
+        asio::write(socket, asio::buffer(text), ignored);
+    }
+
+    void close()
+    {
+        asio::error_code ignored;
+        socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+        socket.close(ignored);
+    }
+
+    void reset()
+    {
+        socket.set_option(asio::socket_base::linger(true, 0));
+        socket.close();
+    }
+
+    bool has(std::string const& text) const
+    {
+        return received.find(text) != std::string::npos;
+    }
+
+    asio::ip::tcp::socket socket;
+    std::string received;
+    bool closed = false;
+    std::array<char, 65536> buffer;
+};
+
+/// Accepts connections; a test answers them by hand.
+struct scripted_endpoint
+{
+    explicit scripted_endpoint(asio::io_context& io)
+        : acceptor(
+              io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        accept();
+    }
+
+    void accept()
+    {
+        acceptor.async_accept(
+            [this](asio::error_code const& e, asio::ip::tcp::socket s)
+            {
+                if (e)
+                    return;
+                peers.push_back(std::make_shared<test_peer>(std::move(s)));
+                peers.back()->read();
+                accept();
+            });
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    }
+
+    std::size_t requests() const
+    {
+        std::size_t n = 0;
+        for (auto const& p : peers)
+        {
+            for (std::size_t at = 0;
+                 (at = p->received.find(" HTTP/1.1\r\n", at)) !=
+                 std::string::npos;
+                 ++at)
+                ++n;
+        }
+        return n;
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    std::vector<std::shared_ptr<test_peer>> peers;
+};
+
+struct relay_world
+{
+    relay_world()
+    {
+        for (int i = 0; i < 2; ++i)
+            endpoints.push_back(std::make_unique<scripted_endpoint>(io));
+        configuration.rows = {
+            row("config",
+                R"({"version":3,"routes":[
+ {"name":"safe","host":"h","prefix":"/safe/","routeType":"safe","service":"app",
+  "timeoutMs":5000,"targetLatencyMs":4000,"maxAttempts":2},
+ {"name":"unsafe","host":"h","prefix":"/unsafe/","routeType":"unsafe",
+  "service":"app","timeoutMs":5000,"targetLatencyMs":4000,"maxAttempts":1},
+ {"name":"open","host":"h","prefix":"/open/","routeType":"safe","service":"app",
+  "timeoutMs":5000,"anonymous":true},
+ {"name":"stream","host":"h","prefix":"/stream/","routeType":"streaming",
+  "service":"app","timeoutMs":20000,"targetLatencyMs":9000,"maxAttempts":3,
+  "resumable":true,"gapTargetMs":5000}],
+ "services":[{"name":"app"}],
+ "limits":{"maxHeaderBytes":4000,"maxBodyBytes":10000,
+  "headerTimeoutMs":60000,"idleTimeoutMs":60000},
+ "tenants":[{"name":"acme","apiKeys":["KEY"]}]})")};
+        table.rows = {endpoint_row("one", 0), endpoint_row("two", 1)};
+        settings.host = "gateway";
+        settings.zone = "near";
+        settings.listen = "127.0.0.1:" + std::to_string(free_port());
+        settings.status_listen = "127.0.0.1:" + std::to_string(free_port());
+    }
+
+    ~relay_world()
+    {
+        // Handlers refer to the gateway: none may run after it.
+        io.stop();
+    }
+
+    static store_row row(std::string key, std::string value)
+    {
+        store_row r;
+        r.key = std::move(key);
+        r.value = std::move(value);
+        r.revision = 1;
+        return r;
+    }
+
+    /// The first endpoint is nearer, and so is chosen first.
+    store_row endpoint_row(std::string const& id, std::size_t i) const
+    {
+        return row(
+            id, R"({"service":"app","address":")" + endpoints[i]->address() +
+                    R"(","zone":")" + (i == 0 ? "near" : "far") +
+                    R"(","state":"ready","slots":8})");
+    }
+
+    unsigned short free_port()
+    {
+        asio::ip::tcp::acceptor a(
+            io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        return a.local_endpoint().port();
+    }
+
+    void start()
+    {
+        subject = std::make_unique<gateway>(
+            settings, gateway_environment{
+                          io, clock, random, dialect, codec, configuration,
+                          table, log, counters});
+        subject->start();
+    }
+
+    /// Runs until the condition holds; the bound only ends a failed test.
+    bool until(std::function<bool()> const& done)
+    {
+        auto const end =
+            std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (!done() && std::chrono::steady_clock::now() < end)
+            io.run_one_for(milliseconds(50));
+        return done();
+    }
+
+    std::shared_ptr<test_peer>
+    connect(std::string const& address, std::string const& text)
+    {
+        asio::ip::tcp::socket s(io);
+        s.connect(*parse_address(address));
+        auto peer = std::make_shared<test_peer>(std::move(s));
+        peer->send(text);
+        peer->read();
+        return peer;
+    }
+
+    std::shared_ptr<test_peer> call(std::string const& text)
+    {
+        return connect(settings.listen, text);
+    }
+
+    static std::string request(
+        std::string const& path, std::string const& id = "r1",
+        std::string const& more = {})
+    {
+        return "GET " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id +
+               "\r\nDeadline-Ms: 9000\r\nAuthorization: Bearer KEY\r\n" + more +
+               "\r\n";
+    }
+
+    static std::string answer(
+        std::string const& id = "r1", std::string const& body = "body",
+        std::string const& status = "200 OK",
+        std::string const& more = "Response-Seal: s\r\n")
+    {
+        return "HTTP/1.1 " + status + "\r\nRequest-Id: " + id + "\r\n" + more +
+               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+               body;
+    }
+
+    asio::io_context io{1};
+    steady_test_clock clock;
+    counting_random random;
+    collecting_log log;
+    counter_registry counters;
+    wire_dialect dialect;
+    wire_rows codec;
+    memory_table configuration{io};
+    memory_table table{io};
+    std::vector<std::unique_ptr<scripted_endpoint>> endpoints;
+    gateway_settings settings;
+    std::unique_ptr<gateway> subject;
+};
+
+} // namespace dotterellock::testing
+
+#endif
--- /dev/null
+++ b/tests/relay/relay_test.cpp
@@ -0,0 +1,370 @@
+// Index: admission; repetition; answers; streams; callers; shutdown.
+#include <catch2/catch.hpp>
+
+#include "relay_fixture.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+
+namespace
+{
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: token\n\n";
+}
+
+std::string chunk(std::string const& text)
+{
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+}
+
+std::string stream_head(std::string const& id = "r1")
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+           "\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+} // namespace
+
+// Admission ------------------------------------------------------------------
+
+TEST_CASE("requests are refused with the certain reason", "[relay]")
+{
+    relay_world w;
+    struct row
+    {
+        char const* path;
+        char const* key;
+        bool configured;
+        char const* status;
+    };
+    auto const r = GENERATE(
+        row{"/none/x", "KEY", true, " 404 "},
+        row{"/safe/x", "BAD", true, " 401 "}, row{"/safe/x", "", true, " 401 "},
+        row{"/safe/x", "KEY", false, " 503 "});
+    w.configuration.available = r.configured;
+    w.start();
+    auto const caller = w.call(
+        std::string("GET ") + r.path +
+        " HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n" +
+        (*r.key == 0 ? ""
+                     : std::string("Authorization: Bearer ") + r.key + "\r\n") +
+        "\r\n");
+    REQUIRE(w.until([&] { return caller->has("\r\n\r\n"); }));
+    REQUIRE(caller->has(r.status));
+    REQUIRE(caller->has("Retry-After") == !r.configured);
+}
+
+// A withdrawn key must not be served by a process that was cut off or paused.
+TEST_CASE("keyed requests need a fresh configuration", "[relay]")
+{
+    relay_world w;
+    w.start();
+    REQUIRE(w.until([&] { return w.subject->ready(); }));
+    w.clock.ahead = milliseconds(4800);
+    REQUIRE_FALSE(w.subject->ready());
+    auto const keyed = w.call(w.request("/safe/x"));
+    REQUIRE(w.until([&] { return keyed->has(" 503 "); }));
+    auto const open = w.call(w.request("/open/x", "r2"));
+    REQUIRE(w.until([&] { return w.endpoints[0]->requests() == 1; }));
+}
+
+TEST_CASE("a request is forwarded with its body and without its key", "[relay]")
+{
+    relay_world w;
+    w.start();
+    auto const caller = w.call(
+        "POST /unsafe/a?b=c HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+        "Deadline-Ms: 9000\r\nAuthorization: Bearer KEY\r\nTenant-Id: evil\r\n"
+        "Kv-From: x\r\nX-Own: 1\r\nConnection: X-Own\r\nX-Other: 2\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    auto& e = *w.endpoints[0];
+    REQUIRE(
+        w.until([&] { return e.requests() == 1 && e.peers[0]->has("abc"); }));
+    auto const& text = e.peers[0]->received;
+    REQUIRE(text.rfind("POST /unsafe/a?b=c HTTP/1.1\r\n", 0) == 0);
+    REQUIRE(e.peers[0]->has("Request-Id: r1\r\n"));
+    REQUIRE(e.peers[0]->has("Tenant-Id: acme\r\n"));
+    REQUIRE(e.peers[0]->has("Expect-Instance: one\r\n"));
+    REQUIRE(e.peers[0]->has("X-Other: 2\r\n"));
+    REQUIRE(e.peers[0]->has("Content-Length: 3\r\n\r\nabc"));
+    for (auto const* gone : {"evil", "KEY", "Kv-From", "X-Own", "chunked"})
+        REQUIRE_FALSE(e.peers[0]->has(gone));
+    e.peers[0]->send(w.answer());
+    REQUIRE(w.until([&] { return caller->has("\r\n\r\nbody"); }));
+    REQUIRE(caller->has("Response-Seal: s\r\n"));
+}
+
+TEST_CASE("limits of the configuration hold", "[relay]")
+{
+    relay_world w;
+    w.start();
+    auto const text = GENERATE(
+        as<std::pair<std::string, std::string>>{},
+        std::pair<std::string, std::string>{
+            "POST /safe/ HTTP/1.1\r\nHost: h\r\nContent-Length: 10001\r\n\r\n",
+            " 413 "},
+        std::pair<std::string, std::string>{
+            "GET /safe/ HTTP/1.1\r\nHost: h\r\nX: " + std::string(4100, 'x') +
+                "\r\n\r\n",
+            " 431 "},
+        std::pair<std::string, std::string>{
+            "POST /safe/ HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            " 400 "});
+    auto const caller = w.call(text.first);
+    REQUIRE(w.until([&] { return caller->closed; }));
+    REQUIRE(caller->has(text.second));
+    REQUIRE(caller->has("Connection: close\r\n"));
+    REQUIRE(w.endpoints[0]->requests() == 0);
+}
+
+// Repetition -----------------------------------------------------------------
+
+// An idle connection that ends as it is used may still have carried the
+// request: one that may run once is not sent again.
+TEST_CASE("a request that may run once is not sent twice", "[relay]")
+{
+    relay_world w;
+    w.start();
+    auto const how =
+        GENERATE(as<std::string>{}, "close", "reset", "reused", "cut");
+    auto& e = *w.endpoints[0];
+    if (how == "reused")
+    {
+        auto const before = w.call(w.request("/safe/x", "r0"));
+        REQUIRE(w.until([&] { return e.requests() == 1; }));
+        e.peers[0]->send(w.answer("r0", "first"));
+        REQUIRE(w.until([&] { return before->has("first"); }));
+    }
+    auto const expected = e.requests() + 1;
+    auto const caller = w.call(w.request("/unsafe/x"));
+    REQUIRE(w.until([&] { return e.requests() == expected; }));
+    if (how == "cut")
+        e.peers.back()->send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+                             "Response-Seal: s\r\nContent-Length: 9\r\n\r\nab");
+    if (how == "reset")
+        e.peers.back()->reset();
+    else
+        e.peers.back()->close();
+    REQUIRE(w.until([&] { return caller->has(" 502 "); }));
+    REQUIRE(e.requests() == expected);
+    REQUIRE(w.endpoints[1]->requests() == 0);
+}
+
+TEST_CASE("a request that was proven not to run goes elsewhere", "[relay]")
+{
+    relay_world w;
+    w.start();
+    auto const refusal = GENERATE(
+        as<std::string>{}, "503 Service Unavailable",
+        "421 Misdirected Request");
+    auto const caller = w.call(w.request("/unsafe/x"));
+    REQUIRE(w.until([&] { return w.endpoints[0]->requests() == 1; }));
+    w.endpoints[0]->peers[0]->send(
+        w.answer("r1", "", refusal, "Not-Executed: 1\r\n"));
+    REQUIRE(w.until([&] { return w.endpoints[1]->requests() == 1; }));
+    w.endpoints[1]->peers[0]->send(w.answer());
+    REQUIRE(w.until([&] { return caller->has(" 200 OK"); }));
+}
+
+// A 503 that does not prove anything must not reach the caller as a promise.
+TEST_CASE("an unproven refusal is not passed on as one", "[relay]")
+{
+    relay_world w;
+    w.start();
+    auto const caller = w.call(w.request("/unsafe/x"));
+    REQUIRE(w.until([&] { return w.endpoints[0]->requests() == 1; }));
+    w.endpoints[0]->peers[0]->send(
+        w.answer("r1", "", "503 Service Unavailable"));
+    REQUIRE(w.until([&] { return caller->has(" 502 "); }));
+    REQUIRE(w.endpoints[1]->requests() == 0);
+}
+
+TEST_CASE("a repeatable request is sent again after a loss", "[relay]")
+{
+    relay_world w;
+    w.start();
+    auto const how =
+        GENERATE(as<std::string>{}, "reset", "junk", "unsealed", "error");
+    auto const caller = w.call(w.request("/safe/x"));
+    REQUIRE(w.until([&] { return w.endpoints[0]->requests() == 1; }));
+    auto& peer = *w.endpoints[0]->peers[0];
+    if (how == "reset")
+        peer.reset();
+    else if (how == "junk")
+        peer.send("what is this\r\n\r\n");
+    else if (how == "unsealed")
+        peer.send(w.answer("r1", "bad", "200 OK", ""));
+    else
+        peer.send(w.answer("r1", "bad", "500 Internal Server Error"));
+    REQUIRE(w.until([&] { return w.endpoints[1]->requests() == 1; }));
+    w.endpoints[1]->peers[0]->send(w.answer());
+    REQUIRE(w.until([&] { return caller->has("\r\n\r\nbody"); }));
+    REQUIRE_FALSE(caller->has("bad"));
+}
+
+// Answers --------------------------------------------------------------------
+
+// The late answer of an earlier request must not answer this one.
+TEST_CASE("an answer to another request is dropped", "[relay]")
+{
+    relay_world w;
+    w.start();
+    auto const caller = w.call(w.request("/unsafe/x"));
+    REQUIRE(w.until([&] { return w.endpoints[0]->requests() == 1; }));
+    w.endpoints[0]->peers[0]->send(
+        w.answer("other", "not yours") + w.answer("r1", "yours"));
+    REQUIRE(w.until([&] { return caller->has("yours"); }));
+    REQUIRE_FALSE(caller->has("not yours"));
+}
+
+TEST_CASE("bytes after an answer end the connection", "[relay]")
+{
+    relay_world w;
+    w.start();
+    auto const caller = w.call(w.request("/safe/x", "r1"));
+    auto& e = *w.endpoints[0];
+    REQUIRE(w.until([&] { return e.requests() == 1; }));
+    e.peers[0]->send(w.answer("r1", "first") + w.answer("r1", "extra"));
+    REQUIRE(
+        w.until([&] { return caller->has("first") && e.peers[0]->closed; }));
+    caller->send(w.request("/safe/x", "r2"));
+    REQUIRE(w.until([&] { return e.peers.size() == 2 && e.requests() == 2; }));
+    e.peers[1]->send(w.answer("r2", "second"));
+    REQUIRE(w.until([&] { return caller->has("second"); }));
+    REQUIRE_FALSE(caller->has("extra"));
+}
+
+TEST_CASE(
+    "an answer without a length is whole only after an orderly end", "[relay]")
+{
+    relay_world w;
+    w.start();
+    bool const orderly = GENERATE(true, false);
+    auto const caller = w.call(w.request("/unsafe/x"));
+    REQUIRE(w.until([&] { return w.endpoints[0]->requests() == 1; }));
+    auto& peer = *w.endpoints[0]->peers[0];
+    peer.send(
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n\r\nbody");
+    if (orderly)
+        peer.close();
+    else
+        peer.reset();
+    REQUIRE(w.until([&] { return caller->has("\r\n\r\n"); }));
+    REQUIRE(caller->has(" 200 OK") == orderly);
+    REQUIRE(caller->has("Content-Length: 4\r\n") == orderly);
+}
+
+// Streams --------------------------------------------------------------------
+
+// Guards against missing, doubled and partial events, and against two runs of
+// one request at a time.
+TEST_CASE("a stream goes on at another endpoint", "[relay]")
+{
+    relay_world w;
+    w.start();
+    auto const how = GENERATE(as<std::string>{}, "reset", "close", "mid-event");
+    auto const caller = w.call(w.request("/stream/x"));
+    REQUIRE(w.until([&] { return w.endpoints[0]->requests() == 1; }));
+    auto& first = *w.endpoints[0]->peers[0];
+    first.send(stream_head() + chunk(event(1)) + chunk(event(2)));
+    REQUIRE(w.until([&] { return caller->has(event(2)); }));
+    if (how == "mid-event")
+    {
+        first.send(chunk("id: 3\nda"));
+        first.close();
+    }
+    else if (how == "close")
+        first.close();
+    else
+        first.reset();
+    REQUIRE(w.until([&] { return w.endpoints[1]->requests() == 1; }));
+    auto& second = *w.endpoints[1]->peers[0];
+    REQUIRE(second.has("Last-Event-Id: 2\r\n"));
+    // An event that the caller has already is not sent again.
+    second.send(
+        stream_head() + chunk(event(2)) + chunk(event(3)) + chunk(event(4)) +
+        "0\r\n\r\n");
+    REQUIRE(w.until([&] { return caller->has("0\r\n\r\n"); }));
+    std::string events;
+    for (int i = 1; i <= 4; ++i)
+    {
+        auto const at = caller->received.find(event(i));
+        REQUIRE(at != std::string::npos);
+        REQUIRE(caller->received.find(event(i), at + 1) == std::string::npos);
+    }
+    REQUIRE_FALSE(caller->has("id: 3\nda\n"));
+    REQUIRE(caller->received.find("HTTP/1.1 200", 1) == std::string::npos);
+}
+
+TEST_CASE("a stream that cannot go on does not look complete", "[relay]")
+{
+    relay_world w;
+    w.table.rows.pop_back();
+    w.start();
+    auto const caller = w.call(w.request("/stream/x"));
+    auto& e = *w.endpoints[0];
+    for (std::size_t attempt = 1; attempt <= 3; ++attempt)
+    {
+        REQUIRE(w.until([&] { return e.requests() == attempt; }));
+        e.peers.back()->send(stream_head() + chunk(event(int(attempt))));
+        REQUIRE(w.until([&] { return caller->has(event(int(attempt))); }));
+        e.peers.back()->reset();
+    }
+    REQUIRE(w.until([&] { return caller->closed; }));
+    REQUIRE_FALSE(caller->has("0\r\n\r\n"));
+    REQUIRE(e.requests() == 3);
+}
+
+// Callers --------------------------------------------------------------------
+
+// Work for a caller that left is wasted, and is to end within 0.2 s.
+TEST_CASE("a caller that leaves cancels its work", "[relay]")
+{
+    relay_world w;
+    w.start();
+    auto const path = GENERATE(as<std::string>{}, "/stream/x", "/safe/x");
+    auto const caller = w.call(w.request(path));
+    REQUIRE(w.until([&] { return w.endpoints[0]->requests() == 1; }));
+    caller->close();
+    REQUIRE(w.until([&] { return w.endpoints[0]->peers[0]->closed; }));
+}
+
+TEST_CASE("requests of one connection are answered in turn", "[relay]")
+{
+    relay_world w;
+    w.start();
+    auto const caller =
+        w.call(w.request("/safe/x", "r1") + w.request("/safe/x", "r2"));
+    auto& e = *w.endpoints[0];
+    REQUIRE(w.until([&] { return e.requests() == 1; }));
+    e.peers[0]->send(w.answer("r1", "first"));
+    REQUIRE(w.until([&] { return e.requests() == 2; }));
+    e.peers.back()->send(w.answer("r2", "second"));
+    REQUIRE(w.until([&] { return caller->has("second"); }));
+    REQUIRE(caller->received.find("first") < caller->received.find("second"));
+}
+
+// Shutdown -------------------------------------------------------------------
+
+TEST_CASE("a stopping gateway finishes what it has", "[relay]")
+{
+    relay_world w;
+    w.start();
+    auto const caller = w.call(w.request("/safe/x"));
+    REQUIRE(w.until([&] { return w.endpoints[0]->requests() == 1; }));
+    w.subject->begin_shutdown();
+    REQUIRE_FALSE(w.subject->ready());
+    w.clock.ahead = milliseconds(3000);
+    REQUIRE_FALSE(w.subject->finished());
+    w.endpoints[0]->peers[0]->send(w.answer());
+    REQUIRE(w.until([&] { return caller->closed; }));
+    REQUIRE(caller->has("\r\n\r\nbody"));
+    REQUIRE(caller->has("Connection: close\r\n"));
+    REQUIRE(w.until([&] { return w.subject->finished(); }));
+}
