Read one prompt at a time at an endpoint; keep prompts that their endpoint confirms

Load: bursts beyond what the endpoints read. Prompts now wait in the gateway by rank instead of in the endpoints' queues; one that is late yields a rank; busy endpoints are asked for their reports; a report that names a run keeps it from being read again elsewhere. Ruled out: serving all late requests last, which served the least urgent rank before the most urgent one.

--- a/src/gateway/endpoint_selection.cpp
+++ b/src/gateway/endpoint_selection.cpp
@@ -11,9 +11,12 @@
 namespace
 {
 
-// Part of an endpoint's memory that own work may fill; prompts that other
-// gateways sent there need the rest.
-constexpr double usable_memory = 0.75;
+// Part of an endpoint's memory that runs may fill, as far as own work and
+// reports tell; the rest covers what reports do not show yet.
+constexpr double memory_for_runs = 0.85;
+
+// Standby copies yield to runs: they are made while there is plenty.
+constexpr double memory_for_copies = 0.6;
 
 } // namespace
 
@@ -56,13 +59,15 @@
 
 bool endpoint_selection::has_room(
     endpoint_state const& endpoint, work_request const& work,
-    engine_spec const& engine) const
+    engine_spec const& engine, double usable_memory, steady_time now)
 {
     auto const& load = endpoint.load;
-    auto const memory = load.memory_tokens + work.memory_tokens();
+    auto const memory = load.memory_tokens + endpoint.foreign_tokens(now) +
+                        work.memory_tokens();
     return load.requests < engine.slots &&
-           (engine.memory_tokens == 0 || load.requests == 0 ||
-            double(memory) <= usable_memory * double(engine.memory_tokens));
+           (engine.memory_tokens == 0 ||
+            double(memory) <= usable_memory * double(engine.memory_tokens) ||
+            (load.memory_tokens == 0 && endpoint.foreign_tokens(now) == 0));
 }
 
 endpoint_ptr endpoint_selection::choose(
@@ -71,13 +76,13 @@
     auto const candidates = usable(work, now);
     if (candidates.empty())
         return nullptr;
-    return engine != nullptr ? choose_for_prompt(candidates, work, *engine)
+    return engine != nullptr ? choose_for_prompt(candidates, work, *engine, now)
                              : choose_for_call(candidates);
 }
 
 endpoint_ptr endpoint_selection::choose_for_prompt(
     std::vector<candidate> const& candidates, work_request const& work,
-    engine_spec const& engine) const
+    engine_spec const& engine, steady_time now) const
 {
     // A prompt that is read slows every stream beside it to a fraction, and
     // waits for other prompts: the endpoint with the least of both comes first.
@@ -90,17 +95,22 @@
         auto const place = place_.to(c.endpoint->record().zone);
         auto const disturbance =
             load.requests + (place == topology::distance::same_zone ? 0u : 1u);
-        return std::make_tuple(
-            troubled, full, load.prefill_tokens, disturbance, place, ~c.weight);
+        return std::make_tuple(troubled, full, disturbance, place, ~c.weight);
     };
     candidate const* best = nullptr;
     for (auto const& c : candidates)
     {
-        if (!has_room(*c.endpoint, work, engine))
+        if (!has_room(*c.endpoint, work, engine, memory_for_runs, now))
             continue;
+        // What is cached is hardly read again.
         if (!work.cached_at.empty() &&
             c.endpoint->record().id == work.cached_at)
             return c.endpoint;
+        // One prompt at a time: a second one would delay both, while it can
+        // wait here in the order of its rank.
+        if (c.endpoint->load.prefill_tokens > 0 ||
+            c.endpoint->reported_waiting(now) > 0)
+            continue;
         if (best == nullptr || order(c) < order(*best))
             best = &c;
     }
@@ -156,7 +166,7 @@
     {
         if (c.endpoint->record().zone == zone || c.endpoint->leaving() ||
             c.endpoint->suspended(now) || zones_.suspect(*c.endpoint, now) ||
-            !has_room(*c.endpoint, work, engine))
+            !has_room(*c.endpoint, work, engine, memory_for_copies, now))
             continue;
         if (best == nullptr || order(c) < order(*best))
             best = &c;
--- a/src/gateway/endpoint_selection.hpp
+++ b/src/gateway/endpoint_selection.hpp
@@ -106,12 +106,12 @@
 
     std::vector<candidate>
     usable(work_request const& work, steady_time now) const;
-    bool has_room(
+    static bool has_room(
         endpoint_state const& endpoint, work_request const& work,
-        engine_spec const& engine) const;
+        engine_spec const& engine, double usable_memory, steady_time now);
     endpoint_ptr choose_for_prompt(
         std::vector<candidate> const& candidates, work_request const& work,
-        engine_spec const& engine) const;
+        engine_spec const& engine, steady_time now) const;
     endpoint_ptr
     choose_for_call(std::vector<candidate> const& candidates) const;
 
--- a/src/gateway/endpoint_state.cpp
+++ b/src/gateway/endpoint_state.cpp
@@ -42,6 +42,16 @@
             std::int64_t(smoothing * double((latency - latency_).count())));
 }
 
+void endpoint_state::record_report(
+    endpoint_report const& report, steady_time now)
+{
+    reported_at_ = now;
+    reported_waiting_ = report.waiting;
+    foreign_tokens_ = report.used_tokens > load.memory_tokens
+                          ? report.used_tokens - load.memory_tokens
+                          : 0;
+}
+
 endpoint_reservation::endpoint_reservation(
     std::shared_ptr<endpoint_state> endpoint,
     endpoint_state::workload const& share)
--- a/src/gateway/endpoint_state.hpp
+++ b/src/gateway/endpoint_state.hpp
@@ -113,6 +113,27 @@
     std::chrono::microseconds latency() const { return latency_; }
     bool measured() const { return latency_.count() > 0; }
 
+    // Work of others --------------------------------------------------------
+
+    /// What the endpoint says of its load, and so of other gateways' work.
+    void record_report(endpoint_report const& report, steady_time now);
+
+    /// Memory that others use; 0 when no recent report tells.
+    std::uint64_t foreign_tokens(steady_time now) const
+    {
+        return report_recent(now) ? foreign_tokens_ : 0;
+    }
+
+    /// Requests that wait there for memory or a slot.
+    std::uint32_t reported_waiting(steady_time now) const
+    {
+        return report_recent(now) ? reported_waiting_ : 0;
+    }
+
+    /// A report was asked for; the last one stays in force until it comes.
+    void expect_report(steady_time now) { reported_at_ = now; }
+    steady_time reported_at() const { return reported_at_; }
+
     // Own work --------------------------------------------------------------
 
     struct workload
@@ -125,6 +146,14 @@
     workload load; // maintained by endpoint_reservation
 
 private:
+    // Reports are some hundred milliseconds old when they come.
+    static constexpr std::chrono::milliseconds report_validity{1500};
+
+    bool report_recent(steady_time now) const
+    {
+        return now - reported_at_ < report_validity;
+    }
+
     // A short suspension first, as a crashed endpoint may be back at once;
     // doubled while it keeps failing.
     static constexpr std::chrono::milliseconds first_suspension{400};
@@ -143,6 +172,9 @@
     double failure_rate_ = 0;
     double error_rate_ = 0;
     std::chrono::microseconds latency_{0};
+    steady_time reported_at_{};
+    std::uint64_t foreign_tokens_ = 0;
+    std::uint32_t reported_waiting_ = 0;
 };
 
 /// Counts one attempt or standby copy in its endpoint's workload while it
--- a/src/gateway/liveness.hpp
+++ b/src/gateway/liveness.hpp
@@ -31,10 +31,10 @@
     bool engine = false; // a prompt for a model engine
     bool stream_begun = false;
     duration since_sent{};
-    duration since_progress{};  // last event, or the sending
-    duration since_heard{};     // anything from the endpoint, on any connection
-    duration expected_first{};  // estimate up to the first event
-    bool run_confirmed = false; // a report after the last check named the run
+    duration since_progress{}; // last event, or the sending
+    duration since_heard{};    // anything from the endpoint, on any connection
+    duration expected_first{}; // estimate up to the first event
+    std::optional<duration> since_confirmed; // a report named the run
 };
 
 class liveness_policy
@@ -47,6 +47,11 @@
     // A prompt takes a second or more; a check costs one short call.
     static constexpr std::chrono::milliseconds check_prompt_after{500};
 
+    // An overdue prompt is checked before it is given up, and again while its
+    // endpoint says that it is at work on it.
+    static constexpr std::chrono::milliseconds time_for_check{300};
+    static constexpr std::chrono::milliseconds confirm_again_after{800};
+
     // Part of the tolerated pause after which a silent stream goes on
     // elsewhere; the rest is needed to go on.
     static constexpr double give_up_share = 0.8;
@@ -91,13 +96,16 @@
         duration const target = route.first_byte_target;
         duration const suspicious = std::max<duration>(
             target / 2, 2 * p.expected_first + std::chrono::milliseconds(400));
-        duration const hopeless =
-            std::max<duration>(target, 4 * p.expected_first);
-        if (p.since_sent > (p.run_confirmed ? hopeless : suspicious))
+        if (p.since_confirmed)
+        {
+            // It is read or waits there: to begin anew would only be later.
+            return *p.since_confirmed > confirm_again_after
+                       ? liveness_verdict::check
+                       : liveness_verdict::wait;
+        }
+        if (p.since_sent > suspicious)
             return liveness_verdict::give_up;
-        bool const overdue =
-            p.since_sent > suspicious - std::chrono::milliseconds(300) &&
-            !p.run_confirmed;
+        bool const overdue = p.since_sent > suspicious - time_for_check;
         return p.since_heard > check_prompt_after || overdue
                    ? liveness_verdict::check
                    : liveness_verdict::wait;
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -84,6 +84,10 @@
 constexpr milliseconds copy_retry_interval{500};
 constexpr milliseconds copy_timeout{400};
 
+// Events that an endpoint has made while none came: more than the network
+// delays.
+constexpr std::uint64_t unheard_events = 5;
+
 } // namespace
 
 // Construction and dispatch --------------------------------------------------
@@ -208,7 +212,7 @@
     }
     sent_ = progress_ = now;
     stream_began_.reset();
-    run_confirmed_ = false;
+    confirmed_at_.reset();
     head_.reset();
     held_.clear();
     events_ = {};
@@ -710,7 +714,8 @@
         host_.estimate(request_.service)
             .expected(
                 std::max(endpoint_->load.prefill_tokens, work_.prompt_tokens));
-    p.run_confirmed = run_confirmed_;
+    if (confirmed_at_)
+        p.since_confirmed = now - *confirmed_at_;
     switch (liveness_policy::judge(route, p))
     {
     case liveness_verdict::wait:
@@ -740,10 +745,16 @@
 {
     if (state_ != state::attempting || endpoint_.get() != &endpoint)
         return;
+    // A report names the runs that have been admitted; others may wait. A run
+    // that has made events which never came is lost to this connection.
     auto const run = report.runs.find(request_.terms.id.value());
-    // A report names the runs that have been admitted; others may wait.
+    bool const unheard = run != report.runs.end() && !stream_began_ &&
+                         run->second.events >= unheard_events;
     bool const known = run != report.runs.end() || report.waiting > 0;
-    run_confirmed_ = known && checked >= sent_;
+    if (known && !unheard && checked >= sent_)
+        confirmed_at_ = host_.clock().now();
+    else
+        confirmed_at_.reset();
 }
 
 // The end --------------------------------------------------------------------
--- a/src/relay/exchange.hpp
+++ b/src/relay/exchange.hpp
@@ -195,8 +195,8 @@
     steady_time sent_{};
     steady_time progress_{};
     std::optional<steady_time> stream_began_; // of the attempt
-    bool run_confirmed_ = false;
-    std::optional<message_head> head_; // of the attempt's answer
+    std::optional<steady_time> confirmed_at_; // a report named the run
+    std::optional<message_head> head_;        // of the attempt's answer
     answer_terms answer_;
     std::string held_; // body of an answer that is not a stream
     event_splitter events_;
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -39,6 +39,12 @@
 constexpr milliseconds check_timeout{110};
 constexpr milliseconds far_check_timeout{180};
 
+// An endpoint with this much own work may have as much of others', which its
+// report tells; at low load nothing is asked.
+constexpr std::uint32_t report_from_requests = 3;
+constexpr milliseconds report_interval{600};
+constexpr milliseconds report_timeout{400};
+
 // Callers whose gateway was lost come back within a few seconds.
 constexpr milliseconds returning_callers{4000};
 
@@ -520,6 +526,9 @@
         reject(*session, id, 503, "shutting_down", r.route->name);
         return;
     }
+    if (auto const* const spec = table_->service(r.service);
+        spec && spec->engine)
+        busy_services_.insert(r.service);
     r.message = std::move(message);
     auto const e = std::make_shared<exchange>(
         ++last_exchange_, std::move(session), std::move(r), *this);
@@ -660,10 +669,49 @@
     endpoint->record_activity(now);
     if (!report)
         return;
+    endpoint->record_report(*report, now);
     for (auto const& e : here)
         e->endpoint_reported(*endpoint, *report, began);
 }
 
+void gateway::refresh_reports(steady_time now)
+{
+    for (auto const& service : busy_services_)
+    {
+        for (auto const& endpoint : endpoints_.of(service))
+        {
+            bool const busy = endpoint->load.requests >= report_from_requests;
+            if (!busy || endpoint->leaving() || endpoint->suspended(now) ||
+                now - endpoint->reported_at() < report_interval)
+                continue;
+            endpoint->expect_report(now);
+            call(
+                endpoint->record(), report_timeout,
+                env_.dialect.report_request(), false,
+                [this, endpoint](endpoint_reply reply)
+                { reported(*endpoint, reply); });
+        }
+    }
+}
+
+void gateway::reported(endpoint_state& endpoint, endpoint_reply const& reply)
+{
+    if (reply.status != 200)
+        return; // the requests there tell whether it lives
+    try
+    {
+        endpoint.record_report(
+            env_.dialect.read_report(reply.body), env_.clock.now());
+    }
+    catch (error const& e)
+    {
+        env_.log.record(
+            event_level::warn, "report_unreadable",
+            {{"endpoint", endpoint.record().id.value()},
+             {"detail", e.detail()}});
+    }
+}
+
 void gateway::call(
     endpoint_record const& endpoint, milliseconds timeout, std::string request,
     bool probe, endpoint_call::handler done)
@@ -761,14 +809,18 @@
     if (!line)
         line = std::make_unique<waiting_line>(line_policy_);
     auto const now = env_.clock.now();
-    // What remains of the target has to do for the first event itself.
-    auto const begin_by =
-        std::min(e->deadline(), e->received() + r.route->first_byte_target);
-    auto const refusal = line->enter(
-        {e->number(), r.organisation, r.rank, e->work().prompt_tokens, now,
-         std::max(begin_by, now + r.route->first_byte_target / 4)},
-        now);
-    if (refusal)
+    auto const first = estimate(r.service).expected(e->work().prompt_tokens);
+    auto const found = durations_.find(r.service);
+    duration const whole =
+        found != durations_.end() ? found->second : 2 * first;
+    line_entry entry;
+    entry.id = e->number();
+    entry.organisation = r.organisation;
+    entry.rank = r.rank;
+    entry.tokens = e->work().prompt_tokens;
+    entry.due = e->received() + r.route->first_byte_target - first;
+    entry.begin_by = e->deadline() - whole;
+    if (auto const refusal = line->enter(entry, now))
         refuse_from_line(*refusal);
     return true;
 }
@@ -817,13 +869,13 @@
         auto const next = line.next(now);
         if (!next)
             return;
-        auto const found = exchanges_.find(*next);
+        auto const found = exchanges_.find(next->id);
         if (found == exchanges_.end())
             continue;
         auto const e = found->second;
         if (!e->try_dispatch())
         {
-            wait_for_room(e);
+            line.put_back(*next, now);
             return;
         }
     }
@@ -889,6 +941,7 @@
             bool const old = now - i->second > check_interval;
             i = old ? checked_at_.erase(i) : std::next(i);
         }
+        refresh_reports(now);
         dispatch_waiting();
         status_->check_time(now);
         if (metrics_)
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -131,6 +131,8 @@
     void check_zone(endpoint_record const& failed);
     void check_finished(
         endpoint_ptr const& endpoint, steady_time began, endpoint_reply reply);
+    void refresh_reports(steady_time now);
+    void reported(endpoint_state& endpoint, endpoint_reply const& reply);
     void start_with_cache_index(std::shared_ptr<exchange> const& e);
     void cache_listed(
         service_name const& service, endpoint_state const& endpoint,
@@ -182,6 +184,7 @@
     bool dispatch_posted_ = false;
     std::vector<std::shared_ptr<endpoint_call>> calls_;
     std::map<std::string, steady_time> checked_at_; // by endpoint
+    std::set<service_name> busy_services_;          // with an engine
     std::map<service_name, duration> durations_;    // of whole streams
 
     /// One listing of the prompt caches of a service's endpoints.
