--- a/src/gateway/arrival_budget.hpp
+++ b/src/gateway/arrival_budget.hpp
@@ -31,6 +31,11 @@
     {
     }
 
+    void set_fleet_size(std::size_t gateways)
+    {
+        settings_.fleet_size = double(gateways);
+    }
+
     void request_started(steady_time now) { requests_.push_back(now); }
 
     /// Whether one more repeated arrival is allowed; counts it if so.
--- a/src/gateway/endpoint_selection.cpp
+++ b/src/gateway/endpoint_selection.cpp
@@ -57,17 +57,29 @@
     return doubtful.empty() ? leaving : doubtful;
 }
 
+endpoint_state::workload
+endpoint_selection::total(endpoint_state const& endpoint, steady_time now) const
+{
+    // The gateways' shares are recent; a report also counts what they do not
+    // know of, but is some hundred milliseconds old.
+    auto const peers = peers_.of(endpoint.record().id);
+    auto sum = endpoint.load;
+    sum.requests += peers.requests;
+    sum.prefill_tokens += peers.prefill_tokens;
+    sum.memory_tokens +=
+        std::max(peers.memory_tokens, endpoint.foreign_tokens(now));
+    return sum;
+}
+
 bool endpoint_selection::has_room(
     endpoint_state const& endpoint, work_request const& work,
-    engine_spec const& engine, double usable_memory, steady_time now)
+    engine_spec const& engine, double usable_memory, steady_time now) const
 {
-    auto const& load = endpoint.load;
-    auto const memory = load.memory_tokens + endpoint.foreign_tokens(now) +
-                        work.memory_tokens();
+    auto const load = total(endpoint, now);
+    auto const memory = load.memory_tokens + work.memory_tokens();
     return load.requests < engine.slots &&
-           (engine.memory_tokens == 0 ||
-            double(memory) <= usable_memory * double(engine.memory_tokens) ||
-            (load.memory_tokens == 0 && endpoint.foreign_tokens(now) == 0));
+           (engine.memory_tokens == 0 || load.memory_tokens == 0 ||
+            double(memory) <= usable_memory * double(engine.memory_tokens));
 }
 
 endpoint_ptr endpoint_selection::choose(
@@ -87,9 +99,9 @@
     // A prompt that is read slows every stream beside it to a fraction, and
     // waits for other prompts: the endpoint with the least of both comes first.
     // Another zone costs as much as one stream that is slowed.
-    auto const order = [this, &engine](candidate const& c)
+    auto const order = [this, &engine, now](candidate const& c)
     {
-        auto const& load = c.endpoint->load;
+        auto const load = total(*c.endpoint, now);
         bool const troubled = c.endpoint->failure_rate() > 0.3;
         bool const full = load.requests * 2 > engine.slots;
         auto const place = place_.to(c.endpoint->record().zone);
@@ -107,9 +119,11 @@
             c.endpoint->record().id == work.cached_at)
             return c.endpoint;
         // One prompt at a time: a second one would delay both, while it can
-        // wait here in the order of its rank.
-        if (c.endpoint->load.prefill_tokens > 0 ||
-            c.endpoint->reported_waiting(now) > 0)
+        // wait here in the order of its rank. An answer that was begun goes on
+        // at once.
+        bool const reading = total(*c.endpoint, now).prefill_tokens > 0 ||
+                             c.endpoint->reported_waiting(now) > 0;
+        if (reading && !work.resumes)
             continue;
         if (best == nullptr || order(c) < order(*best))
             best = &c;
@@ -155,9 +169,9 @@
     auto const zone = primary.record().zone;
     candidate const* best = nullptr;
     auto const candidates = usable(work, now);
-    auto const order = [this](candidate const& c)
+    auto const order = [this, now](candidate const& c)
     {
-        auto const& load = c.endpoint->load;
+        auto const load = total(*c.endpoint, now);
         return std::make_tuple(
             load.memory_tokens / 10000, place_.to(c.endpoint->record().zone),
             ~c.weight);
--- a/src/gateway/endpoint_selection.hpp
+++ b/src/gateway/endpoint_selection.hpp
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "endpoint_table.hpp"
+#include "peer_loads.hpp"
 #include "routing_table.hpp"
 #include "zone_watch.hpp"
 
@@ -51,6 +52,7 @@
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0; // at most
     endpoint_id cached_at;           // keeps the prompt; may be empty
+    bool resumes = false;            // its caller has a part of the answer
     std::set<std::string> avoid;     // endpoints that already failed it
 
     std::uint64_t memory_tokens() const
@@ -76,8 +78,9 @@
 
     endpoint_selection(
         endpoint_table const& endpoints, zone_watch const& zones,
-        topology place)
-        : endpoints_(endpoints), zones_(zones), place_(std::move(place))
+        peer_loads const& peers, topology place)
+        : endpoints_(endpoints), zones_(zones), peers_(peers),
+          place_(std::move(place))
     {
     }
 
@@ -106,9 +109,13 @@
 
     std::vector<candidate>
     usable(work_request const& work, steady_time now) const;
-    static bool has_room(
+    bool has_room(
         endpoint_state const& endpoint, work_request const& work,
-        engine_spec const& engine, double usable_memory, steady_time now);
+        engine_spec const& engine, double usable_memory, steady_time now) const;
+
+    /// Work of all gateways at an endpoint, as far as it is known.
+    endpoint_state::workload
+    total(endpoint_state const& endpoint, steady_time now) const;
     endpoint_ptr choose_for_prompt(
         std::vector<candidate> const& candidates, work_request const& work,
         engine_spec const& engine, steady_time now) const;
@@ -117,6 +124,7 @@
 
     endpoint_table const& endpoints_;
     zone_watch const& zones_;
+    peer_loads const& peers_;
     topology const place_;
 };
 
--- /dev/null
+++ b/src/gateway/peer_loads.cpp
@@ -0,0 +1,65 @@
+#include "peer_loads.hpp"
+
+#include <utility>
+
+namespace dotterellock
+{
+
+bool peer_loads::put(load_share const& share, steady_time now)
+{
+    auto& known = shares_[share.gateway.value()];
+    auto const age = [](load_share const& s)
+    { return std::make_pair(s.started, s.sequence); };
+    if (age(share) <= age(known.share))
+        return false;
+    subtract(known.share);
+    known.share = share;
+    known.received = now;
+    add(known.share);
+    return true;
+}
+
+void peer_loads::expire(steady_time now)
+{
+    for (auto& [gateway, known] : shares_)
+    {
+        if (now - known.received <= validity || known.share.loads.empty())
+            continue;
+        subtract(known.share);
+        known.share.loads.clear(); // its sequence stays known
+    }
+}
+
+endpoint_state::workload peer_loads::of(endpoint_id const& endpoint) const
+{
+    auto const found = sums_.find(endpoint.value());
+    return found == sums_.end() ? endpoint_state::workload{} : found->second;
+}
+
+void peer_loads::add(load_share const& share)
+{
+    for (auto const& [endpoint, load] : share.loads)
+    {
+        auto& sum = sums_[endpoint.value()];
+        sum.requests += load.requests;
+        sum.memory_tokens += load.memory_tokens;
+        sum.prefill_tokens += load.prefill_tokens;
+    }
+}
+
+void peer_loads::subtract(load_share const& share)
+{
+    for (auto const& [endpoint, load] : share.loads)
+    {
+        auto const found = sums_.find(endpoint.value());
+        auto& sum = found->second;
+        sum.requests -= load.requests;
+        sum.memory_tokens -= load.memory_tokens;
+        sum.prefill_tokens -= load.prefill_tokens;
+        if (sum.requests == 0 && sum.memory_tokens == 0 &&
+            sum.prefill_tokens == 0)
+            sums_.erase(found);
+    }
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/gateway/peer_loads.hpp
@@ -0,0 +1,69 @@
+// What the other gateways have under way at each endpoint, from the shares
+// that they send each other. A share that is too old counts for nothing.
+//
+// Load: prompts that several gateways send to the same endpoints, each of
+// them blind to the others' work until a report shows it.
+#ifndef DOTTERELLOCK_GATEWAY_PEER_LOADS_HPP
+#define DOTTERELLOCK_GATEWAY_PEER_LOADS_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "endpoint_state.hpp"
+
+namespace dotterellock
+{
+
+/// One gateway's work, as it sends it to the others.
+struct load_share
+{
+    struct endpoint_load
+    {
+        endpoint_id endpoint;
+        endpoint_state::workload load;
+    };
+
+    host_id gateway;
+    std::uint64_t started = 0;  // tells restarts apart, rises with each
+    std::uint64_t sequence = 0; // rises with each share of one start
+    std::vector<endpoint_load> loads;
+    std::vector<endpoint_id> failed; // within the last moment
+};
+
+class peer_loads
+{
+public:
+    // Several intervals at which shares are sent, so that one that is lost
+    // changes nothing; short, as work of a gateway that died ends with it.
+    static constexpr std::chrono::milliseconds validity{800};
+
+    /// Takes a share into account. False when a newer one is known already.
+    bool put(load_share const& share, steady_time now);
+
+    /// Forgets shares that are too old; called several times a second.
+    void expire(steady_time now);
+
+    endpoint_state::workload of(endpoint_id const& endpoint) const;
+
+    std::size_t gateways() const { return shares_.size(); }
+
+private:
+    struct known_share
+    {
+        load_share share;
+        steady_time received{};
+    };
+
+    void add(load_share const& share);
+    void subtract(load_share const& share);
+
+    std::unordered_map<std::string, known_share> shares_; // by gateway
+    std::unordered_map<std::string, endpoint_state::workload> sums_;
+};
+
+} // namespace dotterellock
+
+#endif
--- a/src/gateway/waiting_line.cpp
+++ b/src/gateway/waiting_line.cpp
@@ -31,6 +31,10 @@
 std::optional<line_refusal>
 waiting_line::enter(line_entry const& entry, steady_time now)
 {
+    // The rate at which requests begin is that of a line which was not empty.
+    if (waiting_.empty())
+        begun_.clear();
+    forget_old_begins(now);
     auto const wait = expected_wait(entry.rank);
     if (wait && now + *wait > entry.begin_by)
         return line_refusal{entry.id, retry_after(entry.rank)};
@@ -43,8 +47,12 @@
 
 void waiting_line::put_back(line_entry const& entry, steady_time now)
 {
+    // It did not begin after all: neither its rank nor the rate is charged.
+    if (last_served_ && last_served_->entry.id == entry.id)
+        queue_.correct(*last_served_, 0);
+    last_served_.reset();
     if (!begun_.empty())
-        begun_.pop_back(); // it did not begin after all
+        begun_.pop_back();
     push(entry, now);
 }
 
@@ -67,12 +75,12 @@
     auto const served = queue_.pop(now);
     if (!served)
         return std::nullopt;
+    last_served_ = served;
     auto const found = waiting_.find(served->entry.id);
     line_entry const entry = found->second;
     waiting_.erase(found);
     begun_.push_back(now);
-    while (begun_.size() > rate_samples)
-        begun_.pop_front();
+    forget_old_begins(now);
     return entry;
 }
 
@@ -88,6 +96,12 @@
     }
 }
 
+void waiting_line::forget_old_begins(steady_time now)
+{
+    while (!begun_.empty() && begun_.front() + rate_window < now)
+        begun_.pop_front();
+}
+
 void waiting_line::erase(queue_entry_id id)
 {
     queue_.erase(id);
@@ -109,7 +123,7 @@
 
 std::optional<duration> waiting_line::expected_wait(std::uint32_t rank) const
 {
-    if (begun_.size() < 2)
+    if (begun_.size() < min_rate_samples)
         return std::nullopt;
     auto const interval =
         (begun_.back() - begun_.front()) / int(begun_.size() - 1);
--- a/src/gateway/waiting_line.hpp
+++ b/src/gateway/waiting_line.hpp
@@ -72,16 +72,20 @@
     std::optional<duration> expected_wait(std::uint32_t rank) const;
 
 private:
-    static constexpr std::size_t rate_samples = 16;
+    // Long enough for several prompts, short against a request's patience.
+    static constexpr std::chrono::milliseconds rate_window{3000};
+    static constexpr std::size_t min_rate_samples = 3;
 
     std::optional<queue_entry_id>
     push(line_entry const& entry, steady_time now);
     std::chrono::milliseconds retry_after(std::uint32_t rank) const;
+    void forget_old_begins(steady_time now);
     void demote_overdue(steady_time now);
 
     fair_queue queue_;
+    std::optional<served_entry> last_served_;
     std::map<queue_entry_id, line_entry> waiting_;
-    std::deque<steady_time> begun_; // the last ones
+    std::deque<steady_time> begun_; // within rate_window
 };
 
 } // namespace dotterellock
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -168,6 +168,7 @@
     }
     standby_.reset();
     standby_reservation_.release();
+    work_.resumes = answer_begun_;
     if (auto endpoint = host_.selection().choose(work_, engine(), now))
     {
         attempt(std::move(endpoint), std::nullopt);
@@ -210,6 +211,8 @@
             standby_reservation_ =
                 endpoint_reservation(standby_, {0, work_.memory_tokens(), 0});
     }
+    if (spec != nullptr)
+        host_.work_changed();
     sent_ = progress_ = now;
     stream_began_.reset();
     confirmed_at_.reset();
@@ -520,7 +523,10 @@
     if (!any)
         return;
     if (!stream_began_)
+    {
         stream_began_ = now;
+        host_.work_changed();
+    }
     if (!answer_begun_)
     {
         reservation_.prefill_done();
--- a/src/relay/exchange.hpp
+++ b/src/relay/exchange.hpp
@@ -56,6 +56,9 @@
     /// Keeps the exchange until an endpoint has room.
     virtual bool wait_for_room(std::shared_ptr<exchange> const& e) = 0;
 
+    /// Work at endpoints began or ended.
+    virtual void work_changed() = 0;
+
     /// Endpoints may have room again.
     virtual void room_freed(service_name const& service) = 0;
 
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -45,6 +45,10 @@
 constexpr milliseconds report_interval{600};
 constexpr milliseconds report_timeout{400};
 
+// A failure is told to the other gateways for this long; it is news only to
+// those that did not hear from the endpoint meanwhile.
+constexpr milliseconds failure_news{300};
+
 // Callers whose gateway was lost come back within a few seconds.
 constexpr milliseconds returning_callers{4000};
 
@@ -276,7 +280,8 @@
     : settings_(std::move(settings)), env_(environment),
       endpoints_(settings_.drain_bound - last_resort_margin),
       selection_(
-          endpoints_, zones_, {zone_id(settings_.zone), settings_.regions}),
+          endpoints_, zones_, peers_,
+          {zone_id(settings_.zone), settings_.regions}),
       pool_(env_.io, env_.clock), lease_(settings_.key_withdrawal_bound),
       configuration_sink_(std::make_unique<configuration_sink>(*this)),
       endpoint_sink_(std::make_unique<endpoint_sink>(*this)),
@@ -289,6 +294,12 @@
           *endpoint_sink_, env_.clock, env_.random, env_.log),
       acceptor_(env_.io), tick_timer_(env_.io)
 {
+    if (!settings_.peer_listen.empty())
+        peer_exchange_ = std::make_unique<peer_exchange>(
+            env_.io, settings_.host, settings_.peer_listen, env_.peer_reader,
+            env_.peer_writer, env_.clock, env_.random, env_.log,
+            [this] { return own_share(); },
+            [this](load_share const& share) { share_received(share); });
 }
 
 gateway::~gateway() = default;
@@ -303,6 +314,8 @@
     last_tick_ = last_sweep_ = started_ = env_.clock.now();
     configuration_watch_.poll();
     endpoint_watch_.poll();
+    if (peer_exchange_)
+        peer_exchange_->start();
     schedule_tick();
 }
 
@@ -570,7 +583,11 @@
 
 arrival_budget& gateway::budget(service_name const& service)
 {
-    return budgets_.try_emplace(service, settings_.retries).first->second;
+    auto& budget =
+        budgets_.try_emplace(service, settings_.retries).first->second;
+    if (peer_exchange_ && peer_exchange_->fleet_size() > 0)
+        budget.set_fleet_size(peer_exchange_->fleet_size());
+    return budget;
 }
 
 first_event_estimate& gateway::estimate(service_name const& service)
@@ -589,6 +606,8 @@
     if (!failed)
         return;
     pool_.drop(endpoint->record());
+    failed_.emplace_back(now, endpoint->record().id);
+    work_changed();
     if (zones_.record_failure(endpoint->record(), now))
     {
         env_.log.record(
@@ -674,6 +693,54 @@
         e->endpoint_reported(*endpoint, *report, began);
 }
 
+// Other gateways -------------------------------------------------------------
+
+void gateway::work_changed()
+{
+    if (peer_exchange_)
+        peer_exchange_->changed();
+}
+
+load_share gateway::own_share()
+{
+    auto const now = env_.clock.now();
+    load_share share;
+    for (auto const& service : busy_services_)
+    {
+        for (auto const& endpoint : endpoints_.of(service))
+        {
+            auto const& load = endpoint->load;
+            if (load.requests > 0 || load.memory_tokens > 0)
+                share.loads.push_back({endpoint->record().id, load});
+        }
+    }
+    while (!failed_.empty() && now - failed_.front().first > failure_news)
+        failed_.erase(failed_.begin());
+    for (auto const& [at, id] : failed_)
+        share.failed.push_back(id);
+    return share;
+}
+
+void gateway::share_received(load_share const& share)
+{
+    auto const now = env_.clock.now();
+    if (!peers_.put(share, now))
+        return;
+    for (auto const& id : share.failed)
+    {
+        auto const endpoint = endpoints_.find(id);
+        // What answered here since is sound; what failed here is known.
+        if (!endpoint || endpoint->suspended(now) ||
+            now - endpoint->active_at() < failure_news)
+            continue;
+        if (zones_.record_failure(endpoint->record(), now))
+            check_zone(endpoint->record());
+        if (endpoint->load.requests > 0 || endpoint->load.memory_tokens > 0)
+            check_endpoint(endpoint);
+    }
+    room_freed({});
+}
+
 void gateway::refresh_reports(steady_time now)
 {
     for (auto const& service : busy_services_)
@@ -816,10 +883,12 @@
     line_entry entry;
     entry.id = e->number();
     entry.organisation = r.organisation;
-    entry.rank = r.rank;
+    entry.rank = e->work().resumes ? 0 : r.rank;
     entry.tokens = e->work().prompt_tokens;
-    entry.due = e->received() + r.route->first_byte_target - first;
-    entry.begin_by = e->deadline() - whole;
+    entry.due = e->work().resumes
+                    ? now + r.route->event_gap_target
+                    : e->received() + r.route->first_byte_target - first;
+    entry.begin_by = e->work().resumes ? e->deadline() : e->deadline() - whole;
     if (auto const refusal = line->enter(entry, now))
         refuse_from_line(*refusal);
     return true;
@@ -908,6 +977,9 @@
     configuration_watch_.poll();
     endpoint_watch_.poll();
     accept_when_ready();
+    if (peer_exchange_)
+        peer_exchange_->poll();
+    peers_.expire(now);
     auto const calls = calls_;
     for (auto const& call : calls)
         call->check_time(now, paused);
@@ -974,6 +1046,8 @@
 {
     if (shutting_down_)
         return;
+    if (peer_exchange_)
+        peer_exchange_->leave();
     shutting_down_ = true;
     shutdown_began_ = env_.clock.now();
 }
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -24,6 +24,7 @@
 #include "gateway/shutdown_policy.hpp"
 #include "gateway/table_watch.hpp"
 #include "gateway/waiting_line.hpp"
+#include "peer_exchange.hpp"
 #include "settings/gateway_settings.hpp"
 
 namespace dotterellock
@@ -57,6 +58,8 @@
     row_codec const& codec;
     row_reader& configuration_reader;
     row_reader& endpoint_reader;
+    row_reader& peer_reader;
+    row_writer& peer_writer;
     event_log& log;
     counter_registry& counters;
 };
@@ -116,6 +119,7 @@
         endpoint_record const& endpoint, std::chrono::milliseconds timeout,
         std::string request, bool probe, endpoint_call::handler done) override;
     void stream_took(service_name const& service, duration took) override;
+    void work_changed() override;
     bool wait_for_room(std::shared_ptr<exchange> const& e) override;
     void room_freed(service_name const& service) override;
     void finished(std::shared_ptr<exchange> const& e) override;
@@ -131,6 +135,8 @@
     void check_zone(endpoint_record const& failed);
     void check_finished(
         endpoint_ptr const& endpoint, steady_time began, endpoint_reply reply);
+    load_share own_share();
+    void share_received(load_share const& share);
     void refresh_reports(steady_time now);
     void reported(endpoint_state& endpoint, endpoint_reply const& reply);
     void start_with_cache_index(std::shared_ptr<exchange> const& e);
@@ -150,6 +156,7 @@
     gateway_environment const env_;
     endpoint_table endpoints_;
     zone_watch zones_;
+    peer_loads peers_;
     endpoint_selection selection_;
     connection_pool pool_;
     freshness_lease lease_;
@@ -161,6 +168,8 @@
     table_watch endpoint_watch_;
 
     asio::ip::tcp::acceptor acceptor_;
+    std::unique_ptr<peer_exchange> peer_exchange_;            // null: alone
+    std::vector<std::pair<steady_time, endpoint_id>> failed_; // recently
     std::unique_ptr<status_service> status_;
     std::unique_ptr<status_service> metrics_;
     asio::steady_timer tick_timer_;
--- /dev/null
+++ b/src/relay/load_share_codec.cpp
@@ -0,0 +1,78 @@
+#include "load_share_codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <dotterellock/error.hpp>
+
+namespace dotterellock
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr int format_version = 1;
+
+std::string packed(load_share const& share)
+{
+    json loads = json::array();
+    for (auto const& [endpoint, load] : share.loads)
+        loads.push_back(json::array(
+            {endpoint.value(), load.requests, load.memory_tokens,
+             load.prefill_tokens}));
+    json failed = json::array();
+    for (auto const& endpoint : share.failed)
+        failed.push_back(endpoint.value());
+    std::string bytes;
+    json::to_msgpack(
+        json::array(
+            {format_version, share.gateway.value(), share.started,
+             share.sequence, loads, failed}),
+        bytes);
+    return bytes;
+}
+
+} // namespace
+
+std::string encode(load_share share)
+{
+    auto bytes = packed(share);
+    while (bytes.size() > max_share_bytes && !share.loads.empty())
+    {
+        share.loads.resize(share.loads.size() * 3 / 4);
+        bytes = packed(share);
+    }
+    return bytes;
+}
+
+load_share decode_load_share(std::string_view bytes)
+{
+    try
+    {
+        auto const a = json::from_msgpack(bytes.begin(), bytes.end());
+        if (a.at(0).get<int>() != format_version)
+            throw error(
+                error_code::protocol_error, "decode", "",
+                "a load share of another version");
+        load_share share;
+        share.gateway = host_id(a.at(1).get<std::string>());
+        share.started = a.at(2).get<std::uint64_t>();
+        share.sequence = a.at(3).get<std::uint64_t>();
+        for (auto const& item : a.at(4))
+            share.loads.push_back(
+                {endpoint_id(item.at(0).get<std::string>()),
+                 {item.at(1).get<std::uint32_t>(),
+                  item.at(2).get<std::uint64_t>(),
+                  item.at(3).get<std::uint64_t>()}});
+        for (auto const& item : a.at(5))
+            share.failed.emplace_back(item.get<std::string>());
+        return share;
+    }
+    catch (json::exception const& e)
+    {
+        throw error(error_code::protocol_error, "decode", "", e.what());
+    }
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/relay/peer_exchange.cpp
@@ -0,0 +1,219 @@
+#include "peer_exchange.hpp"
+
+#include <utility>
+
+#include <dotterellock/error.hpp>
+
+#include "connection_pool.hpp"
+#include "load_share_codec.hpp"
+
+namespace dotterellock
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr char table_name[] = "gateways";
+
+// A share is sent at once when work begins, and repeated in case a datagram
+// was lost.
+constexpr milliseconds repeat_interval{250};
+constexpr milliseconds shortest_interval{40};
+
+constexpr milliseconds write_retry{1000};
+
+// Rows of hosts that were taken away without a word are removed by the others.
+constexpr std::chrono::minutes lost_after{5};
+
+// The table changes only with the fleet.
+constexpr watch_settings peer_calls{
+    milliseconds(20000), milliseconds(200), milliseconds(200),
+    milliseconds(2000)};
+
+asio::ip::udp::endpoint udp_address(std::string const& text)
+{
+    auto const address = parse_address(text);
+    if (!address)
+        throw error(
+            error_code::invalid_argument, "peer_address", text,
+            "is not an IPv4 address with a port");
+    return {address->address(), address->port()};
+}
+
+} // namespace
+
+peer_exchange::peer_exchange(
+    asio::io_context& io, std::string host, std::string address,
+    row_reader& reader, row_writer& writer, clock_source const& clock,
+    random_source& random, event_log& log, share_source own,
+    share_handler received)
+    : host_(std::move(host)), address_(std::move(address)), writer_(writer),
+      clock_(clock), log_(log), own_(std::move(own)),
+      received_(std::move(received)),
+      watch_(table_name, peer_calls, reader, *this, clock, random, log),
+      socket_(io)
+{
+}
+
+void peer_exchange::start()
+{
+    auto const own = udp_address(address_);
+    socket_.open(asio::ip::udp::v4());
+    socket_.set_option(asio::socket_base::reuse_address(true));
+    socket_.bind(own);
+    socket_.non_blocking(true);
+    started_ = std::uint64_t(std::chrono::duration_cast<milliseconds>(
+                                 clock_.wall_now().time_since_epoch())
+                                 .count());
+    receive();
+    watch_.poll();
+}
+
+void peer_exchange::poll()
+{
+    auto const now = clock_.now();
+    watch_.poll();
+    if (!registered_ && !writing_ && !left_ && now >= next_write_)
+        register_self();
+    auto const passed = now - last_sent_;
+    if ((changed_ && passed >= shortest_interval) || passed >= repeat_interval)
+    {
+        changed_ = false;
+        last_sent_ = now;
+        send();
+        remove_lost_peers(now);
+    }
+}
+
+void peer_exchange::register_self()
+{
+    writing_ = true;
+    next_write_ = clock_.now() + write_retry;
+    writer_.put(
+        table_name, host_, address_,
+        [this](bool done)
+        {
+            writing_ = false;
+            registered_ = done;
+            log_.record(
+                done ? event_level::info : event_level::warn,
+                done ? "peer_registered" : "peer_registration_failed",
+                {{"host", host_}, {"address", address_}});
+        });
+}
+
+void peer_exchange::leave()
+{
+    left_ = true;
+    if (registered_)
+        writer_.remove(table_name, host_, [](bool) {});
+    registered_ = false;
+}
+
+std::size_t peer_exchange::fleet_size() const
+{
+    return watch_.listed() ? peers_.size() + 1 : 0;
+}
+
+void peer_exchange::on_listing(std::vector<store_row> const& rows)
+{
+    peers_.clear();
+    registered_ = false;
+    for (auto const& row : rows)
+        on_change(row);
+}
+
+void peer_exchange::on_change(store_row const& row)
+{
+    if (row.key == host_)
+    {
+        registered_ = !row.deleted && row.value == address_;
+        return;
+    }
+    if (row.deleted)
+    {
+        peers_.erase(row.key);
+        return;
+    }
+    try
+    {
+        peers_[row.key] = {row.value, udp_address(row.value), clock_.now()};
+    }
+    catch (error const& e)
+    {
+        log_.record(
+            event_level::warn, "peer_unreadable",
+            {{"host", row.key}, {"detail", e.detail()}});
+    }
+}
+
+void peer_exchange::remove_lost_peers(steady_time now)
+{
+    for (auto& [host, peer] : peers_)
+    {
+        if (now - peer.heard < lost_after || !watch_.connected())
+            continue;
+        peer.heard = now; // tried again after the same time
+        log_.record(
+            event_level::warn, "peer_lost",
+            {{"host", host}, {"address", peer.address_text}});
+        writer_.remove(table_name, host, [](bool) {});
+        return; // one write at a time
+    }
+}
+
+void peer_exchange::send()
+{
+    if (peers_.empty())
+        return;
+    auto share = own_();
+    share.gateway = host_id(host_);
+    share.started = started_;
+    share.sequence = ++sequence_;
+    auto const bytes = encode(std::move(share));
+    for (auto const& [host, peer] : peers_)
+    {
+        // A datagram that cannot be sent now is replaced by the next one.
+        asio::error_code ignored;
+        socket_.send_to(asio::buffer(bytes), peer.address, 0, ignored);
+    }
+}
+
+void peer_exchange::receive()
+{
+    socket_.async_receive_from(
+        asio::buffer(buffer_), sender_,
+        [this](asio::error_code const& e, std::size_t n)
+        {
+            if (e == asio::error::operation_aborted)
+                return;
+            if (!e)
+            {
+                try
+                {
+                    auto const share =
+                        decode_load_share(std::string_view(buffer_.data(), n));
+                    auto const known = peers_.find(share.gateway.value());
+                    // Only registered gateways at their address count.
+                    if (known != peers_.end() &&
+                        known->second.address == sender_)
+                    {
+                        known->second.heard = clock_.now();
+                        received_(share);
+                    }
+                }
+                catch (error const& problem)
+                {
+                    log_.record(
+                        event_level::warn, "share_unreadable",
+                        {{"from", sender_.address().to_string()},
+                         {"detail", problem.detail()}});
+                }
+            }
+            receive();
+        });
+}
+
+} // namespace dotterellock
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -43,6 +43,7 @@
     root.required("listen", s.listen);
     root.required("status_listen", s.status_listen);
     root.optional("metrics_listen", s.metrics_listen);
+    root.optional("peer_listen", s.peer_listen);
     root.required("store", s.store);
     read_duration(
         root, "key_withdrawal_bound_ms", s.key_withdrawal_bound, 1, 500);
@@ -80,6 +81,8 @@
     out << YAML::Key << "status_listen" << YAML::Value << s.status_listen;
     if (!s.metrics_listen.empty())
         out << YAML::Key << "metrics_listen" << YAML::Value << s.metrics_listen;
+    if (!s.peer_listen.empty())
+        out << YAML::Key << "peer_listen" << YAML::Value << s.peer_listen;
     out << YAML::Key << "store" << YAML::Value << s.store;
     out << YAML::Key << "key_withdrawal_bound_ms" << YAML::Value
         << s.key_withdrawal_bound.count();
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -19,6 +19,7 @@
     std::string listen;                         // callers, IP:PORT
     std::string status_listen;  // readiness and metrics, IP:PORT
     std::string metrics_listen; // metrics alone, IP:PORT; empty: none
+    std::string peer_listen;    // datagrams of other gateways; empty: none
     std::string store;          // platform's store, IP:PORT
 
     /// How long a withdrawn key may still be served.
