Name copies made on demand by the endpoint that made them; replace them before they expire

Cause: a copy made after the standby was lost was asked for under the name of a first copy, and refused; it also expires however often it is brought up to date. Failures are told to the other gateways.

--- a/src/gateway/endpoint_state.hpp
+++ b/src/gateway/endpoint_state.hpp
@@ -4,6 +4,7 @@
 #ifndef DOTTERELLOCK_GATEWAY_ENDPOINT_STATE_HPP
 #define DOTTERELLOCK_GATEWAY_ENDPOINT_STATE_HPP
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -96,6 +97,13 @@
 
     void record_outcome(endpoint_outcome outcome, steady_time now);
 
+    /// Another gateway lost it, while nothing was heard of it here.
+    void record_peer_failure(steady_time now)
+    {
+        failed_at_ = now;
+        suspended_until_ = std::max(suspended_until_, now + first_suspension);
+    }
+
     /// Bytes came from it, or a connection was accepted.
     void record_activity(steady_time now) { active_at_ = now; }
     steady_time active_at() const { return active_at_; }
--- a/src/gateway/routing_table.hpp
+++ b/src/gateway/routing_table.hpp
@@ -51,6 +51,7 @@
     std::uint32_t slots = 1;
     std::uint64_t memory_tokens = 0;
     bool standby_copies = false; // copies running memory to another endpoint
+    std::chrono::milliseconds copy_lifetime{4000}; // of a copy made on demand
 };
 
 struct service_spec
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -78,9 +78,9 @@
 // before that there is nothing to go on from.
 constexpr milliseconds copy_exists_after{150};
 
-// A copy made on demand expires after some four seconds unless it is renewed;
-// renewing it moves only what is new.
-constexpr milliseconds copy_renewal_interval{2500};
+// A copy made on demand expires, however often it is brought up to date. The
+// next one is made this long before.
+constexpr milliseconds copy_renewal_margin{700};
 constexpr milliseconds copy_retry_interval{500};
 constexpr milliseconds copy_timeout{400};
 
@@ -157,17 +157,19 @@
     // A run whose memory was copied goes on from the copy.
     bool const copied =
         stream_began_ && now - *stream_began_ > copy_exists_after;
-    if (standby_ && copied && !standby_->gone(now) && !standby_->suspended(now))
+    if (standby_ && copied && !standby_->lost(now))
     {
-        auto const target = std::exchange(standby_, nullptr);
-        standby_reservation_.release();
-        attempt(
-            target,
-            memory_copy{target->record().address, request_.terms.id.value()});
+        auto const target = standby_->endpoint;
+        // A copy made on demand is named by the endpoint that made it.
+        memory_copy const copy =
+            standby_->name
+                ? memory_copy{endpoint_->record().address, *standby_->name}
+                : memory_copy{
+                      target->record().address, request_.terms.id.value()};
+        attempt(target, copy);
         return;
     }
     standby_.reset();
-    standby_reservation_.release();
     work_.resumes = answer_begun_;
     if (auto endpoint = host_.selection().choose(work_, engine(), now))
     {
@@ -194,9 +196,9 @@
     auto const now = host_.clock().now();
     auto const* const spec = engine();
     state_ = state::attempting;
-    copy_.reset();
-    copied_at_.reset();
-    copying_ = false;
+    standby_.reset();
+    next_standby_.reset();
+    next_copy_at_ = now;
     endpoint_ = std::move(endpoint);
     used_copy_ = copy.has_value();
     alone_ = endpoint_->load.prefill_tokens == 0;
@@ -204,13 +206,7 @@
         endpoint_, {1, spec != nullptr ? work_.memory_tokens() : 0,
                     spec != nullptr && !copy ? work_.prompt_tokens : 0});
     if (spec != nullptr && spec->standby_copies && request_.route->resumable)
-    {
-        standby_ =
-            host_.selection().choose_standby(work_, *spec, *endpoint_, now);
-        if (standby_)
-            standby_reservation_ =
-                endpoint_reservation(standby_, {0, work_.memory_tokens(), 0});
-    }
+        standby_ = make_standby(*spec, now);
     if (spec != nullptr)
         host_.work_changed();
     sent_ = progress_ = now;
@@ -236,7 +232,7 @@
          {"zone", record.zone.value()},
          {"load", std::to_string(endpoint_->load.requests)},
          {"prefill", std::to_string(endpoint_->load.prefill_tokens)},
-         {"standby", standby_ ? standby_->record().id.value() : "-"},
+         {"standby", standby_ ? standby_->endpoint->record().id.value() : "-"},
          {"copy", used_copy_ ? "1" : "0"},
          {"prompt", std::to_string(work_.prompt_tokens)},
          {"after_event", last_event_ ? std::to_string(*last_event_) : "-"},
@@ -271,7 +267,7 @@
         terms.rank = request_.rank;
     terms.last_event = last_event_;
     if (standby_)
-        terms.standby = standby_->record().address;
+        terms.standby = standby_->endpoint->record().address;
     terms.copy = copy;
     host_.dialect().write_terms(terms, text);
     bool const has_body =
@@ -296,39 +292,47 @@
     reservation_.release();
 }
 
+std::optional<exchange::standby_copy>
+exchange::make_standby(engine_spec const& spec, steady_time now) const
+{
+    auto work = work_;
+    if (standby_)
+        work.avoid.insert(standby_->endpoint->record().id.value());
+    auto endpoint =
+        host_.selection().choose_standby(work, spec, *endpoint_, now);
+    if (!endpoint)
+        return std::nullopt;
+    standby_copy made;
+    made.reservation =
+        endpoint_reservation(endpoint, {0, work_.memory_tokens(), 0});
+    made.endpoint = std::move(endpoint);
+    made.began = now;
+    return made;
+}
+
 void exchange::renew_standby(steady_time now)
 {
     auto const* const spec = engine();
     if (spec == nullptr || !spec->standby_copies ||
-        !request_.route->resumable || !stream_began_ || copying_)
+        !request_.route->resumable || !stream_began_ || next_standby_ ||
+        now < next_copy_at_)
         return;
-    bool const lost = !standby_ || standby_->gone(now) || standby_->leaving() ||
-                      standby_->suspended(now);
-    bool const expiring =
-        copied_at_ && now - *copied_at_ > copy_renewal_interval;
-    if (!lost && !expiring)
+    bool const needed =
+        !standby_ || standby_->lost(now) ||
+        (standby_->name &&
+         now - standby_->began > spec->copy_lifetime - copy_renewal_margin);
+    if (!needed)
         return;
-    if (copied_at_ && now - *copied_at_ < copy_retry_interval)
+    next_copy_at_ = now + copy_retry_interval;
+    next_standby_ = make_standby(*spec, now);
+    if (!next_standby_)
         return;
-    copied_at_ = now;
-    if (lost)
-    {
-        standby_reservation_.release();
-        standby_ =
-            host_.selection().choose_standby(work_, *spec, *endpoint_, now);
-        copy_.reset();
-        if (!standby_)
-            return;
-        standby_reservation_ =
-            endpoint_reservation(standby_, {0, work_.memory_tokens(), 0});
-    }
-    copying_ = true;
     auto const weak = weak_from_this();
     auto const source = endpoint_;
     host_.call(
         endpoint_->record(), copy_timeout,
         host_.dialect().copy_request(
-            request_.terms.id, standby_->record().address),
+            request_.terms.id, next_standby_->endpoint->record().address),
         false,
         [weak, source](endpoint_reply reply)
         {
@@ -340,14 +344,14 @@
 void exchange::standby_copied(
     endpoint_state const& source, endpoint_reply const& reply)
 {
-    if (state_ != state::attempting || endpoint_.get() != &source)
+    if (state_ != state::attempting || endpoint_.get() != &source ||
+        !next_standby_)
         return;
-    copying_ = false;
-    std::string name;
+    auto made = std::exchange(next_standby_, std::nullopt);
     try
     {
         if (reply.status == 200)
-            name = host_.dialect().read_copy(reply.body);
+            made->name = host_.dialect().read_copy(reply.body);
     }
     catch (error const& e)
     {
@@ -356,32 +360,27 @@
             {{"request", request_.terms.id.value()}, {"detail", e.detail()}});
     }
     host_.log().record(
-        name.empty() ? event_level::warn : event_level::info, "standby_renewed",
+        made->name ? event_level::info : event_level::warn, "standby_renewed",
         {{"request", request_.terms.id.value()},
          {"endpoint", endpoint_->record().id.value()},
-         {"standby", standby_ ? standby_->record().id.value() : "-"},
+         {"standby", made->endpoint->record().id.value()},
          {"status", std::to_string(reply.status)},
-         {"copy", name.empty() ? "-" : name}});
-    if (!name.empty())
-    {
-        copy_ = name;
+         {"copy", made->name.value_or("-")}});
+    if (!made->name)
         return;
-    }
-    standby_.reset();
-    standby_reservation_.release();
-    copy_.reset();
+    free_copy();
+    standby_ = std::move(made);
 }
 
 void exchange::free_copy()
 {
-    if (!copy_ || !endpoint_)
+    if (!standby_ || !standby_->name || !endpoint_)
         return;
     // It would expire by itself; until then it takes memory.
     host_.call(
         endpoint_->record(), copy_timeout,
-        host_.dialect().free_copy_request(*copy_), false,
+        host_.dialect().free_copy_request(*standby_->name), false,
         [](endpoint_reply const&) {});
-    copy_.reset();
 }
 
 void exchange::attempt_failed(endpoint_outcome outcome, char const* reason)
@@ -814,7 +813,8 @@
     state_ = state::done;
     session_->on_caller_gone(nullptr);
     release_attempt();
-    standby_reservation_.release();
+    standby_.reset();
+    next_standby_.reset();
     host_.log().record(
         std::string_view(outcome) == "served" ? event_level::info
                                               : event_level::warn,
--- a/src/relay/exchange.hpp
+++ b/src/relay/exchange.hpp
@@ -141,6 +141,21 @@
     // An attempt with less time than this is not worth its arrival.
     static constexpr std::chrono::milliseconds min_time_left{5};
 
+    /// A copy of the run's memory at another endpoint.
+    struct standby_copy
+    {
+        endpoint_ptr endpoint;
+        endpoint_reservation reservation;
+        std::optional<std::string> name; // of one made on demand
+        steady_time began{};
+
+        bool lost(steady_time now) const
+        {
+            return endpoint->leaving() || endpoint->suspended(now) ||
+                   endpoint->failed_at() > began;
+        }
+    };
+
     engine_spec const* engine() const;
     bool streaming() const { return request_.route->event_stream; }
 
@@ -150,6 +165,8 @@
         endpoint_record const& endpoint,
         std::optional<memory_copy> const& copy) const;
     void release_attempt();
+    std::optional<standby_copy>
+    make_standby(engine_spec const& spec, steady_time now) const;
     void renew_standby(steady_time now);
     void
     standby_copied(endpoint_state const& source, endpoint_reply const& reply);
@@ -186,11 +203,9 @@
     // The attempt under way
     endpoint_ptr endpoint_;
     endpoint_reservation reservation_;
-    endpoint_ptr standby_;
-    endpoint_reservation standby_reservation_;
-    std::optional<std::string> copy_; // name of a copy made on demand
-    std::optional<steady_time> copied_at_;
-    bool copying_ = false;
+    std::optional<standby_copy> standby_;
+    std::optional<standby_copy> next_standby_; // is being made
+    steady_time next_copy_at_{};               // not before
     std::shared_ptr<http_connection> connection_;
     bool used_copy_ = false;
     bool reused_connection_ = false;
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -603,6 +603,11 @@
     bool const failed = outcome == endpoint_outcome::unreachable ||
                         outcome == endpoint_outcome::lost ||
                         outcome == endpoint_outcome::silent;
+    if (outcome == endpoint_outcome::misdirected)
+    {
+        failed_.emplace_back(now, endpoint->record().id);
+        work_changed();
+    }
     if (!failed)
         return;
     pool_.drop(endpoint->record());
@@ -733,6 +738,7 @@
         if (!endpoint || endpoint->suspended(now) ||
             now - endpoint->active_at() < failure_news)
             continue;
+        endpoint->record_peer_failure(now);
         if (zones_.record_failure(endpoint->record(), now))
             check_zone(endpoint->record());
         if (endpoint->load.requests > 0 || endpoint->load.memory_tokens > 0)
