--- a/tests/relay/relay_fixture.hpp
+++ b/tests/relay/relay_fixture.hpp
@@ -217,7 +217,7 @@
 {
     relay_world()
     {
-        for (int i = 0; i < 2; ++i)
+        for (int i = 0; i < 5; ++i)
             endpoints.push_back(std::make_unique<scripted_endpoint>(io));
         configuration.rows = {
             row("config",
@@ -230,12 +230,19 @@
   "timeoutMs":5000,"anonymous":true},
  {"name":"stream","host":"h","prefix":"/stream/","routeType":"streaming",
   "service":"app","timeoutMs":20000,"targetLatencyMs":9000,"maxAttempts":3,
-  "resumable":true,"gapTargetMs":5000}],
- "services":[{"name":"app"}],
+  "resumable":true,"gapTargetMs":5000},
+ {"name":"llm","host":"h","prefix":"/llm/","routeType":"streaming",
+  "service":"llm","timeoutMs":20000,"targetLatencyMs":9000,"maxAttempts":3,
+  "resumable":true,"sticky":true,"gapTargetMs":9000}],
+ "services":[{"name":"app"},{"name":"llm","engine":{"slots":8,
+  "kvCapacity":88000,"backups":true,"handleS":4.0}}],
  "limits":{"maxHeaderBytes":4000,"maxBodyBytes":10000,
   "headerTimeoutMs":60000,"idleTimeoutMs":60000},
  "tenants":[{"name":"acme","apiKeys":["KEY"]}]})")};
-        table.rows = {endpoint_row("one", 0), endpoint_row("two", 1)};
+        table.rows = {
+            endpoint_row("one", 0), endpoint_row("two", 1),
+            engine_row("m1", 2, "near"), engine_row("m2", 3, "far"),
+            engine_row("m3", 4, "farther")};
         settings.host = "gateway";
         settings.zone = "near";
         settings.listen = "127.0.0.1:" + std::to_string(free_port());
@@ -266,6 +273,14 @@
                     R"(","state":"ready","slots":8})");
     }
 
+    store_row engine_row(
+        std::string const& id, std::size_t i, std::string const& zone) const
+    {
+        return row(
+            id, R"({"service":"llm","address":")" + endpoints[i]->address() +
+                    R"(","zone":")" + zone + R"(","state":"ready","slots":8})");
+    }
+
     unsigned short free_port()
     {
         asio::ip::tcp::acceptor a(
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -305,7 +305,7 @@
 TEST_CASE("a stream that cannot go on does not look complete", "[relay]")
 {
     relay_world w;
-    w.table.rows.pop_back();
+    w.table.rows.resize(1);
     w.start();
     auto const caller = w.call(w.request("/stream/x"));
     auto& e = *w.endpoints[0];
@@ -321,6 +321,52 @@
     REQUIRE(e.requests() == 3);
 }
 
+// Found on spcen-router trouble-3: a copy that was made after the first standby
+// was lost was asked for by the first one's name, and the prompt read again.
+TEST_CASE("a stream goes on from the copy that replaced a lost one", "[relay]")
+{
+    relay_world w;
+    w.settings.first_start = true; // no prompt is cached anywhere
+    w.start();
+    auto const caller =
+        w.call(w.request("/llm/x", "r1", "Token-Counts: 800,60\r\n"));
+    auto& primary = *w.endpoints[2];
+    REQUIRE(w.until([&] { return primary.requests() == 1; }));
+    auto& stream = *primary.peers[0];
+    auto const first = stream.has("Kv-Backup: " + w.endpoints[3]->address())
+                           ? std::size_t{3}
+                           : std::size_t{4};
+    auto const second = first == 3 ? std::size_t{4} : std::size_t{3};
+    REQUIRE(stream.has("Kv-Backup: " + w.endpoints[first]->address()));
+    stream.send(stream_head() + chunk(event(1)));
+    REQUIRE(w.until([&] { return caller->has(event(1)); }));
+
+    store_row gone;
+    gone.key = first == 3 ? "m2" : "m3";
+    gone.deleted = true;
+    w.table.change(gone);
+    REQUIRE(w.until([&] { return primary.peers.size() == 2; }));
+    auto& copy = *primary.peers[1];
+    REQUIRE(w.until([&] { return copy.has("\"to\""); }));
+    REQUIRE(copy.has(w.endpoints[second]->address()));
+    copy.send("HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n"
+              "{\"handle\":\"c7\",\"created\":1}");
+    w.clock.ahead += milliseconds(200);
+    auto const logged = [&w](char const* text)
+    {
+        return std::any_of(
+            w.log.lines.begin(), w.log.lines.end(),
+            [text](std::string const& line)
+            { return line.find(text) != std::string::npos; });
+    };
+    REQUIRE(w.until([&] { return logged("copy=c7"); }));
+    stream.reset();
+    REQUIRE(w.until([&] { return w.endpoints[second]->requests() == 1; }));
+    auto& resumed = *w.endpoints[second]->peers[0];
+    REQUIRE(resumed.has("Kv-From: " + primary.address() + "/c7\r\n"));
+    REQUIRE(resumed.has("Last-Event-Id: 1\r\n"));
+}
+
 // Callers --------------------------------------------------------------------
 
 // Work for a caller that left is wasted, and is to end within 0.2 s.
