--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 
 lint: build
 	scripts/check-core
+	scripts/check-names
 	scripts/lint $(BUILD)
 
 clean:
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 
 #include <dotterellock/error.hpp>
@@ -10,6 +11,7 @@
 #include "configuration/configuration_operator.hpp"
 #include "configuration/document_difference.hpp"
 #include "ctl/endpoint_operator.hpp"
+#include "ctl/explain.hpp"
 #include "settings/fleet_document.hpp"
 
 // Index
@@ -84,18 +86,35 @@
 ctl_exit explain(ctl_options const& o, std::ostream& out, std::ostream& err)
 {
     std::string const& id = o.arguments[0];
+    log_story story(id);
     std::size_t found = 0;
     for (std::size_t i = 1; i < o.arguments.size(); ++i)
     {
-        std::istringstream lines(read_file(o.arguments[i]));
+        bool const standard_input = o.arguments[i] == "-";
+        std::ostringstream text;
+        if (standard_input)
+            text << std::cin.rdbuf();
+        std::istringstream lines(
+            standard_input ? text.str() : read_file(o.arguments[i]));
+        story.read(lines);
+        lines.clear();
+        lines.seekg(0);
+        // Lines of routers and agents carry no time in milliseconds.
         for (std::string line; std::getline(lines, line);)
         {
-            if (!mentions(line, id))
+            bool const gateway = !log_value(line, "time_ms").empty();
+            if (gateway || !mentions(line, id))
                 continue;
             out << line << "\n";
             ++found;
         }
     }
+    for (auto const& line : story.lines())
+    {
+        out << (line.own ? "* " : "  ") << line.offset.count() << " ms  "
+            << line.text << "\n";
+        ++found;
+    }
     if (found != 0)
         return ctl_exit::ok;
     err << "no decision about " << id << " in the given files\n";
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -80,7 +80,7 @@
 
 // A zone that restarts changes many rows within a moment; the pause reads
 // them with a few calls. Both are short against the drain bound.
-constexpr watch_settings endpoint_calls{milliseconds(4000), milliseconds(200)};
+constexpr watch_settings endpoint_calls{milliseconds(4000), milliseconds(600)};
 
 std::string_view path_of(std::string_view target)
 {
