--- a/src/gateway/routing_table.hpp
+++ b/src/gateway/routing_table.hpp
@@ -43,6 +43,14 @@
 
     /// Whether a second run of the request does no harm.
     bool repeatable() const { return event_stream ? resumable : idempotent; }
+
+    /// For logs and counters.
+    char const* kind() const
+    {
+        if (event_stream)
+            return resumable ? "resumable_stream" : "stream";
+        return idempotent ? "idempotent" : "at_most_once";
+    }
 };
 
 /// A service's model engine, where it has one.
--- a/src/gateway/table_watch.hpp
+++ b/src/gateway/table_watch.hpp
@@ -103,7 +103,7 @@
     void list();
     void follow();
     void on_page(steady_time sent, store_answer answer);
-    void on_changes(steady_time sent, store_answer answer);
+    void on_changes(steady_time sent, store_answer const& answer);
     void succeeded();
     void failed(store_answer const& answer);
 
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -191,7 +191,8 @@
         refuse("no_room", milliseconds(1000));
 }
 
-void exchange::attempt(endpoint_ptr endpoint, std::optional<memory_copy> copy)
+void exchange::attempt(
+    endpoint_ptr endpoint, std::optional<memory_copy> const& copy)
 {
     auto const now = host_.clock().now();
     auto const* const spec = engine();
@@ -334,7 +335,7 @@
         host_.dialect().copy_request(
             request_.terms.id, next_standby_->endpoint->record().address),
         false,
-        [weak, source](endpoint_reply reply)
+        [weak, source](endpoint_reply const& reply)
         {
             if (auto const self = weak.lock())
                 self->standby_copied(*source, reply);
@@ -401,6 +402,7 @@
          {"after_ms", ms_text(now - sent_)},
          {"events", std::to_string(events_sent_)},
          {"copy", used_copy_ ? "1" : "0"}});
+    host_.count_failed_attempt(reason);
     // An idle connection may end as it is used; that is no sign of a fault.
     bool const stale =
         reused_connection_ && !head_ && outcome == endpoint_outcome::lost;
@@ -806,7 +808,8 @@
     finish("caller_gone", 0, {});
 }
 
-void exchange::finish(char const* outcome, unsigned status, std::string reason)
+void exchange::finish(
+    char const* outcome, unsigned status, std::string const& reason)
 {
     auto const self = shared_from_this();
     auto const now = host_.clock().now();
@@ -825,7 +828,7 @@
          {"rank", std::to_string(request_.rank)},
          {"outcome", outcome},
          {"status", std::to_string(status)},
-         {"reason", std::move(reason)},
+         {"reason", reason},
          {"endpoint", endpoint_ ? endpoint_->record().id.value() : "-"},
          {"failed_attempts", trail_.empty() ? "-" : trail_},
          {"events", std::to_string(events_sent_)},
@@ -835,6 +838,14 @@
          {"gap_ms", ms_text(longest_gap_)},
          {"took_ms", ms_text(now - request_.message.received)},
          {"configuration", std::to_string(request_.table->version())}});
+    request_result result;
+    result.outcome = outcome;
+    result.status = status;
+    result.reason = reason;
+    if (first_byte_)
+        result.first_byte = *first_byte_ - request_.message.received;
+    result.took = now - request_.message.received;
+    host_.count_request(*this, result);
     host_.finished(self);
     host_.room_freed(request_.service);
 }
--- a/src/relay/exchange.hpp
+++ b/src/relay/exchange.hpp
@@ -25,6 +25,16 @@
 
 class exchange;
 
+/// How a request ended, for the counters.
+struct request_result
+{
+    char const* outcome = "";
+    unsigned status = 0;
+    std::string reason;
+    std::optional<duration> first_byte; // since it was received
+    duration took{};
+};
+
 /// What exchanges share. The gateway owns all of it and outlives them.
 class exchange_host
 {
@@ -63,6 +73,10 @@
     virtual void room_freed(service_name const& service) = 0;
 
     virtual void finished(std::shared_ptr<exchange> const& e) = 0;
+
+    /// Counts what becomes of attempts and requests.
+    virtual void count_failed_attempt(char const* reason) = 0;
+    virtual void count_request(exchange const& e, request_result const& r) = 0;
 };
 
 /// What was decided about a request before its first attempt.
@@ -160,7 +174,7 @@
     bool streaming() const { return request_.route->event_stream; }
 
     void attempt_next();
-    void attempt(endpoint_ptr endpoint, std::optional<memory_copy> copy);
+    void attempt(endpoint_ptr endpoint, std::optional<memory_copy> const& copy);
     std::string forwarded_request(
         endpoint_record const& endpoint,
         std::optional<memory_copy> const& copy) const;
@@ -188,7 +202,8 @@
 
     void fail(unsigned status, char const* reason);
     void caller_gone();
-    void finish(char const* outcome, unsigned status, std::string reason);
+    void
+    finish(char const* outcome, unsigned status, std::string const& reason);
 
     std::uint64_t const number_;
     std::shared_ptr<client_session> const session_;
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -1,5 +1,5 @@
-// Index: sinks of the store's tables; status pages; construction; admission;
-// exchanges; waiting; time; shutdown.
+// Index: sinks of the store's tables; construction; admission; exchanges;
+// waiting; time; shutdown.
 #include "gateway.hpp"
 
 #include <algorithm>
@@ -33,32 +33,9 @@
 // When a process that knows no configuration is expected to know one.
 constexpr milliseconds retry_when_unconfigured{1000};
 
-// An endpoint that accepts no connection by then is taken for dead. A round
-// trip takes 2 ms within a region and 40 ms between regions, and a new
-// connection with a question needs two.
-constexpr milliseconds check_timeout{110};
-constexpr milliseconds far_check_timeout{180};
-
-// An endpoint with this much own work may have as much of others', which its
-// report tells; at low load nothing is asked.
-constexpr std::uint32_t report_from_requests = 3;
-constexpr milliseconds report_interval{600};
-constexpr milliseconds report_timeout{400};
-
-// A failure is told to the other gateways for this long; it is news only to
-// those that did not hear from the endpoint meanwhile.
-constexpr milliseconds failure_news{300};
-
 // Callers whose gateway was lost come back within a few seconds.
 constexpr milliseconds returning_callers{4000};
 
-// One listing of the caches serves all callers that come back together.
-constexpr milliseconds cache_lookup_interval{1500};
-constexpr milliseconds cache_lookup_timeout{120};
-
-// Checks of one endpoint are at least this far apart.
-constexpr milliseconds check_interval{250};
-
 // Leaves room for a listing that is one heartbeat behind after a store outage.
 constexpr milliseconds last_resort_margin{500};
 
@@ -200,80 +177,6 @@
     gateway& owner_;
 };
 
-// Status pages ---------------------------------------------------------------
-
-/// Answers the balancer's question and serves the metrics.
-class gateway::status_service : public session_host
-{
-public:
-    status_service(gateway& owner, std::string const& address)
-        : owner_(owner), acceptor_(owner.env_.io)
-    {
-        owner_.listen(acceptor_, address);
-        accept();
-    }
-
-    void check_time(steady_time now)
-    {
-        auto const sessions = sessions_;
-        for (auto const& [raw, session] : sessions)
-            session->check_time(now);
-    }
-
-private:
-    void accept()
-    {
-        acceptor_.async_accept(
-            [this](asio::error_code const& e, asio::ip::tcp::socket socket)
-            {
-                if (e == asio::error::operation_aborted)
-                    return;
-                if (!e)
-                {
-                    auto session = std::make_shared<client_session>(
-                        std::move(socket), owner_.env_.clock, *this);
-                    sessions_.emplace(session.get(), session);
-                    session->start();
-                }
-                accept();
-            });
-    }
-
-    void on_request(
-        std::shared_ptr<client_session> session,
-        caller_message message) override
-    {
-        auto const path = path_of(message.head.target);
-        if (path == "/metrics")
-        {
-            session->answer(
-                200, "OK", {{"Content-Type", "text/plain; version=0.0.4"}},
-                owner_.metrics());
-            return;
-        }
-        bool const ready = owner_.ready();
-        session->answer(
-            ready ? 200 : 503, ready ? "OK" : "Service Unavailable",
-            {{"Content-Type", "text/plain"}},
-            ready ? "ready\n" : "not ready\n");
-    }
-
-    void on_rejected(client_session const&, unsigned, char const*) override {}
-    void on_closed(client_session& session) override
-    {
-        sessions_.erase(&session);
-    }
-    caller_limits limits() const override { return {}; }
-    bool last_answer() const override { return owner_.shutting_down_; }
-    bool reserve_body(std::size_t) override { return false; }
-    void release_body(std::size_t) override {}
-
-    gateway& owner_;
-    asio::ip::tcp::acceptor acceptor_;
-    std::unordered_map<client_session*, std::shared_ptr<client_session>>
-        sessions_;
-};
-
 // Construction ---------------------------------------------------------------
 
 gateway::gateway(gateway_settings settings, gateway_environment environment)
@@ -306,11 +209,10 @@
 
 void gateway::start()
 {
-    listen(acceptor_, settings_.listen);
-    status_ = std::make_unique<status_service>(*this, settings_.status_listen);
+    open_listener(acceptor_, settings_.listen);
+    status_ = make_status_service(settings_.status_listen);
     if (!settings_.metrics_listen.empty())
-        metrics_ =
-            std::make_unique<status_service>(*this, settings_.metrics_listen);
+        metrics_ = make_status_service(settings_.metrics_listen);
     last_tick_ = last_sweep_ = started_ = env_.clock.now();
     configuration_watch_.poll();
     endpoint_watch_.poll();
@@ -319,18 +221,14 @@
     schedule_tick();
 }
 
-void gateway::listen(
-    asio::ip::tcp::acceptor& acceptor, std::string const& address)
+std::unique_ptr<status_service>
+gateway::make_status_service(std::string const& address)
 {
-    auto const endpoint = parse_address(address);
-    if (!endpoint)
-        throw error(
-            error_code::invalid_argument, "listen", address,
-            "is not an IPv4 address with a port");
-    acceptor.open(asio::ip::tcp::v4());
-    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-    acceptor.bind(*endpoint);
-    acceptor.listen(1024);
+    return std::make_unique<status_service>(
+        env_.io, env_.clock, address,
+        status_source{
+            [this] { return ready(); }, [this] { return metrics(); },
+            [this] { return shutting_down_; }});
 }
 
 void gateway::accept_when_ready()
@@ -595,276 +493,6 @@
     return estimates_[service];
 }
 
-void gateway::report_outcome(
-    endpoint_ptr const& endpoint, endpoint_outcome outcome)
-{
-    auto const now = env_.clock.now();
-    endpoint->record_outcome(outcome, now);
-    bool const failed = outcome == endpoint_outcome::unreachable ||
-                        outcome == endpoint_outcome::lost ||
-                        outcome == endpoint_outcome::silent;
-    if (outcome == endpoint_outcome::misdirected)
-    {
-        failed_.emplace_back(now, endpoint->record().id);
-        work_changed();
-    }
-    if (!failed)
-        return;
-    pool_.drop(endpoint->record());
-    failed_.emplace_back(now, endpoint->record().id);
-    work_changed();
-    if (zones_.record_failure(endpoint->record(), now))
-    {
-        env_.log.record(
-            event_level::warn, "zone_suspect",
-            {{"service", endpoint->record().service.value()},
-             {"zone", endpoint->record().zone.value()},
-             {"endpoint", endpoint->record().id.value()}});
-        check_zone(endpoint->record());
-    }
-}
-
-void gateway::check_zone(endpoint_record const& failed)
-{
-    for (auto const& endpoint : endpoints_.of(failed.service))
-    {
-        if (endpoint->record().zone == failed.zone &&
-            endpoint->load.requests > 0)
-            check_endpoint(endpoint);
-    }
-}
-
-void gateway::check_endpoint(endpoint_ptr const& endpoint)
-{
-    auto const now = env_.clock.now();
-    auto const id = endpoint->record().id.value();
-    auto const last = checked_at_.find(id);
-    if (last != checked_at_.end() && now - last->second < check_interval)
-        return;
-    checked_at_[id] = now;
-    env_.counters.counter("endpoint_checks_total").add();
-    auto const& place = selection_.place();
-    bool const far =
-        place.to(endpoint->record().zone) == topology::distance::other_region;
-    call(
-        endpoint->record(), far ? far_check_timeout : check_timeout,
-        env_.dialect.report_request(), true,
-        [this, endpoint, now](endpoint_reply reply)
-        { check_finished(endpoint, now, std::move(reply)); });
-}
-
-void gateway::check_finished(
-    endpoint_ptr const& endpoint, steady_time began, endpoint_reply reply)
-{
-    auto const now = env_.clock.now();
-    std::optional<endpoint_report> report;
-    try
-    {
-        if (reply.status == 200)
-            report = env_.dialect.read_report(reply.body);
-    }
-    catch (error const& e)
-    {
-        env_.log.record(
-            event_level::warn, "report_unreadable",
-            {{"endpoint", endpoint->record().id.value()},
-             {"detail", e.detail()}});
-    }
-    env_.log.record(
-        event_level::info, "endpoint_checked",
-        {{"endpoint", endpoint->record().id.value()},
-         {"zone", endpoint->record().zone.value()},
-         {"accepted", reply.accepted ? "1" : "0"},
-         {"running", report ? std::to_string(report->running) : "-"},
-         {"waiting", report ? std::to_string(report->waiting) : "-"}});
-    std::vector<std::shared_ptr<exchange>> here;
-    for (auto const& [number, e] : exchanges_)
-    {
-        if (e->attempting() && e->endpoint() == endpoint)
-            here.push_back(e);
-    }
-    if (!reply.accepted)
-    {
-        report_outcome(endpoint, endpoint_outcome::unreachable);
-        for (auto const& e : here)
-            e->endpoint_dead(*endpoint, began);
-        return;
-    }
-    endpoint->record_activity(now);
-    if (!report)
-        return;
-    endpoint->record_report(*report, now);
-    for (auto const& e : here)
-        e->endpoint_reported(*endpoint, *report, began);
-}
-
-// Other gateways -------------------------------------------------------------
-
-void gateway::work_changed()
-{
-    if (peer_exchange_)
-        peer_exchange_->changed();
-}
-
-load_share gateway::own_share()
-{
-    auto const now = env_.clock.now();
-    load_share share;
-    for (auto const& service : busy_services_)
-    {
-        for (auto const& endpoint : endpoints_.of(service))
-        {
-            auto const& load = endpoint->load;
-            if (load.requests > 0 || load.memory_tokens > 0)
-                share.loads.push_back({endpoint->record().id, load});
-        }
-    }
-    while (!failed_.empty() && now - failed_.front().first > failure_news)
-        failed_.erase(failed_.begin());
-    for (auto const& [at, id] : failed_)
-        share.failed.push_back(id);
-    return share;
-}
-
-void gateway::share_received(load_share const& share)
-{
-    auto const now = env_.clock.now();
-    if (!peers_.put(share, now))
-        return;
-    for (auto const& id : share.failed)
-    {
-        auto const endpoint = endpoints_.find(id);
-        // What answered here since is sound; what failed here is known.
-        if (!endpoint || endpoint->suspended(now) ||
-            now - endpoint->active_at() < failure_news)
-            continue;
-        endpoint->record_peer_failure(now);
-        if (zones_.record_failure(endpoint->record(), now))
-            check_zone(endpoint->record());
-        if (endpoint->load.requests > 0 || endpoint->load.memory_tokens > 0)
-            check_endpoint(endpoint);
-    }
-    room_freed({});
-}
-
-void gateway::refresh_reports(steady_time now)
-{
-    for (auto const& service : busy_services_)
-    {
-        for (auto const& endpoint : endpoints_.of(service))
-        {
-            bool const busy = endpoint->load.requests >= report_from_requests;
-            if (!busy || endpoint->leaving() || endpoint->suspended(now) ||
-                now - endpoint->reported_at() < report_interval)
-                continue;
-            endpoint->expect_report(now);
-            call(
-                endpoint->record(), report_timeout,
-                env_.dialect.report_request(), false,
-                [this, endpoint](endpoint_reply reply)
-                { reported(*endpoint, reply); });
-        }
-    }
-}
-
-void gateway::reported(endpoint_state& endpoint, endpoint_reply const& reply)
-{
-    if (reply.status != 200)
-        return; // the requests there tell whether it lives
-    try
-    {
-        endpoint.record_report(
-            env_.dialect.read_report(reply.body), env_.clock.now());
-    }
-    catch (error const& e)
-    {
-        env_.log.record(
-            event_level::warn, "report_unreadable",
-            {{"endpoint", endpoint.record().id.value()},
-             {"detail", e.detail()}});
-    }
-}
-
-void gateway::call(
-    endpoint_record const& endpoint, milliseconds timeout, std::string request,
-    bool probe, endpoint_call::handler done)
-{
-    auto const call = std::make_shared<endpoint_call>(
-        pool_, endpoint, timeout, std::move(done));
-    calls_.push_back(call);
-    call->start(std::move(request), env_.clock.now(), probe);
-}
-
-// Callers that come back -----------------------------------------------------
-
-void gateway::start_with_cache_index(std::shared_ptr<exchange> const& e)
-{
-    auto const now = env_.clock.now();
-    auto const& service = e->request().service;
-    auto& lookup = cache_lookups_[service];
-    bool const recent =
-        lookup.began && now - *lookup.began < cache_lookup_interval;
-    if (recent && lookup.open == 0)
-    {
-        e->start(cache_index_.holder(e->work().affinity, now));
-        return;
-    }
-    lookup.waiting.push_back(e);
-    if (recent)
-        return;
-    lookup.began = now;
-    auto const endpoints = endpoints_.of(service);
-    lookup.open = 1; // until all calls are made
-    for (auto const& endpoint : endpoints)
-    {
-        if (endpoint->leaving() || endpoint->suspended(now))
-            continue;
-        ++lookup.open;
-        call(
-            endpoint->record(), cache_lookup_timeout,
-            env_.dialect.cache_request(), false,
-            [this, service, endpoint](endpoint_reply reply)
-            { cache_listed(service, *endpoint, reply); });
-    }
-    cache_lookup_ended(service);
-}
-
-void gateway::cache_listed(
-    service_name const& service, endpoint_state const& endpoint,
-    endpoint_reply const& reply)
-{
-    try
-    {
-        if (reply.status == 200)
-            cache_index_.put(
-                endpoint.record().id, env_.dialect.read_cache(reply.body),
-                env_.clock.now());
-    }
-    catch (error const& e)
-    {
-        env_.log.record(
-            event_level::warn, "cache_list_unreadable",
-            {{"endpoint", endpoint.record().id.value()},
-             {"detail", e.detail()}});
-    }
-    cache_lookup_ended(service);
-}
-
-void gateway::cache_lookup_ended(service_name const& service)
-{
-    auto& lookup = cache_lookups_[service];
-    if (--lookup.open > 0)
-        return;
-    auto const now = env_.clock.now();
-    env_.log.record(
-        event_level::info, "prompt_caches_listed",
-        {{"service", service.value()},
-         {"parts", std::to_string(cache_index_.size())},
-         {"waiting", std::to_string(lookup.waiting.size())}});
-    for (auto const& e : std::exchange(lookup.waiting, {}))
-        e->start(cache_index_.holder(e->work().affinity, now));
-}
-
 void gateway::finished(std::shared_ptr<exchange> const& e)
 {
     auto const line = lines_.find(e->request().service);
@@ -1012,14 +640,7 @@
     {
         last_sweep_ = now;
         pool_.sweep();
-        endpoints_.collect(now);
-        cache_index_.forget_old(now);
-        for (auto i = checked_at_.begin(); i != checked_at_.end();)
-        {
-            bool const old = now - i->second > check_interval;
-            i = old ? checked_at_.erase(i) : std::next(i);
-        }
-        refresh_reports(now);
+        sweep_endpoints(now);
         dispatch_waiting();
         status_->check_time(now);
         if (metrics_)
@@ -1067,9 +688,4 @@
         exchanges_.empty() && sessions_.empty());
 }
 
-std::string gateway::metrics() const
-{
-    return env_.counters.prometheus_text();
-}
-
 } // namespace dotterellock
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -26,6 +26,7 @@
 #include "gateway/waiting_line.hpp"
 #include "peer_exchange.hpp"
 #include "settings/gateway_settings.hpp"
+#include "status_service.hpp"
 
 namespace dotterellock
 {
@@ -84,12 +85,11 @@
     bool finished() const;
 
     bool ready() const;
-    std::string metrics() const;
+    std::string metrics();
 
 private:
     class configuration_sink;
     class endpoint_sink;
-    class status_service;
 
     // session_host
     void on_request(
@@ -123,8 +123,11 @@
     bool wait_for_room(std::shared_ptr<exchange> const& e) override;
     void room_freed(service_name const& service) override;
     void finished(std::shared_ptr<exchange> const& e) override;
+    void count_failed_attempt(char const* reason) override;
+    void count_request(exchange const& e, request_result const& r) override;
 
-    void listen(asio::ip::tcp::acceptor& acceptor, std::string const& address);
+    std::unique_ptr<status_service>
+    make_status_service(std::string const& address);
     void accept_when_ready();
     void accept();
     void tick();
@@ -134,9 +137,11 @@
     void refuse_from_line(line_refusal const& refusal);
     void check_zone(endpoint_record const& failed);
     void check_finished(
-        endpoint_ptr const& endpoint, steady_time began, endpoint_reply reply);
+        endpoint_ptr const& endpoint, steady_time began,
+        endpoint_reply const& reply);
     load_share own_share();
     void share_received(load_share const& share);
+    void sweep_endpoints(steady_time now);
     void refresh_reports(steady_time now);
     void reported(endpoint_state& endpoint, endpoint_reply const& reply);
     void start_with_cache_index(std::shared_ptr<exchange> const& e);
--- /dev/null
+++ b/src/relay/gateway_metrics.cpp
@@ -0,0 +1,60 @@
+#include "gateway.hpp"
+
+namespace dotterellock
+{
+
+using std::chrono::milliseconds;
+
+void gateway::count_failed_attempt(char const* reason)
+{
+    env_.counters
+        .counter(
+            "attempts_failed_total", std::string("reason=\"") + reason + '"')
+        .add();
+}
+
+void gateway::count_request(exchange const& e, request_result const& r)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::microseconds;
+    auto const& route = *e.request().route;
+    std::string const labels = std::string("kind=\"") + route.kind() +
+                               "\",rank=\"" + std::to_string(e.request().rank) +
+                               "\",outcome=\"" + r.outcome + '"';
+    auto& counters = env_.counters;
+    counters
+        .counter(
+            "requests_total", labels + ",status=\"" + std::to_string(r.status) +
+                                  "\",reason=\"" + r.reason + '"')
+        .add();
+    if (r.first_byte)
+        counters.histogram("first_byte_seconds", labels)
+            .record(duration_cast<microseconds>(*r.first_byte));
+    counters.histogram("request_seconds", labels)
+        .record(duration_cast<microseconds>(r.took));
+}
+
+std::string gateway::metrics()
+{
+    auto& c = env_.counters;
+    std::size_t waiting = 0;
+    for (auto const& [service, line] : lines_)
+        waiting += line->size();
+    auto const age = lease_.age(env_.clock.now());
+    c.counter("waiting_requests").set(waiting);
+    c.counter("open_requests").set(exchanges_.size());
+    c.counter("callers").set(sessions_.size());
+    c.counter("endpoints").set(endpoints_.size());
+    c.counter("gateways")
+        .set(peer_exchange_ ? peer_exchange_->fleet_size() : 1);
+    c.counter("connections_opened").set(pool_.opened());
+    c.counter("store_calls")
+        .set(configuration_watch_.calls() + endpoint_watch_.calls());
+    if (age)
+        c.counter("configuration_age_milliseconds")
+            .set(std::uint64_t(
+                std::chrono::duration_cast<milliseconds>(*age).count()));
+    return c.prometheus_text();
+}
+
+} // namespace dotterellock
--- a/src/relay/http_connection.cpp
+++ b/src/relay/http_connection.cpp
@@ -47,8 +47,7 @@
 
 http_connection::http_connection(
     asio::io_context& io, clock_source const& clock)
-    : io_(io), clock_(clock), socket_(io),
-      parser_(message_parser::kind::response, *this)
+    : clock_(clock), socket_(io), parser_(message_parser::kind::response, *this)
 {
     parser_.set_max_head_bytes(65536);
 }
--- a/src/relay/http_connection.hpp
+++ b/src/relay/http_connection.hpp
@@ -96,7 +96,6 @@
     void on_body(std::string_view bytes) override;
     void on_complete() override;
 
-    asio::io_context& io_;
     clock_source const& clock_;
     asio::ip::tcp::socket socket_;
     message_parser parser_;
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -396,6 +396,29 @@
     REQUIRE(caller->received.find("first") < caller->received.find("second"));
 }
 
+TEST_CASE("readiness and metrics are served beside the callers", "[relay]")
+{
+    relay_world w;
+    w.configuration.available = false;
+    w.start();
+    auto const early = w.connect(
+        w.settings.status_listen, "GET /readiness HTTP/1.1\r\nHost: s\r\n\r\n");
+    REQUIRE(w.until([&] { return early->has(" 503 "); }));
+    w.configuration.available = true;
+    REQUIRE(w.until([&] { return w.subject->ready(); }));
+    auto const caller = w.call(w.request("/safe/x"));
+    REQUIRE(w.until([&] { return w.endpoints[0]->requests() == 1; }));
+    w.endpoints[0]->peers[0]->send(w.answer());
+    REQUIRE(w.until([&] { return caller->has("body"); }));
+    auto const asked = w.connect(
+        w.settings.status_listen, "GET /metrics HTTP/1.1\r\nHost: s\r\n\r\n");
+    REQUIRE(w.until([&] { return asked->has("store_calls"); }));
+    REQUIRE(asked->has("dotterellock_requests_total{kind=\"idempotent\","
+                       "rank=\"0\",outcome=\"served\",status=\"200\""));
+    REQUIRE(asked->has("dotterellock_first_byte_seconds_count"));
+    REQUIRE(asked->has("dotterellock_endpoints 5"));
+}
+
 // Shutdown -------------------------------------------------------------------
 
 TEST_CASE("a stopping gateway finishes what it has", "[relay]")
