--- a/src/gateway/endpoint_selection.cpp
+++ b/src/gateway/endpoint_selection.cpp
@@ -42,6 +42,9 @@
         if (endpoint->gone(now) ||
             work.avoid.count(endpoint->record().id.value()) != 0)
             continue;
+        // An endpoint resets connections beyond those that all gateways share.
+        if (work.connections > 0 && endpoint->load.requests >= work.connections)
+            continue;
         candidate const c{
             endpoint,
             rendezvous_weight(work.affinity, endpoint->record().address)};
--- a/src/gateway/endpoint_selection.hpp
+++ b/src/gateway/endpoint_selection.hpp
@@ -53,6 +53,7 @@
     std::uint64_t output_tokens = 0; // at most
     endpoint_id cached_at;           // keeps the prompt; may be empty
     bool resumes = false;            // its caller has a part of the answer
+    std::uint32_t connections = 0;   // this gateway's at one endpoint; 0: any
     std::set<std::string> avoid;     // endpoints that already failed it
 
     std::uint64_t memory_tokens() const
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -171,6 +171,8 @@
     }
     standby_.reset();
     work_.resumes = answer_begun_;
+    if (auto const* const spec = request_.table->service(request_.service))
+        work_.connections = host_.connection_share(*spec);
     if (auto endpoint = host_.selection().choose(work_, engine(), now))
     {
         attempt(std::move(endpoint), std::nullopt);
@@ -242,7 +244,9 @@
     bool const fresh = !request_.route->repeatable();
     connection_ = host_.pool().acquire(record, fresh);
     reused_connection_ = connection_->connected();
-    connection_->send(*address, forwarded_request(record, copy), *this);
+    connection_->send(
+        *address, forwarded_request(record, copy), *this,
+        request_.message.head.method == "HEAD");
 }
 
 std::string exchange::forwarded_request(
--- a/src/relay/exchange.hpp
+++ b/src/relay/exchange.hpp
@@ -48,6 +48,9 @@
     virtual arrival_budget& budget(service_name const& service) = 0;
     virtual first_event_estimate& estimate(service_name const& service) = 0;
 
+    /// Connections that this gateway may have at one endpoint.
+    virtual std::uint32_t connection_share(service_spec const& service) = 0;
+
     /// An attempt ended; updates the health of its endpoint and zone.
     virtual void
     report_outcome(endpoint_ptr const& endpoint, endpoint_outcome outcome) = 0;
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -45,6 +45,11 @@
 // Part of the descriptors that callers may use; the rest is for endpoints.
 constexpr std::size_t caller_descriptors_percent = 60;
 
+// Part of an endpoint's connections that attempts use; idle ones and checks
+// take the rest.
+constexpr std::uint32_t connections_used_percent = 80;
+constexpr std::uint32_t min_connections = 2;
+
 // Callers that connect to a process which is just starting wait in the
 // backlog until it knows the configuration and the endpoints; those that come
 // while the store is away get an answer after this time.
@@ -488,6 +493,17 @@
     return budget;
 }
 
+std::uint32_t gateway::connection_share(service_spec const& service)
+{
+    auto const known = peer_exchange_ ? peer_exchange_->fleet_size() : 1;
+    auto const gateways =
+        known > 0 ? known : std::size_t(settings_.retries.fleet_size);
+    auto const usable =
+        service.max_connections * connections_used_percent / 100;
+    return std::max<std::uint32_t>(
+        std::uint32_t(usable / gateways), min_connections);
+}
+
 first_event_estimate& gateway::estimate(service_name const& service)
 {
     return estimates_[service];
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -112,6 +112,7 @@
     event_log& log() override { return env_.log; }
     arrival_budget& budget(service_name const& service) override;
     first_event_estimate& estimate(service_name const& service) override;
+    std::uint32_t connection_share(service_spec const& service) override;
     void report_outcome(
         endpoint_ptr const& endpoint, endpoint_outcome outcome) override;
     void check_endpoint(endpoint_ptr const& endpoint) override;
--- a/src/relay/http_connection.cpp
+++ b/src/relay/http_connection.cpp
@@ -53,9 +53,11 @@
 }
 
 void http_connection::send(
-    asio::ip::tcp::endpoint const& peer, std::string bytes, answer_sink& sink)
+    asio::ip::tcp::endpoint const& peer, std::string bytes, answer_sink& sink,
+    bool bodiless)
 {
     sink_ = &sink;
+    parser_.expect_no_body(bodiless);
     idle_ended_ = nullptr;
     reusable_ = false;
     written_ = false;
--- a/src/relay/http_connection.hpp
+++ b/src/relay/http_connection.hpp
@@ -54,10 +54,11 @@
     http_connection& operator=(http_connection const&) = delete;
 
     /// Connects, unless it is, and sends one request.
-    /// @param sink  outlives the exchange, or calls abandon()
+    /// @param sink      outlives the exchange, or calls abandon()
+    /// @param bodiless  a HEAD request, whose answer has a length but no body
     void send(
         asio::ip::tcp::endpoint const& peer, std::string bytes,
-        answer_sink& sink);
+        answer_sink& sink, bool bodiless = false);
 
     /// Connects only; for a check whether the peer accepts connections.
     void connect(
--- a/tests/gateway/endpoints_test.cpp
+++ b/tests/gateway/endpoints_test.cpp
@@ -326,6 +326,28 @@
         selection.choose(w, nullptr, at(5000))->record().zone.value() == "a1");
 }
 
+// The load of many short calls: connections beyond an endpoint's limit are
+// reset, which a call that may run once does not survive.
+TEST_CASE("a gateway keeps to its share of connections", "[selection]")
+{
+    endpoint_table table{milliseconds(2000)};
+    zone_watch zones;
+    peer_loads const peers;
+    endpoint_selection selection(table, zones, peers, place());
+    table.put(endpoint("a1", "a1", "app"), at(0));
+    table.put(endpoint("a2", "a2", "app"), at(0));
+    work_request w;
+    w.service = service_name("app");
+    w.connections = 3;
+    std::vector<endpoint_reservation> held;
+    while (auto const chosen = selection.choose(w, nullptr, at(0)))
+    {
+        held.emplace_back(chosen, endpoint_state::workload{1, 0, 0});
+        REQUIRE(chosen->load.requests <= 3);
+    }
+    REQUIRE(held.size() == 6);
+}
+
 // Zones ----------------------------------------------------------------------
 
 // The load of a zone that loses power: three failures stand for all of it, but
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -260,6 +260,23 @@
     REQUIRE(caller->has("Content-Length: 4\r\n") == orderly);
 }
 
+// A HEAD answer has a length but no body; waiting for one would hold its
+// caller until the deadline.
+TEST_CASE("a HEAD request is answered without a body", "[relay]")
+{
+    relay_world w;
+    w.start();
+    auto text = w.request("/safe/x");
+    text.replace(0, 3, "HEAD");
+    auto const caller = w.call(text);
+    REQUIRE(w.until([&] { return w.endpoints[0]->requests() == 1; }));
+    w.endpoints[0]->peers[0]->send(
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n"
+        "Content-Length: 4000\r\n\r\n");
+    REQUIRE(w.until([&] { return caller->has("\r\n\r\n"); }));
+    REQUIRE(caller->has(" 200 OK"));
+}
+
 // Streams --------------------------------------------------------------------
 
 // Guards against missing, doubled and partial events, and against two runs of
