--- a/src/gateway/table_watch.cpp
+++ b/src/gateway/table_watch.cpp
@@ -83,7 +83,7 @@
     auto const sent = clock_.now();
     store_.changes(
         table_, revision_, settings_.wait,
-        [this, sent](store_answer answer) { on_changes(sent, answer); });
+        [this, sent](store_answer const& answer) { on_changes(sent, answer); });
 }
 
 void table_watch::on_changes(steady_time sent, store_answer const& answer)
--- a/src/relay/client_session.cpp
+++ b/src/relay/client_session.cpp
@@ -1,16 +1,13 @@
 #include "client_session.hpp"
 
-#include <sys/socket.h>
-
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-
 #include <charconv>
 #include <cstdio>
 
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
+#include "socket_options.hpp"
+
 namespace dotterellock
 {
 
@@ -18,23 +15,9 @@
 {
 
 // A caller behind a broken link is noticed without traffic in ten seconds.
-constexpr int keep_alive_idle_s = 4;
-constexpr int keep_alive_interval_s = 2;
-constexpr int keep_alive_probes = 3;
-constexpr int user_timeout_ms = 10000;
-
-void enable_keep_alive(int fd)
-{
-    std::pair<int, int> const options[] = {
-        {TCP_KEEPIDLE, keep_alive_idle_s},
-        {TCP_KEEPINTVL, keep_alive_interval_s},
-        {TCP_KEEPCNT, keep_alive_probes},
-        {TCP_USER_TIMEOUT, user_timeout_ms}};
-    int const on = 1;
-    ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-    for (auto const& [name, value] : options)
-        ::setsockopt(fd, IPPROTO_TCP, name, &value, sizeof value);
-}
+constexpr keep_alive_settings keep_alive{
+    std::chrono::seconds(4), std::chrono::seconds(2), 3,
+    std::chrono::milliseconds(10000)};
 
 /// True when a Content-Length is present and above the limit, or unreadable.
 bool announces_more(message_head const& head, std::size_t limit)
@@ -59,13 +42,12 @@
 
 void client_session::start()
 {
-    asio::error_code ignored; // without these only detection is slower
-    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    prepare_socket(socket_, keep_alive);
+    asio::error_code ignored; // the name only serves the log
     auto const remote = socket_.remote_endpoint(ignored);
     if (!ignored)
         peer_ =
             remote.address().to_string() + ':' + std::to_string(remote.port());
-    enable_keep_alive(socket_.native_handle());
     limits_ = host_.limits();
     parser_.set_max_head_bytes(limits_.max_header_bytes);
     since_ = clock_.now();
--- a/src/relay/http_connection.cpp
+++ b/src/relay/http_connection.cpp
@@ -1,13 +1,10 @@
 #include "http_connection.hpp"
 
-#include <sys/socket.h>
-
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
+#include "socket_options.hpp"
+
 namespace dotterellock
 {
 
@@ -15,17 +12,10 @@
 {
 
 // A peer that lost power sends no reset. Unacknowledged bytes and unanswered
-// keep-alive probes end the connection after about two seconds.
-constexpr int user_timeout_ms = 2000;
-constexpr int keep_alive_idle_s = 1;
-constexpr int keep_alive_interval_s = 1;
-constexpr int keep_alive_probes = 2;
-
-void set_option(int socket, int level, int name, int value)
-{
-    // An option that the system lacks only makes detection slower.
-    ::setsockopt(socket, level, name, &value, sizeof value);
-}
+// probes end the connection after two to three seconds.
+constexpr keep_alive_settings keep_alive{
+    std::chrono::seconds(1), std::chrono::seconds(1), 2,
+    std::chrono::milliseconds(2000)};
 
 } // namespace
 
@@ -82,7 +72,7 @@
                 fail(connection_failure::not_connected);
                 return;
             }
-            set_options();
+            prepare_socket(socket_, keep_alive);
             connected_ = true;
             sink_->on_connected();
             if (sink_ == nullptr)
@@ -102,7 +92,7 @@
         {
             if (!e)
             {
-                set_options();
+                prepare_socket(socket_, keep_alive);
                 connected_ = true;
                 reusable_ = true;
                 last_used_ = clock_.now();
@@ -112,18 +102,6 @@
         });
 }
 
-void http_connection::set_options()
-{
-    asio::error_code ignored; // options only make failures visible sooner
-    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-    int const fd = socket_.native_handle();
-    set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
-    set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_idle_s);
-    set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_s);
-    set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
-    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
-}
-
 void http_connection::write(std::string bytes)
 {
     auto self = shared_from_this();
--- a/src/relay/http_connection.hpp
+++ b/src/relay/http_connection.hpp
@@ -84,7 +84,6 @@
     steady_time last_used() const { return last_used_; }
 
 private:
-    void set_options();
     void write(std::string bytes);
     void read();
     void received(std::string_view bytes);
--- /dev/null
+++ b/src/relay/socket_options.hpp
@@ -0,0 +1,47 @@
+// Options that make a lost peer visible.
+#ifndef DOTTERELLOCK_RELAY_SOCKET_OPTIONS_HPP
+#define DOTTERELLOCK_RELAY_SOCKET_OPTIONS_HPP
+
+#include <sys/socket.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <chrono>
+#include <utility>
+
+#include <asio/ip/tcp.hpp>
+
+namespace dotterellock
+{
+
+struct keep_alive_settings
+{
+    std::chrono::seconds idle;                // before the first probe
+    std::chrono::seconds interval;            // between probes
+    int probes;                               // without an answer
+    std::chrono::milliseconds unacknowledged; // bytes, until the end
+};
+
+/// Sends small writes at once and probes an idle peer. An option that the
+/// system lacks only makes a loss visible later.
+inline void prepare_socket(
+    asio::ip::tcp::socket& socket, keep_alive_settings const& settings)
+{
+    asio::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    int const fd = socket.native_handle();
+    int const on = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    std::pair<int, int> const options[] = {
+        {TCP_KEEPIDLE, int(settings.idle.count())},
+        {TCP_KEEPINTVL, int(settings.interval.count())},
+        {TCP_KEEPCNT, settings.probes},
+        {TCP_USER_TIMEOUT, int(settings.unacknowledged.count())}};
+    for (auto const& [name, value] : options)
+        ::setsockopt(fd, IPPROTO_TCP, name, &value, sizeof value);
+}
+
+} // namespace dotterellock
+
+#endif
