--- a/src/gateway/endpoint_selection.cpp
+++ b/src/gateway/endpoint_selection.cpp
@@ -191,19 +191,4 @@
     return best == nullptr ? nullptr : best->endpoint;
 }
 
-double endpoint_selection::utilisation(
-    service_name const& service, steady_time now) const
-{
-    double used = 0;
-    double slots = 0;
-    for (auto const& endpoint : endpoints_.of(service))
-    {
-        if (endpoint->leaving() || endpoint->suspended(now))
-            continue;
-        used += double(endpoint->load.requests);
-        slots += double(endpoint->record().slots);
-    }
-    return slots == 0 ? 1.0 : used / slots;
-}
-
 } // namespace dotterellock
--- a/src/gateway/endpoint_selection.hpp
+++ b/src/gateway/endpoint_selection.hpp
@@ -98,9 +98,6 @@
 
     topology const& place() const { return place_; }
 
-    /// Share of the slots of a service's usable endpoints that own work takes.
-    double utilisation(service_name const& service, steady_time now) const;
-
 private:
     struct candidate
     {
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -441,12 +441,6 @@
     }
 }
 
-void exchange::give_up_attempt(endpoint_outcome outcome, char const* reason)
-{
-    // The old run is closed before another one may start.
-    attempt_failed(outcome, reason);
-}
-
 // The endpoint's answer ------------------------------------------------------
 
 void exchange::on_connected()
@@ -485,7 +479,7 @@
         events_.append(bytes);
         take_events();
         if (state_ == state::attempting && events_.overflowed())
-            give_up_attempt(endpoint_outcome::lost, "oversized_event");
+            attempt_failed(endpoint_outcome::lost, "oversized_event");
         return;
     }
     if (passing_)
@@ -498,7 +492,7 @@
         return;
     if (answer_begun_ || !answer_.sealed)
     {
-        give_up_attempt(endpoint_outcome::lost, "oversized_answer");
+        attempt_failed(endpoint_outcome::lost, "oversized_answer");
         return;
     }
     begin_answer();
@@ -698,7 +692,7 @@
         // queue; a repeat of the packet comes only after a second.
         constexpr milliseconds connect_timeout{200};
         if (now - sent_ > connect_timeout)
-            give_up_attempt(endpoint_outcome::unreachable, "connect_timeout");
+            attempt_failed(endpoint_outcome::unreachable, "connect_timeout");
         return;
     }
     renew_standby(now);
@@ -712,7 +706,7 @@
         auto const timeout =
             liveness_policy::call_timeout(route, endpoint_->latency());
         if (!streaming() && now - sent_ > timeout)
-            give_up_attempt(endpoint_outcome::silent, "no_answer");
+            attempt_failed(endpoint_outcome::silent, "no_answer");
         return;
     }
     attempt_progress p;
@@ -735,7 +729,7 @@
         host_.check_endpoint(endpoint_);
         break;
     case liveness_verdict::give_up:
-        give_up_attempt(endpoint_outcome::silent, "silent");
+        attempt_failed(endpoint_outcome::silent, "silent");
         break;
     }
 }
@@ -747,7 +741,7 @@
         progress_ > checked || !request_.route->repeatable())
         return;
     auto const self = shared_from_this();
-    give_up_attempt(endpoint_outcome::lost, "endpoint_dead");
+    attempt_failed(endpoint_outcome::lost, "endpoint_dead");
 }
 
 void exchange::endpoint_reported(
--- a/src/relay/exchange.hpp
+++ b/src/relay/exchange.hpp
@@ -189,7 +189,6 @@
     standby_copied(endpoint_state const& source, endpoint_reply const& reply);
     void free_copy();
     void attempt_failed(endpoint_outcome outcome, char const* reason);
-    void give_up_attempt(endpoint_outcome outcome, char const* reason);
 
     void on_connected() override;
     void on_answer_head(message_head head) override;
