Rename the relay's exchange: the product's pipeline has a class of that name

Found by UBSan in make test-asan: the test binary linked two classes named dotterellock::exchange. The gateway's own binary has only one of them.

--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -92,7 +92,7 @@
 
 // Construction and dispatch --------------------------------------------------
 
-exchange::exchange(
+relay_exchange::relay_exchange(
     std::uint64_t number, std::shared_ptr<client_session> session,
     admitted_request request, exchange_host& host)
     : number_(number), session_(std::move(session)),
@@ -111,13 +111,13 @@
     deadline_ = request_.message.received + std::min(wait, route.timeout);
 }
 
-engine_spec const* exchange::engine() const
+engine_spec const* relay_exchange::engine() const
 {
     auto const* const service = request_.table->service(request_.service);
     return service != nullptr && service->engine ? &*service->engine : nullptr;
 }
 
-void exchange::watch_caller()
+void relay_exchange::watch_caller()
 {
     auto const weak = weak_from_this();
     session_->on_caller_gone(
@@ -128,7 +128,7 @@
         });
 }
 
-void exchange::start(endpoint_id const& cached_at)
+void relay_exchange::start(endpoint_id const& cached_at)
 {
     if (state_ != state::fresh)
         return; // its caller left while the caches were listed
@@ -137,7 +137,7 @@
     attempt_next();
 }
 
-bool exchange::try_dispatch()
+bool relay_exchange::try_dispatch()
 {
     if (state_ != state::waiting)
         return true;
@@ -151,7 +151,7 @@
 
 // Attempts -------------------------------------------------------------------
 
-void exchange::attempt_next()
+void relay_exchange::attempt_next()
 {
     auto const now = host_.clock().now();
     // A run whose memory was copied goes on from the copy.
@@ -193,7 +193,7 @@
         refuse("no_room", milliseconds(1000));
 }
 
-void exchange::attempt(
+void relay_exchange::attempt(
     endpoint_ptr endpoint, std::optional<memory_copy> const& copy)
 {
     auto const now = host_.clock().now();
@@ -249,7 +249,7 @@
         request_.message.head.method == "HEAD");
 }
 
-std::string exchange::forwarded_request(
+std::string relay_exchange::forwarded_request(
     endpoint_record const& endpoint,
     std::optional<memory_copy> const& copy) const
 {
@@ -287,7 +287,7 @@
     return text;
 }
 
-void exchange::release_attempt()
+void relay_exchange::release_attempt()
 {
     if (connection_)
     {
@@ -297,8 +297,8 @@
     reservation_.release();
 }
 
-std::optional<exchange::standby_copy>
-exchange::make_standby(engine_spec const& spec, steady_time now) const
+std::optional<relay_exchange::standby_copy>
+relay_exchange::make_standby(engine_spec const& spec, steady_time now) const
 {
     auto work = work_;
     if (standby_)
@@ -315,7 +315,7 @@
     return made;
 }
 
-void exchange::renew_standby(steady_time now)
+void relay_exchange::renew_standby(steady_time now)
 {
     auto const* const spec = engine();
     if (spec == nullptr || !spec->standby_copies ||
@@ -346,7 +346,7 @@
         });
 }
 
-void exchange::standby_copied(
+void relay_exchange::standby_copied(
     endpoint_state const& source, endpoint_reply const& reply)
 {
     if (state_ != state::attempting || endpoint_.get() != &source ||
@@ -377,7 +377,7 @@
     standby_ = std::move(made);
 }
 
-void exchange::free_copy()
+void relay_exchange::free_copy()
 {
     if (!standby_ || !standby_->name || !endpoint_)
         return;
@@ -388,7 +388,8 @@
         [](endpoint_reply const&) {});
 }
 
-void exchange::attempt_failed(endpoint_outcome outcome, char const* reason)
+void relay_exchange::attempt_failed(
+    endpoint_outcome outcome, char const* reason)
 {
     auto const now = host_.clock().now();
     auto const failed = endpoint_;
@@ -443,12 +444,12 @@
 
 // The endpoint's answer ------------------------------------------------------
 
-void exchange::on_connected()
+void relay_exchange::on_connected()
 {
     endpoint_->record_activity(host_.clock().now());
 }
 
-void exchange::on_answer_head(message_head head)
+void relay_exchange::on_answer_head(message_head head)
 {
     auto const now = host_.clock().now();
     endpoint_->record_activity(now);
@@ -470,7 +471,7 @@
     head_ = std::move(head);
 }
 
-void exchange::on_answer_body(std::string_view bytes)
+void relay_exchange::on_answer_body(std::string_view bytes)
 {
     auto const self = shared_from_this();
     endpoint_->record_activity(host_.clock().now());
@@ -501,7 +502,7 @@
     held_.clear();
 }
 
-void exchange::take_events()
+void relay_exchange::take_events()
 {
     auto const now = host_.clock().now();
     bool any = false;
@@ -548,7 +549,7 @@
     }
 }
 
-void exchange::on_answer_complete()
+void relay_exchange::on_answer_complete()
 {
     auto const self = shared_from_this();
     auto const now = host_.clock().now();
@@ -595,7 +596,7 @@
     complete_whole();
 }
 
-void exchange::on_failure(connection_failure failure)
+void relay_exchange::on_failure(connection_failure failure)
 {
     auto const self = shared_from_this();
     auto const outcome = failure == connection_failure::not_connected
@@ -613,7 +614,7 @@
 
 // The answer to the caller ---------------------------------------------------
 
-header_list exchange::answer_headers() const
+header_list relay_exchange::answer_headers() const
 {
     header_list headers;
     for (auto const& [name, value] : head_->headers)
@@ -624,7 +625,7 @@
     return headers;
 }
 
-void exchange::begin_answer()
+void relay_exchange::begin_answer()
 {
     answer_begun_ = true;
     first_byte_ = host_.clock().now();
@@ -632,7 +633,7 @@
     session_->begin_stream(head_->status, head_->reason, answer_headers());
 }
 
-void exchange::complete_whole()
+void relay_exchange::complete_whole()
 {
     auto const status = head_->status;
     first_byte_ = host_.clock().now();
@@ -647,7 +648,7 @@
     finish(status < 400 ? "served" : "failed", status, {});
 }
 
-void exchange::complete_stream()
+void relay_exchange::complete_stream()
 {
     if (events_.partial_bytes() > 0)
     {
@@ -666,7 +667,7 @@
 
 // Time -----------------------------------------------------------------------
 
-void exchange::check(steady_time now, bool paused)
+void relay_exchange::check(steady_time now, bool paused)
 {
     auto const self = shared_from_this();
     if (state_ == state::done)
@@ -734,7 +735,7 @@
     }
 }
 
-void exchange::endpoint_dead(
+void relay_exchange::endpoint_dead(
     endpoint_state const& endpoint, steady_time checked)
 {
     if (state_ != state::attempting || endpoint_.get() != &endpoint ||
@@ -744,7 +745,7 @@
     attempt_failed(endpoint_outcome::lost, "endpoint_dead");
 }
 
-void exchange::endpoint_reported(
+void relay_exchange::endpoint_reported(
     endpoint_state const& endpoint, endpoint_report const& report,
     steady_time checked)
 {
@@ -764,7 +765,7 @@
 
 // The end --------------------------------------------------------------------
 
-void exchange::refuse(char const* reason, milliseconds retry_after)
+void relay_exchange::refuse(char const* reason, milliseconds retry_after)
 {
     if (answer_begun_)
     {
@@ -780,7 +781,7 @@
     finish("refused", 503, reason);
 }
 
-void exchange::fail(unsigned status, char const* reason)
+void relay_exchange::fail(unsigned status, char const* reason)
 {
     release_attempt();
     if (answer_begun_)
@@ -797,7 +798,7 @@
     finish("failed", status, reason);
 }
 
-void exchange::caller_gone()
+void relay_exchange::caller_gone()
 {
     if (state_ == state::done)
         return;
@@ -806,7 +807,7 @@
     finish("caller_gone", 0, {});
 }
 
-void exchange::finish(
+void relay_exchange::finish(
     char const* outcome, unsigned status, std::string const& reason)
 {
     auto const self = shared_from_this();
--- a/src/relay/exchange.hpp
+++ b/src/relay/exchange.hpp
@@ -23,7 +23,7 @@
 namespace dotterellock
 {
 
-class exchange;
+class relay_exchange;
 
 /// How a request ended, for the counters.
 struct request_result
@@ -67,7 +67,7 @@
     virtual void stream_took(service_name const& service, duration took) = 0;
 
     /// Keeps the exchange until an endpoint has room.
-    virtual bool wait_for_room(std::shared_ptr<exchange> const& e) = 0;
+    virtual bool wait_for_room(std::shared_ptr<relay_exchange> const& e) = 0;
 
     /// Work at endpoints began or ended.
     virtual void work_changed() = 0;
@@ -75,11 +75,12 @@
     /// Endpoints may have room again.
     virtual void room_freed(service_name const& service) = 0;
 
-    virtual void finished(std::shared_ptr<exchange> const& e) = 0;
+    virtual void finished(std::shared_ptr<relay_exchange> const& e) = 0;
 
     /// Counts what becomes of attempts and requests.
     virtual void count_failed_attempt(char const* reason) = 0;
-    virtual void count_request(exchange const& e, request_result const& r) = 0;
+    virtual void
+    count_request(relay_exchange const& e, request_result const& r) = 0;
 };
 
 /// What was decided about a request before its first attempt.
@@ -94,16 +95,16 @@
     caller_message message;
 };
 
-class exchange : public std::enable_shared_from_this<exchange>,
-                 private answer_sink
+class relay_exchange : public std::enable_shared_from_this<relay_exchange>,
+                       private answer_sink
 {
 public:
-    exchange(
+    relay_exchange(
         std::uint64_t number, std::shared_ptr<client_session> session,
         admitted_request request, exchange_host& host);
 
-    exchange(exchange const&) = delete;
-    exchange& operator=(exchange const&) = delete;
+    relay_exchange(relay_exchange const&) = delete;
+    relay_exchange& operator=(relay_exchange const&) = delete;
 
     /// @param cached_at  the endpoint that caches the prompt; may be empty
     void start(endpoint_id const& cached_at);
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -446,7 +446,7 @@
         spec && spec->engine)
         busy_services_.insert(r.service);
     r.message = std::move(message);
-    auto const e = std::make_shared<exchange>(
+    auto const e = std::make_shared<relay_exchange>(
         ++last_exchange_, std::move(session), std::move(r), *this);
     exchanges_.emplace(e->number(), e);
     e->watch_caller();
@@ -509,7 +509,7 @@
     return estimates_[service];
 }
 
-void gateway::finished(std::shared_ptr<exchange> const& e)
+void gateway::finished(std::shared_ptr<relay_exchange> const& e)
 {
     auto const line = lines_.find(e->request().service);
     if (line != lines_.end())
@@ -519,7 +519,7 @@
 
 // Waiting --------------------------------------------------------------------
 
-bool gateway::wait_for_room(std::shared_ptr<exchange> const& e)
+bool gateway::wait_for_room(std::shared_ptr<relay_exchange> const& e)
 {
     auto const& r = e->request();
     auto& line = lines_[r.service];
@@ -638,7 +638,7 @@
             calls_.begin(), calls_.end(),
             [](std::shared_ptr<endpoint_call> const& c) { return c->done(); }),
         calls_.end());
-    std::vector<std::shared_ptr<exchange>> exchanges;
+    std::vector<std::shared_ptr<relay_exchange>> exchanges;
     exchanges.reserve(exchanges_.size());
     for (auto const& [number, e] : exchanges_)
         exchanges.push_back(e);
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -121,11 +121,12 @@
         std::string request, bool probe, endpoint_call::handler done) override;
     void stream_took(service_name const& service, duration took) override;
     void work_changed() override;
-    bool wait_for_room(std::shared_ptr<exchange> const& e) override;
+    bool wait_for_room(std::shared_ptr<relay_exchange> const& e) override;
     void room_freed(service_name const& service) override;
-    void finished(std::shared_ptr<exchange> const& e) override;
+    void finished(std::shared_ptr<relay_exchange> const& e) override;
     void count_failed_attempt(char const* reason) override;
-    void count_request(exchange const& e, request_result const& r) override;
+    void
+    count_request(relay_exchange const& e, request_result const& r) override;
 
     std::unique_ptr<status_service>
     make_status_service(std::string const& address);
@@ -145,7 +146,7 @@
     void sweep_endpoints(steady_time now);
     void refresh_reports(steady_time now);
     void reported(endpoint_state& endpoint, endpoint_reply const& reply);
-    void start_with_cache_index(std::shared_ptr<exchange> const& e);
+    void start_with_cache_index(std::shared_ptr<relay_exchange> const& e);
     void cache_listed(
         service_name const& service, endpoint_state const& endpoint,
         endpoint_reply const& reply);
@@ -186,7 +187,8 @@
 
     std::unordered_map<client_session*, std::shared_ptr<client_session>>
         sessions_;
-    std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> exchanges_;
+    std::unordered_map<std::uint64_t, std::shared_ptr<relay_exchange>>
+        exchanges_;
     std::uint64_t last_exchange_ = 0;
     std::map<service_name, arrival_budget> budgets_;
     std::map<service_name, first_event_estimate> estimates_;
@@ -207,7 +209,7 @@
     {
         std::optional<steady_time> began;
         std::size_t open = 0; // calls that have not ended
-        std::vector<std::shared_ptr<exchange>> waiting;
+        std::vector<std::shared_ptr<relay_exchange>> waiting;
     };
 
     prompt_cache_index cache_index_;
--- a/src/relay/gateway_endpoints.cpp
+++ b/src/relay/gateway_endpoints.cpp
@@ -125,7 +125,7 @@
          {"accepted", reply.accepted ? "1" : "0"},
          {"running", report ? std::to_string(report->running) : "-"},
          {"waiting", report ? std::to_string(report->waiting) : "-"}});
-    std::vector<std::shared_ptr<exchange>> here;
+    std::vector<std::shared_ptr<relay_exchange>> here;
     for (auto const& [number, e] : exchanges_)
     {
         if (e->attempting() && e->endpoint() == endpoint)
@@ -247,7 +247,7 @@
 
 // Callers that come back -----------------------------------------------------
 
-void gateway::start_with_cache_index(std::shared_ptr<exchange> const& e)
+void gateway::start_with_cache_index(std::shared_ptr<relay_exchange> const& e)
 {
     auto const now = env_.clock.now();
     auto const& service = e->request().service;
--- a/src/relay/gateway_metrics.cpp
+++ b/src/relay/gateway_metrics.cpp
@@ -13,7 +13,7 @@
         .add();
 }
 
-void gateway::count_request(exchange const& e, request_result const& r)
+void gateway::count_request(relay_exchange const& e, request_result const& r)
 {
     using std::chrono::duration_cast;
     using std::chrono::microseconds;
