Derive the wait of configuration calls from the key withdrawal bound

Cause: calls for changes waited 1.4 s whatever the bound. Under a bound of 3 s the lease ended between two calls, so a gateway without any fault refused keyed requests as not fresh. Ruled out: the store stand-in answered each call 4 ms after its wait. The table test was red with 1.4 s at bounds of 500 to 3000 ms.

--- a/src/gateway/freshness_lease.hpp
+++ b/src/gateway/freshness_lease.hpp
@@ -21,6 +21,19 @@
 class freshness_lease
 {
 public:
+    /// How long one call for changes may be kept waiting, so that the lease
+    /// outlives two calls and the detection of a connection that fell silent.
+    /// @param bound  how long a withdrawn key may still be served
+    static std::chrono::milliseconds
+    longest_call(std::chrono::milliseconds bound)
+    {
+        // 1.7 s let the lease of 5 s end within three seconds of a store
+        // outage; shorter calls cost more without a gain.
+        constexpr std::chrono::milliseconds most{1400};
+        constexpr std::chrono::milliseconds least{50};
+        return std::clamp((bound - margin) * 3 / 10, least, most);
+    }
+
     // Covers rounding and a clock that runs slightly slow.
     static constexpr std::chrono::milliseconds margin{250};
 
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -57,11 +57,6 @@
 // while the store is away get an answer after this time.
 constexpr milliseconds longest_start{600};
 
-// The lease on the configuration outlives two calls of this length and the
-// detection of a connection that fell silent.
-constexpr watch_settings configuration_calls{
-    milliseconds(1400), milliseconds(0)};
-
 // A zone that restarts changes many rows within a moment; the pause reads
 // them with a few calls. Both are short against the drain bound.
 constexpr watch_settings endpoint_calls{milliseconds(4000), milliseconds(600)};
@@ -196,7 +191,9 @@
       configuration_sink_(std::make_unique<configuration_sink>(*this)),
       endpoint_sink_(std::make_unique<endpoint_sink>(*this)),
       configuration_watch_(
-          env_.codec.configuration_table(), configuration_calls,
+          env_.codec.configuration_table(),
+          {freshness_lease::longest_call(settings_.key_withdrawal_bound),
+           milliseconds(0)},
           env_.configuration_reader, *configuration_sink_, env_.clock,
           env_.random, env_.log),
       endpoint_watch_(
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -99,6 +99,27 @@
     REQUIRE(lease.valid(at(r.now)) == r.valid);
 }
 
+// A gateway that hears from the store in time must not refuse keyed requests
+// between two calls, however short the bound is; found by soak seed 1, where
+// calls of 1.4 s let a lease of 3 s end again and again.
+TEST_CASE("a lease that is renewed by each call does not end", "[lease]")
+{
+    auto const bound =
+        milliseconds(GENERATE(500, 1000, 2000, 3000, 5000, 60000));
+    auto const call = freshness_lease::longest_call(bound);
+    constexpr milliseconds way_of_a_call{40}; // across regions
+    freshness_lease lease{bound};
+    steady_time now = at(0);
+    for (int i = 0; i < 20; ++i)
+    {
+        auto const sent = now;
+        now += call + way_of_a_call;
+        REQUIRE((i == 0 || lease.valid(now)));
+        lease.prove(sent);
+    }
+    REQUIRE(call <= milliseconds(1400)); // longer calls end leases in outages
+}
+
 // Budget ---------------------------------------------------------------------
 
 // A fleet that repeats everything at once must stay within the ratio plus the
