Tell restarts of a gateway apart without the time of day

Cause: shares of load were ordered by the wall clock time of the sender's start. A gateway that restarts after its clock was set back counts as older, and the others ignore all its shares. After: each process draws a number; another number is a new process unless it is the one before, whose datagrams may be late.

--- a/src/gateway/peer_loads.cpp
+++ b/src/gateway/peer_loads.cpp
@@ -1,17 +1,20 @@
 #include "peer_loads.hpp"
 
-#include <utility>
-
 namespace dotterellock
 {
 
 bool peer_loads::put(load_share const& share, steady_time now)
 {
     auto& known = shares_[share.gateway.value()];
-    auto const age = [](load_share const& s)
-    { return std::make_pair(s.started, s.sequence); };
-    if (age(share) <= age(known.share))
+    if (share.incarnation == known.share.incarnation)
+    {
+        if (share.sequence <= known.share.sequence)
+            return false;
+    }
+    else if (share.incarnation == known.former)
         return false;
+    else
+        known.former = known.share.incarnation;
     subtract(known.share);
     known.share = share;
     known.received = now;
--- a/src/gateway/peer_loads.hpp
+++ b/src/gateway/peer_loads.hpp
@@ -27,8 +27,8 @@
     };
 
     host_id gateway;
-    std::uint64_t started = 0;  // tells restarts apart, rises with each
-    std::uint64_t sequence = 0; // rises with each share of one start
+    std::uint64_t incarnation = 0; // another number after each restart
+    std::uint64_t sequence = 0;    // rises with each share of an incarnation
     std::vector<endpoint_load> loads;
     std::vector<endpoint_id> failed; // within the last moment
 };
@@ -40,7 +40,7 @@
     // changes nothing; short, as work of a gateway that died ends with it.
     static constexpr std::chrono::milliseconds validity{800};
 
-    /// Takes a share into account. False when a newer one is known already.
+    /// Takes a share into account. False when it is older than the last one.
     bool put(load_share const& share, steady_time now);
 
     /// Forgets shares that are too old; called several times a second.
@@ -55,6 +55,7 @@
     {
         load_share share;
         steady_time received{};
+        std::uint64_t former = 0; // incarnation; its datagrams may be late
     };
 
     void add(load_share const& share);
--- a/src/relay/load_share_codec.cpp
+++ b/src/relay/load_share_codec.cpp
@@ -27,7 +27,7 @@
     std::string bytes;
     json::to_msgpack(
         json::array(
-            {format_version, share.gateway.value(), share.started,
+            {format_version, share.gateway.value(), share.incarnation,
              share.sequence, loads, failed}),
         bytes);
     return bytes;
@@ -57,7 +57,7 @@
                 "a load share of another version");
         load_share share;
         share.gateway = host_id(a.at(1).get<std::string>());
-        share.started = a.at(2).get<std::uint64_t>();
+        share.incarnation = a.at(2).get<std::uint64_t>();
         share.sequence = a.at(3).get<std::uint64_t>();
         for (auto const& item : a.at(4))
             share.loads.push_back(
--- a/src/relay/peer_exchange.cpp
+++ b/src/relay/peer_exchange.cpp
@@ -53,7 +53,7 @@
       clock_(clock), log_(log), own_(std::move(own)),
       received_(std::move(received)),
       watch_(table_name, peer_calls, reader, *this, clock, random, log),
-      socket_(io)
+      socket_(io), incarnation_(random.next())
 {
 }
 
@@ -64,9 +64,6 @@
     socket_.set_option(asio::socket_base::reuse_address(true));
     socket_.bind(own);
     socket_.non_blocking(true);
-    started_ = std::uint64_t(std::chrono::duration_cast<milliseconds>(
-                                 clock_.wall_now().time_since_epoch())
-                                 .count());
     receive();
     watch_.poll();
 }
@@ -170,7 +167,7 @@
         return;
     auto share = own_();
     share.gateway = host_id(host_);
-    share.started = started_;
+    share.incarnation = incarnation_;
     share.sequence = ++sequence_;
     auto const bytes = encode(std::move(share));
     for (auto const& [host, peer] : peers_)
--- a/src/relay/peer_exchange.hpp
+++ b/src/relay/peer_exchange.hpp
@@ -95,7 +95,7 @@
     asio::ip::udp::endpoint sender_;
     std::array<char, 2048> buffer_;
     std::map<std::string, peer> peers_; // by host
-    std::uint64_t started_ = 0;
+    std::uint64_t const incarnation_;
     std::uint64_t sequence_ = 0;
     bool registered_ = false;
     bool writing_ = false;
--- a/tests/gateway/endpoints_test.cpp
+++ b/tests/gateway/endpoints_test.cpp
@@ -207,7 +207,7 @@
     fleet f(1);
     load_share share;
     share.gateway = host_id("other");
-    share.started = 1;
+    share.incarnation = 1;
     share.sequence = 1;
     share.loads = {{endpoint_id("a10"), {1, 8650, 8000}}};
     REQUIRE(f.choose(prompt())->record().id.value() == "a10");
@@ -233,9 +233,32 @@
     peers.expire(at(801));
     REQUIRE(peers.of(endpoint_id("e")).requests == 0);
     REQUIRE_FALSE(peers.put(share, at(900)));
-    share.started = 1; // restarted: its sequence begins anew
-    share.sequence = 1;
-    REQUIRE(peers.put(share, at(900)));
+}
+
+// A gateway that restarts after its clock was set back must be heard again,
+// and a datagram of the process before must not silence it.
+TEST_CASE("a restarted gateway's shares count", "[peers]")
+{
+    peer_loads peers;
+    load_share share;
+    share.gateway = host_id("other");
+    struct row
+    {
+        std::uint64_t incarnation;
+        std::uint64_t sequence;
+        bool counts;
+    };
+    for (auto const& r : std::initializer_list<row>{
+             {100, 5, true},
+             {100, 4, false}, // overtaken on the way
+             {50, 1, true},   // restarted
+             {100, 6, false}, // late, of the process before
+             {50, 2, true}})
+    {
+        share.incarnation = r.incarnation;
+        share.sequence = r.sequence;
+        REQUIRE(peers.put(share, at(0)) == r.counts);
+    }
 }
 
 // A prompt slows the streams beside it: it goes where the fewest run.
--- a/tests/relay/load_share_test.cpp
+++ b/tests/relay/load_share_test.cpp
@@ -15,7 +15,7 @@
 {
     load_share share;
     share.gateway = host_id("front-1");
-    share.started = 7;
+    share.incarnation = 7;
     share.sequence = 9;
     for (std::size_t i = 0; i < endpoints; ++i)
         share.loads.push_back(
@@ -30,7 +30,7 @@
 {
     auto const share = decode_load_share(encode(share_of(3)));
     REQUIRE(share.gateway.value() == "front-1");
-    REQUIRE(share.started == 7);
+    REQUIRE(share.incarnation == 7);
     REQUIRE(share.sequence == 9);
     REQUIRE(share.loads.size() == 3);
     REQUIRE(share.loads[2].load.memory_tokens == 8650);
