--- a/standins/child_process.cpp
+++ b/standins/child_process.cpp
@@ -41,6 +41,12 @@
             &actions_, STDOUT_FILENO, STDERR_FILENO);
     }
 
+    /// The program must not keep this process's connections open.
+    void close_others()
+    {
+        posix_spawn_file_actions_addclosefrom_np(&actions_, STDERR_FILENO + 1);
+    }
+
     posix_spawn_file_actions_t const* get() const { return &actions_; }
 
 private:
@@ -64,6 +70,7 @@
 
     file_actions actions;
     actions.redirect_output(log_file_);
+    actions.close_others();
     int const failure = posix_spawn(
         &pid_, binary.c_str(), actions.get(), nullptr, argv.data(), environ);
     if (failure != 0)
--- a/standins/link_standin.hpp
+++ b/standins/link_standin.hpp
@@ -1,12 +1,15 @@
 // A network link as a TCP forwarder: one-way delay, a byte rate shared by all
 // connections of one direction, and faults. Connections of before a silence
 // lose everything without notice while later ones work, as when something
-// between two ends has lost track of them.
+// between two ends has lost track of them. A cut holds the bytes of one
+// direction until it heals, as TCP sends them again.
 //
 // POST /admin/fault  {"silence":true}     present connections lose all bytes
-//                    {"partition":bool}   all bytes are lost while it lasts
+//                    {"reset":true}       present connections are reset
+//                    {"partition":bool}   cuts both directions
 //                    {"delay_ms":n}
-// GET  /admin/stats  {"connections":n,"forwarded_bytes":n,"lost_bytes":n}
+// GET  /admin/stats  {"connections":n,"forwarded_bytes":n,"lost_bytes":n,
+//                     "held_bytes":n}
 #ifndef DOTTERELLOCK_STANDINS_LINK_STANDIN_HPP
 #define DOTTERELLOCK_STANDINS_LINK_STANDIN_HPP
 
@@ -14,6 +17,7 @@
 #include <cstdint>
 #include <memory>
 #include <set>
+#include <string>
 
 #include <asio/ip/tcp.hpp>
 
@@ -40,6 +44,15 @@
     void
     handle(http_call const& call, std::shared_ptr<http_reply> reply) override;
 
+    // Faults; directions: 0 towards the target, 1 back ---------------------
+
+    void silence();
+    void reset();
+    void cut(std::size_t direction, bool on);
+    void set_delay(milliseconds delay) { settings_.delay = delay; }
+
+    std::string address() const; // callers connect here, IP:PORT
+
 private:
     using clock = std::chrono::steady_clock;
 
@@ -48,11 +61,13 @@
     void accept_next();
     void open(asio::ip::tcp::socket caller);
     void read(std::shared_ptr<pipe> const& p, std::size_t direction);
+
+    /// An empty text stands for the end of the direction.
     void forward(
         std::shared_ptr<pipe> const& p, std::size_t direction,
         std::string bytes);
     void write_next(std::shared_ptr<pipe> const& p, std::size_t direction);
-    void close(std::shared_ptr<pipe> const& p);
+    void close(std::shared_ptr<pipe> const& p, bool in_order);
     clock::time_point leave_time(std::size_t direction, std::size_t bytes);
 
     asio::io_context& context_;
@@ -60,9 +75,10 @@
     link_settings settings_;
     std::set<std::shared_ptr<pipe>> pipes_;
     std::array<clock::time_point, 2> busy_until_{}; // of the byte rate
-    bool partitioned_ = false;
+    std::array<bool, 2> cut_{};
     std::uint64_t forwarded_bytes_ = 0;
     std::uint64_t lost_bytes_ = 0;
+    std::uint64_t held_bytes_ = 0;
 };
 
 } // namespace dotterellock::standins
--- /dev/null
+++ b/tests/platform/soak/broken_gateway.cpp
@@ -0,0 +1,183 @@
+// dotterellock-broken-gateway PROMISE SETTINGS: the gateway with one part
+// replaced by a wrong one, to see that the soak's checker notices.
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+#include <unistd.h>
+
+#include "platform/row_store_client.hpp"
+#include "platform/wire_dialect.hpp"
+#include "platform/wire_rows.hpp"
+#include "process/bounded_log.hpp"
+#include "process/system_runtime.hpp"
+#include "relay/gateway_process.hpp"
+
+namespace
+{
+
+using namespace dotterellock;
+using std::chrono::milliseconds;
+
+class broken_dialect : public wire_dialect
+{
+public:
+    explicit broken_dialect(std::string const& promise) : promise_(promise) {}
+
+    caller_terms read_request(message_head const& head) const override
+    {
+        auto terms = wire_dialect::read_request(head);
+        if (promise_ == "deadline" && terms.deadline)
+            *terms.deadline += milliseconds(1500);
+        return terms;
+    }
+
+    answer_terms read_answer(message_head const& head) const override
+    {
+        auto terms = wire_dialect::read_answer(head);
+        if (promise_ == "refusal" && head.status >= 500)
+        {
+            terms.not_run = true; // a failure after a run taken for a refusal
+            terms.sealed = false;
+        }
+        return terms;
+    }
+
+    bool forwarded(std::string_view header) const override
+    {
+        return promise_ == "key_passed_on" || wire_dialect::forwarded(header);
+    }
+
+    void
+    write_terms(forward_terms const& terms, std::string& head) const override
+    {
+        auto told = terms;
+        if (promise_ == "order" && told.last_event)
+            ++*told.last_event; // an event is left out
+        if (promise_ == "organisation")
+            told.organisation = organisation_id("somebody-1");
+        wire_dialect::write_terms(told, head);
+    }
+
+private:
+    std::string const promise_;
+};
+
+class broken_rows : public wire_rows
+{
+public:
+    explicit broken_rows(std::string const& promise) : promise_(promise) {}
+
+    std::optional<gateway_configuration>
+    read_configuration(store_row const& row) const override
+    {
+        auto c = wire_rows::read_configuration(row);
+        if (!c)
+            return c;
+        for (auto& route : c->routes)
+        {
+            if (promise_ == "once")
+                route.idempotent = true;
+            if (promise_ == "attempts")
+                route.max_attempts = 9;
+            if (promise_ == "timeout")
+                route.timeout = std::chrono::seconds(60);
+        }
+        return c;
+    }
+
+    endpoint_record read_endpoint(store_row const& row) const override
+    {
+        auto record = wire_rows::read_endpoint(row);
+        if (promise_ == "drain")
+            record.draining = false;
+        return record;
+    }
+
+private:
+    std::string const promise_;
+};
+
+/// Answers calls for changes as if there were none.
+class deaf_reader : public row_reader
+{
+public:
+    deaf_reader(row_reader& store, bool deaf) : store_(store), deaf_(deaf) {}
+
+    void list(std::string const& t, std::string const& from, handler h) override
+    {
+        store_.list(t, from, std::move(h));
+    }
+
+    void changes(
+        std::string const& table, std::uint64_t after, milliseconds wait,
+        handler done) override
+    {
+        store_.changes(
+            table, after, wait,
+            [this, done = std::move(done)](store_answer answer)
+            {
+                if (deaf_)
+                    answer.rows.clear();
+                done(std::move(answer));
+            });
+    }
+
+private:
+    row_reader& store_;
+    bool const deaf_;
+};
+
+void run(std::string const& promise, std::string const& file)
+{
+    std::ifstream in(file);
+    std::string const text{std::istreambuf_iterator<char>(in), {}};
+    auto settings = read_gateway_settings(text, file);
+    if (promise == "budget" || promise == "attempts")
+    {
+        settings.retries.ratio = 100;
+        settings.retries.allowance = 1e6;
+    }
+    suspension_clock const clock;
+    system_random random;
+    bounded_log log(STDOUT_FILENO, clock, settings.log_lines_per_second);
+    counter_registry counters;
+    broken_dialect const dialect(promise);
+    broken_rows const codec(promise);
+    asio::io_context io(1);
+    row_store_client configuration_store(io, clock, settings.store);
+    deaf_reader configuration(configuration_store, promise == "revocation");
+    row_store_client endpoints(io, clock, settings.store);
+    row_store_client peers(io, clock, settings.store);
+    row_store_client peer_writer(io, clock, settings.store);
+    gateway_process process(
+        file, text, settings,
+        {io, clock, random, dialect, codec, configuration, endpoints, peers,
+         peer_writer, log, counters});
+    if (promise == "stop")
+        std::signal(SIGTERM, [](int) { ::_exit(0); }); // cuts what is open
+    process.run();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    if (argc != 3)
+    {
+        std::cerr << "usage: dotterellock-broken-gateway PROMISE SETTINGS\n";
+        return 2;
+    }
+    try
+    {
+        run(argv[1], argv[2]);
+        return 0;
+    }
+    catch (std::exception const& e)
+    {
+        std::cerr << "dotterellock-broken-gateway: " << e.what() << '\n';
+        return 1;
+    }
+}
--- /dev/null
+++ b/tests/platform/soak/callers.cpp
@@ -0,0 +1,327 @@
+#include "callers.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+
+#include "platform/wire_names.hpp"
+#include "relay/connection_pool.hpp"
+
+namespace dotterellock::soak
+{
+
+namespace
+{
+
+namespace header = wire::header;
+using standins::after;
+
+constexpr milliseconds plain_deadline{1200};
+constexpr std::uint64_t deadline_spread = 1500; // ms; around route timeouts
+constexpr milliseconds stream_deadline{12000};
+constexpr milliseconds patience{1500}; // after the deadline, for late answers
+constexpr std::uint32_t most_attempts = 4;
+constexpr double kept_share = 0.7;
+constexpr double withdrawn_share = 0.05; // of requests, with a withdrawn key
+
+char const* prefix(request_kind kind)
+{
+    switch (kind)
+    {
+    case request_kind::idempotent:
+        return "/lookup/";
+    case request_kind::at_most_once:
+        return "/book/";
+    default:
+        return "/chat/";
+    }
+}
+
+void add(std::string& head, char const* name, std::string const& value)
+{
+    head.append(name).append(": ").append(value).append("\r\n");
+}
+
+std::string framed(std::string const& body, bool chunked)
+{
+    if (!chunked)
+        return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+               body;
+    return "Transfer-Encoding: chunked\r\n\r\n" + wire_chunk(body) +
+           wire_chunk("");
+}
+
+} // namespace
+
+/// One request on one connection.
+class callers::attempt : public answer_sink,
+                         public std::enable_shared_from_this<attempt>
+{
+public:
+    attempt(
+        callers& owner, std::shared_ptr<wish> w, kept_connection connection,
+        caller_attempt& record)
+        : owner_(owner), wish_(std::move(w)),
+          connection_(std::move(connection)), record_(record)
+    {
+    }
+
+    void start(std::string const& address, std::string bytes)
+    {
+        self_ = shared_from_this();
+        connection_.connection->send(
+            *parse_address(address), std::move(bytes), *this);
+        end_after(record_.deadline + patience, false);
+    }
+
+    void end_after(milliseconds delay, bool leave)
+    {
+        after(
+            owner_.io_, delay,
+            [weak = weak_from_this(), leave]
+            {
+                auto const a = weak.lock();
+                if (!a || !a->self_)
+                    return;
+                a->record_.left = leave;
+                a->connection_.connection->abandon();
+                a->finish(false);
+            });
+    }
+
+    void on_answer_head(message_head head) override
+    {
+        record_.status = head.status;
+        auto const* const seal = find_header(head.headers, header::seal);
+        if (seal != nullptr)
+            record_.seal = *seal;
+        auto const* const id = find_header(head.headers, header::request_id);
+        if (id != nullptr && *id != record_.id)
+            record_.problem = "the answer to " + *id;
+        auto const* const later =
+            find_header(head.headers, header::retry_after);
+        if (later != nullptr)
+            return_after_ = milliseconds(
+                std::int64_t(1000 * std::strtod(later->c_str(), nullptr)));
+    }
+
+    void on_answer_body(std::string_view bytes) override
+    {
+        if (record_.status != 200 ||
+            record_.kind != request_kind::resumable_stream)
+        {
+            record_.body.append(bytes);
+            return;
+        }
+        buffer_.append(bytes);
+        std::size_t end = 0;
+        while ((end = buffer_.find("\n\n")) != std::string::npos)
+        {
+            auto const event = buffer_.substr(0, end + 2);
+            buffer_.erase(0, end + 2);
+            auto const number = std::strtoull(event.c_str() + 4, nullptr, 10);
+            if (event != event_text(record_.path, number))
+                record_.problem = "a damaged event: " + event;
+            record_.events.push_back(number);
+        }
+    }
+
+    void on_answer_complete() override
+    {
+        record_.complete = true;
+        if (!buffer_.empty())
+            record_.problem = "ended within an event";
+        finish(connection_.connection->reusable());
+    }
+
+    void on_failure(connection_failure failure) override
+    {
+        if (failure == connection_failure::malformed)
+            record_.problem = "bytes that are no answer";
+        finish(false);
+    }
+
+private:
+    void finish(bool keep)
+    {
+        if (!self_)
+            return;
+        auto const alive = std::move(self_);
+        self_.reset();
+        record_.ended = owner_.clock_.now();
+        if (keep)
+            owner_.idle_[record_.gateway].push_back(connection_);
+        owner_.attempt_ended(wish_, record_, return_after_);
+    }
+
+    callers& owner_;
+    std::shared_ptr<wish> wish_;
+    kept_connection connection_;
+    caller_attempt& record_;
+    std::optional<milliseconds> return_after_;
+    std::string buffer_;
+    std::shared_ptr<attempt> self_; // while the request is open
+};
+
+callers::callers(
+    asio::io_context& io, random_source& random, clock_source const& clock,
+    history& h, sent_requests& sent, gateway_fleet& gateways)
+    : io_(io), random_(random), clock_(clock), history_(h), sent_(sent),
+      gateways_(gateways), idle_(gateways.size())
+{
+}
+
+callers::~callers() = default;
+
+void callers::start()
+{
+    next_arrival();
+}
+
+void callers::next_arrival()
+{
+    if (stopped_)
+        return;
+    auto const gap = milliseconds(std::int64_t(
+        2000 * random_.uniform() / requests_per_second)); // even on average
+    after(
+        io_, gap,
+        [this]
+        {
+            if (stopped_)
+                return;
+            constexpr std::uint64_t kinds = 10;
+            auto const draw = random_.below(kinds);
+            auto w = std::make_shared<wish>();
+            w->kind = draw < 4   ? request_kind::idempotent
+                      : draw < 8 ? request_kind::at_most_once
+                                 : request_kind::resumable_stream;
+            w->path = prefix(w->kind) + std::to_string(++last_id_);
+            if (w->kind == request_kind::at_most_once)
+                w->body = std::string(random_.below(3000), 'b');
+            w->chunked = random_.below(2) == 0;
+            bool const withdrawn =
+                !withdrawn_keys.empty() && random_.uniform() < withdrawn_share;
+            auto const& from = withdrawn ? withdrawn_keys : keys;
+            w->key = from[random_.below(from.size())];
+            auto const shortest = w->kind == request_kind::resumable_stream
+                                      ? stream_deadline
+                                      : plain_deadline;
+            w->until = clock_.now() + shortest +
+                       milliseconds(random_.below(deadline_spread));
+            ++open_;
+            begin(w);
+            next_arrival();
+        });
+}
+
+std::size_t callers::choose_gateway()
+{
+    std::vector<std::size_t> ready;
+    for (std::size_t i = 0; i < gateways_.size(); ++i)
+    {
+        if (gateways_.ready(i))
+            ready.push_back(i);
+    }
+    if (ready.empty())
+        return random_.below(gateways_.size());
+    return ready[random_.below(ready.size())];
+}
+
+callers::kept_connection callers::connect(std::size_t gateway, bool first)
+{
+    auto& idle = idle_[gateway];
+    idle.erase(
+        std::remove_if(
+            idle.begin(), idle.end(),
+            [](kept_connection const& k) { return !k.connection->reusable(); }),
+        idle.end());
+    if (first && !idle.empty() && random_.uniform() < kept_share)
+    {
+        auto const kept = idle.back();
+        idle.pop_back();
+        return kept;
+    }
+    return {
+        std::make_shared<http_connection>(io_, clock_),
+        gateways_.process(gateway)};
+}
+
+void callers::begin(std::shared_ptr<wish> w)
+{
+    bool const first = w->attempts++ == 0;
+    auto gateway = choose_gateway();
+    // Kept connections are used until they end, also of stopping gateways.
+    auto const other = random_.below(gateways_.size());
+    if (first && !idle_[other].empty())
+        gateway = other;
+    auto connection = connect(gateway, first);
+
+    history_.attempts.emplace_back();
+    auto& a = history_.attempts.back(); // a deque: stays where it is
+    a.id = "r" + std::to_string(history_.attempts.size());
+    a.kind = w->kind;
+    a.path = w->path;
+    a.key = w->key.key;
+    a.gateway = gateway;
+    a.process = connection.process;
+    a.sent = clock_.now();
+    a.deadline = std::chrono::duration_cast<milliseconds>(w->until - a.sent);
+    a.max_attempts = w->kind == request_kind::resumable_stream ? 3 : 2;
+    if (w->last_event != 0)
+        a.last_event = w->last_event;
+
+    sent_request sent{
+        w->kind == request_kind::at_most_once ? "POST" : "GET",
+        w->path,
+        w->body,
+        "200,300",
+        w->key.key,
+        w->key.organisation};
+    std::string text =
+        sent.method + ' ' + sent.path + " HTTP/1.1\r\nHost: soak.example\r\n";
+    add(text, header::request_id, a.id);
+    add(text, header::deadline, std::to_string(a.deadline.count()));
+    add(text, header::authorization, "Bearer " + sent.key);
+    add(text, header::token_counts, sent.token_counts);
+    add(text, header::prompt_parts,
+        "ab:200," + w->path.substr(w->path.rfind('/') + 1) + ":8");
+    // Callers may not set these.
+    add(text, header::organisation, "another-1");
+    add(text, header::hold, "held");
+    if (a.last_event)
+        add(text, header::last_event_id, std::to_string(*a.last_event));
+    text += sent.body.empty() ? "\r\n" : framed(sent.body, w->chunked);
+    sent_[a.id] = std::move(sent);
+    auto const run =
+        std::make_shared<attempt>(*this, w, std::move(connection), a);
+    run->start(gateways_.address(gateway), std::move(text));
+    if (random_.uniform() < leaving_share)
+        run->end_after(milliseconds(random_.below(800)), true);
+}
+
+void callers::attempt_ended(
+    std::shared_ptr<wish> const& w, caller_attempt const& a,
+    std::optional<milliseconds> return_after)
+{
+    if (!a.events.empty())
+        w->last_event = a.events.back();
+    bool const promised = a.status == 429 || a.status == 503;
+    bool const repeatable = w->kind != request_kind::at_most_once;
+    bool const failed = !a.complete || a.status >= 500;
+    bool const final_answer =
+        a.left || (a.complete && a.status < 500 && a.status != 429);
+    auto const left =
+        std::chrono::duration_cast<milliseconds>(w->until - clock_.now());
+    constexpr milliseconds shortest{200}; // of an attempt that makes sense
+    if (final_answer || stopped_ || left < shortest ||
+        w->attempts >= most_attempts || !(promised || (failed && repeatable)))
+    {
+        --open_;
+        return;
+    }
+    auto const wait =
+        std::min(return_after.value_or(milliseconds(20)), left / 3);
+    after(io_, wait, [this, w] { begin(w); });
+}
+
+} // namespace dotterellock::soak
--- /dev/null
+++ b/tests/platform/soak/callers.hpp
@@ -0,0 +1,88 @@
+// Callers of a soak: they keep connections, leave, come back with what they
+// have received, and repeat only what the answers allow.
+#ifndef DOTTERELLOCK_TESTS_SOAK_CALLERS_HPP
+#define DOTTERELLOCK_TESTS_SOAK_CALLERS_HPP
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <asio/io_context.hpp>
+
+#include "endpoint_standin.hpp"
+#include "gateway_fleet.hpp"
+#include "history.hpp"
+
+namespace dotterellock::soak
+{
+
+/// A key that callers use, and the organisation that it belongs to.
+struct caller_key
+{
+    std::string key;
+    std::string organisation;
+};
+
+class callers
+{
+public:
+    callers(
+        asio::io_context& io, random_source& random, clock_source const& clock,
+        history& h, sent_requests& sent, gateway_fleet& gateways);
+    ~callers();
+
+    void start();
+    void stop() { stopped_ = true; }
+    std::size_t open_requests() const { return open_; }
+
+    double requests_per_second = 60;
+    double leaving_share = 0.03; // give up before the answer is complete
+    std::vector<caller_key> keys;
+    std::vector<caller_key> withdrawn_keys; // some callers go on to use them
+
+private:
+    class attempt;
+
+    /// What one caller wants, over all of its attempts.
+    struct wish
+    {
+        request_kind kind{};
+        std::string path;
+        std::string body;
+        bool chunked = false;
+        caller_key key;
+        steady_time until{};
+        std::uint32_t attempts = 0;
+        std::uint64_t last_event = 0;
+    };
+
+    struct kept_connection
+    {
+        std::shared_ptr<http_connection> connection;
+        unsigned process = 0;
+    };
+
+    void next_arrival();
+    void begin(std::shared_ptr<wish> w);
+    void attempt_ended(
+        std::shared_ptr<wish> const& w, caller_attempt const& a,
+        std::optional<milliseconds> return_after);
+    std::size_t choose_gateway();
+    kept_connection connect(std::size_t gateway, bool first);
+
+    asio::io_context& io_;
+    random_source& random_;
+    clock_source const& clock_;
+    history& history_;
+    sent_requests& sent_;
+    gateway_fleet& gateways_;
+    std::vector<std::vector<kept_connection>> idle_; // by gateway
+    std::uint64_t last_id_ = 0;
+    std::size_t open_ = 0;
+    bool stopped_ = false;
+};
+
+} // namespace dotterellock::soak
+
+#endif
--- /dev/null
+++ b/tests/platform/soak/endpoint_standin.cpp
@@ -0,0 +1,396 @@
+#include "endpoint_standin.hpp"
+
+#include <algorithm>
+
+#include "platform/json_fields.hpp"
+#include "platform/wire_names.hpp"
+#include "relay/connection_pool.hpp"
+
+namespace dotterellock::soak
+{
+
+namespace
+{
+
+namespace header = wire::header;
+using standins::after;
+using wire::json;
+
+constexpr std::size_t plain_slots = 6;
+constexpr std::size_t engine_slots = 48;
+constexpr milliseconds plain_work{15};
+constexpr milliseconds first_event_delay{60};
+constexpr milliseconds event_interval{40};
+constexpr double unframed_share = 0.05; // answers that end with the connection
+constexpr double closing_share = 0.05;  // "Connection: close"
+constexpr milliseconds copy_lifetime{4000};
+
+} // namespace
+
+endpoint_standin::endpoint_standin(
+    asio::io_context& io, random_source& random, clock_source const& clock,
+    history& h, sent_requests const& sent, std::string service,
+    std::string zone)
+    : io_(io), random_(random), clock_(clock), history_(h), sent_(sent),
+      service_(std::move(service)), zone_(std::move(zone)),
+      server_(
+          io, [this](auto const& c, wire_request const& r) { handle(c, r); })
+{
+    standins::link_settings settings;
+    settings.target = *parse_address(server_.address());
+    link_ = std::make_unique<standins::link_standin>(
+        io,
+        asio::ip::tcp::acceptor(
+            io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        settings);
+    address_ = link_->address();
+}
+
+void endpoint_standin::start(std::string id, std::uint64_t born)
+{
+    id_ = std::move(id);
+    born_ = born;
+    faults = {};
+    if (!running_)
+        server_.start();
+    running_ = true;
+}
+
+void endpoint_standin::crash()
+{
+    if (!running_)
+        return;
+    running_ = false;
+    copies_.clear();
+    auto const runs = runs_;
+    for (auto const& r : runs)
+        finish(r, false);
+    server_.stop();
+}
+
+std::string endpoint_standin::row(bool draining) const
+{
+    return json{
+        {"service", service_},
+        {"address", address_},
+        {"zone", zone_},
+        {"version", "1"},
+        {"slots", engine() ? engine_slots : plain_slots},
+        {"state", draining ? "draining" : "ready"},
+        {"coldLeftMs", 0},
+        {"seqNo", 0},
+        {"born", born_}}
+        .dump();
+}
+
+void endpoint_standin::handle(
+    std::shared_ptr<wire_connection> const& c, wire_request const& r)
+{
+    if (faults.mute)
+        return;
+    auto const path = r.path();
+    bool const copy_call = path == wire::call::copy_run ||
+                           path.compare(
+                               0, std::string(wire::call::free_copy).size(),
+                               wire::call::free_copy) == 0;
+    if (path == wire::call::report || path == wire::call::cached_parts ||
+        copy_call)
+        manage(c, r);
+    else
+        accept_run(c, r);
+}
+
+void endpoint_standin::manage(
+    std::shared_ptr<wire_connection> const& c, wire_request const& r)
+{
+    json out = json::object();
+    unsigned status = 200;
+    auto const path = r.path();
+    if (path == wire::call::report)
+    {
+        out = {
+            {"queueDepth", 0},
+            {"activeSeqs", runs_.size()},
+            {"kvUsed", 500 * runs_.size()},
+            {"kvTotal", 88000},
+            {"born", born_},
+            {"runs", json::array()}};
+    }
+    else if (path == wire::call::cached_parts)
+        out = {{"epoch", 1}, {"next", 0}, {"held", json::array()}};
+    else if (path == wire::call::copy_run)
+    {
+        auto const call = json::parse(r.body);
+        auto const run = std::find_if(
+            runs_.begin(), runs_.end(),
+            [&](run_ptr const& p)
+            { return history_.runs[p->record].id == call.at("id"); });
+        auto const target = directory_->find(call.at("to"));
+        if (run == runs_.end())
+            status = 404;
+        else if (target == directory_->end() || !target->second->running_)
+            status = 503;
+        else
+        {
+            std::string const handle =
+                address_ + '/' + std::string(call.at("id"));
+            (*run)->standby = target->first;
+            target->second->copies_.insert(handle);
+            out = {
+                {"handle", call.at("id")}, {"created", (*run)->next_event - 1}};
+        }
+    }
+    c->send(
+        wire_answer(status, "Content-Type: application/json\r\n", out.dump()));
+    c->answered();
+}
+
+std::string endpoint_standin::difference(wire_request const& r) const
+{
+    auto const found = sent_.find(r.header(header::request_id));
+    if (found == sent_.end())
+        return {}; // the checker reports runs that nobody asked for
+    auto const& sent = found->second;
+    if (r.head.method != sent.method)
+        return "method " + r.head.method;
+    if (r.head.target != sent.path)
+        return "path " + r.head.target;
+    if (r.body != sent.body)
+        return "a body of " + std::to_string(r.body.size()) + " bytes";
+    if (r.header(header::token_counts) != sent.token_counts)
+        return "another number of tokens";
+    if (!r.header(header::authorization).empty())
+        return "the key was passed on";
+    if (!r.header(header::pin).empty() || !r.header(header::hold).empty())
+        return "a header that is the gateway's to set";
+    auto const organisation = r.header(header::organisation);
+    if (organisation.substr(0, organisation.rfind('-')) != sent.organisation)
+        return "organisation " + organisation;
+    return {};
+}
+
+void endpoint_standin::reject(
+    std::shared_ptr<wire_connection> const& c, std::size_t record,
+    unsigned status)
+{
+    auto& entry = history_.runs[record];
+    entry.ran = false;
+    entry.ended = clock_.now();
+    entry.status = status;
+    c->send(wire_answer(
+        status,
+        std::string(header::request_id) + ": " + entry.id + "\r\n" +
+            header::not_run + ": 1\r\n",
+        ""));
+    c->answered();
+}
+
+bool endpoint_standin::take_copy(wire_request const& r)
+{
+    auto const from = r.header(header::go_on_from);
+    // ADDRESS/RUN: the copy's keeper for a copy that grew with the run, the
+    // run's own endpoint for one that was made on demand.
+    auto const slash = from.find('/');
+    auto const run = from.substr(slash + 1);
+    if (run != r.header(header::request_id) && sent_.count(run) != 0 &&
+        sent_.at(run).path != r.head.target)
+        return false; // another request's memory
+    auto const at_source = copies_.find(from);
+    if (at_source != copies_.end())
+    {
+        copies_.erase(at_source);
+        return true;
+    }
+    return copies_.erase(run) != 0;
+}
+
+void endpoint_standin::accept_run(
+    std::shared_ptr<wire_connection> const& c, wire_request const& r)
+{
+    endpoint_run entry;
+    entry.id = r.header(header::request_id);
+    entry.endpoint = id_;
+    entry.service = service_;
+    entry.arrived = clock_.now();
+    entry.difference = difference(r);
+    auto const organisation = r.header(header::organisation);
+    auto const dash = organisation.rfind('-');
+    if (dash != std::string::npos)
+        entry.version = std::stoull(organisation.substr(dash + 1));
+    auto const deadline = r.header(header::deadline);
+    entry.time_left = deadline.empty() ? milliseconds::max()
+                                       : milliseconds(std::stoll(deadline));
+    auto const last = r.header(header::last_event_id);
+    if (!last.empty())
+        entry.last_event = std::stoull(last);
+    history_.runs.push_back(entry);
+    auto const record = history_.runs.size() - 1;
+
+    auto const expected = r.header(header::expected_endpoint);
+    if (!expected.empty() && expected != id_)
+    {
+        reject(c, record, 421);
+        return;
+    }
+    std::size_t const slots = engine() ? engine_slots : plain_slots * 4;
+    bool const copy_missing =
+        !r.header(header::go_on_from).empty() && !take_copy(r);
+    if (runs_.size() >= slots || copy_missing)
+    {
+        reject(c, record, 503);
+        return;
+    }
+    auto& kept = history_.runs[record];
+    kept.ran = true;
+    kept.seal = id_ + '.' + std::to_string(++last_seal_);
+    auto const work = std::make_shared<run>();
+    work->record = record;
+    work->path = r.head.target;
+    work->connection = c;
+    work->standby = r.header(header::standby);
+    runs_.insert(work);
+    c->on_gone([this, work] { finish(work, false); });
+    if (!work->standby.empty())
+    {
+        auto const keeper = directory_->find(work->standby);
+        if (keeper != directory_->end() && keeper->second->running_)
+            keeper->second->copies_.insert(kept.id);
+    }
+    bool const stream = engine();
+    work->last_event = stream ? event_count(work->path) : 0;
+    work->next_event = kept.last_event.value_or(0) + 1;
+    auto const delay =
+        (stream ? first_event_delay : plain_work) * faults.slowness;
+    after(
+        io_, delay,
+        [this, work, stream]
+        {
+            if (work->over)
+                return;
+            if (stream)
+                begin_stream(work);
+            else
+                answer_plain(work);
+        });
+}
+
+std::string endpoint_standin::answer_headers(endpoint_run const& record) const
+{
+    return std::string(header::request_id) + ": " + record.id + "\r\n" +
+           header::seal + ": " + record.seal + "\r\n" + header::keep_alive +
+           ": timeout=5\r\n";
+}
+
+void endpoint_standin::finish(run_ptr const& r, bool answered)
+{
+    if (r->over)
+        return;
+    r->over = true;
+    runs_.erase(r);
+    auto& entry = history_.runs[r->record];
+    entry.ended = clock_.now();
+    entry.answered = answered;
+    r->connection->on_gone(nullptr);
+    auto const keeper = directory_->find(r->standby);
+    if (keeper == directory_->end())
+        return;
+    auto const forget = [k = keeper->second, id = entry.id]
+    { k->copies_.erase(id); };
+    if (answered)
+        forget();
+    else
+        after(io_, copy_lifetime, forget);
+}
+
+void endpoint_standin::answer_plain(run_ptr const& r)
+{
+    auto& entry = history_.runs[r->record];
+    auto const& c = r->connection;
+    if (random_.uniform() < faults.lost_answers)
+    {
+        finish(r, false);
+        c->reset();
+        return;
+    }
+    entry.status = random_.uniform() < faults.failing ? 500 : 200;
+    auto headers = answer_headers(entry);
+    auto const body =
+        entry.status == 200 ? expected_body(r->path, entry.seal) : "failed";
+    if (random_.uniform() < faults.garbled)
+    {
+        entry.status = 0; // whatever the caller is told is right
+        bool const cut = random_.below(2) == 0;
+        finish(r, false);
+        auto const text = wire_answer(200, headers, body);
+        c->send(cut ? text.substr(0, text.size() / 2) : text + "extra bytes");
+        c->end();
+        return;
+    }
+    bool const unframed = random_.uniform() < unframed_share;
+    bool const closes = unframed || random_.uniform() < closing_share;
+    if (closes)
+        headers += "Connection: close\r\n";
+    finish(r, true);
+    c->send(
+        unframed ? "HTTP/1.1 " + std::to_string(entry.status) + " Answer\r\n" +
+                       headers + "\r\n" + body
+                 : wire_answer(entry.status, headers, body));
+    if (closes)
+        c->end();
+    else
+        c->answered();
+}
+
+void endpoint_standin::begin_stream(run_ptr const& r)
+{
+    auto& entry = history_.runs[r->record];
+    if (random_.uniform() < faults.failing)
+    {
+        entry.status = 500;
+        r->connection->send(wire_answer(500, answer_headers(entry), "failed"));
+        auto const c = r->connection;
+        finish(r, true);
+        c->answered();
+        return;
+    }
+    entry.status = 200;
+    r->connection->send(
+        "HTTP/1.1 200 OK\r\n" + answer_headers(entry) +
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n");
+    next_event(r);
+}
+
+void endpoint_standin::next_event(run_ptr const& r)
+{
+    if (r->over)
+        return;
+    auto const& c = r->connection;
+    if (faults.mute)
+    {
+        after(io_, event_interval, [this, r] { next_event(r); });
+        return;
+    }
+    if (r->next_event > r->last_event)
+    {
+        auto const connection = c;
+        finish(r, true);
+        connection->send(wire_chunk(""));
+        connection->answered();
+        return;
+    }
+    auto const text = event_text(r->path, r->next_event++);
+    if (random_.uniform() < faults.garbled / 10) // many events a stream
+    {
+        auto const connection = c;
+        finish(r, false);
+        auto const chunk = wire_chunk(text);
+        connection->send(chunk.substr(0, chunk.size() / 2));
+        connection->end();
+        return;
+    }
+    c->send(wire_chunk(text));
+    after(io_, event_interval * faults.slowness, [this, r] { next_event(r); });
+}
+
+} // namespace dotterellock::soak
--- /dev/null
+++ b/tests/platform/soak/endpoint_standin.hpp
@@ -0,0 +1,123 @@
+// A back end of the platform on loopback: a plain service, or a model engine
+// that streams events and keeps copies of other engines' runs. Every request
+// that arrives is written to the history.
+#ifndef DOTTERELLOCK_TESTS_SOAK_ENDPOINT_STANDIN_HPP
+#define DOTTERELLOCK_TESTS_SOAK_ENDPOINT_STANDIN_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <dotterellock/runtime.hpp>
+
+#include "history.hpp"
+#include "standins/link_standin.hpp"
+#include "wire_server.hpp"
+
+namespace dotterellock::soak
+{
+
+/// What a caller sent; endpoints compare with it what arrives.
+struct sent_request
+{
+    std::string method;
+    std::string path;
+    std::string body;
+    std::string token_counts;
+    std::string key;
+    std::string organisation; // without the version
+};
+
+using sent_requests = std::map<std::string, sent_request>; // by id
+
+struct endpoint_faults
+{
+    bool mute = false;       // accepts, then says nothing
+    double failing = 0;      // share of requests answered 500 after a run
+    double garbled = 0;      // share of answers that are damaged
+    double lost_answers = 0; // share of runs whose connection is reset
+    unsigned slowness = 1;
+};
+
+class endpoint_standin
+{
+public:
+    endpoint_standin(
+        asio::io_context& io, random_source& random, clock_source const& clock,
+        history& h, sent_requests const& sent, std::string service,
+        std::string zone);
+
+    /// All endpoints, by address, for copies of runs.
+    using directory = std::map<std::string, endpoint_standin*>;
+    void set_directory(directory const* d) { directory_ = d; }
+
+    void start(std::string id, std::uint64_t born);
+
+    /// Ends all runs and connections, in the middle of what they write.
+    void crash();
+    bool running() const { return running_; }
+
+    std::string const& id() const { return id_; }
+    std::string const& service() const { return service_; }
+    std::string const& address() const { return address_; }
+    standins::link_standin& link() { return *link_; }
+    std::string row(bool draining) const; // for the store
+
+    endpoint_faults faults;
+
+private:
+    struct run
+    {
+        std::size_t record; // in the history
+        std::string path;
+        std::uint64_t next_event = 0;
+        std::uint64_t last_event = 0;
+        std::shared_ptr<wire_connection> connection;
+        std::string standby; // address that keeps a copy
+        bool over = false;
+    };
+    using run_ptr = std::shared_ptr<run>;
+
+    bool engine() const { return service_ == "llm"; }
+    void
+    handle(std::shared_ptr<wire_connection> const& c, wire_request const& r);
+    void
+    manage(std::shared_ptr<wire_connection> const& c, wire_request const& r);
+    void accept_run(
+        std::shared_ptr<wire_connection> const& c, wire_request const& r);
+    std::string difference(wire_request const& r) const;
+    void reject(
+        std::shared_ptr<wire_connection> const& c, std::size_t record,
+        unsigned status);
+    bool take_copy(wire_request const& r);
+    void answer_plain(run_ptr const& r);
+    void begin_stream(run_ptr const& r);
+    void next_event(run_ptr const& r);
+    void finish(run_ptr const& r, bool answered);
+    std::string answer_headers(endpoint_run const& record) const;
+
+    asio::io_context& io_;
+    random_source& random_;
+    clock_source const& clock_;
+    history& history_;
+    sent_requests const& sent_;
+    std::string const service_;
+    std::string const zone_;
+    wire_server server_;
+    std::unique_ptr<standins::link_standin> link_;
+    std::string address_; // of the link
+    directory const* directory_ = nullptr;
+    std::string id_;
+    std::uint64_t born_ = 0;
+    bool running_ = true;
+    std::set<run_ptr> runs_;
+    std::set<std::string> copies_; // of runs at other endpoints
+    std::uint64_t last_seal_ = 0;
+};
+
+} // namespace dotterellock::soak
+
+#endif
--- /dev/null
+++ b/tests/platform/soak/main.cpp
@@ -0,0 +1,210 @@
+// dotterellock-soak: plays faults of one seed against real gateway processes
+// and reports broken promises. Exit status 0: none, 1: some, 2: bad usage.
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+#include <map>
+#include <sstream>
+
+#include <unistd.h>
+
+#include <cxxopts.hpp>
+
+#include "promise_checker.hpp"
+#include "soak_world.hpp"
+#include "support/manual_scheduler.hpp"
+
+namespace
+{
+
+using namespace dotterellock;
+using namespace dotterellock::soak;
+
+std::vector<std::string> split(std::string const& text)
+{
+    std::vector<std::string> parts;
+    std::istringstream in(text);
+    for (std::string part; std::getline(in, part, ',');)
+        parts.push_back(part);
+    return parts;
+}
+
+void print_plan(std::vector<planned_fault> const& plan)
+{
+    for (auto const& f : plan)
+        std::cout << "  at_ms=" << f.at.count() << " fault=" << f.kind->name
+                  << " subject=" << f.subject
+                  << " length_ms=" << f.length.count() << '\n';
+}
+
+void print_outcome(
+    std::uint64_t seed, soak_world const& world,
+    std::vector<planned_fault> const& plan,
+    std::vector<violation> const& violations)
+{
+    auto const& h = world.seen();
+    std::size_t served = 0;
+    std::size_t refused = 0;
+    std::size_t left = 0;
+    for (auto const& a : h.attempts)
+    {
+        served += a.status == 200 && a.complete ? 1 : 0;
+        refused += a.status == 503 || a.status == 429 ? 1 : 0;
+        left += a.left ? 1 : 0;
+    }
+    std::cout << "seed=" << seed << " faults=" << plan.size()
+              << " processes=" << h.lives.size()
+              << " requests=" << h.attempts.size() << " served=" << served
+              << " refused=" << refused << " left=" << left
+              << " stalls=" << world.stalls()
+              << " broken_promises=" << violations.size() << '\n';
+    constexpr std::size_t most_shown = 5; // of one promise
+    std::map<std::string, std::size_t> shown;
+    for (auto const& v : violations)
+    {
+        if (++shown[v.promise] <= most_shown)
+            std::cout << "  broken: " << v.promise << ": " << v.detail << '\n';
+    }
+}
+
+/// When and where a request was, for a violation's trace.
+void print_trace(history const& h, std::string const& id)
+{
+    auto const begin = h.lives.front().started;
+    auto const ms = [begin](steady_time t)
+    { return std::chrono::duration_cast<milliseconds>(t - begin).count(); };
+    for (auto const& a : h.attempts)
+    {
+        if (a.id == id)
+            std::cout << "  " << id << " path=" << a.path << " key=" << a.key
+                      << " gateway=" << a.gateway << '.' << a.process
+                      << " sent=" << ms(a.sent)
+                      << " ended=" << (a.ended ? ms(*a.ended) : -1)
+                      << " status=" << a.status << " complete=" << a.complete
+                      << " left=" << a.left << " events=" << a.events.size()
+                      << " after=" << a.last_event.value_or(0) << '\n';
+    }
+    for (auto const& r : h.runs)
+    {
+        if (r.id == id)
+            std::cout << "    at " << r.endpoint << " arrived=" << ms(r.arrived)
+                      << " ended=" << (r.ended ? ms(*r.ended) : -1)
+                      << " ran=" << r.ran << " status=" << r.status
+                      << " answered=" << r.answered << " version=" << r.version
+                      << " after=" << r.last_event.value_or(0) << '\n';
+    }
+    for (auto const& d : h.disturbances)
+        std::cout << "    " << ms(d.from) << " to " << ms(d.to) << ' '
+                  << d.scope << ' ' << d.kind << '\n';
+}
+
+int run(int argc, char** argv)
+{
+    cxxopts::Options options(
+        "dotterellock-soak", "Plays faults against real gateways.");
+    // clang-format off
+    options.add_options()
+        ("s,seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))
+        ("n,seeds", "number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"))
+        ("t,seconds", "time with faults", cxxopts::value<unsigned>()->default_value("20"))
+        ("g,gateways", "processes", cxxopts::value<unsigned>()->default_value("3"))
+        ("r,rate", "requests a second", cxxopts::value<double>()->default_value("60"))
+        ("f,faults", "kinds, by commas; empty: drawn", cxxopts::value<std::string>()->default_value(""))
+        ("p,program", "gateway binary", cxxopts::value<std::string>())
+        ("b,break", "runs a gateway that breaks this promise", cxxopts::value<std::string>()->default_value(""))
+        ("e,expect", "succeeds only if this promise is broken", cxxopts::value<std::string>()->default_value(""))
+        ("d,directory", "for settings and logs", cxxopts::value<std::string>())
+        ("trace", "prints a request and the faults", cxxopts::value<std::string>()->default_value(""))
+        ("v,verbose", "prints each plan")
+        ("h,help", "prints this");
+    // clang-format on
+    auto const given = options.parse(argc, argv);
+    if (given.count("help") != 0)
+    {
+        std::cout << options.help();
+        return 0;
+    }
+    for (char const* needed : {"program", "directory"})
+    {
+        if (given.count(needed) == 0)
+        {
+            std::cerr << "dotterellock-soak: --" << needed << " is needed\n";
+            return 2;
+        }
+    }
+    soak_settings settings;
+    settings.gateways = given["gateways"].as<unsigned>();
+    settings.requests_per_second = given["rate"].as<double>();
+    settings.faults_for = std::chrono::seconds(given["seconds"].as<unsigned>());
+    auto const only = split(given["faults"].as<std::string>());
+    for (auto const& name : only)
+    {
+        auto const known = [&name](fault_kind const& k)
+        { return name == k.name; };
+        if (std::none_of(fault_kinds().begin(), fault_kinds().end(), known))
+        {
+            std::cerr << "dotterellock-soak: no fault is called " << name
+                      << '\n';
+            return 2;
+        }
+    }
+    std::size_t failed = 0;
+    auto const first = given["seed"].as<std::uint64_t>();
+    auto const seeds = given["seeds"].as<std::uint64_t>();
+    for (auto seed = first; seed < first + seeds; ++seed)
+    {
+        testing::seeded_random random(seed);
+        auto const plan = plan_faults(
+            random, settings.faults_for, settings.gateways,
+            settings.engines + settings.plain_endpoints, only);
+        gateway_program program;
+        program.path = given["program"].as<std::string>();
+        program.directory = given["directory"].as<std::string>() + "/seed-" +
+                            std::to_string(seed) + '-' +
+                            std::to_string(::getpid());
+        std::filesystem::create_directories(program.directory);
+        auto const broken = given["break"].as<std::string>();
+        program.arguments = {broken.empty() ? "--config" : broken};
+        if (given.count("verbose") != 0)
+            print_plan(plan);
+        soak_world world(settings, program, random);
+        world.play(plan);
+        auto const violations = check_promises(world.seen());
+        print_outcome(seed, world, plan, violations);
+        auto const traced = given["trace"].as<std::string>();
+        for (auto const& id : split(traced))
+            print_trace(world.seen(), id);
+        auto const expected = given["expect"].as<std::string>();
+        bool const found = std::any_of(
+            violations.begin(), violations.end(),
+            [&expected](violation const& v) { return v.promise == expected; });
+        if (expected.empty() ? violations.empty() : found)
+        {
+            std::filesystem::remove_all(program.directory);
+        }
+        else
+        {
+            ++failed;
+            std::cout << "  logs: " << program.directory << '\n';
+        }
+        std::cout << std::flush;
+    }
+    return failed == 0 ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::signal(SIGPIPE, SIG_IGN); // an ended peer shows as an error
+    try
+    {
+        return run(argc, argv);
+    }
+    catch (std::exception const& e)
+    {
+        std::cerr << "dotterellock-soak: " << e.what() << '\n';
+        return 2;
+    }
+}
--- /dev/null
+++ b/tests/platform/soak/promise_checker.cpp
@@ -0,0 +1,488 @@
+// Index: helpers - answers - runs - configuration and keys - endpoints -
+// stopping and timeouts - budget - recovery
+#include "promise_checker.hpp"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace dotterellock::soak
+{
+
+namespace
+{
+
+constexpr milliseconds answer_slack{500};  // after a bound on an answer
+constexpr milliseconds cancel_bound{500};  // work goes on after its caller
+constexpr milliseconds overlap_bound{400}; // two runs of one stream
+constexpr milliseconds regress_slack{250}; // requests on their way
+constexpr milliseconds exit_slack{1000};   // after the grace time
+
+bool promises_not_run(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+class check
+{
+public:
+    explicit check(history const& h) : h_(h)
+    {
+        for (auto const& a : h.attempts)
+            attempts_[a.id] = &a;
+        for (auto const& r : h.runs)
+            runs_[r.id].push_back(&r);
+    }
+
+    std::vector<violation> run()
+    {
+        for (auto const& a : h_.attempts)
+        {
+            check_answer(a);
+            check_runs(a);
+            check_end(a);
+        }
+        check_origin();
+        check_versions();
+        check_leaving();
+        check_lives();
+        check_budget();
+        check_recovery();
+        return std::move(found_);
+    }
+
+private:
+    using run_list = std::vector<endpoint_run const*>;
+
+    // Helpers ---------------------------------------------------------------
+
+    void fail(char const* promise, std::string detail)
+    {
+        found_.push_back({promise, std::move(detail)});
+    }
+
+    run_list const& runs_of(caller_attempt const& a) const
+    {
+        static run_list const none;
+        auto const found = runs_.find(a.id);
+        return found == runs_.end() ? none : found->second;
+    }
+
+    bool calm(std::string const& scope, steady_time from, steady_time to) const
+    {
+        return std::none_of(
+            h_.disturbances.begin(), h_.disturbances.end(),
+            [&](disturbance const& d)
+            { return d.scope == scope && d.from <= to && d.to >= from; });
+    }
+
+    /// The gateway and its links were free of faults for the stable window.
+    /// A planned stop counts as a fault only if `stops_count`.
+    bool in_touch(
+        std::size_t gateway, steady_time from, steady_time to,
+        bool stops_count = true) const
+    {
+        auto const n = std::to_string(gateway);
+        from -= h_.stable_window;
+        for (char const* scope : {"gateway:", "caller-link:", "store-link:"})
+        {
+            if (!calm(scope + n, from, to))
+                return false;
+        }
+        auto const stopped = [&](gateway_life const& l)
+        {
+            bool const asked = l.stop_asked && *l.stop_asked <= to;
+            return l.gateway == gateway && asked &&
+                   (!l.ended || *l.ended >= from);
+        };
+        if (stops_count &&
+            std::any_of(h_.lives.begin(), h_.lives.end(), stopped))
+            return false;
+        return calm("store", from, to);
+    }
+
+    bool sound(endpoint_run const& r, steady_time to) const
+    {
+        auto const from = r.arrived - h_.stable_window;
+        return calm("endpoint:" + r.endpoint, from, to) &&
+               calm("endpoint-link:" + r.endpoint, from, to);
+    }
+
+    // Answers ---------------------------------------------------------------
+
+    void check_answer(caller_attempt const& a)
+    {
+        if (!a.problem.empty())
+            fail("answers are whole", a.id + ": " + a.problem);
+        auto const& runs = runs_of(a);
+        auto const by_seal = std::find_if(
+            runs.begin(), runs.end(),
+            [&a](endpoint_run const* r) { return r->seal == a.seal; });
+        if (!a.seal.empty() && by_seal == runs.end())
+            fail("no answer of another request", a.id + ": seal " + a.seal);
+        if (!a.seal.empty() && by_seal != runs.end() &&
+            (*by_seal)->status != 0 && (*by_seal)->status != a.status)
+            fail("answers are unchanged", a.id + ": another status");
+        if (a.status >= 200 && a.status < 300)
+            check_success(a);
+        bool const ran = std::any_of(
+            runs.begin(), runs.end(),
+            [](endpoint_run const* r) { return r->ran; });
+        if (promises_not_run(a.status) && a.seal.empty() && ran)
+            fail(
+                "refused means not run",
+                a.id + ": status " + std::to_string(a.status));
+    }
+
+    void check_success(caller_attempt const& a)
+    {
+        if (a.seal.empty())
+            fail("answers are whole", a.id + ": success without a seal");
+        if (a.kind != request_kind::resumable_stream)
+        {
+            if (a.complete && a.body != expected_body(a.path, a.seal))
+                fail("answers are whole", a.id + ": another body");
+            return;
+        }
+        auto next = a.last_event.value_or(0) + 1;
+        for (auto const event : a.events)
+        {
+            if (event != next)
+            {
+                fail(
+                    "events come once and in order",
+                    a.id + ": event " + std::to_string(event) + " instead of " +
+                        std::to_string(next));
+                return;
+            }
+            ++next;
+        }
+        if (a.complete && next != event_count(a.path) + 1)
+            fail(
+                "streams end with their last event",
+                a.id + ": ended after event " + std::to_string(next - 1));
+    }
+
+    // Runs ------------------------------------------------------------------
+
+    void check_origin()
+    {
+        for (auto const& r : h_.runs)
+        {
+            auto const found = attempts_.find(r.id);
+            if (found == attempts_.end())
+            {
+                fail("only callers' requests run", r.id);
+                continue;
+            }
+            if (!r.difference.empty())
+                fail("requests are unchanged", r.id + ": " + r.difference);
+            if (r.time_left > found->second->deadline)
+                fail(
+                    "endpoints are handed the time left",
+                    r.id + ": " + std::to_string(r.time_left.count()) + " ms");
+        }
+    }
+
+    void check_runs(caller_attempt const& a)
+    {
+        auto const& all = runs_of(a);
+        run_list ran;
+        std::copy_if(
+            all.begin(), all.end(), std::back_inserter(ran),
+            [](endpoint_run const* r) { return r->ran; });
+        if (a.kind == request_kind::at_most_once && ran.size() > 1)
+            fail("at most one run", a.id);
+        std::set<std::string> endpoints;
+        for (auto const* r : ran)
+            endpoints.insert(r->endpoint);
+        if (endpoints.size() > a.max_attempts)
+            fail(
+                "no more attempts than the route allows",
+                a.id + ": " + std::to_string(endpoints.size()));
+        for (std::size_t i = 1; i < ran.size(); ++i)
+            check_overlap(a, *ran[i - 1], *ran[i]);
+        if (a.left && a.kind != request_kind::at_most_once)
+            check_cancelled(a, all);
+    }
+
+    void check_overlap(
+        caller_attempt const& a, endpoint_run const& before,
+        endpoint_run const& after)
+    {
+        if (a.kind != request_kind::resumable_stream)
+            return;
+        auto const bound = after.arrived + overlap_bound;
+        bool const overlaps = !before.ended || *before.ended > bound;
+        // A link that held the later arrival back shows the runs in another
+        // order than they were sent.
+        if (overlaps && sound(before, bound) && sound(after, bound) &&
+            in_touch(a.gateway, after.arrived, bound))
+            fail(
+                "one run of a stream at a time",
+                a.id + ": " + before.endpoint + " and " + after.endpoint);
+    }
+
+    void check_cancelled(caller_attempt const& a, run_list const& runs)
+    {
+        auto const bound = *a.ended + cancel_bound;
+        if (!in_touch(a.gateway, a.sent, bound))
+            return;
+        for (auto const* r : runs)
+        {
+            bool const late = r->arrived > bound;
+            bool const works_on =
+                !late && r->ran && (!r->ended || *r->ended > bound);
+            if ((late || works_on) && sound(*r, bound))
+                fail("work ends when its caller leaves", a.id);
+        }
+    }
+
+    // Configuration and keys --------------------------------------------------
+
+    void check_versions()
+    {
+        struct seen
+        {
+            steady_time at;
+            std::uint64_t version;
+        };
+        std::map<std::pair<std::size_t, unsigned>, std::vector<seen>> shown;
+        for (auto const& r : h_.runs) // in the order of their arrival
+        {
+            auto const found = attempts_.find(r.id);
+            if (found == attempts_.end() || r.version == 0)
+                continue;
+            auto const& a = *found->second;
+            check_key(a, r);
+            auto& list = shown[{a.gateway, a.process}];
+            bool const regressed = std::any_of(
+                list.begin(), list.end(),
+                [&](seen const& s) {
+                    return s.version > r.version &&
+                           s.at + regress_slack < a.sent;
+                });
+            if (regressed)
+                fail(
+                    "versions never go back",
+                    r.id + ": version " + std::to_string(r.version));
+            list.push_back({r.arrived, r.version});
+        }
+    }
+
+    void check_key(caller_attempt const& a, endpoint_run const& r)
+    {
+        bool withdrawn = false;
+        bool outdated = false;
+        for (auto const& c : h_.configurations)
+        {
+            if (c.version <= r.version)
+                continue;
+            auto const age = a.sent - c.acknowledged;
+            withdrawn = withdrawn || (c.keys.count(a.key) == 0 &&
+                                      age > h_.key_withdrawal_bound);
+            outdated =
+                outdated || (age > h_.configuration_bound &&
+                             in_touch(a.gateway, c.acknowledged, a.sent));
+        }
+        auto const version = " at version " + std::to_string(r.version);
+        if (withdrawn)
+            fail("withdrawn keys are refused", a.id + ": " + a.key + version);
+        if (outdated)
+            fail("configurations come into force", a.id + version);
+    }
+
+    // Endpoints
+    // -----------------------------------------------------------------
+
+    void check_leaving()
+    {
+        for (auto const& l : h_.leavings)
+        {
+            for (auto const& r : h_.runs)
+            {
+                auto const bound = l.acknowledged + h_.drain_bound;
+                if (r.endpoint != l.endpoint || !r.ran || r.arrived <= bound)
+                    continue;
+                auto const found = attempts_.find(r.id);
+                if (found == attempts_.end())
+                    continue;
+                auto const& a = *found->second;
+                if (sound(r, r.arrived) &&
+                    in_touch(
+                        a.gateway, std::min(l.acknowledged, a.sent), r.arrived))
+                    fail(
+                        "leaving endpoints receive no work",
+                        r.id + " at " + r.endpoint);
+            }
+        }
+    }
+
+    // Stopping and timeouts -------------------------------------------------
+
+    void check_end(caller_attempt const& a)
+    {
+        if (a.left)
+            return;
+        auto timeout = a.deadline;
+        auto const route = h_.route_timeouts.find(first_segment(a.path));
+        if (route != h_.route_timeouts.end())
+            timeout = std::min(timeout, route->second);
+        auto const bound = a.sent + timeout + answer_slack;
+        if ((!a.ended || *a.ended > bound) &&
+            in_touch(a.gateway, a.sent, bound))
+            fail("every request ends in time", a.id);
+
+        bool const answered = a.status != 0 && a.complete;
+        if (answered || !a.ended || *a.ended >= a.sent + timeout)
+            return;
+        auto const& runs = runs_of(a);
+        bool const all_sound = std::all_of(
+            runs.begin(), runs.end(),
+            [&](endpoint_run const* r) { return sound(*r, *a.ended); });
+        if (!runs.empty() && all_sound && !cut_by_end_of_grace(a) &&
+            in_touch(a.gateway, a.sent, *a.ended, false))
+            fail("no answer is cut by planned work", a.id);
+    }
+
+    /// A stream may outlast the grace time of a gateway that it reached no
+    /// later than callers are still sent there.
+    bool cut_by_end_of_grace(caller_attempt const& a) const
+    {
+        constexpr milliseconds leave_rotation{3000};
+        auto const life = std::find_if(
+            h_.lives.begin(), h_.lives.end(),
+            [&a](gateway_life const& l)
+            { return l.gateway == a.gateway && l.process == a.process; });
+        if (a.kind != request_kind::resumable_stream ||
+            life == h_.lives.end() || !life->stop_asked)
+            return false;
+        return a.sent <= *life->stop_asked + leave_rotation &&
+               *a.ended >= *life->stop_asked + h_.shutdown_grace * 5 / 6;
+    }
+
+    void check_lives()
+    {
+        for (auto const& l : h_.lives)
+        {
+            auto const name =
+                std::to_string(l.gateway) + '.' + std::to_string(l.process);
+            if (l.killed || !l.ended)
+                continue;
+            if (!l.stop_asked || l.exit_status != 0)
+                fail(
+                    "processes end only when asked",
+                    name + ": status " + std::to_string(l.exit_status));
+            else if (
+                *l.ended > *l.stop_asked + h_.shutdown_grace + exit_slack &&
+                calm(
+                    "gateway:" + std::to_string(l.gateway), *l.stop_asked,
+                    *l.ended))
+                fail("processes stop within their grace time", name);
+        }
+    }
+
+    // Budget ----------------------------------------------------------------
+
+    void check_budget()
+    {
+        std::map<std::string, std::vector<steady_time>> first;
+        std::map<std::string, std::vector<steady_time>> repeated;
+        std::set<std::string> arrived;
+        for (auto const& r : h_.runs)
+        {
+            bool const again = !arrived.insert(r.id).second;
+            (again ? repeated : first)[r.service].push_back(r.arrived);
+        }
+        for (auto const& [service, times] : repeated)
+        {
+            for (auto const end : times)
+            {
+                auto const from = end - h_.retry_window;
+                auto const count = std::count_if(
+                    times.begin(), times.end(),
+                    [&](steady_time t) { return t > from && t <= end; });
+                // The window may begin with repeats of requests before it.
+                auto const& firsts = first[service];
+                auto const base = std::count_if(
+                    firsts.begin(), firsts.end(),
+                    [&](steady_time t)
+                    { return t > from - h_.retry_window / 2 && t <= end; });
+                if (double(count) <=
+                    h_.retry_ratio * double(base) + h_.retry_allowance)
+                    continue;
+                fail(
+                    "repeats stay within the budget",
+                    service + ": " + std::to_string(count) + " beside " +
+                        std::to_string(base));
+                return;
+            }
+        }
+    }
+
+    // Recovery --------------------------------------------------------------
+
+    void check_recovery()
+    {
+        if (!h_.faults_over)
+            return;
+        std::size_t served = 0;
+        std::size_t sent = 0;
+        for (auto const& a : h_.attempts)
+        {
+            if (a.sent < *h_.faults_over + h_.recovery || a.left ||
+                h_.configurations.back().keys.count(a.key) == 0)
+                continue;
+            ++sent;
+            bool const success = a.status >= 200 && a.status < 300;
+            if (success && a.complete)
+                ++served;
+            else if (a.ended)
+                fail(
+                    "all is served after the last fault",
+                    a.id + ": status " + std::to_string(a.status));
+        }
+        if (sent != 0 && served == 0)
+            fail("all is served after the last fault", "nothing was");
+    }
+
+    history const& h_;
+    std::unordered_map<std::string, caller_attempt const*> attempts_;
+    std::unordered_map<std::string, run_list> runs_;
+    std::vector<violation> found_;
+};
+
+} // namespace
+
+std::string first_segment(std::string const& path)
+{
+    return path.substr(1, path.find('/', 1) - 1);
+}
+
+std::string expected_body(std::string const& path, std::string const& seal)
+{
+    constexpr std::size_t body_bytes = 800;
+    std::string body;
+    while (body.size() < body_bytes)
+        body += path + '#' + seal + ';';
+    return body;
+}
+
+std::uint64_t event_count(std::string const& path)
+{
+    constexpr std::uint64_t fewest = 20;
+    constexpr std::uint64_t spread = 50;
+    return fewest + std::hash<std::string>{}(path) % spread;
+}
+
+std::string event_text(std::string const& path, std::uint64_t number)
+{
+    auto const n = std::to_string(number);
+    return "id: " + n + "\ndata: " + path + '-' + n + "\n\n";
+}
+
+std::vector<violation> check_promises(history const& h)
+{
+    return check(h).run();
+}
+
+} // namespace dotterellock::soak
--- /dev/null
+++ b/tests/platform/soak/promise_checker_test.cpp
@@ -0,0 +1,243 @@
+// The checker sees each broken promise in a history that breaks just that one.
+#include <catch2/catch.hpp>
+
+#include <functional>
+
+#include "fault_plan.hpp"
+#include "promise_checker.hpp"
+#include "support/manual_scheduler.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::soak;
+
+namespace
+{
+
+steady_time at(int ms)
+{
+    return steady_time{} + std::chrono::hours(1) + milliseconds(ms);
+}
+
+caller_attempt
+attempt(char const* id, request_kind kind, char const* path, int sent)
+{
+    caller_attempt a;
+    a.id = id;
+    a.kind = kind;
+    a.path = path;
+    a.key = "key";
+    a.process = 1;
+    a.sent = at(sent);
+    a.deadline = milliseconds(2000);
+    a.max_attempts = 2;
+    a.ended = at(sent + 20);
+    a.status = 200;
+    a.complete = true;
+    return a;
+}
+
+endpoint_run run(char const* id, char const* endpoint, int arrived)
+{
+    endpoint_run r;
+    r.id = id;
+    r.endpoint = endpoint;
+    r.service = "app";
+    r.arrived = at(arrived);
+    r.ended = at(arrived + 10);
+    r.ran = true;
+    r.status = 200;
+    r.answered = true;
+    r.version = 2;
+    r.time_left = milliseconds(1900);
+    r.seal = std::string(endpoint) + ".1";
+    return r;
+}
+
+/// One lookup, one booking and one stream, all served as promised.
+history kept()
+{
+    history h;
+    h.configurations = {{1, at(0), {"key", "old"}}, {2, at(1000), {"key"}}};
+    h.lives.push_back({0, 1, at(0), {}, {}, {}, 0});
+    auto lookup =
+        attempt("lookup", request_kind::idempotent, "/lookup/1", 10000);
+    auto booking =
+        attempt("booking", request_kind::at_most_once, "/book/2", 10100);
+    auto stream =
+        attempt("stream", request_kind::resumable_stream, "/chat/3", 10200);
+    h.runs = {
+        run("lookup", "e1", 10005), run("booking", "e2", 10105),
+        run("stream", "e3", 10205)};
+    lookup.seal = "e1.1";
+    booking.seal = "e2.1";
+    stream.seal = "e3.1";
+    lookup.body = expected_body(lookup.path, lookup.seal);
+    booking.body = expected_body(booking.path, booking.seal);
+    for (std::uint64_t i = 1; i <= event_count(stream.path); ++i)
+        stream.events.push_back(i);
+    h.attempts = {lookup, booking, stream};
+    return h;
+}
+
+struct broken_promise
+{
+    char const* promise;
+    std::function<void(history&)> act;
+};
+
+} // namespace
+
+// A checker that reports kept promises, or that stays silent about a broken
+// one, would make every soak worthless.
+TEST_CASE("a history without a broken promise passes", "[soak]")
+{
+    REQUIRE(check_promises(kept()).empty());
+}
+
+TEST_CASE("each broken promise is reported", "[soak]")
+{
+    auto const lookup = [](history& h) -> caller_attempt&
+    { return h.attempts[0]; };
+    auto const booking = [](history& h) -> caller_attempt&
+    { return h.attempts[1]; };
+    auto const stream = [](history& h) -> caller_attempt&
+    { return h.attempts[2]; };
+    auto const p = GENERATE_COPY(values<broken_promise>(
+        {{"answers are whole", [&](history& h) { lookup(h).body += "x"; }},
+         {"answers are whole", [&](history& h) { lookup(h).seal.clear(); }},
+         {"answers are whole",
+          [&](history& h) { stream(h).problem = "a damaged event"; }},
+         {"no answer of another request",
+          [&](history& h) { lookup(h).seal = "e2.1"; }},
+         {"answers are unchanged", [&](history& h) { h.runs[0].status = 500; }},
+         {"refused means not run",
+          [&](history& h)
+          {
+              booking(h).status = 503;
+              booking(h).seal.clear();
+          }},
+         {"events come once and in order", [&](history& h)
+          { stream(h).events.erase(stream(h).events.begin() + 3); }},
+         {"events come once and in order",
+          [&](history& h) { stream(h).events[4] = 4; }},
+         {"streams end with their last event",
+          [&](history& h) { stream(h).events.pop_back(); }},
+         {"only callers' requests run",
+          [](history& h) { h.runs.push_back(run("nobody", "e1", 10300)); }},
+         {"requests are unchanged",
+          [](history& h) { h.runs[1].difference = "a body of 3 bytes"; }},
+         {"endpoints are handed the time left",
+          [](history& h) { h.runs[1].time_left = milliseconds(2001); }},
+         {"at most one run",
+          [](history& h) { h.runs.push_back(run("booking", "e1", 10300)); }},
+         {"no more attempts than the route allows",
+          [](history& h)
+          {
+              h.runs.push_back(run("lookup", "e4", 10300));
+              h.runs.push_back(run("lookup", "e5", 10310));
+          }},
+         {"one run of a stream at a time",
+          [](history& h)
+          {
+              h.runs[2].ended = at(10800);
+              h.runs.push_back(run("stream", "e4", 10300));
+          }},
+         {"work ends when its caller leaves",
+          [&](history& h)
+          {
+              stream(h).left = true;
+              h.runs[2].ended = at(10800);
+          }},
+         {"versions never go back",
+          [&](history& h)
+          {
+              h.runs[2].version = 1;
+              stream(h).key = "key";
+              stream(h).sent = at(10500);
+              h.runs[2].arrived = at(10505);
+          }},
+         {"withdrawn keys are refused",
+          [&](history& h)
+          {
+              lookup(h).key = "old";
+              h.runs[0].version = 1;
+          }},
+         {"configurations come into force",
+          [](history& h) { h.runs[0].version = 1; }},
+         {"leaving endpoints receive no work",
+          [](history& h) {
+              h.leavings.push_back({"e1", at(7000)});
+          }},
+         {"every request ends in time",
+          [&](history& h) { booking(h).ended.reset(); }},
+         {"no answer is cut by planned work",
+          [&](history& h)
+          {
+              booking(h).status = 0;
+              booking(h).complete = false;
+              booking(h).seal.clear();
+          }},
+         {"processes end only when asked",
+          [](history& h) { h.lives[0].ended = at(9000); }},
+         {"processes stop within their grace time",
+          [](history& h)
+          {
+              h.lives[0].stop_asked = at(20000);
+              h.lives[0].ended = at(26000);
+          }},
+         {"repeats stay within the budget",
+          [](history& h)
+          {
+              for (int i = 0; i < 20; ++i)
+                  h.runs.push_back(run("lookup", "e1", 10300 + i));
+          }},
+         {"all is served after the last fault", [&](history& h)
+          {
+              h.faults_over = at(1000);
+              lookup(h).status = 502;
+              lookup(h).seal.clear();
+              h.runs[0].status = 0;
+          }}}));
+    auto h = kept();
+    p.act(h);
+    bool found = false;
+    for (auto const& v : check_promises(h))
+        found = found || v.promise == p.promise;
+    INFO(p.promise);
+    REQUIRE(found);
+}
+
+// Faults excuse what they cause: a checker that blames a gateway for them
+// would hide the findings that matter.
+TEST_CASE("a fault on the way excuses late and cut requests", "[soak]")
+{
+    auto const scope = GENERATE(
+        as<std::string>(), "gateway:0", "caller-link:0", "endpoint:e2",
+        "endpoint-link:e2");
+    auto h = kept();
+    auto& booking = h.attempts[1];
+    booking.status = 0;
+    booking.complete = false;
+    booking.seal.clear();
+    REQUIRE(check_promises(h).size() == 1);
+    h.disturbances.push_back({scope, at(10050), at(10150), "reset"});
+    REQUIRE(check_promises(h).empty());
+}
+
+// A seed that failed must play the same faults again.
+TEST_CASE("a plan depends on its seed alone", "[soak]")
+{
+    auto const plan = [](std::uint64_t seed)
+    {
+        testing::seeded_random random(seed);
+        std::string text;
+        for (auto const& f :
+             plan_faults(random, milliseconds(20000), 3, 10, {}))
+            text += std::string(f.kind->name) + std::to_string(f.at.count()) +
+                    std::to_string(f.subject) +
+                    std::to_string(f.length.count());
+        return text;
+    };
+    REQUIRE(plan(5) == plan(5));
+    REQUIRE(plan(5) != plan(6));
+}
--- /dev/null
+++ b/tests/platform/soak/soak_world.cpp
@@ -0,0 +1,578 @@
+// Index: set-up - operator - faults of gateways, links, store, endpoints and
+// callers - playing a plan
+#include "soak_world.hpp"
+
+#include <csignal>
+
+#include "platform/json_fields.hpp"
+#include "platform/wire_names.hpp"
+
+namespace dotterellock::soak
+{
+
+namespace
+{
+
+using standins::after;
+using wire::json;
+
+constexpr milliseconds start_limit{5000};
+constexpr milliseconds poll_interval{20};
+constexpr milliseconds heartbeat_lapse{1500}; // until a dead one's entry goes
+constexpr milliseconds lapse_return{1500};    // after the store is back
+constexpr milliseconds calm_traffic{3000};
+constexpr std::uint64_t first_born = 1700000000000;
+
+std::vector<std::string>
+addresses_of(store_standin const& store, std::size_t gateways)
+{
+    std::vector<std::string> all;
+    for (std::size_t i = 0; i < gateways; ++i)
+        all.push_back(store.address(i));
+    return all;
+}
+
+std::string scope(char const* kind, std::size_t number)
+{
+    return std::string(kind) + ':' + std::to_string(number);
+}
+
+} // namespace
+
+// Set-up --------------------------------------------------------------------
+
+soak_world::soak_world(
+    soak_settings settings, gateway_program program, random_source& random)
+    : settings_(settings), random_(random),
+      store_(io_, random, settings.gateways),
+      gateways_(
+          io_, clock_, history_, std::move(program),
+          addresses_of(store_, settings.gateways)),
+      callers_(io_, random, clock_, history_, sent_, gateways_),
+      pauses_(settings.gateways)
+{
+    auto const count = settings.engines + settings.plain_endpoints;
+    leaving_.resize(count);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        endpoints_.push_back(std::make_unique<endpoint_standin>(
+            io_, random, clock_, history_, sent_,
+            i < settings.engines ? "llm" : "app", "z" + std::to_string(i % 3)));
+        endpoints_.back()->set_directory(&directory_);
+        directory_[endpoints_.back()->address()] = endpoints_.back().get();
+        replace_endpoint(i, false);
+    }
+    history_.route_timeouts = {
+        {"lookup", milliseconds(2000)},
+        {"book", milliseconds(2000)},
+        {"chat", milliseconds(10000)}};
+    apply_configuration();
+    callers_.requests_per_second = settings.requests_per_second;
+}
+
+soak_world::~soak_world()
+{
+    io_.stop(); // no handler runs once the members are gone
+}
+
+// Operator --------------------------------------------------------------------
+
+void soak_world::apply_configuration()
+{
+    constexpr std::size_t rotating_keys = 2; // in force at a time
+    ++version_;
+    rotating_keys_.push_back("key-" + std::to_string(version_));
+    if (rotating_keys_.size() > rotating_keys)
+    {
+        auto const& key = rotating_keys_.front();
+        callers_.withdrawn_keys.push_back({key, "rotating-" + key});
+        rotating_keys_.pop_front();
+    }
+
+    auto const route = [this](
+                           char const* name, char const* kind,
+                           char const* service, unsigned attempts)
+    {
+        return json{
+            {"name", name},
+            {"host", "soak.example"},
+            {"prefix", '/' + std::string(name) + '/'},
+            {"routeType", kind},
+            {"service", service},
+            {"timeoutMs", history_.route_timeouts.at(name).count()},
+            {"targetLatencyMs", 1000},
+            {"maxAttempts", attempts}};
+    };
+    auto chat = route("chat", "streaming", "llm", 3);
+    chat["resumable"] = true;
+    chat["sticky"] = true;
+    chat["gapTargetMs"] = 700;
+    auto const organisation =
+        [this](std::string const& name, std::string const& key)
+    {
+        // The name tells endpoints which version admitted a request.
+        return json{
+            {"name", name + '-' + std::to_string(version_)},
+            {"apiKeys", {key}}};
+    };
+    auto organisations = json::array({organisation("steady", "key-steady")});
+    configuration_change change;
+    change.version = version_;
+    change.keys = {"key-steady"};
+    for (auto const& key : rotating_keys_)
+    {
+        organisations.push_back(organisation("rotating-" + key, key));
+        change.keys.insert(key);
+    }
+    json const configuration = {
+        {"version", version_},
+        {"routes",
+         {route("lookup", "safe", "app", 2), route("book", "unsafe", "app", 2),
+          chat}},
+        {"services",
+         {{{"name", "app"}, {"maxConns", 100}},
+          {{"name", "llm"},
+           {"maxConns", 300},
+           {"engine",
+            {{"slots", 48},
+             {"kvCapacity", 88000},
+             {"backups", true},
+             {"handleS", 4.0}}}}}},
+        {"limits",
+         {{"maxHeaderBytes", 8192},
+          {"maxBodyBytes", 65536},
+          {"headerTimeoutMs", 3000},
+          {"idleTimeoutMs", 4000}}},
+        {"tenants", organisations}};
+    store_.put(
+        wire::table::operators, wire::table::configuration_key,
+        configuration.dump());
+    change.acknowledged = clock_.now();
+    history_.configurations.push_back(change);
+    callers_.keys = {{"key-steady", "steady"}};
+    for (auto const& key : rotating_keys_)
+        callers_.keys.push_back({key, "rotating-" + key});
+}
+
+void soak_world::when_store_answers(std::function<void()> f)
+{
+    if (store_.available())
+        f();
+    else
+        after(io_, milliseconds(100), [this, f] { when_store_answers(f); });
+}
+
+void soak_world::register_endpoint(std::size_t i, bool draining)
+{
+    store_.put(
+        wire::table::endpoints, endpoints_[i]->id(),
+        endpoints_[i]->row(draining));
+}
+
+void soak_world::replace_endpoint(std::size_t i, bool same_id)
+{
+    auto& e = *endpoints_[i];
+    auto const number = ++last_endpoint_;
+    auto const id = same_id ? e.id() : "e" + std::to_string(number);
+    // The clocks of endpoints jump: a later start may look earlier.
+    e.start(id, first_born + random_.below(100000));
+    leaving_[i] = false;
+    when_store_answers(
+        [this, i, id]
+        {
+            if (endpoints_[i]->running() && endpoints_[i]->id() == id &&
+                !leaving_[i])
+                register_endpoint(i, false);
+        });
+}
+
+// Faults ----------------------------------------------------------------------
+
+void soak_world::disturb(
+    std::string const& where, char const* kind, milliseconds length)
+{
+    auto const now = clock_.now();
+    history_.disturbances.push_back({where, now, now + length, kind});
+}
+
+soak_world::undo soak_world::inject(planned_fault const& f)
+{
+    auto const i = f.subject;
+    std::string const name = f.kind->name;
+    // Effects last a little longer than their cause.
+    auto const length = f.length + milliseconds(500);
+    switch (f.kind->target)
+    {
+    case fault_target::gateway:
+        return harm_gateway(i, f);
+    case fault_target::caller_link:
+        disturb(scope("caller-link", i), f.kind->name, length);
+        return harm_link(gateways_.caller_link(i), name);
+    case fault_target::store_link:
+        disturb(scope("store-link", i), f.kind->name, length);
+        return harm_link(gateways_.store_link(i), name);
+    case fault_target::endpoint_link:
+        disturb("endpoint-link:" + endpoints_[i]->id(), f.kind->name, length);
+        return harm_link(endpoints_[i]->link(), name);
+    case fault_target::store:
+        return harm_store(name, f);
+    case fault_target::endpoint:
+        return harm_endpoint(i, f);
+    case fault_target::operator_change:
+        when_store_answers([this] { apply_configuration(); });
+        if (name == "configuration_storm")
+        {
+            for (int n = 1; n < 6; ++n)
+                after(
+                    io_, f.length * n / 6,
+                    [this]
+                    { when_store_answers([this] { apply_configuration(); }); });
+        }
+        return nullptr;
+    case fault_target::caller_load:
+        return change_load(name);
+    }
+    return nullptr;
+}
+
+void soak_world::restart_when_gone(std::size_t i)
+{
+    if (gateways_.running(i))
+        after(io_, poll_interval, [this, i] { restart_when_gone(i); });
+    else if (!over_)
+        gateways_.start(i);
+}
+
+soak_world::undo soak_world::harm_gateway(std::size_t i, planned_fault const& f)
+{
+    std::string const name = f.kind->name;
+    auto const end = f.length;
+    constexpr milliseconds settle{1500}; // a process starts and learns
+    if (name == "all_gateways_kill")
+    {
+        for (std::size_t g = 0; g < gateways_.size(); ++g)
+        {
+            disturb(scope("gateway", g), f.kind->name, end + settle);
+            gateways_.signal(g, SIGKILL);
+            after(io_, end, [this, g] { restart_when_gone(g); });
+        }
+    }
+    else if (name == "gateway_kill")
+    {
+        disturb(scope("gateway", i), f.kind->name, end + settle);
+        gateways_.signal(i, SIGKILL);
+        after(io_, end, [this, i] { restart_when_gone(i); });
+    }
+    else if (name == "gateway_stop")
+    {
+        gateways_.signal(i, SIGTERM);
+        after(io_, end, [this, i] { restart_when_gone(i); });
+    }
+    else if (name == "gateway_pause")
+    {
+        disturb(scope("gateway", i), f.kind->name, end);
+        gateways_.signal(i, SIGSTOP);
+        ++pauses_[i];
+        return [this, i]
+        {
+            if (--pauses_[i] == 0)
+                gateways_.signal(i, SIGCONT);
+        };
+    }
+    else if (name == "gateway_reload")
+    {
+        gateways_.write_settings(i, false);
+        gateways_.signal(i, SIGHUP);
+    }
+    else // settings_change, settings_broken
+    {
+        gateways_.write_settings(i, name == "settings_broken");
+        return [this, i] { gateways_.write_settings(i, false); };
+    }
+    return nullptr;
+}
+
+soak_world::undo
+soak_world::harm_link(standins::link_standin& link, std::string const& fault)
+{
+    auto const is = [&fault](char const* end)
+    {
+        std::string const text = end;
+        return fault.size() >= text.size() &&
+               fault.compare(fault.size() - text.size(), text.size(), text) ==
+                   0;
+    };
+    if (is("reset"))
+        link.reset();
+    else if (is("silence"))
+        link.silence();
+    else if (is("delay"))
+    {
+        link.set_delay(milliseconds(
+            20 + random_.below(
+                     std::uint64_t(history_.longest_link_delay.count() - 20))));
+        return [&link] { link.set_delay(milliseconds(0)); };
+    }
+    else
+    {
+        std::size_t const direction = is("cut_in") ? 0 : 1;
+        link.cut(direction, true);
+        return [&link, direction] { link.cut(direction, false); };
+    }
+    return nullptr;
+}
+
+soak_world::undo
+soak_world::harm_store(std::string const& fault, planned_fault const& f)
+{
+    auto& faults = store_.faults;
+    disturb("store", f.kind->name, f.length);
+    if (fault == "store_down")
+    {
+        faults.down = true;
+        return [&faults] { faults.down = false; };
+    }
+    if (fault == "store_silent")
+    {
+        faults.silent = true;
+        return [&faults] { faults.silent = false; };
+    }
+    if (fault == "store_slow")
+    {
+        faults.extra_delay = milliseconds(100 + random_.below(400));
+        return [&faults] { faults.extra_delay = milliseconds(0); };
+    }
+    if (fault == "store_loses_answers")
+    {
+        faults.lost_answers = 0.3;
+        return [&faults] { faults.lost_answers = 0; };
+    }
+    if (fault == "store_refuses_one")
+    {
+        faults.refused.insert(f.subject);
+        return [&faults, i = f.subject] { faults.refused.erase(i); };
+    }
+    if (fault == "store_forgets")
+    {
+        store_.forget_history();
+        return nullptr;
+    }
+    // store_entries_lapse: entries vanish while the store is away and come
+    // back a little after it.
+    faults.down = true;
+    after(
+        io_, f.length / 2,
+        [this]
+        {
+            for (auto const& e : endpoints_)
+                store_.remove(wire::table::endpoints, e->id());
+        });
+    return [this, &faults]
+    {
+        faults.down = false;
+        store_.forget_history();
+        after(
+            io_,
+            milliseconds(random_.below(std::uint64_t(lapse_return.count()))),
+            [this]
+            {
+                for (std::size_t i = 0; i < endpoints_.size(); ++i)
+                {
+                    if (endpoints_[i]->running() && !leaving_[i])
+                        register_endpoint(i, false);
+                }
+            });
+    };
+}
+
+void soak_world::leave_endpoint(
+    std::size_t i, bool announced, milliseconds length)
+{
+    constexpr milliseconds after_bound{1000}; // serves a little longer
+    length = std::max(length, history_.drain_bound + after_bound);
+    auto const id = endpoints_[i]->id();
+    leaving_[i] = true;
+    when_store_answers(
+        [this, i, id, announced, length]
+        {
+            if (!endpoints_[i]->running() || endpoints_[i]->id() != id)
+                return;
+            if (announced)
+                register_endpoint(i, true);
+            else
+                store_.remove(wire::table::endpoints, id);
+            history_.leavings.push_back({id, clock_.now()});
+            after(
+                io_, length,
+                [this, i, id]
+                {
+                    if (endpoints_[i]->id() != id)
+                        return;
+                    disturb("endpoint:" + id, "gone", milliseconds(1000));
+                    store_.remove(wire::table::endpoints, id);
+                    endpoints_[i]->crash();
+                    replace_endpoint(i, false);
+                });
+        });
+}
+
+soak_world::undo
+soak_world::harm_endpoint(std::size_t i, planned_fault const& f)
+{
+    auto& e = *endpoints_[i];
+    std::string const fault = f.kind->name;
+    auto const id = e.id();
+    if (!e.running() || leaving_[i])
+        return nullptr;
+    if (fault == "endpoint_leaves" || fault == "endpoint_unlisted")
+    {
+        leave_endpoint(i, fault == "endpoint_leaves", f.length);
+        return nullptr;
+    }
+    disturb("endpoint:" + id, f.kind->name, f.length + milliseconds(500));
+    if (fault == "endpoint_crash")
+    {
+        e.crash();
+        after(
+            io_, heartbeat_lapse,
+            [this, i, id]
+            {
+                if (!endpoints_[i]->running() || endpoints_[i]->id() != id)
+                    store_.remove(wire::table::endpoints, id);
+            });
+        return [this, i, id]
+        {
+            if (endpoints_[i]->running())
+                return;
+            store_.remove(wire::table::endpoints, id);
+            replace_endpoint(i, false);
+        };
+    }
+    if (fault == "endpoint_same_id")
+    {
+        e.crash();
+        return [this, i]
+        {
+            if (!endpoints_[i]->running())
+                replace_endpoint(i, true);
+        };
+    }
+    auto& faults = e.faults;
+    if (fault == "endpoint_mute")
+        faults.mute = true;
+    else if (fault == "endpoint_failing")
+        faults.failing = 0.5;
+    else if (fault == "endpoint_garbled")
+        faults.garbled = 0.5;
+    else if (fault == "endpoint_loses_answers")
+        faults.lost_answers = 0.5;
+    else
+        faults.slowness = 2 + unsigned(random_.below(6));
+    return [&faults] { faults = {}; };
+}
+
+soak_world::undo soak_world::change_load(std::string const& fault)
+{
+    if (fault == "callers_burst")
+    {
+        callers_.requests_per_second = settings_.requests_per_second * 4;
+        return [this]
+        { callers_.requests_per_second = settings_.requests_per_second; };
+    }
+    auto const before = callers_.leaving_share;
+    callers_.leaving_share = 0.5;
+    return [this, before] { callers_.leaving_share = before; };
+}
+
+// Playing
+// -----------------------------------------------------------------------
+
+void soak_world::run_for(milliseconds time)
+{
+    run_until([] { return false; }, time);
+}
+
+void soak_world::note_stall(steady_time before)
+{
+    // While the observer stood still, it cannot tell who was late.
+    constexpr milliseconds noticeable{150};
+    auto const now = clock_.now();
+    if (now - before < noticeable)
+        return;
+    ++stalls_;
+    for (std::size_t i = 0; i < gateways_.size(); ++i)
+        history_.disturbances.push_back(
+            {scope("gateway", i), before, now, "observer_stalled"});
+}
+
+bool soak_world::run_until(
+    std::function<bool()> const& done, milliseconds limit)
+{
+    auto const end = clock_.now() + limit;
+    auto next_poll = clock_.now();
+    while (clock_.now() < end && !done())
+    {
+        if (clock_.now() >= next_poll)
+        {
+            gateways_.poll();
+            next_poll = clock_.now() + poll_interval;
+        }
+        auto const before = clock_.now();
+        io_.run_one_for(poll_interval);
+        note_stall(before);
+    }
+    return done();
+}
+
+void soak_world::play(std::vector<planned_fault> const& plan)
+{
+    for (std::size_t i = 0; i < gateways_.size(); ++i)
+        gateways_.start(i);
+    auto const all_ready = [this]
+    {
+        for (std::size_t i = 0; i < gateways_.size(); ++i)
+        {
+            if (!gateways_.ready(i))
+                return false;
+        }
+        return true;
+    };
+    run_until(all_ready, start_limit);
+    callers_.start();
+    for (auto const& f : plan)
+    {
+        after(
+            io_, f.at,
+            [this, f]
+            {
+                if (auto const end = inject(f))
+                    after(io_, f.length, end);
+            });
+    }
+    run_for(settings_.faults_for);
+
+    // An end of a fault may be due in this moment; a leaving endpoint still
+    // goes, which is planned.
+    run_for(milliseconds(200));
+    history_.faults_over = clock_.now();
+    run_for(history_.recovery + calm_traffic);
+    callers_.stop();
+    run_until(
+        [this] { return callers_.open_requests() == 0; }, milliseconds(15000));
+    over_ = true;
+    for (std::size_t i = 0; i < gateways_.size(); ++i)
+        gateways_.signal(i, SIGTERM);
+    run_until(
+        [this]
+        {
+            for (std::size_t i = 0; i < gateways_.size(); ++i)
+            {
+                if (gateways_.running(i))
+                    return false;
+            }
+            return true;
+        },
+        history_.shutdown_grace + milliseconds(2000));
+}
+
+} // namespace dotterellock::soak
--- /dev/null
+++ b/tests/platform/soak/soak_world.hpp
@@ -0,0 +1,92 @@
+// Store, endpoints, operator, gateways and callers of one soak, and the faults
+// that happen to them.
+#ifndef DOTTERELLOCK_TESTS_SOAK_SOAK_WORLD_HPP
+#define DOTTERELLOCK_TESTS_SOAK_SOAK_WORLD_HPP
+
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <asio/io_context.hpp>
+
+#include "callers.hpp"
+#include "endpoint_standin.hpp"
+#include "fault_plan.hpp"
+#include "gateway_fleet.hpp"
+#include "process/system_runtime.hpp"
+#include "store_standin.hpp"
+
+namespace dotterellock::soak
+{
+
+struct soak_settings
+{
+    std::size_t gateways = 3;
+    std::size_t engines = 6;
+    std::size_t plain_endpoints = 4;
+    double requests_per_second = 60;
+    milliseconds faults_for{20000};
+};
+
+class soak_world
+{
+public:
+    soak_world(
+        soak_settings settings, gateway_program program, random_source& random);
+    ~soak_world();
+
+    /// Plays the plan, heals all faults, serves calm traffic, stops.
+    void play(std::vector<planned_fault> const& plan);
+
+    history const& seen() const { return history_; }
+
+    /// How often the soak itself was held up.
+    std::size_t stalls() const { return stalls_; }
+
+private:
+    // Each returns what ends the fault, or nothing.
+    using undo = std::function<void()>;
+    undo inject(planned_fault const& f);
+    undo harm_gateway(std::size_t i, planned_fault const& f);
+    undo harm_link(standins::link_standin& link, std::string const& fault);
+    undo harm_store(std::string const& fault, planned_fault const& f);
+    undo harm_endpoint(std::size_t i, planned_fault const& f);
+    undo change_load(std::string const& fault);
+
+    void
+    disturb(std::string const& scope, char const* kind, milliseconds length);
+    void apply_configuration();
+    void register_endpoint(std::size_t i, bool draining);
+    void replace_endpoint(std::size_t i, bool same_id);
+    void leave_endpoint(std::size_t i, bool announced, milliseconds length);
+    void when_store_answers(std::function<void()> f);
+    void run_for(milliseconds time);
+    bool run_until(std::function<bool()> const& done, milliseconds limit);
+    void restart_when_gone(std::size_t i);
+    void note_stall(steady_time before);
+
+    soak_settings const settings_;
+    random_source& random_;
+    asio::io_context io_{1};
+    monotonic_clock const clock_;
+    history history_;
+    sent_requests sent_;
+    store_standin store_;
+    endpoint_standin::directory directory_;
+    std::vector<std::unique_ptr<endpoint_standin>> endpoints_;
+    std::vector<bool> leaving_;
+    gateway_fleet gateways_;
+    callers callers_;
+    std::uint64_t version_ = 0;
+    std::uint64_t last_endpoint_ = 0;
+    std::deque<std::string> rotating_keys_; // newest last
+    std::vector<int> pauses_;               // by gateway; they may overlap
+    std::size_t stalls_ = 0;
+    bool over_ = false;
+};
+
+} // namespace dotterellock::soak
+
+#endif
--- /dev/null
+++ b/tests/platform/soak/store_standin.cpp
@@ -0,0 +1,206 @@
+#include "store_standin.hpp"
+
+#include <restinio/utils/base64.hpp>
+
+#include "platform/json_fields.hpp"
+#include "platform/wire_names.hpp"
+#include "standins/standin.hpp"
+
+namespace dotterellock::soak
+{
+
+namespace
+{
+
+using standins::after;
+using wire::json;
+
+constexpr std::chrono::milliseconds answer_delay{4};
+namespace base64 = restinio::utils::base64;
+
+} // namespace
+
+store_standin::store_standin(
+    asio::io_context& io, random_source& random, std::size_t gateways)
+    : io_(io), random_(random)
+{
+    for (std::size_t i = 0; i < gateways; ++i)
+        servers_.push_back(std::make_unique<wire_server>(
+            io, [this, i](auto const& c, wire_request const& r)
+            { handle(i, c, r); }));
+}
+
+std::string store_standin::address(std::size_t gateway) const
+{
+    return servers_[gateway]->address();
+}
+
+void store_standin::put(
+    std::string const& table, std::string const& key, std::string const& value)
+{
+    tables_[table][key] = {value, ++version_, false};
+    changed();
+}
+
+void store_standin::remove(std::string const& table, std::string const& key)
+{
+    auto const found = tables_[table].find(key);
+    if (found == tables_[table].end() || found->second.deleted)
+        return;
+    found->second = {"", ++version_, true};
+    changed();
+}
+
+void store_standin::handle(
+    std::size_t gateway, std::shared_ptr<wire_connection> const& c,
+    wire_request const& r)
+{
+    if (faults.silent)
+        return;
+    if (!serves(gateway))
+    {
+        answer(c, 503, "{}");
+        return;
+    }
+    // The call is received now; it takes effect and is answered later.
+    after(
+        io_, answer_delay + faults.extra_delay,
+        [this, gateway, c, r]
+        {
+            auto const path = r.path();
+            if (path == wire::call::list_rows)
+                list(c, r);
+            else if (path == wire::call::changed_rows)
+                follow(gateway, c, r);
+            else if (path == wire::call::change_rows)
+                change(c, r);
+            else
+                answer(c, 404, "{}");
+        });
+}
+
+void store_standin::answer(
+    std::shared_ptr<wire_connection> const& c, unsigned status,
+    std::string const& body)
+{
+    if (faults.silent || random_.uniform() < faults.lost_answers)
+        return; // the connection delivers nothing further
+    c->send(wire_answer(status, "Content-Type: application/json\r\n", body));
+    c->answered();
+}
+
+namespace
+{
+
+template<typename Row>
+json encoded(std::string const& table, std::string const& key, Row const& row)
+{
+    json out = {
+        {"table", table},
+        {"part", ""},
+        {"key", key},
+        {"value", base64::encode(row.value)},
+        {"ver", row.version}};
+    if (row.deleted)
+        out["isDeleted"] = true;
+    return out;
+}
+
+} // namespace
+
+void store_standin::list(
+    std::shared_ptr<wire_connection> const& c, wire_request const& r)
+{
+    constexpr std::size_t page = 5; // small, so that listings have pages
+    auto const name = r.parameter("table");
+    auto const& rows = tables_[name];
+    json out = {{"rows", json::array()}, {"ver", version_}, {"hasMore", false}};
+    for (auto at = rows.lower_bound(r.parameter("fromRev")); at != rows.end();
+         ++at)
+    {
+        if (at->second.deleted)
+            continue;
+        if (out["rows"].size() == page)
+        {
+            out["hasMore"] = true;
+            break;
+        }
+        out["rows"].push_back(encoded(name, at->first, at->second));
+    }
+    answer(c, 200, out.dump());
+}
+
+void store_standin::follow(
+    std::size_t gateway, std::shared_ptr<wire_connection> const& c,
+    wire_request const& r)
+{
+    feed const f{
+        gateway, c, r.parameter("table"), std::stoull(r.parameter("afterRev"))};
+    if (f.after < history_from_)
+    {
+        answer(c, 410, "{}");
+        return;
+    }
+    if (answer_changes(f, false))
+        return;
+    auto const number = ++last_feed_;
+    feeds_[number] = f;
+    after(
+        io_, std::chrono::milliseconds(std::stoul(r.parameter("waitMs"))),
+        [this, number]
+        {
+            auto const found = feeds_.find(number);
+            if (found == feeds_.end())
+                return;
+            auto const waiting = found->second;
+            feeds_.erase(found);
+            if (!serves(waiting.gateway))
+                answer(waiting.connection, 503, "{}");
+            else
+                answer_changes(waiting, true);
+        });
+}
+
+bool store_standin::answer_changes(feed const& f, bool even_none)
+{
+    std::map<std::uint64_t, json> changes;
+    for (auto const& [key, row] : tables_[f.table])
+    {
+        if (row.version > f.after)
+            changes[row.version] = encoded(f.table, key, row);
+    }
+    if (changes.empty() && !even_none)
+        return false;
+    json out = {{"rows", json::array()}, {"ver", version_}};
+    for (auto const& [version, row] : changes)
+        out["rows"].push_back(row);
+    answer(f.connection, 200, out.dump());
+    return true;
+}
+
+void store_standin::changed()
+{
+    for (auto at = feeds_.begin(); at != feeds_.end();)
+    {
+        bool const answered =
+            serves(at->second.gateway) && answer_changes(at->second, false);
+        at = answered ? feeds_.erase(at) : std::next(at);
+    }
+}
+
+void store_standin::change(
+    std::shared_ptr<wire_connection> const& c, wire_request const& r)
+{
+    auto const body = json::parse(r.body);
+    for (auto const& row : body.value("writes", json::array()))
+    {
+        auto const value =
+            base64::try_decode(row.at("value").get<std::string>());
+        put(row.at("table"), row.at("key"), value ? *value : std::string());
+    }
+    for (auto const& row : body.value("deletes", json::array()))
+        remove(row.at("table"), row.at("key"));
+    answer(c, 200, json{{"ver", version_}}.dump());
+}
+
+} // namespace dotterellock::soak
--- /dev/null
+++ b/tests/platform/soak/wire_server.cpp
@@ -0,0 +1,229 @@
+#include "wire_server.hpp"
+
+#include <utility>
+
+#include <asio/write.hpp>
+#include <fmt/format.h>
+
+#include "http/reason_phrase.hpp"
+
+namespace dotterellock::soak
+{
+
+using asio::ip::tcp;
+
+std::string wire_request::path() const
+{
+    return head.target.substr(0, head.target.find('?'));
+}
+
+std::string wire_request::parameter(std::string const& name) const
+{
+    auto at = head.target.find('?');
+    while (at != std::string::npos)
+    {
+        auto const next = head.target.find('&', at + 1);
+        auto const part = head.target.substr(
+            at + 1, next == std::string::npos ? next : next - at - 1);
+        if (part.compare(0, name.size() + 1, name + '=') == 0)
+            return part.substr(name.size() + 1);
+        at = next;
+    }
+    return {};
+}
+
+std::string wire_request::header(std::string_view name) const
+{
+    auto const* const value = find_header(head.headers, name);
+    return value == nullptr ? std::string() : *value;
+}
+
+wire_connection::wire_connection(tcp::socket socket, wire_handler const& h)
+    : socket_(std::move(socket)), handler_(h),
+      parser_(message_parser::kind::request, *this)
+{
+}
+
+void wire_connection::read()
+{
+    auto self = shared_from_this();
+    socket_.async_read_some(
+        asio::buffer(buffer_),
+        [this, self](asio::error_code const& e, std::size_t n)
+        {
+            if (!open_)
+                return;
+            if (e)
+            {
+                lost();
+                return;
+            }
+            input_.append(buffer_.data(), n);
+            received();
+            if (open_)
+                read();
+        });
+}
+
+void wire_connection::received()
+{
+    while (open_ && !busy_ && !input_.empty())
+    {
+        auto const taken = parser_.feed(input_);
+        input_.erase(0, taken);
+        if (parser_.problem() != parse_problem::none)
+        {
+            reset();
+            return;
+        }
+        if (!busy_)
+            return; // more bytes are needed
+    }
+}
+
+void wire_connection::on_head(message_head head)
+{
+    request_ = wire_request{std::move(head), {}};
+}
+
+void wire_connection::on_body(std::string_view bytes)
+{
+    request_.body.append(bytes);
+}
+
+void wire_connection::on_complete()
+{
+    busy_ = true;
+    handler_(shared_from_this(), request_);
+}
+
+void wire_connection::answered()
+{
+    busy_ = false;
+    asio::post(
+        socket_.get_executor(),
+        [self = shared_from_this()] { self->received(); });
+}
+
+void wire_connection::send(std::string bytes)
+{
+    output_ += bytes;
+    if (writing_.empty())
+        write();
+}
+
+void wire_connection::write()
+{
+    if (!open_)
+        return;
+    if (output_.empty())
+    {
+        if (ending_)
+        {
+            open_ = false;
+            gone_ = nullptr;
+            asio::error_code ignored; // the peer may have left
+            socket_.shutdown(tcp::socket::shutdown_send, ignored);
+            socket_.close(ignored);
+        }
+        return;
+    }
+    writing_ = std::exchange(output_, {});
+    auto self = shared_from_this();
+    asio::async_write(
+        socket_, asio::buffer(writing_),
+        [this, self](asio::error_code const& e, std::size_t)
+        {
+            writing_.clear();
+            if (e)
+                lost();
+            else
+                write();
+        });
+}
+
+void wire_connection::end()
+{
+    ending_ = true;
+    if (writing_.empty())
+        write();
+}
+
+void wire_connection::reset()
+{
+    if (!open_)
+        return;
+    asio::error_code ignored; // the peer may have left
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    lost();
+}
+
+void wire_connection::lost()
+{
+    if (!std::exchange(open_, false))
+        return;
+    asio::error_code ignored; // the peer may have left
+    socket_.close(ignored);
+    if (auto const gone = std::exchange(gone_, nullptr))
+        gone();
+}
+
+wire_server::wire_server(asio::io_context& io, wire_handler handler)
+    : handler_(std::move(handler)),
+      acceptor_(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+{
+    accept();
+}
+
+void wire_server::stop()
+{
+    stopped_ = true;
+    reset_connections();
+}
+
+void wire_server::reset_connections()
+{
+    for (auto const& c : std::exchange(connections_, {}))
+        c->reset();
+}
+
+std::string wire_server::address() const
+{
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+void wire_server::accept()
+{
+    acceptor_.async_accept(
+        [this](asio::error_code const& e, tcp::socket socket)
+        {
+            if (e)
+                return;
+            socket.set_option(tcp::no_delay(true));
+            auto const c =
+                std::make_shared<wire_connection>(std::move(socket), handler_);
+            for (auto i = connections_.begin(); i != connections_.end();)
+                i = (*i)->open() ? std::next(i) : connections_.erase(i);
+            connections_.insert(c);
+            if (stopped_)
+                c->reset();
+            else
+                c->read();
+            accept();
+        });
+}
+
+std::string wire_chunk(std::string const& text)
+{
+    return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+}
+
+std::string wire_answer(
+    unsigned status, std::string const& headers, std::string const& body)
+{
+    return "HTTP/1.1 " + std::to_string(status) + ' ' +
+           std::string(reason_phrase(status)) + "\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace dotterellock::soak
--- /dev/null
+++ b/tests/platform/soak/wire_server.hpp
@@ -0,0 +1,104 @@
+// A listening socket whose connections are answered by hand: late, in parts,
+// wrongly, or not at all.
+#ifndef DOTTERELLOCK_TESTS_SOAK_WIRE_SERVER_HPP
+#define DOTTERELLOCK_TESTS_SOAK_WIRE_SERVER_HPP
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <asio/ip/tcp.hpp>
+
+#include "http/message_parser.hpp"
+
+namespace dotterellock::soak
+{
+
+class wire_connection;
+
+struct wire_request
+{
+    message_head head;
+    std::string body;
+
+    std::string path() const;                        // without query
+    std::string parameter(std::string const&) const; // of the query, or empty
+    std::string header(std::string_view name) const; // or empty
+};
+
+using wire_handler =
+    std::function<void(std::shared_ptr<wire_connection>, wire_request const&)>;
+
+class wire_connection : public std::enable_shared_from_this<wire_connection>,
+                        private message_sink
+{
+public:
+    wire_connection(asio::ip::tcp::socket socket, wire_handler const& handler);
+
+    void read();
+    void send(std::string bytes);
+    void end();   // in order, once all is sent
+    void reset(); // loses what was not sent
+
+    /// The next request is read only after this.
+    void answered();
+
+    /// Called once when the peer leaves or the connection is reset.
+    void on_gone(std::function<void()> gone) { gone_ = std::move(gone); }
+    bool open() const { return open_; }
+
+private:
+    void received();
+    void write();
+    void lost();
+
+    void on_head(message_head head) override;
+    void on_body(std::string_view bytes) override;
+    void on_complete() override;
+
+    asio::ip::tcp::socket socket_;
+    wire_handler const& handler_;
+    message_parser parser_;
+    wire_request request_;
+    std::string input_;
+    std::string output_;
+    std::string writing_;
+    std::function<void()> gone_;
+    std::array<char, 8192> buffer_;
+    bool busy_ = false;
+    bool ending_ = false;
+    bool open_ = true;
+};
+
+class wire_server
+{
+public:
+    wire_server(asio::io_context& io, wire_handler handler);
+
+    /// Resets all connections, also new ones: the port stays this server's.
+    void stop();
+    void start() { stopped_ = false; }
+
+    void reset_connections();
+    std::string address() const;
+
+private:
+    void accept();
+
+    wire_handler const handler_;
+    asio::ip::tcp::acceptor acceptor_;
+    bool stopped_ = false;
+    std::set<std::shared_ptr<wire_connection>> connections_;
+};
+
+/// Text as one chunk of a chunked body.
+std::string wire_chunk(std::string const& text);
+
+std::string wire_answer(
+    unsigned status, std::string const& headers, std::string const& body);
+
+} // namespace dotterellock::soak
+
+#endif
