Exchange load shares within a group of at most 32 gateways

Cause: each gateway sent its share to each other one, so control traffic grew with the square of the fleet.

--- a/src/relay/peer_exchange.cpp
+++ b/src/relay/peer_exchange.cpp
@@ -5,6 +5,7 @@
 #include <dotterellock/error.hpp>
 
 #include "connection_pool.hpp"
+#include "gateway/peer_group.hpp"
 #include "load_share_codec.hpp"
 
 namespace dotterellock
@@ -122,6 +123,21 @@
         on_change(row);
 }
 
+void peer_exchange::regroup()
+{
+    std::set<std::string> hosts;
+    for (auto const& known : peers_)
+        hosts.insert(known.first);
+    auto const group = peer_group(hosts, host_);
+    for (auto& [host, peer] : peers_)
+    {
+        bool const in_group = group.count(host) != 0;
+        if (in_group && !peer.in_group)
+            peer.heard = clock_.now(); // it begins to send only now
+        peer.in_group = in_group;
+    }
+}
+
 void peer_exchange::on_change(store_row const& row)
 {
     if (row.key == host_)
@@ -132,11 +148,14 @@
     if (row.deleted)
     {
         peers_.erase(row.key);
+        regroup();
         return;
     }
     try
     {
-        peers_[row.key] = {row.value, udp_address(row.value), clock_.now()};
+        peers_[row.key] = {
+            row.value, udp_address(row.value), clock_.now(), true};
+        regroup();
     }
     catch (error const& e)
     {
@@ -150,7 +169,8 @@
 {
     for (auto& [host, peer] : peers_)
     {
-        if (now - peer.heard < lost_after || !watch_.connected())
+        bool const silent = peer.in_group && now - peer.heard >= lost_after;
+        if (!silent || !watch_.connected())
             continue;
         peer.heard = now; // tried again after the same time
         log_.record(
@@ -172,6 +192,8 @@
     auto const bytes = encode(std::move(share));
     for (auto const& [host, peer] : peers_)
     {
+        if (!peer.in_group)
+            continue;
         // A datagram that cannot be sent now is replaced by the next one.
         asio::error_code ignored;
         socket_.send_to(asio::buffer(bytes), peer.address, 0, ignored);
--- a/src/relay/peer_exchange.hpp
+++ b/src/relay/peer_exchange.hpp
@@ -72,6 +72,7 @@
         std::string address_text;
         asio::ip::udp::endpoint address;
         steady_time heard{};
+        bool in_group = true; // shares are exchanged with it
     };
 
     void on_listing(std::vector<store_row> const& rows) override;
@@ -79,6 +80,7 @@
     void on_proof(steady_time) override {}
 
     void register_self();
+    void regroup();
     void receive();
     void send();
     void remove_lost_peers(steady_time now);
--- a/tests/gateway/endpoints_test.cpp
+++ b/tests/gateway/endpoints_test.cpp
@@ -3,6 +3,7 @@
 
 #include <map>
 
+#include "gateway/peer_group.hpp"
 #include "gateway/prompt_cache_index.hpp"
 #include "gateway_fixture.hpp"
 
@@ -261,6 +262,32 @@
     }
 }
 
+// Shares from each gateway to each other one grow with the square of their
+// number; a group that is not symmetric would take live gateways for lost.
+TEST_CASE("loads are exchanged within a bounded, symmetric group", "[peers]")
+{
+    auto const gateways = GENERATE(2, 28, 33, 34, 300);
+    std::set<std::string> all;
+    for (int i = 0; i < gateways; ++i)
+        all.insert("zone-" + std::to_string(i % 3) + "-" + std::to_string(i));
+    auto const group_of = [&all](std::string const& self)
+    {
+        auto others = all;
+        others.erase(self);
+        return peer_group(others, self);
+    };
+    for (auto const& self : all)
+    {
+        auto const group = group_of(self);
+        REQUIRE(
+            group.size() == std::min<std::size_t>(
+                                std::size_t(gateways - 1), largest_peer_group));
+        REQUIRE(group.count(self) == 0);
+        for (auto const& other : group)
+            REQUIRE(group_of(other).count(self) == 1);
+    }
+}
+
 // A prompt slows the streams beside it: it goes where the fewest run.
 TEST_CASE("prompts avoid endpoints with running streams", "[selection]")
 {
