Split the copies of a run's memory from the relay's exchange

exchange.cpp held the attempts of a request and the bookkeeping of its standby copies; the latter is a class of its own now, without a change in behaviour.

--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -61,16 +61,6 @@
     return "unknown";
 }
 
-// Copying begins with the first event and goes on several times a second;
-// before that there is nothing to go on from.
-constexpr milliseconds copy_exists_after{150};
-
-// A copy made on demand expires, however often it is brought up to date. The
-// next one is made this long before.
-constexpr milliseconds copy_renewal_margin{700};
-constexpr milliseconds copy_retry_interval{500};
-constexpr milliseconds copy_timeout{400};
-
 // Events that an endpoint has made while none came: more than the network
 // delays.
 constexpr std::uint64_t unheard_events = 5;
@@ -83,7 +73,8 @@
     std::uint64_t number, std::shared_ptr<client_session> session,
     admitted_request request, exchange_host& host)
     : number_(number), session_(std::move(session)),
-      request_(std::move(request)), host_(host)
+      request_(std::move(request)), host_(host),
+      standby_(std::make_shared<standby_copies>(host, request_.terms.id))
 {
     auto const& terms = request_.terms;
     auto const& route = *request_.route;
@@ -142,21 +133,12 @@
 {
     auto const now = host_.clock().now();
     // A run whose memory was copied goes on from the copy.
-    bool const copied =
-        stream_began_ && now - *stream_began_ > copy_exists_after;
-    if (standby_ && copied && !standby_->lost(now))
-    {
-        auto const target = standby_->endpoint;
-        // A copy made on demand is named by the endpoint that made it.
-        memory_copy const copy =
-            standby_->name
-                ? memory_copy{endpoint_->record().address, *standby_->name}
-                : memory_copy{
-                      target->record().address, request_.terms.id.value()};
-        attempt(target, copy);
+    if (auto const source = standby_->usable(stream_began_, now))
+    {
+        attempt(source->keeper, source->copy);
         return;
     }
-    standby_.reset();
+    standby_->reset();
     work_.resumes = answer_begun_;
     if (auto const* const spec = request_.table->service(request_.service))
         work_.connections = host_.connection_share(*spec);
@@ -186,17 +168,16 @@
     auto const now = host_.clock().now();
     auto const* const spec = engine();
     state_ = state::attempting;
-    standby_.reset();
-    next_standby_.reset();
-    next_copy_at_ = now;
     endpoint_ = std::move(endpoint);
     used_copy_ = copy.has_value();
     alone_ = endpoint_->load.prefill_tokens == 0;
     reservation_ = endpoint_reservation(
         endpoint_, {1, spec != nullptr ? work_.memory_tokens() : 0,
                     spec != nullptr && !copy ? work_.prompt_tokens : 0});
-    if (spec != nullptr && spec->standby_copies && request_.route->resumable)
-        standby_ = make_standby(*spec, now);
+    bool const copies =
+        spec != nullptr && spec->standby_copies && request_.route->resumable;
+    standby_->begin(endpoint_, work_, copies ? spec : nullptr, now);
+    auto const keeper = standby_->keeper();
     if (spec != nullptr)
         host_.work_changed();
     sent_ = progress_ = now;
@@ -222,7 +203,7 @@
          {"zone", record.zone.value()},
          {"load", std::to_string(endpoint_->load.requests)},
          {"prefill", std::to_string(endpoint_->load.prefill_tokens)},
-         {"standby", standby_ ? standby_->endpoint->record().id.value() : "-"},
+         {"standby", keeper ? keeper->record().id.value() : "-"},
          {"copy", used_copy_ ? "1" : "0"},
          {"prompt", std::to_string(work_.prompt_tokens)},
          {"after_event", last_event_ ? std::to_string(*last_event_) : "-"},
@@ -258,8 +239,8 @@
     if (request_.route->engine_prompt)
         terms.rank = request_.rank;
     terms.last_event = last_event_;
-    if (standby_)
-        terms.standby = standby_->endpoint->record().address;
+    if (auto const keeper = standby_->keeper())
+        terms.standby = keeper->record().address;
     terms.copy = copy;
     host_.dialect().write_terms(terms, text);
     bool const has_body =
@@ -284,97 +265,6 @@
     reservation_.release();
 }
 
-std::optional<relay_exchange::standby_copy>
-relay_exchange::make_standby(engine_spec const& spec, steady_time now) const
-{
-    auto work = work_;
-    if (standby_)
-        work.avoid.insert(standby_->endpoint->record().id.value());
-    auto endpoint =
-        host_.selection().choose_standby(work, spec, *endpoint_, now);
-    if (!endpoint)
-        return std::nullopt;
-    standby_copy made;
-    made.reservation =
-        endpoint_reservation(endpoint, {0, work_.memory_tokens(), 0});
-    made.endpoint = std::move(endpoint);
-    made.began = now;
-    return made;
-}
-
-void relay_exchange::renew_standby(steady_time now)
-{
-    auto const* const spec = engine();
-    if (spec == nullptr || !spec->standby_copies ||
-        !request_.route->resumable || !stream_began_ || next_standby_ ||
-        now < next_copy_at_)
-        return;
-    bool const needed =
-        !standby_ || standby_->lost(now) ||
-        (standby_->name &&
-         now - standby_->began > spec->copy_lifetime - copy_renewal_margin);
-    if (!needed)
-        return;
-    next_copy_at_ = now + copy_retry_interval;
-    next_standby_ = make_standby(*spec, now);
-    if (!next_standby_)
-        return;
-    auto const weak = weak_from_this();
-    auto const source = endpoint_;
-    host_.call(
-        endpoint_->record(), copy_timeout,
-        host_.dialect().copy_request(
-            request_.terms.id, next_standby_->endpoint->record().address),
-        false,
-        [weak, source](endpoint_reply const& reply)
-        {
-            if (auto const self = weak.lock())
-                self->standby_copied(*source, reply);
-        });
-}
-
-void relay_exchange::standby_copied(
-    endpoint_state const& source, endpoint_reply const& reply)
-{
-    if (state_ != state::attempting || endpoint_.get() != &source ||
-        !next_standby_)
-        return;
-    auto made = std::exchange(next_standby_, std::nullopt);
-    try
-    {
-        if (reply.status == 200)
-            made->name = host_.dialect().read_copy(reply.body);
-    }
-    catch (error const& e)
-    {
-        host_.log().record(
-            event_level::warn, "copy_unreadable",
-            {{"request", request_.terms.id.value()}, {"detail", e.detail()}});
-    }
-    host_.log().record(
-        made->name ? event_level::info : event_level::warn, "standby_renewed",
-        {{"request", request_.terms.id.value()},
-         {"endpoint", endpoint_->record().id.value()},
-         {"standby", made->endpoint->record().id.value()},
-         {"status", std::to_string(reply.status)},
-         {"copy", made->name.value_or("-")}});
-    if (!made->name)
-        return;
-    free_copy();
-    standby_ = std::move(made);
-}
-
-void relay_exchange::free_copy()
-{
-    if (!standby_ || !standby_->name || !endpoint_)
-        return;
-    // It would expire by itself; until then it takes memory.
-    host_.call(
-        endpoint_->record(), copy_timeout,
-        host_.dialect().free_copy_request(*standby_->name), false,
-        [](endpoint_reply const&) {});
-}
-
 void relay_exchange::attempt_failed(
     endpoint_outcome outcome, char const* reason)
 {
@@ -648,7 +538,7 @@
     if (!answer_begun_)
         begin_answer();
     session_->end_stream();
-    free_copy();
+    standby_->free();
     finish("served", head_->status, {});
 }
 
@@ -683,7 +573,8 @@
             attempt_failed(endpoint_outcome::unreachable, "connect_timeout");
         return;
     }
-    renew_standby(now);
+    if (stream_began_)
+        standby_->renew(now);
     auto const& route = *request_.route;
     bool const may_repeat =
         route.repeatable() && history_.runs + 1 < route.max_attempts;
@@ -803,8 +694,7 @@
     state_ = state::done;
     session_->on_caller_gone(nullptr);
     release_attempt();
-    standby_.reset();
-    next_standby_.reset();
+    standby_->reset();
     host_.log().record(
         std::string_view(outcome) == "served" ? event_level::info
                                               : event_level::warn,
--- a/src/relay/exchange.hpp
+++ b/src/relay/exchange.hpp
@@ -19,6 +19,7 @@
 #include "gateway/liveness.hpp"
 #include "http_connection.hpp"
 #include "request_dialect.hpp"
+#include "standby_copies.hpp"
 
 namespace dotterellock
 {
@@ -159,21 +160,6 @@
     // An attempt with less time than this is not worth its arrival.
     static constexpr std::chrono::milliseconds min_time_left{5};
 
-    /// A copy of the run's memory at another endpoint.
-    struct standby_copy
-    {
-        endpoint_ptr endpoint;
-        endpoint_reservation reservation;
-        std::optional<std::string> name; // of one made on demand
-        steady_time began{};
-
-        bool lost(steady_time now) const
-        {
-            return endpoint->leaving() || endpoint->suspended(now) ||
-                   endpoint->failed_at() > began;
-        }
-    };
-
     engine_spec const* engine() const;
     bool streaming() const { return request_.route->event_stream; }
 
@@ -183,12 +169,6 @@
         endpoint_record const& endpoint,
         std::optional<memory_copy> const& copy) const;
     void release_attempt();
-    std::optional<standby_copy>
-    make_standby(engine_spec const& spec, steady_time now) const;
-    void renew_standby(steady_time now);
-    void
-    standby_copied(endpoint_state const& source, endpoint_reply const& reply);
-    void free_copy();
     void attempt_failed(endpoint_outcome outcome, char const* reason);
 
     void on_connected() override;
@@ -212,6 +192,7 @@
     std::shared_ptr<client_session> const session_;
     admitted_request request_;
     exchange_host& host_;
+    std::shared_ptr<standby_copies> const standby_;
     work_request work_;
     steady_time deadline_;
     bool timeout_first_ = false; // the route's timeout ends it, not the caller
@@ -221,9 +202,6 @@
     // The attempt under way
     endpoint_ptr endpoint_;
     endpoint_reservation reservation_;
-    std::optional<standby_copy> standby_;
-    std::optional<standby_copy> next_standby_; // is being made
-    steady_time next_copy_at_{};               // not before
     std::shared_ptr<http_connection> connection_;
     bool used_copy_ = false;
     bool reused_connection_ = false;
--- /dev/null
+++ b/src/relay/standby_copies.hpp
@@ -0,0 +1,94 @@
+// Keeps a copy of one run's memory at an endpoint of another zone, so that the
+// run can go on there. The endpoint that runs it sends the first copy as the
+// run grows. One whose keeper is lost is replaced by a copy made on demand,
+// which in turn is replaced before it expires.
+#ifndef DOTTERELLOCK_RELAY_STANDBY_COPIES_HPP
+#define DOTTERELLOCK_RELAY_STANDBY_COPIES_HPP
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <dotterellock/runtime.hpp>
+#include <dotterellock/types.hpp>
+
+#include "endpoint_call.hpp"
+#include "gateway/endpoint_selection.hpp"
+#include "request_dialect.hpp"
+
+namespace dotterellock
+{
+
+class exchange_host;
+
+class standby_copies : public std::enable_shared_from_this<standby_copies>
+{
+public:
+    standby_copies(exchange_host& host, request_id run)
+        : host_(host), run_(std::move(run))
+    {
+    }
+
+    standby_copies(standby_copies const&) = delete;
+    standby_copies& operator=(standby_copies const&) = delete;
+
+    /// An attempt begins at `source`: chooses who keeps its copy.
+    /// @param engine  null if the run is not to be copied
+    void begin(
+        endpoint_ptr source, work_request work, engine_spec const* engine,
+        steady_time now);
+
+    /// The endpoint that keeps the copy, or null.
+    endpoint_ptr keeper() const { return copy_ ? copy_->keeper : nullptr; }
+
+    /// Replaces a copy that is lost or expires. Called many times a second,
+    /// once the run has made events.
+    void renew(steady_time now);
+
+    struct source
+    {
+        endpoint_ptr keeper;
+        memory_copy copy;
+    };
+
+    /// From where the run can go on.
+    std::optional<source>
+    usable(std::optional<steady_time> stream_began, steady_time now) const;
+
+    /// The run has ended: its copy takes no more memory.
+    void free();
+
+    /// Gives up what was reserved.
+    void reset();
+
+private:
+    struct kept_copy
+    {
+        endpoint_ptr keeper;
+        endpoint_reservation reservation;
+        std::optional<std::string> name; // of one made on demand
+        steady_time began{};
+
+        bool lost(steady_time now) const
+        {
+            return keeper->leaving() || keeper->suspended(now) ||
+                   keeper->failed_at() > began;
+        }
+    };
+
+    std::optional<kept_copy> choose(steady_time now) const;
+    void copied(endpoint_state const& source, endpoint_reply const& reply);
+
+    exchange_host& host_;
+    request_id const run_;
+    endpoint_ptr source_; // runs it
+    work_request work_;
+    std::optional<engine_spec> engine_; // empty: no copies
+    std::optional<kept_copy> copy_;
+    std::optional<kept_copy> next_; // is being made
+    steady_time next_call_{};       // not before
+};
+
+} // namespace dotterellock
+
+#endif
