--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -152,19 +152,24 @@
         e, [&op](auto done) { op.status(done); });
 }
 
-ctl_exit diff(ctl_options const& o, ctl_environment& e)
+configuration_status print_recorded_version(ctl_environment& e)
 {
-    std::string const document = read_file(o.arguments[0]);
-    auto const status = read_status(e);
+    auto status = read_status(e);
     if (!status.problem.empty())
-    {
         e.err << status.problem << "\n";
-        return ctl_exit::unavailable;
-    }
-    if (status.record)
+    else if (status.record)
         print_record(e.out, *status.record);
     else
         e.out << "no version is recorded\n";
+    return status;
+}
+
+ctl_exit diff(ctl_options const& o, ctl_environment& e)
+{
+    std::string const document = read_file(o.arguments[0]);
+    auto const status = print_recorded_version(e);
+    if (!status.problem.empty())
+        return ctl_exit::unavailable;
     e.out << document_difference(status.document, document);
     return ctl_exit::ok;
 }
@@ -234,16 +239,9 @@
 
 ctl_exit status(ctl_environment& e)
 {
-    auto const status = read_status(e);
+    auto const status = print_recorded_version(e);
     if (!status.problem.empty())
-    {
-        e.err << status.problem << "\n";
         return ctl_exit::unavailable;
-    }
-    if (status.record)
-        print_record(e.out, *status.record);
-    else
-        e.out << "no version is recorded\n";
     print_missing(e.out, status.fleet);
     e.out << (status.fleet.accepted() ? "accepted\n" : "not accepted\n");
     return status.fleet.accepted() ? ctl_exit::ok : ctl_exit::not_in_force;
