--- a/src/gateway/liveness.hpp
+++ b/src/gateway/liveness.hpp
@@ -138,36 +138,6 @@
     double seconds_per_token_ = 0.0002; // until the first answer: 5 a ms
 };
 
-/// How long whole streams of a service take.
-class stream_duration_estimate
-{
-public:
-    void record(duration took)
-    {
-        mean_ = known_ ? mean_ + (took - mean_) / samples : took;
-        upper_ = std::max(took, upper_ - (upper_ - mean_) / samples);
-        known_ = true;
-    }
-
-    /// Over about the last streams; empty before the first.
-    std::optional<duration> mean() const { return value(mean_); }
-
-    /// What nearly all of the last streams stayed within.
-    std::optional<duration> upper() const { return value(upper_); }
-
-private:
-    static constexpr int samples = 20; // of the streams that count
-
-    std::optional<duration> value(duration d) const
-    {
-        return known_ ? std::optional<duration>(d) : std::nullopt;
-    }
-
-    duration mean_{};
-    duration upper_{};
-    bool known_ = false;
-};
-
 } // namespace dotterellock
 
 #endif
--- a/src/gateway/shutdown_policy.hpp
+++ b/src/gateway/shutdown_policy.hpp
@@ -28,7 +28,7 @@
 
     /// @param passed    since the signal to stop
     /// @param longest   what the request may take at most
-    /// @param expected  what recent streams stayed within, if there were any
+    /// @param expected  duration of recent streams, if there were any
     static bool accepts(
         gateway_route const& route, duration passed,
         std::chrono::milliseconds grace, duration longest,
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -457,7 +457,7 @@
     auto const found = durations_.find(r.service);
     std::optional<duration> expected;
     if (found != durations_.end())
-        expected = found->second.upper();
+        expected = found->second;
     auto const longest =
         std::min(r.terms.deadline.value_or(r.route->timeout), r.route->timeout);
     return shutdown_policy::accepts(
@@ -467,7 +467,10 @@
 
 void gateway::stream_took(service_name const& service, duration took)
 {
-    durations_[service].record(took);
+    // The mean over about the last twenty streams.
+    constexpr int samples = 20;
+    auto const found = durations_.try_emplace(service, took).first;
+    found->second += (took - found->second) / samples;
 }
 
 // Exchanges ------------------------------------------------------------------
@@ -522,7 +525,7 @@
     auto const first = estimate(r.service).expected(e->work().prompt_tokens);
     auto const found = durations_.find(r.service);
     duration const whole =
-        found != durations_.end() ? *found->second.mean() : 2 * first;
+        found != durations_.end() ? found->second : 2 * first;
     line_entry entry;
     entry.id = e->number();
     entry.organisation = r.organisation;
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -202,7 +202,7 @@
     std::vector<std::shared_ptr<endpoint_call>> calls_;
     std::map<std::string, steady_time> checked_at_; // by endpoint
     std::set<service_name> busy_services_;          // with an engine
-    std::map<service_name, stream_duration_estimate> durations_;
+    std::map<service_name, duration> durations_;    // of whole streams
 
     /// One listing of the prompt caches of a service's endpoints.
     struct cache_lookup
