--- a/tests/platform/relay_fixture.hpp
+++ b/tests/platform/relay_fixture.hpp
@@ -246,6 +246,7 @@
             engine_row("m3", 4, "farther")};
         settings.host = "gateway";
         settings.zone = "near";
+        settings.first_start = true; // the allowance for repeats counts
         settings.listen = "127.0.0.1:" + std::to_string(free_port());
         settings.status_listen = "127.0.0.1:" + std::to_string(free_port());
     }
