Report a change of draining to routers at once

Cause: an agent told routers that its endpoint had returned with the next periodic report only, up to a second later, while a request waits at most as long as its waiting limit. After: a change is reported when it happens; the new unit test was red. The gateway does not use this class.

--- a/src/queueing/reservation_queue.cpp
+++ b/src/queueing/reservation_queue.cpp
@@ -1,6 +1,7 @@
 #include "reservation_queue.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dotterellock
 {
@@ -297,7 +298,13 @@
 
 void reservation_queue::set_draining(bool draining)
 {
-    draining_ = draining;
+    if (std::exchange(draining_, draining) != draining)
+    {
+        // Routers that learned it only with the next periodic report would
+        // refuse requests meanwhile that this endpoint takes again.
+        timers_.cancel(report_timer_);
+        send_reports();
+    }
     if (!draining)
     {
         offer_slots();
--- a/tests/queueing/reservation_queue_test.cpp
+++ b/tests/queueing/reservation_queue_test.cpp
@@ -211,6 +211,26 @@
     CHECK(t.answers.offers.back().request == request_id(first));
 }
 
+// A router must not refuse work for an endpoint that has returned, until the
+// next periodic report; seen once as no_endpoint in the process test of a
+// drain, whose waiting limit equals the interval of the reports.
+TEST_CASE("a change of draining is reported at once")
+{
+    agent_under_test t(1);
+    t.ask("known router");
+    for (bool const draining : {true, false})
+    {
+        t.answers.reports.clear();
+        t.queue.set_draining(draining);
+        t.settle();
+        REQUIRE(t.answers.reports.size() == 1);
+        CHECK(t.answers.reports[0].draining == draining);
+        t.queue.set_draining(draining); // no change
+        t.settle();
+        CHECK(t.answers.reports.size() == 1);
+    }
+}
+
 // Guards against reports that stop, lack figures, or go on to routers that
 // have been gone for long.
 TEST_CASE("load reports go once a second to routers seen in the last 10 s")
