End what a stopping gateway cannot finish with an answer and a log line

After: 400 ms before the end of the grace time, a begun stream is aborted, a request that may have run gets 502, one that was never sent 503; the process ends 100 ms later. The relay test was red. The table of the shutdown policy names both times now.

Also mended, each with a test that was red: a reload shortens the calls for the configuration and reaches the retry budgets of services in use; a very late datagram of an earlier process cannot shut out a restarted gateway's load shares. The group of peers is computed once a listing instead of once a row; the standby's names are the usual ones; ctl reads the status in one place.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -143,18 +143,13 @@
         << r.author << "\n";
 }
 
-configuration_status read_status(ctl_environment& e)
+configuration_status print_recorded_version(ctl_environment& e)
 {
     yaml_configuration_parser const parser;
     configuration_operator op(
         e.clock, e.timers, e.random, e.store, e.objects, e.fleet, parser);
-    return await<configuration_status>(
-        e, [&op](auto done) { op.status(done); });
-}
-
-configuration_status print_recorded_version(ctl_environment& e)
-{
-    auto status = read_status(e);
+    auto status =
+        await<configuration_status>(e, [&op](auto done) { op.status(done); });
     if (!status.problem.empty())
         e.err << status.problem << "\n";
     else if (status.record)
--- a/src/gateway/arrival_budget.hpp
+++ b/src/gateway/arrival_budget.hpp
@@ -36,6 +36,12 @@
     {
     }
 
+    /// Takes changed bounds into use; what was spent stays spent.
+    void set_bounds(arrival_budget_settings const& settings)
+    {
+        settings_ = settings;
+    }
+
     void set_fleet_size(std::size_t gateways)
     {
         settings_.fleet_size = double(gateways);
--- a/src/gateway/freshness_lease.hpp
+++ b/src/gateway/freshness_lease.hpp
@@ -30,8 +30,7 @@
         // 1.7 s let the lease of 5 s end within three seconds of a store
         // outage; shorter calls cost more without a gain.
         constexpr std::chrono::milliseconds most{1400};
-        constexpr std::chrono::milliseconds least{50};
-        return std::clamp((bound - margin) * 3 / 10, least, most);
+        return std::min((bound - margin) * 3 / 10, most);
     }
 
     // Covers rounding and a clock that runs slightly slow.
--- a/src/gateway/peer_loads.cpp
+++ b/src/gateway/peer_loads.cpp
@@ -26,7 +26,10 @@
 {
     for (auto& [gateway, known] : shares_)
     {
-        if (now - known.received <= validity || known.share.loads.empty())
+        if (now - known.received <= validity)
+            continue;
+        known.former = 0; // nothing of it is under way any more
+        if (known.share.loads.empty())
             continue;
         subtract(known.share);
         known.share.loads.clear(); // its sequence stays known
--- a/src/gateway/shutdown_policy.hpp
+++ b/src/gateway/shutdown_policy.hpp
@@ -26,6 +26,9 @@
     // Part of the grace period that is kept for the end of the process.
     static constexpr std::chrono::milliseconds end_margin{400};
 
+    // Of which the last answers have this time to be written.
+    static constexpr std::chrono::milliseconds last_answers{100};
+
     /// @param passed    since the signal to stop
     /// @param longest   what the request may take at most
     /// @param expected  duration of recent streams, if there were any
@@ -43,11 +46,18 @@
                expected.value_or(route.first_byte_target) < left;
     }
 
+    /// Whether requests that are still open are to be ended.
+    static bool grace_over(duration passed, std::chrono::milliseconds grace)
+    {
+        return passed > grace - end_margin;
+    }
+
     /// Whether the process may end.
     static bool
     finished(duration passed, std::chrono::milliseconds grace, bool idle)
     {
-        return passed > grace - end_margin || (idle && passed > leave_rotation);
+        return grace_over(passed - last_answers, grace) ||
+               (idle && passed > leave_rotation);
     }
 };
 
--- a/src/gateway/table_watch.hpp
+++ b/src/gateway/table_watch.hpp
@@ -95,6 +95,9 @@
     /// Makes the next call when it is due; called many times a second.
     void poll();
 
+    /// How long the next calls for changes wait.
+    void set_wait(std::chrono::milliseconds wait) { settings_.wait = wait; }
+
     bool listed() const { return listed_; }
     bool connected() const { return failures_ == 0 && listed_; }
     std::uint64_t calls() const { return calls_; }
@@ -108,7 +111,7 @@
     void failed(store_answer const& answer);
 
     std::string const table_;
-    watch_settings const settings_;
+    watch_settings settings_;
     row_reader& store_;
     table_sink& sink_;
     clock_source const& clock_;
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -61,6 +61,9 @@
     return "unknown";
 }
 
+// Another gateway serves by then.
+constexpr milliseconds retry_elsewhere{1000};
+
 // Events that an endpoint has made while none came: more than the network
 // delays.
 constexpr std::uint64_t unheard_events = 5;
@@ -74,7 +77,7 @@
     admitted_request request, exchange_host& host)
     : number_(number), session_(std::move(session)),
       request_(std::move(request)), host_(host),
-      standby_(std::make_shared<standby_copies>(host, request_.terms.id))
+      copies_(std::make_shared<standby_copies>(host, request_.terms.id))
 {
     auto const& terms = request_.terms;
     auto const& route = *request_.route;
@@ -133,12 +136,12 @@
 {
     auto const now = host_.clock().now();
     // A run whose memory was copied goes on from the copy.
-    if (auto const source = standby_->usable(stream_began_, now))
+    if (auto const at = copies_->resume_at(stream_began_, now))
     {
-        attempt(source->keeper, source->copy);
+        attempt(at->standby, at->copy);
         return;
     }
-    standby_->reset();
+    copies_->reset();
     work_.resumes = answer_begun_;
     if (auto const* const spec = request_.table->service(request_.service))
         work_.connections = host_.connection_share(*spec);
@@ -176,8 +179,8 @@
                     spec != nullptr && !copy ? work_.prompt_tokens : 0});
     bool const copies =
         spec != nullptr && spec->standby_copies && request_.route->resumable;
-    standby_->begin(endpoint_, work_, copies ? spec : nullptr, now);
-    auto const keeper = standby_->keeper();
+    copies_->begin(endpoint_, work_, copies ? spec : nullptr, now);
+    auto const standby = copies_->standby();
     if (spec != nullptr)
         host_.work_changed();
     sent_ = progress_ = now;
@@ -203,7 +206,7 @@
          {"zone", record.zone.value()},
          {"load", std::to_string(endpoint_->load.requests)},
          {"prefill", std::to_string(endpoint_->load.prefill_tokens)},
-         {"standby", keeper ? keeper->record().id.value() : "-"},
+         {"standby", standby ? standby->record().id.value() : "-"},
          {"copy", used_copy_ ? "1" : "0"},
          {"prompt", std::to_string(work_.prompt_tokens)},
          {"after_event", last_event_ ? std::to_string(*last_event_) : "-"},
@@ -239,8 +242,8 @@
     if (request_.route->engine_prompt)
         terms.rank = request_.rank;
     terms.last_event = last_event_;
-    if (auto const keeper = standby_->keeper())
-        terms.standby = keeper->record().address;
+    if (auto const standby = copies_->standby())
+        terms.standby = standby->record().address;
     terms.copy = copy;
     host_.dialect().write_terms(terms, text);
     bool const has_body =
@@ -538,7 +541,7 @@
     if (!answer_begun_)
         begin_answer();
     session_->end_stream();
-    standby_->free();
+    copies_->free();
     finish("served", head_->status, {});
 }
 
@@ -574,7 +577,7 @@
         return;
     }
     if (stream_began_)
-        standby_->renew(now);
+        copies_->renew(now);
     auto const& route = *request_.route;
     bool const may_repeat =
         route.repeatable() && history_.runs + 1 < route.max_attempts;
@@ -660,6 +663,15 @@
     finish("refused", 503, reason);
 }
 
+void relay_exchange::end_by_shutdown()
+{
+    // What was sent to an endpoint may have run there.
+    if (state_ == state::attempting)
+        fail(502, "grace_over");
+    else if (state_ != state::done)
+        refuse("grace_over", retry_elsewhere);
+}
+
 void relay_exchange::fail(unsigned status, char const* reason)
 {
     release_attempt();
@@ -694,7 +706,7 @@
     state_ = state::done;
     session_->on_caller_gone(nullptr);
     release_attempt();
-    standby_->reset();
+    copies_->reset();
     host_.log().record(
         std::string_view(outcome) == "served" ? event_level::info
                                               : event_level::warn,
--- a/src/relay/exchange.hpp
+++ b/src/relay/exchange.hpp
@@ -129,6 +129,9 @@
         endpoint_state const& endpoint, endpoint_report const& report,
         steady_time checked);
 
+    /// The process ends: answers what cannot be finished any more.
+    void end_by_shutdown();
+
     /// Ends a request that waits for room: as not run, if that is so.
     void refuse(char const* reason, std::chrono::milliseconds retry_after);
 
@@ -192,7 +195,7 @@
     std::shared_ptr<client_session> const session_;
     admitted_request request_;
     exchange_host& host_;
-    std::shared_ptr<standby_copies> const standby_;
+    std::shared_ptr<standby_copies> const copies_;
     work_request work_;
     steady_time deadline_;
     bool timeout_first_ = false; // the route's timeout ends it, not the caller
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -275,6 +275,10 @@
     settings_.shutdown_grace = settings.shutdown_grace;
     settings_.retries = settings.retries;
     lease_.set_bound(settings.key_withdrawal_bound);
+    configuration_watch_.set_wait(
+        freshness_lease::longest_call(settings.key_withdrawal_bound));
+    for (auto& [service, budget] : budgets_)
+        budget.set_bounds(settings.retries);
     endpoints_.set_last_resort(settings.drain_bound - last_resort_margin);
 }
 
@@ -638,8 +642,16 @@
     exchanges.reserve(exchanges_.size());
     for (auto const& [number, e] : exchanges_)
         exchanges.push_back(e);
+    bool const grace_over =
+        shutting_down_ && shutdown_policy::grace_over(
+                              now - shutdown_began_, settings_.shutdown_grace);
     for (auto const& e : exchanges)
-        e->check(now, paused);
+    {
+        if (grace_over)
+            e->end_by_shutdown();
+        else
+            e->check(now, paused);
+    }
     bool const valid = table_ && lease_.valid(now);
     if (valid != was_fresh_)
     {
--- a/src/relay/peer_exchange.cpp
+++ b/src/relay/peer_exchange.cpp
@@ -120,25 +120,17 @@
     peers_.clear();
     registered_ = false;
     for (auto const& row : rows)
-        on_change(row);
+        take(row);
+    regroup();
 }
 
-void peer_exchange::regroup()
+void peer_exchange::on_change(store_row const& row)
 {
-    std::set<std::string> hosts;
-    for (auto const& known : peers_)
-        hosts.insert(known.first);
-    auto const group = peer_group(hosts, host_);
-    for (auto& [host, peer] : peers_)
-    {
-        bool const in_group = group.count(host) != 0;
-        if (in_group && !peer.in_group)
-            peer.heard = clock_.now(); // it begins to send only now
-        peer.in_group = in_group;
-    }
+    take(row);
+    regroup();
 }
 
-void peer_exchange::on_change(store_row const& row)
+void peer_exchange::take(store_row const& row)
 {
     if (row.key == host_)
     {
@@ -148,14 +140,12 @@
     if (row.deleted)
     {
         peers_.erase(row.key);
-        regroup();
         return;
     }
     try
     {
         peers_[row.key] = {
             row.value, udp_address(row.value), clock_.now(), true};
-        regroup();
     }
     catch (error const& e)
     {
@@ -165,6 +155,21 @@
     }
 }
 
+void peer_exchange::regroup()
+{
+    std::set<std::string> hosts;
+    for (auto const& known : peers_)
+        hosts.insert(known.first);
+    auto const group = peer_group(hosts, host_);
+    for (auto& [host, peer] : peers_)
+    {
+        bool const in_group = group.count(host) != 0;
+        if (in_group && !peer.in_group)
+            peer.heard = clock_.now(); // it begins to send only now
+        peer.in_group = in_group;
+    }
+}
+
 void peer_exchange::remove_lost_peers(steady_time now)
 {
     for (auto& [host, peer] : peers_)
--- a/src/relay/peer_exchange.hpp
+++ b/src/relay/peer_exchange.hpp
@@ -80,6 +80,7 @@
     void on_proof(steady_time) override {}
 
     void register_self();
+    void take(store_row const& row);
     void regroup();
     void receive();
     void send();
--- a/src/relay/standby_copies.cpp
+++ b/src/relay/standby_copies.cpp
@@ -41,34 +41,34 @@
     copy_ = choose(now);
 }
 
-std::optional<standby_copies::source> standby_copies::usable(
+std::optional<standby_copies::resume_point> standby_copies::resume_at(
     std::optional<steady_time> stream_began, steady_time now) const
 {
     bool const copied = stream_began && now - *stream_began > copy_exists_after;
     if (!copy_ || !copied || copy_->lost(now))
         return std::nullopt;
     // A copy made on demand is named by the endpoint that made it.
-    return source{
-        copy_->keeper,
+    return resume_point{
+        copy_->standby,
         copy_->name
             ? memory_copy{source_->record().address, *copy_->name}
-            : memory_copy{copy_->keeper->record().address, run_.value()}};
+            : memory_copy{copy_->standby->record().address, run_.value()}};
 }
 
-std::optional<standby_copies::kept_copy>
+std::optional<standby_copies::memory_replica>
 standby_copies::choose(steady_time now) const
 {
     auto work = work_;
     if (copy_)
-        work.avoid.insert(copy_->keeper->record().id.value());
-    auto keeper =
+        work.avoid.insert(copy_->standby->record().id.value());
+    auto standby =
         host_.selection().choose_standby(work, *engine_, *source_, now);
-    if (!keeper)
+    if (!standby)
         return std::nullopt;
-    kept_copy made;
+    memory_replica made;
     made.reservation =
-        endpoint_reservation(keeper, {0, work_.memory_tokens(), 0});
-    made.keeper = std::move(keeper);
+        endpoint_reservation(standby, {0, work_.memory_tokens(), 0});
+    made.standby = std::move(standby);
     made.began = now;
     return made;
 }
@@ -89,7 +89,7 @@
         return;
     host_.call(
         source_->record(), call_timeout,
-        host_.dialect().copy_request(run_, next_->keeper->record().address),
+        host_.dialect().copy_request(run_, next_->standby->record().address),
         false,
         [weak = weak_from_this(), source = source_](endpoint_reply const& reply)
         {
@@ -119,7 +119,7 @@
         made->name ? event_level::info : event_level::warn, "standby_renewed",
         {{"request", run_.value()},
          {"endpoint", source_->record().id.value()},
-         {"standby", made->keeper->record().id.value()},
+         {"standby", made->standby->record().id.value()},
          {"status", std::to_string(reply.status)},
          {"copy", made->name.value_or("-")}});
     if (!made->name)
--- a/src/relay/standby_copies.hpp
+++ b/src/relay/standby_copies.hpp
@@ -1,6 +1,6 @@
 // Keeps a copy of one run's memory at an endpoint of another zone, so that the
 // run can go on there. The endpoint that runs it sends the first copy as the
-// run grows. One whose keeper is lost is replaced by a copy made on demand,
+// run grows. One whose standby is lost is replaced by a copy made on demand,
 // which in turn is replaced before it expires.
 #ifndef DOTTERELLOCK_RELAY_STANDBY_COPIES_HPP
 #define DOTTERELLOCK_RELAY_STANDBY_COPIES_HPP
@@ -32,28 +32,28 @@
     standby_copies(standby_copies const&) = delete;
     standby_copies& operator=(standby_copies const&) = delete;
 
-    /// An attempt begins at `source`: chooses who keeps its copy.
+    /// An attempt begins at `source`: chooses its standby.
     /// @param engine  null if the run is not to be copied
     void begin(
         endpoint_ptr source, work_request work, engine_spec const* engine,
         steady_time now);
 
-    /// The endpoint that keeps the copy, or null.
-    endpoint_ptr keeper() const { return copy_ ? copy_->keeper : nullptr; }
+    /// The endpoint that holds the copy, or null.
+    endpoint_ptr standby() const { return copy_ ? copy_->standby : nullptr; }
 
     /// Replaces a copy that is lost or expires. Called many times a second,
     /// once the run has made events.
     void renew(steady_time now);
 
-    struct source
+    struct resume_point
     {
-        endpoint_ptr keeper;
+        endpoint_ptr standby;
         memory_copy copy;
     };
 
-    /// From where the run can go on.
-    std::optional<source>
-    usable(std::optional<steady_time> stream_began, steady_time now) const;
+    /// Where the run can go on; empty if there is no usable copy.
+    std::optional<resume_point>
+    resume_at(std::optional<steady_time> stream_began, steady_time now) const;
 
     /// The run has ended: its copy takes no more memory.
     void free();
@@ -62,21 +62,21 @@
     void reset();
 
 private:
-    struct kept_copy
+    struct memory_replica
     {
-        endpoint_ptr keeper;
+        endpoint_ptr standby;
         endpoint_reservation reservation;
         std::optional<std::string> name; // of one made on demand
         steady_time began{};
 
         bool lost(steady_time now) const
         {
-            return keeper->leaving() || keeper->suspended(now) ||
-                   keeper->failed_at() > began;
+            return standby->leaving() || standby->suspended(now) ||
+                   standby->failed_at() > began;
         }
     };
 
-    std::optional<kept_copy> choose(steady_time now) const;
+    std::optional<memory_replica> choose(steady_time now) const;
     void copied(endpoint_state const& source, endpoint_reply const& reply);
 
     exchange_host& host_;
@@ -84,9 +84,9 @@
     endpoint_ptr source_; // runs it
     work_request work_;
     std::optional<engine_spec> engine_; // empty: no copies
-    std::optional<kept_copy> copy_;
-    std::optional<kept_copy> next_; // is being made
-    steady_time next_call_{};       // not before
+    std::optional<memory_replica> copy_;
+    std::optional<memory_replica> next_; // is being made
+    steady_time next_call_{};            // not before
 };
 
 } // namespace dotterellock
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -292,8 +292,11 @@
     milliseconds const grace(8000);
     REQUIRE_FALSE(shutdown_policy::finished(milliseconds(1000), grace, true));
     REQUIRE(shutdown_policy::finished(milliseconds(2501), grace, true));
-    REQUIRE_FALSE(shutdown_policy::finished(milliseconds(7000), grace, false));
-    REQUIRE(shutdown_policy::finished(milliseconds(7601), grace, false));
+    REQUIRE_FALSE(shutdown_policy::grace_over(milliseconds(7600), grace));
+    REQUIRE(shutdown_policy::grace_over(milliseconds(7601), grace));
+    // What was answered then is written before the process ends.
+    REQUIRE_FALSE(shutdown_policy::finished(milliseconds(7601), grace, false));
+    REQUIRE(shutdown_policy::finished(milliseconds(7701), grace, false));
 }
 
 // Liveness -------------------------------------------------------------------
--- a/tests/gateway/endpoints_test.cpp
+++ b/tests/gateway/endpoints_test.cpp
@@ -254,12 +254,21 @@
              {100, 4, false}, // overtaken on the way
              {50, 1, true},   // restarted
              {100, 6, false}, // late, of the process before
-             {50, 2, true}})
+             {50, 2, true},
+             {70, 1, true},   // restarted once more
+             {100, 7, true}}) // very late: cannot be told from a restart
     {
         share.incarnation = r.incarnation;
         share.sequence = r.sequence;
         REQUIRE(peers.put(share, at(0)) == r.counts);
     }
+    // It must not shut out the living process for good.
+    share.incarnation = 70;
+    share.sequence = 2;
+    REQUIRE_FALSE(peers.put(share, at(100)));
+    peers.expire(at(900));
+    share.sequence = 3;
+    REQUIRE(peers.put(share, at(900)));
 }
 
 // Shares from each gateway to each other one grow with the square of their
--- a/tests/platform/relay_fixture.hpp
+++ b/tests/platform/relay_fixture.hpp
@@ -77,8 +77,10 @@
             });
     }
     void changes(
-        std::string const&, std::uint64_t, milliseconds, handler done) override
+        std::string const&, std::uint64_t, milliseconds wait,
+        handler done) override
     {
+        last_wait = wait;
         waiting = std::move(done);
     }
 
@@ -95,6 +97,7 @@
     bool available = true;
     std::vector<store_row> rows;
     std::uint64_t revision = 1;
+    milliseconds last_wait{0}; // of the last call for changes
     handler waiting;
 
 private:
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -463,8 +463,89 @@
     REQUIRE(asked->has("dotterellock_endpoints 5"));
 }
 
+// Reload ---------------------------------------------------------------------
+
+// A shorter bound for withdrawn keys must shorten the calls for changes too:
+// the lease would end between two of them, and keyed requests be refused.
+TEST_CASE("a reload shortens the calls for the configuration", "[relay]")
+{
+    relay_world w;
+    w.start();
+    REQUIRE(w.until([&] { return w.configuration.waiting != nullptr; }));
+    REQUIRE(w.configuration.last_wait == milliseconds(1400));
+    w.settings.key_withdrawal_bound = milliseconds(1000);
+    w.subject->reload(w.settings);
+    w.configuration.change(w.configuration.rows[0]); // ends the call
+    REQUIRE(w.until([&] { return w.configuration.waiting != nullptr; }));
+    REQUIRE(
+        w.configuration.last_wait ==
+        freshness_lease::longest_call(milliseconds(1000)));
+}
+
+// A process that has just restarted must not bring its share of the fleet's
+// allowance once more; an operator's change of the retry budget must reach
+// the services that are in use already.
+TEST_CASE("the retry budget follows the settings", "[relay]")
+{
+    struct row
+    {
+        bool first_start;
+        double ratio_after_reload; // below 0: no reload
+        bool repeated;
+    };
+    auto const r = GENERATE(
+        row{true, -1, true}, row{false, -1, false}, row{true, 0, false},
+        row{false, 5, true});
+    relay_world w;
+    w.settings.first_start = r.first_start;
+    w.settings.retries.ratio = 0.1;
+    w.start();
+    auto const before = w.call(w.request("/safe/a", "a"));
+    REQUIRE(w.until([&] { return w.endpoints[0]->requests() == 1; }));
+    w.endpoints[0]->peers[0]->send(w.answer(
+        "a", "body", "200 OK", "Response-Seal: s\r\nConnection: close\r\n"));
+    REQUIRE(w.until([&] { return before->has("body"); }));
+    if (r.ratio_after_reload >= 0)
+    {
+        w.settings.retries.ratio = r.ratio_after_reload;
+        w.settings.retries.allowance = 0;
+        w.subject->reload(w.settings);
+    }
+    auto const caller = w.call(w.request("/safe/b", "b"));
+    REQUIRE(w.until([&] { return w.endpoints[0]->requests() == 2; }));
+    w.endpoints[0]->peers.back()->reset();
+    if (r.repeated)
+        REQUIRE(w.until([&] { return w.endpoints[1]->requests() == 1; }));
+    else
+        REQUIRE(w.until([&] { return caller->has(" 502 "); }));
+}
+
 // Shutdown -------------------------------------------------------------------
 
+// What a gateway cannot finish within its grace time ends with an answer that
+// is true and a log line, not with the process.
+TEST_CASE("the end of the grace time ends what is left", "[relay]")
+{
+    relay_world w;
+    w.start();
+    auto const plain = w.call(w.request("/safe/x", "plain"));
+    REQUIRE(w.until([&] { return w.endpoints[0]->requests() == 1; }));
+    auto const stream = w.call(w.request("/stream/x", "stream"));
+    REQUIRE(w.until([&] { return w.endpoints[0]->requests() == 2; }));
+    w.endpoints[0]->peers[1]->send(
+        "HTTP/1.1 200 OK\r\nRequest-Id: stream\r\nResponse-Seal: s\r\n"
+        "Content-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
+    REQUIRE(w.until([&] { return stream->has("data: a"); }));
+    w.subject->begin_shutdown();
+    w.clock.ahead = w.settings.shutdown_grace - milliseconds(390);
+    REQUIRE(w.until([&] { return plain->has(" 502 ") && stream->closed; }));
+    REQUIRE(plain->has("grace_over"));
+    REQUIRE_FALSE(stream->has("0\r\n\r\n")); // does not look complete
+    REQUIRE(w.logged("request=plain route=safe"));
+    REQUIRE(w.logged("outcome=broken status=0 reason=grace_over"));
+}
+
 TEST_CASE("a stopping gateway finishes what it has", "[relay]")
 {
     relay_world w;
