--- a/src/gateway/endpoint_selector.cpp
+++ b/src/gateway/endpoint_selector.cpp
@@ -170,6 +170,32 @@
         ->endpoint;
 }
 
+std::vector<endpoint_ptr> endpoint_selector::likely_caches(
+    endpoint_requirements const& work, std::size_t max_count,
+    steady_time now) const
+{
+    std::vector<
+        std::pair<std::tuple<topology::distance, std::uint64_t>, endpoint_ptr>>
+        ranked;
+    for (auto const& endpoint : endpoints_.of_service(work.service))
+    {
+        auto const& record = endpoint->record();
+        if (!endpoint->leaving() && !endpoint->suspended(now))
+            ranked.push_back(
+                {{location_.distance_to(record.zone),
+                  ~rendezvous_weight(work.affinity_key, record.address)},
+                 endpoint});
+    }
+    auto const count = std::min(max_count, ranked.size());
+    std::partial_sort(
+        ranked.begin(), ranked.begin() + std::ptrdiff_t(count), ranked.end(),
+        [](auto const& a, auto const& b) { return a.first < b.first; });
+    std::vector<endpoint_ptr> likely;
+    for (std::size_t i = 0; i < count; ++i)
+        likely.push_back(ranked[i].second);
+    return likely;
+}
+
 endpoint_ptr endpoint_selector::choose_standby(
     endpoint_requirements const& work, engine_spec const& engine,
     endpoint_state const& primary, steady_time now) const
--- a/src/gateway/endpoint_selector.hpp
+++ b/src/gateway/endpoint_selector.hpp
@@ -97,6 +97,12 @@
         endpoint_requirements const& work, engine_spec const& engine,
         endpoint_state const& primary, steady_time now) const;
 
+    /// Returns the endpoints where a prompt most likely ran before, the
+    /// likeliest first: those that choose() prefers if nothing else runs.
+    std::vector<endpoint_ptr> likely_caches(
+        endpoint_requirements const& work, std::size_t max_count,
+        steady_time now) const;
+
     topology const& location() const { return location_; }
 
 private:
--- a/src/gateway/freshness_lease.hpp
+++ b/src/gateway/freshness_lease.hpp
@@ -34,6 +34,18 @@
         return std::min((max_staleness - margin) * 3 / 10, limit);
     }
 
+    /// Longest wait of a call to another gateway's copy.
+    static constexpr std::chrono::milliseconds max_follower_wait{700};
+
+    /// Longest wait for a gateway whose copy others use. Theirs are older by up
+    /// to max_follower_wait, and their leases must last nearly as long.
+    static std::chrono::milliseconds
+    max_shared_poll_wait(std::chrono::milliseconds max_staleness)
+    {
+        auto const alone = max_poll_wait(max_staleness);
+        return std::max(alone / 2, alone - max_follower_wait / 2);
+    }
+
     // Covers rounding and a clock that runs slightly slow.
     static constexpr std::chrono::milliseconds margin{250};
 
--- a/src/gateway/peer_loads.hpp
+++ b/src/gateway/peer_loads.hpp
@@ -31,6 +31,7 @@
     std::uint64_t sequence = 0; // increases with each share of an incarnation
     std::vector<endpoint_load> loads;
     std::vector<endpoint_id> failed; // endpoints that failed recently
+    zone_id zone; // of the gateway, if its copies of the tables are current
 };
 
 class peer_loads
--- /dev/null
+++ b/src/gateway/table_source_selector.hpp
@@ -0,0 +1,179 @@
+// Decides from where a gateway reads the tables of the platform's store: from
+// the store itself, or from the copy of another gateway. In each availability
+// zone a few gateways read the store; they are the first in the rendezvous
+// order of the gateways that are alive there, so nothing has to be agreed.
+// Gateways that see different members may both read, which only costs calls.
+//
+// Every gateway has further sources: a reader that the store turns away uses
+// the copies of others, and a gateway whose readers fail uses the store.
+//
+// Designed for hundreds of gateways, the loss of single readers, and hosts that
+// alone cannot reach the store. With up to two gateways a zone all read the
+// store as before.
+#ifndef DOTTERELLOCK_GATEWAY_TABLE_SOURCE_SELECTOR_HPP
+#define DOTTERELLOCK_GATEWAY_TABLE_SOURCE_SELECTOR_HPP
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include <dotterellock/runtime.hpp>
+#include <dotterellock/types.hpp>
+
+#include "choice/rendezvous.hpp"
+
+namespace dotterellock
+{
+
+/// Another gateway whose copies are current.
+struct table_peer
+{
+    host_id host;
+    std::string address;
+    bool same_zone = false;
+    bool same_region = false;
+};
+
+/// The store, or the gateway at `address`.
+struct table_source
+{
+    host_id host; // empty: the store
+    std::string address;
+
+    bool is_store() const { return host.empty(); }
+};
+
+class table_source_selector
+{
+public:
+    // The second one takes over without a pause when the first is lost.
+    static constexpr std::size_t readers_per_zone = 2;
+
+    // A source that failed is tried again after this; doubles per failure.
+    static constexpr std::chrono::milliseconds min_avoidance{1000};
+    static constexpr std::chrono::milliseconds max_avoidance{8000};
+
+    // Each further source takes time, while the copy grows old.
+    static constexpr std::size_t max_sources = 3;
+
+    explicit table_source_selector(host_id self) : self_(std::move(self)) {}
+
+    /// @param peers  live gateways that offer current copies
+    void set_peers(std::vector<table_peer> peers)
+    {
+        peers_ = std::move(peers);
+        std::sort(
+            peers_.begin(), peers_.end(),
+            [this](table_peer const& a, table_peer const& b)
+            { return order_of(a) < order_of(b); });
+    }
+
+    /// Whether this gateway is one of those that read the store.
+    bool reads_store() const
+    {
+        auto const own = weight(self_);
+        auto const ahead = std::count_if(
+            peers_.begin(), peers_.end(),
+            [own](table_peer const& p)
+            { return p.same_zone && weight(p.host) > own; });
+        return std::size_t(ahead) < readers_per_zone;
+    }
+
+    /// Whether other gateways of the zone rely on this one.
+    bool serves_followers() const
+    {
+        auto const in_zone = std::count_if(
+            peers_.begin(), peers_.end(),
+            [](table_peer const& p) { return p.same_zone; });
+        return reads_store() && std::size_t(in_zone) >= readers_per_zone;
+    }
+
+    /// Sources in the order in which they are tried.
+    std::vector<table_source> sources(steady_time now) const
+    {
+        std::vector<table_source> readers;
+        std::vector<table_source> others;
+        for (auto const& p : peers_)
+        {
+            bool const reader =
+                p.same_zone && readers.size() < readers_per_zone;
+            (reader ? readers : others).push_back({p.host, p.address});
+        }
+        // Followers spread over the readers of their zone.
+        if (readers.size() > 1 && weight(self_) % 2 == 1)
+            std::swap(readers[0], readers[1]);
+        std::vector<table_source> ordered = readers;
+        auto const store = reads_store() ? ordered.begin() : ordered.end();
+        ordered.insert(store, table_source{});
+        ordered.insert(ordered.end(), others.begin(), others.end());
+        std::stable_partition(
+            ordered.begin(), ordered.end(),
+            [this, now](table_source const& s) { return !avoided(s, now); });
+        if (ordered.size() > max_sources)
+            keep_store_within_limit(ordered);
+        return ordered;
+    }
+
+    void record_success(table_source const& source)
+    {
+        failures_.erase(source.host);
+    }
+
+    void record_failure(table_source const& source, steady_time now)
+    {
+        auto& f = failures_[source.host];
+        f.avoidance = std::clamp<std::chrono::milliseconds>(
+            f.avoidance * 2, min_avoidance, max_avoidance);
+        f.until = now + f.avoidance;
+    }
+
+private:
+    struct failure
+    {
+        std::chrono::milliseconds avoidance{0};
+        steady_time until{};
+    };
+
+    static std::uint64_t weight(host_id const& host)
+    {
+        return rendezvous_weight("tables", host.value());
+    }
+
+    /// Nearest first, then by rendezvous order.
+    static std::tuple<int, std::uint64_t> order_of(table_peer const& p)
+    {
+        int const distance = p.same_zone ? 0 : p.same_region ? 1 : 2;
+        return {distance, ~weight(p.host)};
+    }
+
+    bool avoided(table_source const& source, steady_time now) const
+    {
+        auto const found = failures_.find(source.host);
+        return found != failures_.end() && now < found->second.until;
+    }
+
+    /// The store is always among the sources, as only it is never behind.
+    static void keep_store_within_limit(std::vector<table_source>& ordered)
+    {
+        auto const store = std::find_if(
+            ordered.begin(), ordered.end(),
+            [](table_source const& s) { return s.is_store(); });
+        auto const last = ordered.begin() + max_sources - 1;
+        if (store > last)
+            std::iter_swap(store, last);
+        ordered.resize(max_sources);
+    }
+
+    host_id const self_;
+    std::vector<table_peer> peers_;
+    std::map<host_id, failure> failures_;
+};
+
+} // namespace dotterellock
+
+#endif
--- a/src/relay/client_session.hpp
+++ b/src/relay/client_session.hpp
@@ -127,8 +127,8 @@
         closed
     };
 
-    // Pipelined input that is buffered while a request is being handled. More is
-    // discarded.
+    // Pipelined input that is buffered while a request is being handled. More
+    // is discarded.
     static constexpr std::size_t max_unparsed_bytes = 65536;
 
     // Time that the peer has to close after the last response. Closing at once
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -63,6 +63,16 @@
 constexpr table_watch_settings endpoint_watch_settings{
     milliseconds(4000), milliseconds(600)};
 
+// Copies that other gateways may use. A reader's own copy is at most as old as
+// one of its calls takes.
+constexpr milliseconds max_shared_configuration_age{2500};
+constexpr milliseconds max_shared_endpoints_age{5000};
+
+// Longest waits of calls to other gateways. That of the configuration adds to
+// the age by which keys are judged.
+constexpr milliseconds max_endpoint_peer_wait{1500};
+constexpr milliseconds max_gateway_peer_wait{5000};
+
 std::string_view request_path(std::string_view target)
 {
     return target.substr(0, target.find_first_of("?#"));
@@ -206,21 +216,46 @@
       freshness_lease_(settings_.key_withdrawal_bound),
       configuration_sink_(std::make_unique<configuration_sink>(*this)),
       endpoint_sink_(std::make_unique<endpoint_sink>(*this)),
+      table_sources_(host_id(settings_.host)),
+      shared_configuration_(
+          *configuration_sink_, env_.clock, max_shared_configuration_age),
+      shared_endpoints_(*endpoint_sink_, env_.clock, max_shared_endpoints_age),
+      configuration_peers_(env_.io, env_.clock),
+      endpoint_peers_(env_.io, env_.clock), gateway_peers_(env_.io, env_.clock),
+      configuration_reader_(
+          env_.configuration_reader, configuration_peers_,
+          freshness_lease::max_follower_wait, table_sources_, env_.clock,
+          env_.log, env_.counters),
+      endpoint_reader_(
+          env_.endpoint_reader, endpoint_peers_, max_endpoint_peer_wait,
+          table_sources_, env_.clock, env_.log, env_.counters),
+      peer_reader_(
+          env_.peer_reader, gateway_peers_, max_gateway_peer_wait,
+          table_sources_, env_.clock, env_.log, env_.counters),
       configuration_watch_(
           env_.codec.configuration_table(),
           {freshness_lease::max_poll_wait(settings_.key_withdrawal_bound),
            milliseconds(0)},
-          env_.configuration_reader, *configuration_sink_, env_.clock,
-          env_.random, env_.log),
+          configuration_reader_, shared_configuration_, env_.clock, env_.random,
+          env_.log),
       endpoint_watch_(
           env_.codec.endpoint_table(), endpoint_watch_settings,
-          env_.endpoint_reader, *endpoint_sink_, env_.clock, env_.random,
+          endpoint_reader_, shared_endpoints_, env_.clock, env_.random,
           env_.log),
-      acceptor_(env_.io), tick_timer_(env_.io)
+      acceptor_(env_.io), tick_timer_(env_.io),
+      cache_lookup_(
+          selection_, env_.protocol, env_.clock, env_.log,
+          [this](
+              endpoint_record const& endpoint, milliseconds timeout,
+              std::string request, endpoint_call::handler done) {
+              call(
+                  endpoint, timeout, std::move(request), false,
+                  std::move(done));
+          })
 {
     if (!settings_.peer_listen.empty())
         peer_load_sync_ = std::make_unique<peer_load_sync>(
-            env_.io, settings_.host, settings_.peer_listen, env_.peer_reader,
+            env_.io, settings_.host, settings_.peer_listen, peer_reader_,
             env_.peer_writer, env_.clock, env_.random, env_.log,
             [this] { return local_load_share(); },
             [this](load_share const& share) { on_load_share(share); });
@@ -238,7 +273,18 @@
     configuration_watch_.poll();
     endpoint_watch_.poll();
     if (peer_load_sync_)
+    {
         peer_load_sync_->start();
+        table_service_ = std::make_unique<peer_table_service>(
+            env_.io, env_.clock, settings_.peer_listen,
+            [this](std::string const& ip)
+            { return peer_load_sync_->is_peer(ip); });
+        table_service_->offer(
+            env_.codec.configuration_table(), shared_configuration_);
+        table_service_->offer(env_.codec.endpoint_table(), shared_endpoints_);
+        table_service_->offer(
+            peer_load_sync::table_name, peer_load_sync_->shared_table());
+    }
     schedule_tick();
 }
 
@@ -318,8 +364,7 @@
     settings_.shutdown_grace = settings.shutdown_grace;
     settings_.retries = settings.retries;
     freshness_lease_.set_max_staleness(settings.key_withdrawal_bound);
-    configuration_watch_.set_poll_wait(
-        freshness_lease::max_poll_wait(settings.key_withdrawal_bound));
+    update_poll_wait();
     for (auto& [service, budget] : budgets_)
         budget.set_settings(settings.retries);
     endpoints_.set_last_resort_period(
@@ -497,10 +542,14 @@
         (e->request().metadata.last_event_id ||
          (!settings_.first_start &&
           env_.clock.now() - started_ < caller_return_window));
-    if (may_be_cached)
-        start_after_cache_lookup(e);
-    else
+    if (!may_be_cached)
+    {
         e->start({});
+        return;
+    }
+    cache_lookup_.find(
+        e->work(), fleet_size(),
+        [e](endpoint_id const& cached_at) { e->start(cached_at); });
 }
 
 bool gateway::accepts_during_shutdown(admitted_request const& r) const
@@ -540,11 +589,15 @@
     return budget;
 }
 
-std::uint32_t gateway::connection_share(service_spec const& service)
+std::size_t gateway::fleet_size() const
 {
     auto const known = peer_load_sync_ ? peer_load_sync_->fleet_size() : 1;
-    auto const gateways =
-        known > 0 ? known : std::size_t(settings_.retries.fleet_size);
+    return known > 0 ? known : std::size_t(settings_.retries.fleet_size);
+}
+
+std::uint32_t gateway::connection_share(service_spec const& service)
+{
+    auto const gateways = fleet_size();
     auto const usable =
         service.max_connections * attempt_connections_percent / 100;
     return std::max<std::uint32_t>(
@@ -678,6 +731,8 @@
     accept_when_ready();
     if (peer_load_sync_)
         peer_load_sync_->poll();
+    if (table_service_)
+        table_service_->poll(now);
     peers_.expire(now);
     auto const calls = endpoint_calls_;
     for (auto const& call : calls)
@@ -701,6 +756,7 @@
         last_sweep_ = now;
         pool_.close_expired();
         sweep_endpoints(now);
+        update_table_sources(now);
         dispatch_waiting();
         status_->check_timeouts(now);
         if (metrics_)
@@ -761,6 +817,8 @@
         return;
     if (peer_load_sync_)
         peer_load_sync_->unregister();
+    if (table_service_)
+        table_service_->stop();
     shutting_down_ = true;
     shutdown_began_ = env_.clock.now();
 }
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -20,9 +20,13 @@
 
 #include "gateway/freshness_lease.hpp"
 #include "gateway/request_queue.hpp"
+#include "gateway/shared_table.hpp"
 #include "gateway/shutdown_policy.hpp"
+#include "gateway/table_source_selector.hpp"
 #include "gateway/table_watcher.hpp"
 #include "peer_load_sync.hpp"
+#include "peer_tables.hpp"
+#include "prompt_cache_lookup.hpp"
 #include "relay_exchange.hpp"
 #include "settings/gateway_settings.hpp"
 #include "status_service.hpp"
@@ -111,6 +115,7 @@
     event_log& log() override { return env_.log; }
     service_retry_budget& budget(service_name const& service) override;
     first_event_estimate& estimate(service_name const& service) override;
+    std::size_t fleet_size() const;
     std::uint32_t connection_share(service_spec const& service) override;
     void report_outcome(
         endpoint_ptr const& endpoint, attempt_outcome outcome) override;
@@ -149,13 +154,10 @@
     load_share local_load_share();
     void on_load_share(load_share const& share);
     void sweep_endpoints(steady_time now);
+    void update_table_sources(steady_time now);
+    void update_poll_wait();
     void request_reports(steady_time now);
     void on_report(endpoint_state& endpoint, endpoint_reply const& reply);
-    void start_after_cache_lookup(std::shared_ptr<relay_exchange> const& e);
-    void on_cache_list(
-        service_name const& service, endpoint_state const& endpoint,
-        endpoint_reply const& reply);
-    void on_cache_lookup_ended(service_name const& service);
     bool accepts_during_shutdown(admitted_request const& r) const;
 
     void reject(
@@ -177,8 +179,18 @@
     std::uint64_t table_revision_ = 0;
     std::unique_ptr<configuration_sink> configuration_sink_;
     std::unique_ptr<endpoint_sink> endpoint_sink_;
+    table_source_selector table_sources_;
+    shared_table shared_configuration_;
+    shared_table shared_endpoints_;
+    peer_table_client configuration_peers_;
+    peer_table_client endpoint_peers_;
+    peer_table_client gateway_peers_;
+    shared_row_reader configuration_reader_;
+    shared_row_reader endpoint_reader_;
+    shared_row_reader peer_reader_;
     table_watcher configuration_watch_;
     table_watcher endpoint_watch_;
+    std::unique_ptr<peer_table_service> table_service_; // null: no peers
 
     asio::ip::tcp::acceptor acceptor_;
     std::unique_ptr<peer_load_sync> peer_load_sync_; // null: no peers
@@ -210,16 +222,7 @@
     std::set<service_name> engine_services_;            // that had requests
     std::map<service_name, duration> stream_durations_; // moving averages
 
-    /// Lookup of the prompt caches of a service's endpoints.
-    struct cache_lookup
-    {
-        std::optional<steady_time> began;
-        std::size_t open = 0; // unfinished calls
-        std::vector<std::shared_ptr<relay_exchange>> waiting;
-    };
-
-    prompt_cache_index cache_index_;
-    std::map<service_name, cache_lookup> cache_lookups_;
+    prompt_cache_lookup cache_lookup_;
     std::size_t body_bytes_ = 0;
     bool shutting_down_ = false;
     bool configuration_was_fresh_ = false;
--- a/src/relay/gateway_endpoints.cpp
+++ b/src/relay/gateway_endpoints.cpp
@@ -1,5 +1,5 @@
 // How a gateway tracks the state of endpoints. Index: health; peers; reports;
-// cache lookup for returning callers.
+// table sources.
 #include "gateway.hpp"
 
 #include <algorithm>
@@ -31,10 +31,6 @@
 // from the endpoint within the same time.
 constexpr milliseconds failure_share_duration{300};
 
-// One cache lookup serves all callers that return together.
-constexpr milliseconds cache_lookup_interval{1500};
-constexpr milliseconds cache_lookup_timeout{120};
-
 // Minimum interval between checks of one endpoint.
 constexpr milliseconds check_interval{250};
 
@@ -159,6 +155,9 @@
 {
     auto const now = env_.clock.now();
     load_share share;
+    if (!shutting_down_ && shared_configuration_.current(now) &&
+        shared_endpoints_.current(now))
+        share.zone = zone_id(settings_.zone);
     for (auto const& service : engine_services_)
     {
         for (auto const& endpoint : endpoints_.of_service(service))
@@ -248,80 +247,39 @@
     call->start(std::move(request), env_.clock.now(), probe);
 }
 
-// Cache lookup for returning callers -----------------------------------------
+// Table sources --------------------------------------------------------------
 
-void gateway::start_after_cache_lookup(std::shared_ptr<relay_exchange> const& e)
+void gateway::update_table_sources(steady_time now)
 {
-    auto const now = env_.clock.now();
-    auto const& service = e->request().service;
-    auto& lookup = cache_lookups_[service];
-    bool const recent =
-        lookup.began && now - *lookup.began < cache_lookup_interval;
-    if (recent && lookup.open == 0)
-    {
-        e->start(cache_index_.best_endpoint(e->work().affinity_key, now));
+    if (!peer_load_sync_)
         return;
-    }
-    lookup.waiting.push_back(e);
-    if (recent)
-        return;
-    lookup.began = now;
-    auto const endpoints = endpoints_.of_service(service);
-    lookup.open = 1; // held until all calls have been started
-    for (auto const& endpoint : endpoints)
+    auto const& location = selection_.location();
+    std::vector<table_peer> peers;
+    for (auto const& holder : peer_load_sync_->table_holders(now))
     {
-        if (endpoint->leaving() || endpoint->suspended(now))
-            continue;
-        ++lookup.open;
-        call(
-            endpoint->record(), cache_lookup_timeout,
-            env_.protocol.cache_list_request(), false,
-            [this, service, endpoint](endpoint_reply const& reply)
-            { on_cache_list(service, *endpoint, reply); });
+        auto const distance = location.distance_to(holder.zone);
+        peers.push_back(
+            {holder.host, holder.address,
+             distance == topology::distance::same_zone,
+             distance != topology::distance::other_region});
     }
-    on_cache_lookup_ended(service);
+    table_sources_.set_peers(std::move(peers));
+    update_poll_wait();
 }
 
-void gateway::on_cache_list(
-    service_name const& service, endpoint_state const& endpoint,
-    endpoint_reply const& reply)
+void gateway::update_poll_wait()
 {
-    try
-    {
-        if (reply.status == 200)
-            cache_index_.put(
-                endpoint.record().id, env_.protocol.read_cache_list(reply.body),
-                env_.clock.now());
-    }
-    catch (error const& e)
-    {
-        env_.log.record(
-            event_level::warn, "cache_list_unreadable",
-            {{"endpoint", endpoint.record().id.value()},
-             {"detail", e.detail()}});
-    }
-    on_cache_lookup_ended(service);
-}
-
-void gateway::on_cache_lookup_ended(service_name const& service)
-{
-    auto& lookup = cache_lookups_[service];
-    if (--lookup.open > 0)
-        return;
-    auto const now = env_.clock.now();
-    env_.log.record(
-        event_level::info, "prompt_caches_listed",
-        {{"service", service.value()},
-         {"parts", std::to_string(cache_index_.size())},
-         {"waiting", std::to_string(lookup.waiting.size())}});
-    for (auto const& e : std::exchange(lookup.waiting, {}))
-        e->start(cache_index_.best_endpoint(e->work().affinity_key, now));
+    auto const bound = settings_.key_withdrawal_bound;
+    configuration_watch_.set_poll_wait(
+        table_sources_.serves_followers()
+            ? freshness_lease::max_shared_poll_wait(bound)
+            : freshness_lease::max_poll_wait(bound));
 }
 
 void gateway::sweep_endpoints(steady_time now)
 {
     endpoints_.remove_unused(now);
-    cache_index_.remove_expired(now);
+    cache_lookup_.remove_expired(now);
     for (auto i = last_checked_.begin(); i != last_checked_.end();)
     {
         bool const old = now - i->second > check_interval;
--- a/src/relay/gateway_metrics.cpp
+++ b/src/relay/gateway_metrics.cpp
@@ -49,7 +49,15 @@
         .set(peer_load_sync_ ? peer_load_sync_->fleet_size() : 1);
     c.counter("connections_opened").set(pool_.connections_created());
     c.counter("store_calls")
-        .set(configuration_watch_.call_count() + endpoint_watch_.call_count());
+        .set(
+            configuration_reader_.store_calls() +
+            endpoint_reader_.store_calls() + peer_reader_.store_calls());
+    c.counter("reads_store").set(table_sources_.reads_store() ? 1 : 0);
+    if (auto const proven = endpoint_watch_.current_as_of())
+        c.counter("endpoints_age_milliseconds")
+            .set(std::uint64_t(std::chrono::duration_cast<milliseconds>(
+                                   env_.clock.now() - *proven)
+                                   .count()));
     if (age)
         c.counter("configuration_age_milliseconds")
             .set(std::uint64_t(
--- /dev/null
+++ b/src/relay/http_caller.hpp
@@ -0,0 +1,69 @@
+// Makes one call at a time over a persistent connection. Every call ends within
+// its time, also when the connection hangs or the response does not end.
+#ifndef DOTTERELLOCK_RELAY_HTTP_CALLER_HPP
+#define DOTTERELLOCK_RELAY_HTTP_CALLER_HPP
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include "http_connection.hpp"
+
+namespace dotterellock
+{
+
+struct http_reply
+{
+    unsigned status = 0; // 0: no complete response
+    std::string body;
+    std::string failure; // why there is none
+};
+
+class http_caller : private response_handler
+{
+public:
+    using handler = std::function<void(http_reply)>;
+
+    /// @param max_body_bytes  a longer response is a fault and is cut off
+    http_caller(
+        asio::io_context& io, clock_source const& clock,
+        std::size_t max_body_bytes);
+    ~http_caller() override;
+
+    http_caller(http_caller const&) = delete;
+    http_caller& operator=(http_caller const&) = delete;
+
+    /// The previous call must be done.
+    void call(
+        asio::ip::tcp::endpoint const& peer, std::string request,
+        std::chrono::milliseconds timeout, handler done);
+
+    bool busy() const { return done_ != nullptr; }
+
+private:
+    void on_response_head(message_head head) override;
+    void on_response_body(std::string_view bytes) override;
+    void on_response_complete() override;
+    void on_failure(connection_failure failure) override;
+    void fail(char const* why);
+    void finish();
+
+    asio::io_context& io_;
+    clock_source const& clock_;
+    std::size_t const max_body_bytes_;
+    asio::steady_timer timer_;
+    asio::ip::tcp::endpoint peer_;
+    std::shared_ptr<http_connection> connection_;
+    handler done_;
+    http_reply reply_;
+    std::uint64_t call_number_ = 0; // tells timers of earlier calls apart
+};
+
+} // namespace dotterellock
+
+#endif
--- a/src/relay/load_share_codec.cpp
+++ b/src/relay/load_share_codec.cpp
@@ -42,7 +42,7 @@
     json::to_msgpack(
         json::array(
             {format_version, share.gateway.value(), share.incarnation,
-             share.sequence, loads, failed}),
+             share.sequence, loads, failed, share.zone.value()}),
         bytes);
     return bytes;
 }
@@ -81,6 +81,8 @@
                   number<std::uint64_t>(item.at(3))}});
         for (auto const& item : a.at(5))
             share.failed.emplace_back(item.get<std::string>());
+        if (a.size() > 6) // absent in earlier versions
+            share.zone = zone_id(a.at(6).get<std::string>());
         return share;
     }
     catch (json::exception const& e)
--- a/src/relay/peer_load_sync.cpp
+++ b/src/relay/peer_load_sync.cpp
@@ -1,5 +1,6 @@
 #include "peer_load_sync.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <dotterellock/error.hpp>
@@ -16,8 +17,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr char table_name[] = "gateways";
-
 // A changed share is sent at once, but no sooner than the minimum interval. An
 // unchanged one is repeated, in case a datagram was lost.
 constexpr milliseconds max_send_interval{250};
@@ -30,9 +29,12 @@
 
 // Long polls, as the table changes only when gateways start or stop.
 constexpr table_watch_settings peer_watch_settings{
-    milliseconds(20000), milliseconds(200), milliseconds(200),
+    milliseconds(20000), milliseconds(500), milliseconds(200),
     milliseconds(2000)};
 
+// Other gateways may use this copy. It is at most as old as one call takes.
+constexpr milliseconds max_shared_age{25000};
+
 asio::ip::udp::endpoint udp_address(std::string const& text)
 {
     auto const address = parse_address(text);
@@ -53,8 +55,10 @@
     : host_(std::move(host)), address_(std::move(address)), writer_(writer),
       clock_(clock), log_(log), share_source_(std::move(source)),
       share_handler_(std::move(handler)),
+      shared_table_(*this, clock, max_shared_age),
       peer_watch_(
-          table_name, peer_watch_settings, reader, *this, clock, random, log),
+          table_name, peer_watch_settings, reader, shared_table_, clock, random,
+          log),
       socket_(io), incarnation_(random.next())
 {
 }
@@ -117,6 +121,27 @@
     return peer_watch_.listed() ? peers_.size() + 1 : 0;
 }
 
+std::vector<peer_load_sync::table_holder>
+peer_load_sync::table_holders(steady_time now) const
+{
+    std::vector<table_holder> holders;
+    for (auto const& [host, peer] : peers_)
+    {
+        bool const alive = now - peer.last_heard <= peer_loads::validity;
+        if (alive && !peer.zone.empty())
+            holders.push_back({host_id(host), peer.address_text, peer.zone});
+    }
+    return holders;
+}
+
+bool peer_load_sync::is_peer(std::string const& ip) const
+{
+    return std::any_of(
+        peers_.begin(), peers_.end(),
+        [&ip](auto const& known)
+        { return known.second.address.address().to_string() == ip; });
+}
+
 void peer_load_sync::on_listing(
     std::vector<store_row> const& rows, change_period const&)
 {
@@ -147,8 +172,11 @@
     }
     try
     {
-        peers_[row.key] = {
-            row.value, udp_address(row.value), clock_.now(), true};
+        peer p;
+        p.address_text = row.value;
+        p.address = udp_address(row.value);
+        p.last_heard = clock_.now();
+        peers_[row.key] = std::move(p);
     }
     catch (error const& e)
     {
@@ -236,6 +264,7 @@
         if (known == peers_.end() || known->second.address != sender)
             return;
         known->second.last_heard = clock_.now();
+        known->second.zone = share.zone;
         share_handler_(share);
     }
     catch (error const& problem)
--- a/src/relay/peer_load_sync.hpp
+++ b/src/relay/peer_load_sync.hpp
@@ -10,12 +10,14 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
 
 #include "gateway/event_log.hpp"
 #include "gateway/peer_loads.hpp"
+#include "gateway/shared_table.hpp"
 #include "gateway/table_watcher.hpp"
 
 namespace dotterellock
@@ -38,6 +40,8 @@
 class peer_load_sync : private table_listener
 {
 public:
+    static constexpr char table_name[] = "gateways";
+
     using share_source = std::function<load_share()>;
     using share_handler = std::function<void(load_share const&)>;
 
@@ -68,12 +72,30 @@
     /// Number of gateways including this one; 0 until the table was listed.
     std::size_t fleet_size() const;
 
+    /// Another gateway that offers current copies of the tables.
+    struct table_holder
+    {
+        host_id host;
+        std::string address;
+        zone_id zone;
+    };
+
+    /// Those heard from recently.
+    std::vector<table_holder> table_holders(steady_time now) const;
+
+    /// This gateway's copy of the table of gateways.
+    dotterellock::shared_table& shared_table() { return shared_table_; }
+
+    /// Whether a registered gateway has this IP address.
+    bool is_peer(std::string const& ip) const;
+
 private:
     struct peer
     {
         std::string address_text;
         asio::ip::udp::endpoint address;
         steady_time last_heard{};
+        zone_id zone;         // empty: offers no tables
         bool in_group = true; // shares are sent to it and expected from it
     };
 
@@ -99,6 +121,7 @@
     event_log& log_;
     share_source const share_source_;
     share_handler const share_handler_;
+    dotterellock::shared_table shared_table_;
     table_watcher peer_watch_;
     asio::ip::udp::socket socket_;
     asio::ip::udp::endpoint sender_;
--- /dev/null
+++ b/src/relay/peer_tables.cpp
@@ -0,0 +1,123 @@
+#include "peer_tables.hpp"
+
+#include <utility>
+
+#include <dotterellock/error.hpp>
+
+#include "connection_pool.hpp"
+#include "http/reason_phrase.hpp"
+#include "table_share_codec.hpp"
+
+namespace dotterellock
+{
+
+namespace
+{
+
+void refuse(client_session& session, unsigned status, std::string const& why)
+{
+    session.respond(
+        status, reason_phrase(status), {{"Content-Type", "text/plain"}},
+        why + '\n');
+}
+
+void respond(client_session& session, row_read_result const& result)
+{
+    switch (result.status)
+    {
+    case row_read_status::ok:
+        session.respond(
+            200, reason_phrase(200), {{"Content-Type", "application/msgpack"}},
+            encode_table_answer(result));
+        break;
+    case row_read_status::history_lost:
+        refuse(session, 410, "history is lost");
+        break;
+    case row_read_status::refused:
+    case row_read_status::failed:
+        refuse(session, 503, result.detail);
+        break;
+    }
+}
+
+row_read_result to_result(http_reply const& reply)
+{
+    row_read_result result;
+    result.detail = reply.failure.empty()
+                        ? "status " + std::to_string(reply.status)
+                        : reply.failure;
+    if (reply.status == 410)
+        result.status = row_read_status::history_lost;
+    else if (reply.status == 503)
+        result.status = row_read_status::refused;
+    if (reply.status != 200)
+        return result;
+    try
+    {
+        return decode_table_answer(reply.body);
+    }
+    catch (error const& e)
+    {
+        result.detail = e.detail();
+        return result;
+    }
+}
+
+} // namespace
+
+peer_table_service::peer_table_service(
+    asio::io_context& io, clock_source const& clock, std::string const& address,
+    peer_check is_peer)
+    : session_listener(io, clock, address), is_peer_(std::move(is_peer))
+{
+}
+
+void peer_table_service::offer(std::string const& name, shared_table& table)
+{
+    tables_[name] = &table;
+}
+
+void peer_table_service::poll(steady_time now)
+{
+    for (auto const& [name, table] : tables_)
+        table->poll();
+    check_timeouts(now);
+}
+
+void peer_table_service::on_request(
+    std::shared_ptr<client_session> session, client_request message)
+{
+    auto const& from = session->peer();
+    auto const call = decode_table_call(message.head.target);
+    auto const table = call ? tables_.find(call->table) : tables_.end();
+    if (table == tables_.end())
+        refuse(*session, 404, "no such table");
+    else if (stopped_ || !is_peer_(from.substr(0, from.find(':'))))
+        refuse(*session, 503, stopped_ ? "stopping" : "not a gateway");
+    else
+        table->second->changes(
+            call->after, call->wait,
+            [session](row_read_result const& result)
+            { respond(*session, result); });
+}
+
+void peer_table_client::changes(
+    std::string const& address, std::string const& table, std::uint64_t after,
+    std::chrono::milliseconds wait, row_reader::handler done)
+{
+    auto const peer = parse_address(address);
+    if (!peer)
+    {
+        row_read_result result;
+        result.detail = "malformed address " + address;
+        done(std::move(result));
+        return;
+    }
+    caller_.call(
+        *peer, encode_table_call({table, after, wait}, address),
+        wait + answer_timeout,
+        [done = std::move(done)](http_reply const& reply)
+        { done(to_result(reply)); });
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/relay/peer_tables.hpp
@@ -0,0 +1,77 @@
+// Calls between gateways for changes of the store's tables: the service that
+// answers them from this gateway's copies, and the client.
+#ifndef DOTTERELLOCK_RELAY_PEER_TABLES_HPP
+#define DOTTERELLOCK_RELAY_PEER_TABLES_HPP
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "gateway/shared_table.hpp"
+#include "http_caller.hpp"
+#include "session_listener.hpp"
+#include "shared_row_reader.hpp"
+
+namespace dotterellock
+{
+
+class peer_table_service : public session_listener
+{
+public:
+    /// Whether the host with this IP address is a registered gateway. Others
+    /// get nothing, as the tables hold API keys.
+    using peer_check = std::function<bool(std::string const& ip)>;
+
+    peer_table_service(
+        asio::io_context& io, clock_source const& clock,
+        std::string const& address, peer_check is_peer);
+
+    /// @param table  outlives this object
+    void offer(std::string const& name, shared_table& table);
+
+    /// Refuses further calls, as the process is about to stop.
+    void stop() { stopped_ = true; }
+
+    /// Answers held calls and enforces the timeouts; called often.
+    void poll(steady_time now);
+
+private:
+    void on_request(
+        std::shared_ptr<client_session> session,
+        client_request message) override;
+    bool close_after_response() const override { return stopped_; }
+
+    peer_check const is_peer_;
+    std::map<std::string, shared_table*> tables_;
+    bool stopped_ = false;
+};
+
+class peer_table_client : public peer_table_reader
+{
+public:
+    // Added to the time for which a gateway may hold a call. A frozen gateway
+    // is noticed after this.
+    static constexpr std::chrono::milliseconds answer_timeout{300};
+
+    // A listing of 3,000 endpoints takes 1 MB.
+    static constexpr std::size_t max_body_bytes = 8u << 20;
+
+    peer_table_client(asio::io_context& io, clock_source const& clock)
+        : caller_(io, clock, max_body_bytes)
+    {
+    }
+
+    void changes(
+        std::string const& address, std::string const& table,
+        std::uint64_t after, std::chrono::milliseconds wait,
+        row_reader::handler done) override;
+
+private:
+    http_caller caller_;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/src/relay/shared_row_reader.cpp
@@ -0,0 +1,110 @@
+#include "shared_row_reader.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterellock
+{
+
+namespace
+{
+
+std::string source_name(table_source const& source)
+{
+    return source.is_store() ? "store" : source.host.value();
+}
+
+} // namespace
+
+shared_row_reader::shared_row_reader(
+    row_reader& store, peer_table_reader& peers,
+    std::chrono::milliseconds max_peer_wait, table_source_selector& selector,
+    clock_source const& clock, event_log& log, counter_registry& counters)
+    : store_(store), peers_(peers), max_peer_wait_(max_peer_wait),
+      selector_(selector), clock_(clock), log_(log), counters_(counters)
+{
+}
+
+void shared_row_reader::list(
+    std::string const& table, std::string const& from, handler done)
+{
+    ++store_calls_;
+    counters_.counter("table_calls_total", "source=\"store\"").add();
+    store_.list(table, from, std::move(done));
+}
+
+void shared_row_reader::changes(
+    std::string const& table, std::uint64_t after,
+    std::chrono::milliseconds wait, handler done)
+{
+    call_ = {
+        table, after, wait, std::move(done), selector_.sources(clock_.now()),
+        0};
+    try_next_source();
+}
+
+void shared_row_reader::try_next_source()
+{
+    auto const source = call_.sources[call_.next++];
+    auto const on_done = [this, source](row_read_result answer)
+    { on_answer(source, std::move(answer)); };
+    // A second source must answer at once, as the first one took time.
+    auto const wait =
+        call_.next == 1 ? call_.wait : std::chrono::milliseconds(0);
+    counters_
+        .counter(
+            "table_calls_total",
+            source.is_store() ? "source=\"store\"" : "source=\"peer\"")
+        .add();
+    if (source.is_store())
+    {
+        ++store_calls_;
+        store_.changes(call_.table, call_.after, wait, on_done);
+        return;
+    }
+    peers_.changes(
+        source.address, call_.table, call_.after,
+        std::min(wait, max_peer_wait_), on_done);
+}
+
+void shared_row_reader::on_answer(
+    table_source const& source, row_read_result answer)
+{
+    // A lost history is final only if the store says so.
+    bool const usable =
+        answer.status == row_read_status::ok ||
+        (source.is_store() && answer.status == row_read_status::history_lost);
+    if (usable)
+    {
+        selector_.record_success(source);
+        note_source(source);
+    }
+    else
+    {
+        selector_.record_failure(source, clock_.now());
+        log_.record(
+            event_level::warn, "table_source_failed",
+            {{"table", call_.table},
+             {"source", source_name(source)},
+             {"detail", answer.detail.empty() ? "-" : answer.detail}});
+        if (call_.next < call_.sources.size())
+        {
+            try_next_source();
+            return;
+        }
+    }
+    auto const done = std::exchange(call_.done, nullptr);
+    done(std::move(answer));
+}
+
+void shared_row_reader::note_source(table_source const& source)
+{
+    if (source.host == last_source_)
+        return;
+    last_source_ = source.host;
+    log_.record(
+        event_level::info, "table_source",
+        {{"table", call_.table}, {"source", source_name(source)}});
+}
+
+} // namespace dotterellock
--- /dev/null
+++ b/src/relay/shared_row_reader.hpp
@@ -0,0 +1,89 @@
+// Reads one table from the platform's store or from the copies of other
+// gateways, in the order of a table_source_selector. A source that fails is
+// replaced within the same call, so that its user notices nothing.
+#ifndef DOTTERELLOCK_RELAY_SHARED_ROW_READER_HPP
+#define DOTTERELLOCK_RELAY_SHARED_ROW_READER_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <dotterellock/observability.hpp>
+
+#include "gateway/event_log.hpp"
+#include "gateway/table_source_selector.hpp"
+#include "gateway/table_watcher.hpp"
+
+namespace dotterellock
+{
+
+/// Calls to the copies of other gateways. One call at a time.
+class peer_table_reader
+{
+public:
+    virtual ~peer_table_reader() = default;
+
+    /// Like row_reader::changes(), answered by the gateway at `address`.
+    virtual void changes(
+        std::string const& address, std::string const& table,
+        std::uint64_t after, std::chrono::milliseconds wait,
+        row_reader::handler done) = 0;
+};
+
+class shared_row_reader : public row_reader
+{
+public:
+    /// @param max_peer_wait  longest wait of a call to another gateway; short
+    ///                       ones keep the copy nearly as recent as theirs
+    shared_row_reader(
+        row_reader& store, peer_table_reader& peers,
+        std::chrono::milliseconds max_peer_wait,
+        table_source_selector& selector, clock_source const& clock,
+        event_log& log, counter_registry& counters);
+
+    shared_row_reader(shared_row_reader const&) = delete;
+    shared_row_reader& operator=(shared_row_reader const&) = delete;
+
+    /// Always from the store: copies of others may be behind.
+    void list(std::string const& table, std::string const& from, handler done)
+        override;
+
+    void changes(
+        std::string const& table, std::uint64_t after,
+        std::chrono::milliseconds wait, handler done) override;
+
+    /// Calls that the store itself got.
+    std::uint64_t store_calls() const { return store_calls_; }
+
+private:
+    struct pending_call
+    {
+        std::string table;
+        std::uint64_t after = 0;
+        std::chrono::milliseconds wait{0};
+        handler done;
+        std::vector<table_source> sources;
+        std::size_t next = 0; // of sources
+    };
+
+    void try_next_source();
+    void on_answer(table_source const& source, row_read_result answer);
+    void note_source(table_source const& source);
+
+    row_reader& store_;
+    peer_table_reader& peers_;
+    std::chrono::milliseconds const max_peer_wait_;
+    table_source_selector& selector_;
+    clock_source const& clock_;
+    event_log& log_;
+    counter_registry& counters_;
+    pending_call call_;
+    std::optional<host_id> last_source_; // empty host: the store
+    std::uint64_t store_calls_ = 0;
+};
+
+} // namespace dotterellock
+
+#endif
--- /dev/null
+++ b/tests/gateway/table_sharing_test.cpp
@@ -0,0 +1,475 @@
+// Explores seeded schedules of a fleet that reads one table from a store and
+// from each other: messages are lost, delayed and reordered, gateways freeze
+// and restart, and the store turns some of them away or is slow.
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <memory>
+#include <random>
+
+#include "gateway/freshness_lease.hpp"
+#include "gateway/shared_table.hpp"
+#include "relay/shared_row_reader.hpp"
+#include "simulated_store.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+
+namespace
+{
+
+constexpr milliseconds withdrawal_bound{5000};
+
+class simulated_fleet;
+
+struct silent_events : event_log
+{
+    void
+    record(event_level, char const*, std::vector<event_field> const&) override
+    {
+    }
+};
+
+/// The store as one gateway reaches it. Calls that are cut off never end, so
+/// they are ended by the client's time limit.
+struct store_path : row_reader
+{
+    store_path(manual_scheduler& s, simulated_store& t) : scheduler(s), store(t)
+    {
+    }
+
+    void list(std::string const& table, std::string const& from, handler done)
+        override
+    {
+        auto const once = limited(milliseconds(800), std::move(done));
+        if (reachable)
+            store.list(table, from, once);
+    }
+
+    void changes(
+        std::string const& table, std::uint64_t after, milliseconds wait,
+        handler done) override
+    {
+        ++calls;
+        auto const once = limited(wait + milliseconds(800), std::move(done));
+        if (reachable)
+            store.changes(table, after, wait, once);
+    }
+
+    /// A handler that runs once: with an answer, or with a failure in time.
+    handler limited(milliseconds limit, handler done)
+    {
+        auto const shared = std::make_shared<handler>(std::move(done));
+        handler once = [shared](row_read_result answer)
+        {
+            if (auto const run = std::exchange(*shared, nullptr))
+                run(std::move(answer));
+        };
+        scheduler.schedule(limit, [once] { once({}); });
+        return once;
+    }
+
+    manual_scheduler& scheduler;
+    simulated_store& store;
+    bool reachable = true;
+    std::size_t calls = 0;
+};
+
+/// One gateway's part in the sharing of a table.
+struct member : peer_table_reader
+{
+    member(simulated_fleet& f, int number);
+
+    void changes(
+        std::string const& address, std::string const&, std::uint64_t after,
+        milliseconds wait, row_reader::handler done) override;
+
+    simulated_fleet& fleet;
+    host_id const host;
+    store_path path;
+    bool frozen = false;
+    std::vector<std::function<void()>> delivered_while_frozen;
+
+    silent_events log;
+    counter_registry counters;
+    seeded_random random{7};
+    checking_listener listener;
+    shared_table shared;
+    table_source_selector selector;
+    shared_row_reader reader;
+    table_watcher watcher;
+};
+
+class simulated_fleet
+{
+public:
+    simulated_fleet(std::uint64_t seed, int size) : draw_(seed)
+    {
+        scheduler.advance(std::chrono::hours(1));
+        for (int i = 0; i < size; ++i)
+            members.push_back(std::make_unique<member>(*this, i));
+    }
+
+    int below(int n) { return int(draw_() % std::uint64_t(n)); }
+
+    void run(milliseconds span)
+    {
+        constexpr milliseconds tick{20};
+        for (milliseconds passed{0}; passed < span; passed += tick)
+        {
+            if (++ticks_ % 10 == 0)
+                update_peers();
+            for (auto const& m : members)
+            {
+                if (m->frozen)
+                    continue;
+                m->watcher.poll();
+                m->shared.poll();
+            }
+            scheduler.advance(tick);
+        }
+    }
+
+    /// Runs at the member, or once it thaws.
+    void deliver(member& to, std::function<void()> event)
+    {
+        if (lossy && below(4) == 0)
+            return;
+        milliseconds const latency{1 + below(max_latency_ms)};
+        scheduler.schedule(
+            latency,
+            [&to, event]
+            {
+                if (to.frozen)
+                    to.delivered_while_frozen.push_back(event);
+                else
+                    event();
+            });
+    }
+
+    void thaw(member& m)
+    {
+        m.frozen = false;
+        for (auto const& event : std::exchange(m.delivered_while_frozen, {}))
+            event();
+    }
+
+    member* find(std::string const& address)
+    {
+        for (auto const& m : members)
+        {
+            if (m->host.value() == address)
+                return m.get();
+        }
+        return nullptr;
+    }
+
+    manual_scheduler scheduler;
+    simulated_store store{scheduler};
+    std::vector<std::unique_ptr<member>> members;
+    bool lossy = false;
+    int max_latency_ms = 3;
+
+private:
+    void update_peers()
+    {
+        for (auto const& m : members)
+        {
+            std::vector<table_peer> peers;
+            for (auto const& other : members)
+            {
+                bool const heard = !other->frozen || below(4) == 0;
+                if (other != m && heard &&
+                    other->shared.current(scheduler.now()))
+                    peers.push_back(
+                        {other->host, other->host.value(), true, true});
+            }
+            m->selector.set_peers(peers);
+            m->watcher.set_poll_wait(
+                m->selector.serves_followers()
+                    ? freshness_lease::max_shared_poll_wait(withdrawal_bound)
+                    : freshness_lease::max_poll_wait(withdrawal_bound));
+        }
+    }
+
+    std::mt19937_64 draw_;
+    std::uint64_t ticks_ = 0;
+};
+
+member::member(simulated_fleet& f, int number)
+    : fleet(f), host("g" + std::to_string(number)), path(f.scheduler, f.store),
+      listener(f.scheduler, f.store),
+      shared(listener, f.scheduler, milliseconds(2500)), selector(host),
+      reader(
+          path, *this, freshness_lease::max_follower_wait, selector,
+          f.scheduler, log, counters),
+      watcher(
+          "t",
+          {freshness_lease::max_poll_wait(withdrawal_bound),
+           milliseconds(number % 2 == 0 ? 0 : 600)},
+          reader, shared, f.scheduler, random, log)
+{
+}
+
+void member::changes(
+    std::string const& address, std::string const&, std::uint64_t after,
+    milliseconds wait, row_reader::handler done)
+{
+    auto const once = path.limited(wait + milliseconds(300), std::move(done));
+    auto* const other = fleet.find(address);
+    fleet.deliver(
+        *other,
+        [this, other, after, wait, once]
+        {
+            other->shared.changes(
+                after, wait,
+                [this, once](row_read_result const& answer)
+                { fleet.deliver(*this, [once, answer] { once(answer); }); });
+        });
+}
+
+/// Plays one schedule; the listeners check each step.
+void play(std::uint64_t seed, int size, int steps)
+{
+    simulated_fleet fleet(seed, size);
+    auto& store = fleet.store;
+    for (int step = 0; step < steps; ++step)
+    {
+        auto& m = *fleet.members[std::size_t(fleet.below(size))];
+        switch (fleet.below(9))
+        {
+        case 0:
+        case 1:
+        case 2:
+            store.commit(
+                "k" + std::to_string(fleet.below(4)), fleet.below(3) == 0);
+            break;
+        case 3:
+            m.path.reachable = fleet.below(2) == 0;
+            break;
+        case 4:
+            if (m.frozen)
+                fleet.thaw(m);
+            else
+                m.frozen = true;
+            break;
+        case 5:
+            store.delay = milliseconds(fleet.below(2) * fleet.below(1500));
+            break;
+        case 6:
+            store.available = fleet.below(3) > 0;
+            break;
+        case 7:
+            fleet.lossy = fleet.below(2) == 0;
+            fleet.max_latency_ms = fleet.below(3) == 0 ? 900 : 3;
+            break;
+        default:
+            store.tells_time = fleet.below(4) > 0;
+        }
+        fleet.run(milliseconds(fleet.below(900)));
+    }
+    store.available = store.tells_time = true;
+    store.delay = {};
+    fleet.lossy = false;
+    fleet.max_latency_ms = 3;
+    for (auto const& m : fleet.members)
+    {
+        m->path.reachable = true;
+        fleet.thaw(*m);
+    }
+    fleet.run(milliseconds(6000));
+    for (auto const& m : fleet.members)
+        REQUIRE((m->listener.copy.empty() == (store.revision == 0)));
+    for (auto const& m : fleet.members)
+        REQUIRE(
+            fleet.scheduler.now() - *m->listener.proven < milliseconds(3000));
+}
+
+} // namespace
+
+// A follower must never believe its copy more recent than it is, go back to an
+// older row, or stay behind once its sources are well.
+TEST_CASE("gateways that share a table hold what the store held", "[tables]")
+{
+    auto const seed = GENERATE(range(1, 120));
+    CAPTURE(seed);
+    play(std::uint64_t(seed), 2 + seed % 5, 40);
+}
+
+// By hand: make explore SCHEDULES=100000
+TEST_CASE("many schedules of gateways that share a table", "[.explore]")
+{
+    auto const* const count = std::getenv("SCHEDULES");
+    auto const* const first = std::getenv("SEED");
+    std::uint64_t const from = first ? std::strtoull(first, nullptr, 10) : 1;
+    std::uint64_t const n = count ? std::strtoull(count, nullptr, 10) : 1000;
+    for (std::uint64_t seed = from; seed < from + n; ++seed)
+    {
+        CAPTURE(seed);
+        play(seed, 2 + int(seed % 5), 40);
+    }
+}
+
+// The store's calls must not grow with the fleet.
+TEST_CASE("followers do not call the store", "[tables]")
+{
+    simulated_fleet fleet(1, 12);
+    fleet.run(milliseconds(2000));
+    for (auto const& m : fleet.members)
+        m->path.calls = 0;
+    for (int i = 0; i < 40; ++i)
+    {
+        fleet.store.commit("k" + std::to_string(i));
+        fleet.run(milliseconds(500));
+    }
+    std::size_t readers = 0;
+    for (auto const& m : fleet.members)
+        readers += m->path.calls > 0 ? 1 : 0;
+    REQUIRE(readers == table_source_selector::readers_per_zone);
+    for (auto const& m : fleet.members)
+        REQUIRE(m->listener.copy.size() == 40);
+}
+
+// A host that the store turns away, or cannot reach at all, refused its callers
+// with a key although its neighbours knew that the key holds.
+TEST_CASE("a gateway cut off from the store keeps its lease", "[tables]")
+{
+    simulated_fleet fleet(1, GENERATE(2, 3, 8));
+    fleet.run(milliseconds(3000));
+    auto& cut = *fleet.members[std::size_t(GENERATE(0, 1))];
+    cut.path.reachable = false;
+    freshness_lease lease{withdrawal_bound};
+    for (int i = 0; i < 100; ++i)
+    {
+        fleet.run(milliseconds(200));
+        lease.renew(*cut.listener.proven);
+        REQUIRE(lease.valid(fleet.scheduler.now()));
+    }
+}
+
+// Losing the store for three fifths of the withdrawal bound must not refuse
+// callers, whether a gateway reads it or follows one that does.
+TEST_CASE("all leases outlast a short loss of the store", "[tables][lease]")
+{
+    simulated_fleet fleet(1, GENERATE(2, 8));
+    fleet.run(milliseconds(6000 + 100 * GENERATE(range(0, 20))));
+    for (auto const& m : fleet.members)
+    {
+        freshness_lease lease{withdrawal_bound};
+        lease.renew(*m->listener.proven);
+        REQUIRE(lease.valid(fleet.scheduler.now() + withdrawal_bound * 3 / 5));
+    }
+}
+
+// The readers are lost together: followers must not wait for their return.
+TEST_CASE("followers outlive the loss of their readers", "[tables]")
+{
+    simulated_fleet fleet(1, 8);
+    fleet.run(milliseconds(3000));
+    for (auto const& m : fleet.members)
+        m->frozen = m->selector.reads_store();
+    freshness_lease lease{withdrawal_bound};
+    for (int i = 0; i < 50; ++i)
+    {
+        fleet.run(milliseconds(200));
+        for (auto const& m : fleet.members)
+        {
+            if (m->frozen)
+                continue;
+            lease = freshness_lease{withdrawal_bound};
+            lease.renew(*m->listener.proven);
+            REQUIRE(lease.valid(fleet.scheduler.now()));
+        }
+    }
+}
+
+namespace
+{
+
+struct unused_listener : table_listener
+{
+    void
+    on_listing(std::vector<store_row> const&, change_period const&) override
+    {
+    }
+    void on_change(store_row const&, change_period const&) override {}
+    void on_current_as_of(steady_time, std::uint64_t) override {}
+};
+
+} // namespace
+
+// A call that is answered from an older copy would take its caller back.
+TEST_CASE("a copy answers only what it knows", "[tables]")
+{
+    struct row
+    {
+        std::uint64_t after;
+        int wait_ms;
+        int age_ms;                            // of the copy
+        std::optional<row_read_status> status; // none: the call is held
+        std::size_t rows;
+    };
+    // The copy was listed at revision 10 and has changes 11 and 12.
+    auto const r = GENERATE(
+        row{9, 500, 0, row_read_status::history_lost, 0},
+        row{10, 500, 0, row_read_status::ok, 2},
+        row{11, 500, 0, row_read_status::ok, 1},
+        row{12, 500, 0, std::nullopt, 0}, row{12, 0, 0, row_read_status::ok, 0},
+        row{13, 500, 0, std::nullopt, 0}, row{13, 0, 0, row_read_status::ok, 0},
+        row{10, 500, 2501, row_read_status::refused, 0},
+        row{12, 0, 2500, row_read_status::ok, 0});
+    CAPTURE(r.after, r.wait_ms, r.age_ms);
+    manual_scheduler scheduler;
+    scheduler.advance(std::chrono::hours(1));
+    unused_listener listener;
+    shared_table shared(listener, scheduler, milliseconds(2500));
+    shared.on_listing({}, {});
+    shared.on_current_as_of(scheduler.now(), 10);
+    shared.on_change({"a", "v", 11, false}, {});
+    shared.on_change({"b", "v", 12, true}, {});
+    shared.on_current_as_of(scheduler.now(), 12);
+    scheduler.advance(milliseconds(r.age_ms));
+    std::optional<row_read_result> got;
+    shared.changes(
+        r.after, milliseconds(r.wait_ms),
+        [&](row_read_result answer) { got = std::move(answer); });
+    REQUIRE(got.has_value() == r.status.has_value());
+    if (!got)
+        return;
+    REQUIRE(got->status == *r.status);
+    REQUIRE(got->rows.size() == r.rows);
+    if (got->status != row_read_status::ok)
+        return;
+    REQUIRE(got->revision == std::max<std::uint64_t>(r.after, 12));
+    REQUIRE(got->proven_after_sending == milliseconds(-r.age_ms));
+}
+
+TEST_CASE("a held call ends in time", "[tables]")
+{
+    manual_scheduler scheduler;
+    scheduler.advance(std::chrono::hours(1));
+    unused_listener listener;
+    shared_table shared(listener, scheduler, milliseconds(2500));
+    shared.on_listing({}, {});
+    shared.on_current_as_of(scheduler.now(), 10);
+    int answers = 0;
+    row_read_result last;
+    for (std::size_t i = 0; i <= shared_table::max_held_calls; ++i)
+        shared.changes(
+            10, milliseconds(700),
+            [&](row_read_result answer)
+            {
+                ++answers;
+                last = std::move(answer);
+            });
+    REQUIRE(answers == 1); // the call beyond the limit is refused
+    REQUIRE(last.status == row_read_status::refused);
+    scheduler.advance(milliseconds(699));
+    shared.poll();
+    REQUIRE(answers == 1);
+    scheduler.advance(milliseconds(1));
+    shared.poll();
+    REQUIRE(answers == 1 + int(shared_table::max_held_calls));
+    REQUIRE(last.status == row_read_status::ok);
+    REQUIRE(last.proven_after_sending == milliseconds(0));
+}
--- /dev/null
+++ b/tests/gateway/table_source_selector_test.cpp
@@ -0,0 +1,129 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+
+#include "gateway/table_source_selector.hpp"
+#include "gateway_fixture.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+
+namespace
+{
+
+host_id host(int zone, int number)
+{
+    return host_id(
+        "front-z" + std::to_string(zone) + '-' + std::to_string(number));
+}
+
+/// The peers of one gateway of a fleet, as it hears of them.
+std::vector<table_peer> peers_of(
+    int zone, int number, int zones, int per_zone,
+    std::set<host_id> const& silent = {})
+{
+    std::vector<table_peer> peers;
+    for (int z = 0; z < zones; ++z)
+    {
+        for (int n = 0; n < per_zone; ++n)
+        {
+            bool const self = z == zone && n == number;
+            if (!self && silent.count(host(z, n)) == 0)
+                peers.push_back(
+                    {host(z, n), host(z, n).value() + ":1", z == zone,
+                     z / 2 == zone / 2});
+        }
+    }
+    return peers;
+}
+
+struct zone_view
+{
+    std::set<host_id> readers;
+    std::map<host_id, std::size_t> followers; // by first source
+};
+
+zone_view view_of(int zone, int per_zone, std::set<host_id> const& silent = {})
+{
+    zone_view view;
+    for (int n = 0; n < per_zone; ++n)
+    {
+        if (silent.count(host(zone, n)) != 0)
+            continue;
+        table_source_selector selector(host(zone, n));
+        selector.set_peers(peers_of(zone, n, 6, per_zone, silent));
+        auto const sources = selector.sources(at(0));
+        REQUIRE(sources.size() <= table_source_selector::max_sources);
+        REQUIRE(selector.reads_store() == sources[0].is_store());
+        if (selector.reads_store())
+            view.readers.insert(host(zone, n));
+        else
+            ++view.followers[sources[0].host];
+        // The store is always a way out.
+        REQUIRE(std::any_of(
+            sources.begin(), sources.end(),
+            [](table_source const& s) { return s.is_store(); }));
+    }
+    return view;
+}
+
+} // namespace
+
+// The calls of a fleet must not grow with its gateways, nor may all followers
+// lean on one reader.
+TEST_CASE("two gateways of a zone read the store for all", "[tables]")
+{
+    int const per_zone = GENERATE(1, 2, 3, 12, 60);
+    for (int zone = 0; zone < 6; ++zone)
+    {
+        auto const view = view_of(zone, per_zone);
+        REQUIRE(view.readers.size() == std::size_t(std::min(per_zone, 2)));
+        for (auto const& [reader, followers] : view.followers)
+            REQUIRE(view.readers.count(reader) == 1);
+        if (per_zone == 60)
+            REQUIRE(view.followers.size() == 2);
+    }
+}
+
+TEST_CASE("another gateway takes the place of a silent reader", "[tables]")
+{
+    auto const before = view_of(0, 12);
+    for (auto const& lost : before.readers)
+    {
+        auto const after = view_of(0, 12, {lost});
+        REQUIRE(after.readers.size() == 2);
+        REQUIRE(after.readers.count(lost) == 0);
+        REQUIRE(after.followers.count(lost) == 0);
+    }
+}
+
+// A host that alone cannot reach the store reads from others, in its own zone
+// first, and tries the store again later.
+TEST_CASE("a source that failed is avoided for a while", "[tables]")
+{
+    table_source_selector selector(host(0, 0));
+    auto const per_zone = GENERATE(1, 2, 12);
+    selector.set_peers(peers_of(0, 0, 6, per_zone));
+    auto const first = selector.sources(at(0))[0];
+    selector.record_failure(first, at(0));
+    auto const next = selector.sources(at(999));
+    REQUIRE(next[0].host != first.host);
+    REQUIRE(selector.sources(at(1000))[0].host == first.host);
+    selector.record_failure(first, at(1000));
+    REQUIRE(selector.sources(at(2999))[0].host != first.host);
+    REQUIRE(selector.sources(at(3000))[0].host == first.host);
+    selector.record_success(first);
+    selector.record_failure(first, at(5000));
+    REQUIRE(selector.sources(at(6000))[0].host == first.host);
+}
+
+TEST_CASE("a gateway without peers reads the store", "[tables]")
+{
+    table_source_selector selector(host(0, 0));
+    REQUIRE(selector.reads_store());
+    selector.record_failure({}, at(0));
+    auto const sources = selector.sources(at(1));
+    REQUIRE(sources.size() == 1);
+    REQUIRE(sources[0].is_store());
+}
