--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -63,6 +63,16 @@
 constexpr table_watch_settings endpoint_watch_settings{
     milliseconds(4000), milliseconds(600)};
 
+// Copies that other gateways may use. A reader's own copy is at most as old as
+// one of its calls takes.
+constexpr milliseconds max_shared_configuration_age{2500};
+constexpr milliseconds max_shared_endpoints_age{5000};
+
+// Longest waits of calls to other gateways. That of the configuration adds to
+// the age by which keys are judged.
+constexpr milliseconds max_endpoint_peer_wait{1500};
+constexpr milliseconds max_gateway_peer_wait{5000};
+
 std::string_view request_path(std::string_view target)
 {
     return target.substr(0, target.find_first_of("?#"));
@@ -89,13 +99,15 @@
 public:
     explicit configuration_sink(gateway& owner) : owner_(owner) {}
 
-    void on_listing(std::vector<store_row> const& rows) override
+    void on_listing(
+        std::vector<store_row> const& rows,
+        change_period const& period) override
     {
         for (auto const& row : rows)
-            on_change(row);
+            on_change(row, period);
     }
 
-    void on_change(store_row const& row) override
+    void on_change(store_row const& row, change_period const&) override
     {
         if (row.deleted)
             return; // the last version remains in force
@@ -114,9 +126,9 @@
         }
     }
 
-    void on_current_as_of(steady_time sent) override
+    void on_current_as_of(steady_time proven, std::uint64_t) override
     {
-        owner_.freshness_lease_.renew(sent);
+        owner_.freshness_lease_.renew(proven);
         owner_.accept_when_ready();
     }
 
@@ -129,30 +141,31 @@
 public:
     explicit endpoint_sink(gateway& owner) : owner_(owner) {}
 
-    void on_listing(std::vector<store_row> const& rows) override
+    void on_listing(
+        std::vector<store_row> const& rows,
+        change_period const& period) override
     {
         std::set<std::string> ids;
         for (auto const& row : rows)
         {
             ids.insert(row.key);
-            on_change(row);
+            on_change(row, period);
         }
-        owner_.endpoints_.keep_only(ids, owner_.env_.clock.now());
+        owner_.endpoints_.keep_only(ids, removed_at(period));
     }
 
-    void on_change(store_row const& row) override
+    void on_change(store_row const& row, change_period const& period) override
     {
-        auto const now = owner_.env_.clock.now();
         if (row.deleted)
         {
-            owner_.endpoints_.remove(endpoint_id(row.key), now);
+            owner_.endpoints_.remove(endpoint_id(row.key), removed_at(period));
             log(row, "removed", {});
             return;
         }
         try
         {
             auto const record = owner_.env_.codec.read_endpoint(row);
-            owner_.endpoints_.put(record, now);
+            owner_.endpoints_.put(record, period.not_before);
             log(row, record.draining ? "draining" : "ready", record.address);
             if (record.draining)
                 owner_.pool_.close_idle(record);
@@ -165,9 +178,19 @@
         }
     }
 
-    void on_current_as_of(steady_time) override { owner_.accept_when_ready(); }
+    void on_current_as_of(steady_time, std::uint64_t) override
+    {
+        owner_.accept_when_ready();
+    }
 
 private:
+    // Rows that expired while the store was unavailable return within seconds
+    // if their endpoints are alive, so the loss of a row says little then.
+    steady_time removed_at(change_period const& period) const
+    {
+        return period.interrupted ? owner_.env_.clock.now() : period.not_before;
+    }
+
     void log(store_row const& row, char const* state, std::string const& detail)
     {
         owner_.env_.log.record(
@@ -193,21 +216,46 @@
       freshness_lease_(settings_.key_withdrawal_bound),
       configuration_sink_(std::make_unique<configuration_sink>(*this)),
       endpoint_sink_(std::make_unique<endpoint_sink>(*this)),
+      table_sources_(host_id(settings_.host)),
+      shared_configuration_(
+          *configuration_sink_, env_.clock, max_shared_configuration_age),
+      shared_endpoints_(*endpoint_sink_, env_.clock, max_shared_endpoints_age),
+      configuration_peers_(env_.io, env_.clock),
+      endpoint_peers_(env_.io, env_.clock), gateway_peers_(env_.io, env_.clock),
+      configuration_reader_(
+          env_.configuration_reader, configuration_peers_,
+          freshness_lease::max_follower_wait, table_sources_, env_.clock,
+          env_.log, env_.counters),
+      endpoint_reader_(
+          env_.endpoint_reader, endpoint_peers_, max_endpoint_peer_wait,
+          table_sources_, env_.clock, env_.log, env_.counters),
+      peer_reader_(
+          env_.peer_reader, gateway_peers_, max_gateway_peer_wait,
+          table_sources_, env_.clock, env_.log, env_.counters),
       configuration_watch_(
           env_.codec.configuration_table(),
           {freshness_lease::max_poll_wait(settings_.key_withdrawal_bound),
            milliseconds(0)},
-          env_.configuration_reader, *configuration_sink_, env_.clock,
-          env_.random, env_.log),
+          configuration_reader_, shared_configuration_, env_.clock, env_.random,
+          env_.log),
       endpoint_watch_(
           env_.codec.endpoint_table(), endpoint_watch_settings,
-          env_.endpoint_reader, *endpoint_sink_, env_.clock, env_.random,
+          endpoint_reader_, shared_endpoints_, env_.clock, env_.random,
           env_.log),
-      acceptor_(env_.io), tick_timer_(env_.io)
+      acceptor_(env_.io), tick_timer_(env_.io),
+      cache_lookup_(
+          selection_, env_.protocol, env_.clock, env_.log,
+          [this](
+              endpoint_record const& endpoint, milliseconds timeout,
+              std::string request, endpoint_call::handler done) {
+              call(
+                  endpoint, timeout, std::move(request), false,
+                  std::move(done));
+          })
 {
     if (!settings_.peer_listen.empty())
         peer_load_sync_ = std::make_unique<peer_load_sync>(
-            env_.io, settings_.host, settings_.peer_listen, env_.peer_reader,
+            env_.io, settings_.host, settings_.peer_listen, peer_reader_,
             env_.peer_writer, env_.clock, env_.random, env_.log,
             [this] { return local_load_share(); },
             [this](load_share const& share) { on_load_share(share); });
@@ -225,7 +273,18 @@
     configuration_watch_.poll();
     endpoint_watch_.poll();
     if (peer_load_sync_)
+    {
         peer_load_sync_->start();
+        table_service_ = std::make_unique<peer_table_service>(
+            env_.io, env_.clock, settings_.peer_listen,
+            [this](std::string const& ip)
+            { return peer_load_sync_->is_peer(ip); });
+        table_service_->offer(
+            env_.codec.configuration_table(), shared_configuration_);
+        table_service_->offer(env_.codec.endpoint_table(), shared_endpoints_);
+        table_service_->offer(
+            peer_load_sync::table_name, peer_load_sync_->shared_table());
+    }
     schedule_tick();
 }
 
@@ -256,23 +315,48 @@
         {
             if (e == asio::error::operation_aborted)
                 return;
-            auto const max_sessions =
-                settings_.max_descriptors * caller_descriptors_percent / 100;
-            if (!e && sessions_.size() < max_sessions)
-            {
-                auto session = std::make_shared<client_session>(
-                    std::move(socket), env_.clock, *this);
-                sessions_.emplace(session.get(), session);
-                session->start();
-            }
+            accept();
+            if (!e)
+                add_session(std::move(socket));
             else
-            {
                 env_.counters.counter("callers_turned_away_total").add();
-            }
-            accept();
         });
 }
 
+void gateway::add_session(asio::ip::tcp::socket socket)
+{
+    auto const max_sessions =
+        settings_.max_descriptors * caller_descriptors_percent / 100;
+    if (sessions_.size() >= max_sessions)
+    {
+        env_.counters.counter("callers_turned_away_total").add();
+        return; // closes the connection
+    }
+    auto session =
+        std::make_shared<client_session>(std::move(socket), env_.clock, *this);
+    sessions_.emplace(session.get(), session);
+    session->start();
+}
+
+/// Closes the listener. Connections that it has already established are taken
+/// first, as closing would cut them off without an answer.
+void gateway::stop_accepting()
+{
+    if (!acceptor_.is_open())
+        return;
+    asio::error_code e; // would_block: no more connections
+    acceptor_.non_blocking(true, e);
+    while (!e)
+    {
+        asio::ip::tcp::socket socket(env_.io);
+        acceptor_.accept(socket, e);
+        if (!e)
+            add_session(std::move(socket));
+    }
+    asio::error_code ignored; // the listener is discarded either way
+    acceptor_.close(ignored);
+}
+
 void gateway::reload(gateway_settings const& settings)
 {
     settings_.key_withdrawal_bound = settings.key_withdrawal_bound;
@@ -280,8 +364,7 @@
     settings_.shutdown_grace = settings.shutdown_grace;
     settings_.retries = settings.retries;
     freshness_lease_.set_max_staleness(settings.key_withdrawal_bound);
-    configuration_watch_.set_poll_wait(
-        freshness_lease::max_poll_wait(settings.key_withdrawal_bound));
+    update_poll_wait();
     for (auto& [service, budget] : budgets_)
         budget.set_settings(settings.retries);
     endpoints_.set_last_resort_period(
@@ -459,10 +542,14 @@
         (e->request().metadata.last_event_id ||
          (!settings_.first_start &&
           env_.clock.now() - started_ < caller_return_window));
-    if (may_be_cached)
-        start_after_cache_lookup(e);
-    else
+    if (!may_be_cached)
+    {
         e->start({});
+        return;
+    }
+    cache_lookup_.find(
+        e->work(), fleet_size(),
+        [e](endpoint_id const& cached_at) { e->start(cached_at); });
 }
 
 bool gateway::accepts_during_shutdown(admitted_request const& r) const
@@ -502,11 +589,15 @@
     return budget;
 }
 
-std::uint32_t gateway::connection_share(service_spec const& service)
+std::size_t gateway::fleet_size() const
 {
     auto const known = peer_load_sync_ ? peer_load_sync_->fleet_size() : 1;
-    auto const gateways =
-        known > 0 ? known : std::size_t(settings_.retries.fleet_size);
+    return known > 0 ? known : std::size_t(settings_.retries.fleet_size);
+}
+
+std::uint32_t gateway::connection_share(service_spec const& service)
+{
+    auto const gateways = fleet_size();
     auto const usable =
         service.max_connections * attempt_connections_percent / 100;
     return std::max<std::uint32_t>(
@@ -625,6 +716,7 @@
 
 void gateway::tick()
 {
+    schedule_tick();
     auto const now = env_.clock.now();
     bool const paused = now - last_tick_ > pause_threshold;
     if (paused)
@@ -639,6 +731,8 @@
     accept_when_ready();
     if (peer_load_sync_)
         peer_load_sync_->poll();
+    if (table_service_)
+        table_service_->poll(now);
     peers_.expire(now);
     auto const calls = endpoint_calls_;
     for (auto const& call : calls)
@@ -648,20 +742,7 @@
             endpoint_calls_.begin(), endpoint_calls_.end(),
             [](std::shared_ptr<endpoint_call> const& c) { return c->done(); }),
         endpoint_calls_.end());
-    std::vector<std::shared_ptr<relay_exchange>> exchanges;
-    exchanges.reserve(exchanges_.size());
-    for (auto const& [number, e] : exchanges_)
-        exchanges.push_back(e);
-    bool const grace_over =
-        shutting_down_ && shutdown_policy::grace_over(
-                              now - shutdown_began_, settings_.shutdown_grace);
-    for (auto const& e : exchanges)
-    {
-        if (grace_over)
-            e->end_for_shutdown();
-        else
-            e->check_progress(now, paused);
-    }
+    check_exchanges(now, paused);
     bool const valid = table_ && freshness_lease_.valid(now);
     if (valid != configuration_was_fresh_)
     {
@@ -675,24 +756,51 @@
         last_sweep_ = now;
         pool_.close_expired();
         sweep_endpoints(now);
+        update_table_sources(now);
         dispatch_waiting();
         status_->check_timeouts(now);
         if (metrics_)
             metrics_->check_timeouts(now);
-        std::vector<std::shared_ptr<client_session>> sessions;
-        for (auto const& [raw, session] : sessions_)
-            sessions.push_back(session);
-        bool const close_idle =
-            shutting_down_ &&
-            now - shutdown_began_ > shutdown_policy::load_balancer_removal_time;
-        for (auto const& session : sessions)
-        {
-            session->check_timeouts(now);
-            if (close_idle)
-                session->close_idle();
-        }
+        check_sessions(now);
     }
-    schedule_tick();
+}
+
+void gateway::check_exchanges(steady_time now, bool paused)
+{
+    std::vector<std::shared_ptr<relay_exchange>> exchanges;
+    exchanges.reserve(exchanges_.size());
+    for (auto const& [number, e] : exchanges_)
+        exchanges.push_back(e);
+    bool const grace_over =
+        shutting_down_ && shutdown_policy::grace_over(
+                              now - shutdown_began_, settings_.shutdown_grace);
+    for (auto const& e : exchanges)
+    {
+        if (grace_over)
+            e->end_for_shutdown();
+        else
+            e->check_progress(now, paused);
+    }
+    if (grace_over)
+        stop_accepting();
+}
+
+void gateway::check_sessions(steady_time now)
+{
+    std::vector<std::shared_ptr<client_session>> sessions;
+    for (auto const& [raw, session] : sessions_)
+        sessions.push_back(session);
+    bool const leaving =
+        shutting_down_ &&
+        now - shutdown_began_ > shutdown_policy::load_balancer_removal_time;
+    for (auto const& session : sessions)
+    {
+        session->check_timeouts(now);
+        if (leaving)
+            session->close_idle();
+    }
+    if (leaving && sessions_.empty())
+        stop_accepting();
 }
 
 // Shutdown -------------------------------------------------------------------
@@ -709,6 +817,8 @@
         return;
     if (peer_load_sync_)
         peer_load_sync_->unregister();
+    if (table_service_)
+        table_service_->stop();
     shutting_down_ = true;
     shutdown_began_ = env_.clock.now();
 }
@@ -719,7 +829,7 @@
         return false;
     return shutdown_policy::may_exit(
         env_.clock.now() - shutdown_began_, settings_.shutdown_grace,
-        exchanges_.empty() && sessions_.empty());
+        exchanges_.empty() && sessions_.empty() && !acceptor_.is_open());
 }
 
 } // namespace dotterellock
