Let begun streams wait for an endpoint instead of giving up

Each failed connection was paid from the retry budget, seven in a row ended the request, and a request in the queue still excluded the endpoints that had failed before, so with all of them excluded it waited until its deadline.

Change: for a stream that has run, further attempts wait in the queue; what it paid from the budget for an attempt that did not connect serves the next one; entering the queue excludes nothing. A stream whose endpoint reports it as alive and that has no copy stays up to four tolerated gaps, as moving it costs its prompt.

Tests: rows of the retry and liveness decisions; a begun stream survives the loss of all endpoints (red before).

--- a/src/gateway/attempt_policy.hpp
+++ b/src/gateway/attempt_policy.hpp
@@ -25,6 +25,7 @@
 enum class attempt_decision
 {
     retry,
+    retry_later,    // once an endpoint has capacity
     reply_not_run,  // 503 with a retry time; nothing ran
     reply_unknown,  // 502; the request may have run
     forward_failure // forwards the endpoint's own error
@@ -33,7 +34,9 @@
 struct attempt_policy
 {
     // Refused and failed connections do not count as runs. Each still takes
-    // time and counts against the retry budget, so their number is limited.
+    // time and counts against the retry budget, so their number is limited. A
+    // stream that has run for seconds waits instead of giving up: during the
+    // loss of half of the endpoints, many in a row do not accept.
     static constexpr std::uint32_t max_refusals = 4;
     static constexpr std::uint32_t max_failed_connections = 6;
 
@@ -72,6 +75,9 @@
             history.failed_connections <= max_failed_connections;
         if (may_run_again && bounded && time_left && budget)
             return attempt_decision::retry;
+        if (may_run_again && time_left && budget && route.event_stream &&
+            !not_run)
+            return attempt_decision::retry_later;
         if (answered)
             return attempt_decision::forward_failure;
         return not_run ? attempt_decision::reply_not_run
--- a/src/gateway/liveness.hpp
+++ b/src/gateway/liveness.hpp
@@ -35,6 +35,7 @@
     duration since_activity{}; // any data from the endpoint, on any connection
     duration expected_first_event{}; // estimated time to the first event
     std::optional<duration> since_confirmed; // last report that listed the run
+    bool copy_available = false; // another endpoint could resume the stream
 };
 
 class liveness_policy
@@ -52,6 +53,12 @@
     static constexpr std::chrono::milliseconds check_lead_time{300};
     static constexpr std::chrono::milliseconds reconfirm_after{800};
 
+    // A stream that its endpoint reports as alive is slow, not lost. Without a
+    // copy it stays, as another endpoint would process its prompt again; it is
+    // checked at this interval, up to this many tolerated gaps.
+    static constexpr std::chrono::milliseconds recheck_stream_after{400};
+    static constexpr int max_slow_gaps = 4;
+
     // Fraction of the tolerated gap after which a silent stream moves to
     // another endpoint. The remainder is the time needed to resume it.
     static constexpr double abandon_fraction = 0.8;
@@ -83,6 +90,13 @@
         auto const limit =
             std::chrono::duration<double>(route.event_gap_target) *
             abandon_fraction;
+        bool const alive =
+            p.since_confirmed && *p.since_confirmed <= reconfirm_after &&
+            p.since_progress < max_slow_gaps * duration(route.event_gap_target);
+        if (alive && !p.copy_available)
+            return *p.since_confirmed > recheck_stream_after
+                       ? liveness_decision::check
+                       : liveness_decision::wait;
         if (p.since_progress > limit)
             return liveness_decision::abandon;
         return p.since_progress > check_stream_after &&
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -163,6 +163,14 @@
             return;
         }
     }
+    wait_for_capacity();
+}
+
+void relay_exchange::wait_for_capacity()
+{
+    // Endpoints that failed may have recovered by then, and are avoided while
+    // they are suspended.
+    work_.excluded.clear();
     state_ = state::waiting;
     if (!context_.wait_for_capacity(shared_from_this()) &&
         state_ == state::waiting)
@@ -194,6 +202,7 @@
     response_metadata_ = {};
     buffered_body_.clear();
     events_ = {};
+    events_in_attempt_ = 0;
     attempt_is_stream_ = false;
 
     auto const& record = endpoint_->record();
@@ -308,9 +317,7 @@
         work_.excluded.insert(failed->record().id.value());
 
     bool const time_left = deadline_ - now > min_time_left;
-    bool const arrived = history_.runs + history_.refusals > 0;
-    bool const budget =
-        !arrived || context_.budget(request_.service).try_spend(now);
+    bool const budget = may_repeat(outcome);
     auto const verdict = attempt_policy::decide(
         *request_.route, history_, outcome, time_left, budget);
     switch (verdict)
@@ -318,6 +325,11 @@
     case attempt_decision::retry:
         start_next_attempt();
         break;
+    case attempt_decision::retry_later:
+        standby_copies_->reset();
+        work_.resuming = response_begun_;
+        wait_for_capacity();
+        break;
     case attempt_decision::forward_failure:
         send_whole_response();
         break;
@@ -331,6 +343,22 @@
     }
 }
 
+/// Whether the retry budget allows another attempt. It counts arrivals beyond
+/// the first, so what a stream spent for an attempt that did not connect serves
+/// the next one. Short calls pay for each attempt: they have little time, and
+/// more repeats only add to the load of a service in trouble.
+bool relay_exchange::may_repeat(attempt_outcome outcome)
+{
+    bool const arrived = history_.runs + history_.refusals > 0;
+    bool const paid =
+        repeat_paid_ && streaming() && outcome == attempt_outcome::unreachable;
+    if (!arrived || paid)
+        return true;
+    repeat_paid_ =
+        context_.budget(request_.service).try_spend(context_.clock().now());
+    return repeat_paid_;
+}
+
 // Response from the endpoint -------------------------------------------------
 
 void relay_exchange::on_connected()
@@ -427,6 +455,7 @@
             last_event_id_ = *event->id;
         out += event->bytes;
         ++events_sent_;
+        ++events_in_attempt_;
         progress = progress || event->has_content;
     }
     if (out.empty())
@@ -434,7 +463,10 @@
     // Parts of an event and comments are no progress: a stalled endpoint may
     // still send them.
     if (progress)
+    {
         last_progress_ = now;
+        confirmed_at_.reset();
+    }
     if (!stream_began_at_)
     {
         stream_began_at_ = now;
@@ -640,6 +672,8 @@
                 std::max(endpoint_->load.prefill_tokens, work_.prompt_tokens));
     if (confirmed_at_)
         p.since_confirmed = now - *confirmed_at_;
+    p.copy_available =
+        standby_copies_->find_resume_point(stream_began_at_, now).has_value();
     switch (liveness_policy::evaluate(route, p))
     {
     case liveness_decision::wait:
@@ -672,8 +706,11 @@
     // A report lists admitted runs only; this run may be among the waiting
     // ones. A run whose events did not arrive is lost to this connection.
     auto const run = report.runs.find(request_.metadata.id.value());
-    bool const undelivered = run != report.runs.end() && !stream_began_at_ &&
-                             run->second.events >= min_undelivered_events;
+    auto const received =
+        std::max(events_in_attempt_, last_event_id_.value_or(0));
+    bool const undelivered =
+        run != report.runs.end() &&
+        run->second.events >= received + min_undelivered_events;
     bool const known = run != report.runs.end() || report.waiting > 0;
     if (known && !undelivered && checked >= sent_at_)
         confirmed_at_ = context_.clock().now();
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -174,6 +174,7 @@
     bool streaming() const { return request_.route->event_stream; }
 
     void start_next_attempt();
+    void wait_for_capacity();
     void start_attempt(
         endpoint_ptr endpoint, std::optional<memory_copy> const& copy);
     std::string build_forwarded_request(
@@ -181,6 +182,7 @@
         std::optional<memory_copy> const& copy) const;
     void release_attempt_resources();
     void on_attempt_failed(attempt_outcome outcome, char const* reason);
+    bool may_repeat(attempt_outcome outcome);
 
     void on_connected() override;
     void on_response_head(message_head head) override;
@@ -210,6 +212,7 @@
     bool route_timeout_first_ = false; // before the caller's deadline
     state state_ = state::created;
     attempt_history history_;
+    bool repeat_paid_ = false; // from the retry budget, for the next arrival
 
     // Current attempt
     endpoint_ptr endpoint_;
@@ -226,6 +229,7 @@
     response_metadata response_metadata_;
     std::string buffered_body_; // unless the response is a stream
     event_splitter events_;
+    std::uint64_t events_in_attempt_ = 0;
     bool attempt_is_stream_ = false;
 
     // Response to the caller
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -247,6 +247,42 @@
          true,
          v::reply_not_run},
         {"safe", {o::lost, o::refused}, false, true, v::reply_unknown},
+        // Half of the endpoints are lost: a begun stream was broken off after
+        // seven that did not accept, with 20 s left.
+        {"resumable",
+         {o::lost, o::unreachable, o::unreachable, o::unreachable,
+          o::unreachable, o::unreachable, o::unreachable, o::unreachable},
+         true,
+         true,
+         v::retry_later},
+        {"resumable",
+         {o::lost, o::refused, o::refused, o::refused, o::refused, o::refused},
+         true,
+         true,
+         v::retry_later},
+        {"resumable",
+         {o::lost, o::refused, o::refused, o::refused, o::refused, o::refused},
+         true,
+         false,
+         v::reply_unknown},
+        {"resumable",
+         {o::unreachable, o::unreachable, o::unreachable, o::unreachable,
+          o::unreachable, o::unreachable, o::unreachable},
+         true,
+         true,
+         v::reply_not_run},
+        {"stream",
+         {o::lost, o::unreachable, o::unreachable, o::unreachable,
+          o::unreachable, o::unreachable, o::unreachable, o::unreachable},
+         true,
+         true,
+         v::reply_unknown},
+        {"safe",
+         {o::lost, o::unreachable, o::unreachable, o::unreachable,
+          o::unreachable, o::unreachable, o::unreachable, o::unreachable},
+         true,
+         true,
+         v::reply_unknown},
     }));
     attempt_history history;
     for (auto const outcome : r.outcomes)
@@ -318,8 +354,16 @@
         int expected;
         int confirmed; // age of the report; negative: none
         v verdict;
+        bool copy = false;
     };
     auto const r = GENERATE(
+        // Reported as alive: slow, and not to be cut unless a copy resumes it.
+        row{true, 3000, 570, 570, 1000, 100, v::wait},
+        row{true, 3000, 1500, 1500, 1000, 500, v::check},
+        row{true, 3000, 1500, 1500, 1000, 801, v::abandon},
+        row{true, 3000, 2900, 2900, 1000, 100, v::abandon},
+        row{true, 3000, 570, 570, 1000, 100, v::abandon, true},
+        row{true, 3000, 310, 310, 1000, 100, v::check, true},
         row{true, 3000, 100, 100, 1000, -1, v::wait},
         row{true, 3000, 310, 310, 1000, -1, v::check},
         row{true, 3000, 310, 50, 1000, -1, v::wait}, // other streams are active
@@ -346,6 +390,7 @@
     p.expected_first_event = milliseconds(r.expected);
     if (r.confirmed >= 0)
         p.since_confirmed = milliseconds(r.confirmed);
+    p.copy_available = r.copy;
     REQUIRE(liveness_policy::evaluate(route, p) == r.verdict);
 }
 
--- a/tests/platform/relay_faults_test.cpp
+++ b/tests/platform/relay_faults_test.cpp
@@ -376,6 +376,41 @@
     REQUIRE(fixture.endpoints[1]->request_count() == 0);
 }
 
+// Endpoints that do not accept used up the retry budget of a begun stream, and
+// a loss of half of the endpoints broke it off with 20 s left.
+TEST_CASE("failed connections are not repeats of a request", "[faults]")
+{
+    relay_fixture fixture;
+    fixture.settings.retries.ratio = 0;
+    fixture.settings.retries.allowance = 1;
+    fixture.settings.retries.fleet_size = 1;
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request("/llm/x"));
+    auto& m1 = *fixture.endpoints[2];
+    REQUIRE(fixture.run_until([&] { return m1.request_count() == 1; }));
+    fixture.clock.stop();
+    m1.connections[0]->send(stream_head() + chunk(event(1)));
+    REQUIRE(fixture.run_until([&] { return caller->has("id: 1"); }));
+    auto const m2 = fixture.endpoints[3]->acceptor.local_endpoint();
+    for (auto const i : {2, 3, 4})
+        fixture.endpoints[std::size_t(i)]->acceptor.close();
+    m1.connections[0]->reset();
+    advance(fixture, milliseconds(3000));
+    REQUIRE_FALSE(caller->closed);
+    // One of them is back.
+    auto& again = fixture.endpoints[3]->acceptor;
+    again.open(m2.protocol());
+    again.set_option(asio::socket_base::reuse_address(true));
+    again.bind(m2);
+    again.listen();
+    fixture.endpoints[3]->accept();
+    advance(fixture, milliseconds(3500));
+    auto const& back = fixture.endpoints[3]->connections;
+    REQUIRE(std::any_of(
+        back.begin(), back.end(),
+        [](auto const& c) { return c->has("Last-Event-Id: 1\r\n"); }));
+}
+
 // Bytes without end ----------------------------------------------------------
 
 namespace
