Share endpoint reports and listings within a zone

One reader of the zone now asks a busy endpoint for its report, and its load share carries the report to the others.

When the store forgot its history, each gateway listed each table again. A reader turns its listing into changes for its followers; revisions that were skipped on the way are refused, so that no copy misses a change.

Tests: the selector uses reported runs (red before), shares of an earlier build are decoded, one reader represents its zone, followers need no listing after a loss of history.

--- a/src/gateway/endpoint_selector.cpp
+++ b/src/gateway/endpoint_selector.cpp
@@ -69,7 +69,7 @@
     // work that they do not know of, but is some hundred milliseconds old.
     auto const peers = peers_.load_at(endpoint.record().id);
     auto sum = endpoint.load;
-    sum.requests += peers.requests;
+    sum.requests += std::max(peers.requests, endpoint.running_for_others(now));
     sum.prefill_tokens += peers.prefill_tokens;
     sum.memory_tokens +=
         std::max(peers.memory_tokens, endpoint.tokens_used_by_others(now));
--- a/src/gateway/endpoint_selector.hpp
+++ b/src/gateway/endpoint_selector.hpp
@@ -103,6 +103,10 @@
         endpoint_requirements const& work, std::size_t max_count,
         steady_time now) const;
 
+    /// Known work of all gateways at an endpoint.
+    endpoint_state::workload
+    total_load(endpoint_state const& endpoint, steady_time now) const;
+
     topology const& location() const { return location_; }
 
 private:
@@ -119,9 +123,6 @@
         engine_spec const& engine, double memory_fraction,
         steady_time now) const;
 
-    /// Known work of all gateways at an endpoint.
-    endpoint_state::workload
-    total_load(endpoint_state const& endpoint, steady_time now) const;
     endpoint_ptr choose_for_prompt(
         std::vector<candidate> const& candidates,
         endpoint_requirements const& work, engine_spec const& engine,
--- a/src/gateway/endpoint_state.cpp
+++ b/src/gateway/endpoint_state.cpp
@@ -43,15 +43,33 @@
 }
 
 void endpoint_state::record_report(
-    endpoint_report const& report, steady_time now)
+    endpoint_report const& report, steady_time at)
 {
-    reported_at_ = now;
+    if (at < reported_at_)
+        return;
+    reported_at_ = at;
     reported_waiting_ = report.waiting;
+    reported_running_ = report.running;
+    reported_tokens_ = report.used_tokens;
+    running_for_others_ =
+        report.running > load.requests ? report.running - load.requests : 0;
     tokens_used_by_others_ = report.used_tokens > load.memory_tokens
                                  ? report.used_tokens - load.memory_tokens
                                  : 0;
 }
 
+std::optional<endpoint_report>
+endpoint_state::recent_report(steady_time now) const
+{
+    if (!report_recent(now))
+        return std::nullopt;
+    endpoint_report report;
+    report.running = reported_running_;
+    report.waiting = reported_waiting_;
+    report.used_tokens = reported_tokens_;
+    return report;
+}
+
 endpoint_reservation::endpoint_reservation(
     std::shared_ptr<endpoint_state> endpoint,
     endpoint_state::workload const& workload)
--- a/src/gateway/endpoint_state.hpp
+++ b/src/gateway/endpoint_state.hpp
@@ -125,7 +125,8 @@
 
     /// Records the endpoint's load report, which includes the work of other
     /// gateways.
-    void record_report(endpoint_report const& report, steady_time now);
+    /// @param at  when it was made; an earlier one than the last is ignored
+    void record_report(endpoint_report const& report, steady_time at);
 
     /// Memory in use by other gateways; 0 without a recent report.
     std::uint64_t tokens_used_by_others(steady_time now) const
@@ -133,15 +134,29 @@
         return report_recent(now) ? tokens_used_by_others_ : 0;
     }
 
+    steady_time last_report_at() const { return reported_at_; }
+
+    /// Requests that other gateways run there; 0 without a recent report.
+    std::uint32_t running_for_others(steady_time now) const
+    {
+        return report_recent(now) ? running_for_others_ : 0;
+    }
+
+    /// The last report, for other gateways; nothing if it is too old.
+    std::optional<endpoint_report> recent_report(steady_time now) const;
+
     /// Requests that wait at the endpoint for memory or a slot.
     std::uint32_t reported_waiting(steady_time now) const
     {
         return report_recent(now) ? reported_waiting_ : 0;
     }
 
-    /// A report was requested; the previous one stays valid until it arrives.
-    void record_report_request(steady_time now) { reported_at_ = now; }
-    steady_time reported_at() const { return reported_at_; }
+    /// A report was requested; the previous one stays valid meanwhile.
+    void record_report_request(steady_time now) { report_requested_at_ = now; }
+    steady_time last_report_attempt() const
+    {
+        return std::max(reported_at_, report_requested_at_);
+    }
 
     // Own work --------------------------------------------------------------
 
@@ -182,7 +197,11 @@
     double error_rate_ = 0;
     std::chrono::microseconds latency_{0};
     steady_time reported_at_{};
+    steady_time report_requested_at_{};
+    std::uint64_t reported_tokens_ = 0;
     std::uint64_t tokens_used_by_others_ = 0;
+    std::uint32_t reported_running_ = 0;
+    std::uint32_t running_for_others_ = 0;
     std::uint32_t reported_waiting_ = 0;
 };
 
--- a/src/gateway/peer_loads.hpp
+++ b/src/gateway/peer_loads.hpp
@@ -26,11 +26,20 @@
         endpoint_state::workload load;
     };
 
+    /// What an endpoint reported to this gateway, which asks it for its zone.
+    struct shared_report
+    {
+        endpoint_id endpoint;
+        endpoint_report report; // without its runs
+        std::chrono::milliseconds age{0};
+    };
+
     host_id gateway;
     std::uint64_t incarnation = 0; // changes with each restart
     std::uint64_t sequence = 0; // increases with each share of an incarnation
     std::vector<endpoint_load> loads;
     std::vector<endpoint_id> failed; // endpoints that failed recently
+    std::vector<shared_report> reports;
     zone_id zone; // of the gateway, if its copies of the tables are current
 };
 
--- a/src/gateway/shared_table.cpp
+++ b/src/gateway/shared_table.cpp
@@ -38,7 +38,7 @@
     if (!current(now))
         return refusal("copy is stale");
     row_read_result result;
-    if (call.after < history_start_)
+    if (!history_reaches(call.after))
     {
         result.status = row_read_status::history_lost;
         return result;
@@ -57,6 +57,15 @@
     return result;
 }
 
+bool shared_table::history_reaches(std::uint64_t after) const
+{
+    return after >= history_start_ &&
+           std::none_of(
+               gaps_.begin(), gaps_.end(),
+               [after](history_gap const& gap)
+               { return after > gap.after && after < gap.before; });
+}
+
 void shared_table::answer_held()
 {
     auto const now = clock_.now();
@@ -79,30 +88,74 @@
 void shared_table::on_listing(
     std::vector<store_row> const& rows, change_period const& period)
 {
-    history_.clear();
-    relisted_ = true;
+    listing_ = rows;
     next_.on_listing(rows, period);
 }
 
 void shared_table::on_change(store_row const& row, change_period const& period)
 {
+    add_to_history(row);
+    next_.on_change(row, period);
+}
+
+void shared_table::on_current(copy_state const& state)
+{
+    if (proven_ && state.changes_skipped && state.revision > revision_)
+        add_gap(state.revision);
+    if (listing_)
+        add_listing_to_history(state.revision);
+    proven_ = state.proven;
+    revision_ = state.revision;
+    next_.on_current(state);
+    answer_held();
+}
+
+void shared_table::add_gap(std::uint64_t revision)
+{
+    gaps_.push_back({revision_, revision});
+    if (gaps_.size() <= max_gaps)
+        return;
+    history_start_ = std::max(history_start_, gaps_.front().before);
+    gaps_.pop_front();
+}
+
+void shared_table::add_to_history(store_row const& row)
+{
+    if (row.deleted)
+        rows_.erase(row.key);
+    else
+        rows_[row.key] = row;
     history_.push_back(row);
     while (history_.size() > max_history_rows)
     {
         history_start_ = history_.front().revision;
         history_.pop_front();
     }
-    next_.on_change(row, period);
 }
 
-void shared_table::on_current_as_of(steady_time proven, std::uint64_t revision)
+/// Turns a listing into the changes since the previous state, so that those who
+/// follow this copy need not list the table when the store lost its history.
+void shared_table::add_listing_to_history(std::uint64_t revision)
 {
-    if (std::exchange(relisted_, false))
+    auto const listed = std::move(*listing_);
+    listing_.reset();
+    if (!proven_)
+    {
         history_start_ = revision;
-    proven_ = proven;
-    revision_ = revision;
-    next_.on_current_as_of(proven, revision);
-    answer_held();
+        for (auto const& row : listed)
+            rows_[row.key] = row;
+        return;
+    }
+    auto missing = rows_;
+    for (auto const& row : listed)
+    {
+        auto const known = rows_.find(row.key);
+        if (known == rows_.end() || known->second.revision != row.revision)
+            add_to_history(row);
+        missing.erase(row.key);
+    }
+    for (auto const& [key, row] : missing)
+        add_to_history({key, {}, revision, true});
 }
 
 } // namespace dotterellock
--- a/src/gateway/shared_table.hpp
+++ b/src/gateway/shared_table.hpp
@@ -16,7 +16,9 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "table_watcher.hpp"
@@ -68,7 +70,7 @@
         std::vector<store_row> const& rows,
         change_period const& period) override;
     void on_change(store_row const& row, change_period const& period) override;
-    void on_current_as_of(steady_time proven, std::uint64_t revision) override;
+    void on_current(copy_state const& state) override;
 
 private:
     struct held_call
@@ -79,6 +81,20 @@
         handler done;
     };
 
+    /// Changes between two revisions were skipped, so a copy from between them
+    /// cannot be brought up to date.
+    struct history_gap
+    {
+        std::uint64_t after = 0;
+        std::uint64_t before = 0;
+    };
+
+    static constexpr std::size_t max_gaps = 16;
+
+    bool history_reaches(std::uint64_t after) const;
+    void add_to_history(store_row const& row);
+    void add_listing_to_history(std::uint64_t revision);
+    void add_gap(std::uint64_t revision);
     std::optional<row_read_result>
     answer(held_call const& call, steady_time now) const;
     void answer_held();
@@ -89,8 +105,10 @@
     std::optional<steady_time> proven_;
     std::uint64_t revision_ = 0;      // of the store, as of proven_
     std::uint64_t history_start_ = 0; // changes after it are in history_
-    bool relisted_ = false;           // history starts with the next proof
     std::deque<store_row> history_;
+    std::deque<history_gap> gaps_;
+    std::map<std::string, store_row> rows_;         // that exist
+    std::optional<std::vector<store_row>> listing_; // until it is proven
     std::vector<held_call> held_;
 };
 
--- a/src/gateway/table_source_selector.hpp
+++ b/src/gateway/table_source_selector.hpp
@@ -93,6 +93,25 @@
         return reads_store() && std::size_t(in_zone) >= readers_per_zone;
     }
 
+    /// Whether this gateway is the one of its zone's readers that does a task
+    /// once for the zone. Gateways that see different members may both do it.
+    bool represents_zone(std::string const& task) const
+    {
+        if (!reads_store())
+            return false;
+        auto const own = rendezvous_weight(task, self_.value());
+        std::size_t readers = 1; // this gateway
+        for (auto const& p : peers_)
+        {
+            if (!p.same_zone || readers == readers_per_zone)
+                break;
+            ++readers;
+            if (rendezvous_weight(task, p.host.value()) > own)
+                return false;
+        }
+        return true;
+    }
+
     /// Sources in the order in which they are tried.
     std::vector<table_source> sources(steady_time now) const
     {
--- a/src/gateway/table_watcher.cpp
+++ b/src/gateway/table_watcher.cpp
@@ -73,7 +73,7 @@
     was_listed_ = true;
     on_success();
     listener_.on_listing(rows, period_since_proof(first_page_time_));
-    on_proven(first_page_time_);
+    on_proven(first_page_time_, true);
     poll();
 }
 
@@ -121,7 +121,7 @@
     for (auto const& row : answer.rows)
         listener_.on_change(row, period);
     revision_ = answer.revision;
-    on_proven(proven);
+    on_proven(proven, !reads_store_);
     if (!answer.rows.empty() && reads_store_)
         next_call_ = clock_.now() + settings_.change_batch_delay;
     poll();
@@ -143,11 +143,11 @@
     return {current_as_of_.value_or(proven), interrupted_};
 }
 
-void table_watcher::on_proven(steady_time proven)
+void table_watcher::on_proven(steady_time proven, bool changes_skipped)
 {
     current_as_of_ = std::max(current_as_of_.value_or(proven), proven);
     interrupted_ = false;
-    listener_.on_current_as_of(*current_as_of_, revision_);
+    listener_.on_current({*current_as_of_, revision_, changes_skipped});
 }
 
 void table_watcher::on_success()
--- a/src/gateway/table_watcher.hpp
+++ b/src/gateway/table_watcher.hpp
@@ -76,6 +76,17 @@
     bool interrupted = false; // calls to the store failed since
 };
 
+/// What the rows received so far amount to.
+struct copy_state
+{
+    steady_time proven{};       // complete as of then
+    std::uint64_t revision = 0; // and as of this revision
+
+    // Rows that changed more than once since the previous state may have come
+    // with their last change only, or not at all if they exist no more.
+    bool changes_skipped = false;
+};
+
 /// Receives the contents of a table.
 class table_listener
 {
@@ -86,9 +97,8 @@
     virtual void
     on_change(store_row const& row, change_period const& period) = 0;
 
-    /// Everything received so far is complete as of that time and revision.
-    virtual void
-    on_current_as_of(steady_time proven, std::uint64_t revision) = 0;
+    /// Called after the rows of each answer.
+    virtual void on_current(copy_state const& state) = 0;
 };
 
 struct table_watch_settings
@@ -130,7 +140,7 @@
     void on_listing_page(steady_time sent, row_read_result answer);
     void on_changes(steady_time sent, row_read_result const& answer);
     change_period period_since_proof(steady_time proven) const;
-    void on_proven(steady_time proven);
+    void on_proven(steady_time proven, bool changes_skipped);
     steady_time proof_of(steady_time sent, row_read_result const& answer);
     void on_success();
     void on_failure(row_read_result const& answer);
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -126,9 +126,9 @@
         }
     }
 
-    void on_current_as_of(steady_time proven, std::uint64_t) override
+    void on_current(copy_state const& state) override
     {
-        owner_.freshness_lease_.renew(proven);
+        owner_.freshness_lease_.renew(state.proven);
         owner_.accept_when_ready();
     }
 
@@ -178,10 +178,7 @@
         }
     }
 
-    void on_current_as_of(steady_time, std::uint64_t) override
-    {
-        owner_.accept_when_ready();
-    }
+    void on_current(copy_state const&) override { owner_.accept_when_ready(); }
 
 private:
     // Rows that expired while the store was unavailable return within seconds
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -157,6 +157,7 @@
     void update_table_sources(steady_time now);
     void update_poll_wait();
     void request_reports(steady_time now);
+    bool needs_report(endpoint_state const& endpoint, steady_time now) const;
     void on_report(endpoint_state& endpoint, endpoint_reply const& reply);
     bool accepts_during_shutdown(admitted_request const& r) const;
 
--- a/src/relay/gateway_endpoints.cpp
+++ b/src/relay/gateway_endpoints.cpp
@@ -167,6 +167,21 @@
                 share.loads.push_back({endpoint->record().id, load});
         }
     }
+    for (auto const& service : engine_services_)
+    {
+        for (auto const& endpoint : endpoints_.of_service(service))
+        {
+            auto const& record = endpoint->record();
+            if (!table_sources_.represents_zone(record.id.value()) ||
+                record.zone != zone_id(settings_.zone))
+                continue;
+            if (auto const report = endpoint->recent_report(now))
+                share.reports.push_back(
+                    {record.id, *report,
+                     std::chrono::duration_cast<milliseconds>(
+                         now - endpoint->last_report_at())});
+        }
+    }
     while (!recent_failures_.empty() &&
            now - recent_failures_.front().first > failure_share_duration)
         recent_failures_.erase(recent_failures_.begin());
@@ -180,6 +195,11 @@
     auto const now = env_.clock.now();
     if (!peers_.put(share, now))
         return;
+    for (auto const& shared : share.reports)
+    {
+        if (auto const endpoint = endpoints_.find(shared.endpoint))
+            endpoint->record_report(shared.report, now - shared.age);
+    }
     for (auto const& id : share.failed)
     {
         auto const endpoint = endpoints_.find(id);
@@ -205,9 +225,9 @@
     {
         for (auto const& endpoint : endpoints_.of_service(service))
         {
-            bool const busy = endpoint->load.requests >= report_min_requests;
-            if (!busy || endpoint->leaving() || endpoint->suspended(now) ||
-                now - endpoint->reported_at() < report_interval)
+            if (endpoint->leaving() || endpoint->suspended(now) ||
+                now - endpoint->last_report_attempt() < report_interval ||
+                !needs_report(*endpoint, now))
                 continue;
             endpoint->record_report_request(now);
             call(
@@ -219,6 +239,24 @@
     }
 }
 
+/// A busy endpoint is asked by one of the gateways in its zone that read the
+/// tables, for all others; by another one only if it has much work there and no
+/// report.
+bool gateway::needs_report(
+    endpoint_state const& endpoint, steady_time now) const
+{
+    auto const& record = endpoint.record();
+    bool const in_zone = selection_.location().distance_to(record.zone) ==
+                         topology::distance::same_zone;
+    bool const reporter =
+        in_zone && table_sources_.represents_zone(record.id.value());
+    auto const known = reporter ? selection_.total_load(endpoint, now).requests
+                                : endpoint.load.requests;
+    bool const reported_busy =
+        reporter && endpoint.running_for_others(now) >= report_min_requests;
+    return known >= report_min_requests || reported_busy;
+}
+
 void gateway::on_report(endpoint_state& endpoint, endpoint_reply const& reply)
 {
     if (reply.status != 200)
--- a/src/relay/load_share_codec.cpp
+++ b/src/relay/load_share_codec.cpp
@@ -28,6 +28,18 @@
     return value.get<Number>();
 }
 
+load_share::shared_report decode_report(json const& item)
+{
+    load_share::shared_report shared;
+    shared.endpoint = endpoint_id(item.at(0).get<std::string>());
+    shared.report.running = number<std::uint32_t>(item.at(1));
+    shared.report.waiting = number<std::uint32_t>(item.at(2));
+    shared.report.used_tokens = number<std::uint64_t>(item.at(3));
+    // A 32-bit age is no overflow in any unit of time.
+    shared.age = std::chrono::milliseconds(number<std::uint32_t>(item.at(4)));
+    return shared;
+}
+
 std::string to_msgpack(load_share const& share)
 {
     json loads = json::array();
@@ -38,11 +50,16 @@
     json failed = json::array();
     for (auto const& endpoint : share.failed)
         failed.push_back(endpoint.value());
+    json reports = json::array();
+    for (auto const& [endpoint, report, age] : share.reports)
+        reports.push_back(json::array(
+            {endpoint.value(), report.running, report.waiting,
+             report.used_tokens, std::uint64_t(age.count())}));
     std::string bytes;
     json::to_msgpack(
         json::array(
             {format_version, share.gateway.value(), share.incarnation,
-             share.sequence, loads, failed, share.zone.value()}),
+             share.sequence, loads, failed, share.zone.value(), reports}),
         bytes);
     return bytes;
 }
@@ -52,9 +69,11 @@
 std::string encode_load_share(load_share share)
 {
     auto bytes = to_msgpack(share);
-    while (bytes.size() > max_load_share_bytes && !share.loads.empty())
+    while (bytes.size() > max_load_share_bytes &&
+           share.loads.size() + share.reports.size() > 0)
     {
         share.loads.resize(share.loads.size() * 3 / 4);
+        share.reports.resize(share.reports.size() * 3 / 4);
         bytes = to_msgpack(share);
     }
     return bytes;
@@ -83,6 +102,11 @@
             share.failed.emplace_back(item.get<std::string>());
         if (a.size() > 6) // absent in earlier versions
             share.zone = zone_id(a.at(6).get<std::string>());
+        if (a.size() > 7)
+        {
+            for (auto const& item : a.at(7))
+                share.reports.push_back(decode_report(item));
+        }
         return share;
     }
     catch (json::exception const& e)
--- a/src/relay/peer_load_sync.hpp
+++ b/src/relay/peer_load_sync.hpp
@@ -103,7 +103,7 @@
         std::vector<store_row> const& rows,
         change_period const& period) override;
     void on_change(store_row const& row, change_period const& period) override;
-    void on_current_as_of(steady_time, std::uint64_t) override {}
+    void on_current(copy_state const&) override {}
 
     void register_self();
     void apply_row(store_row const& row);
--- a/tests/gateway/endpoints_test.cpp
+++ b/tests/gateway/endpoints_test.cpp
@@ -203,6 +203,33 @@
     REQUIRE(f.choose(prompt(), 1600) != nullptr); // the report is too old
 }
 
+// In a fleet of 68 gateways, each knew 40% of the work at an endpoint from the
+// shares of its neighbours, and endpoints got twice the runs they can hold. The
+// report that one gateway asks for counts for all.
+TEST_CASE("reported runs of unknown gateways use slots", "[selection]")
+{
+    fleet f(1);
+    auto const e = f.table.find(endpoint_id("a10"));
+    endpoint_report report;
+    report.running = 8; // as many as there are slots
+    e->record_report(report, at(0));
+    REQUIRE(f.choose(prompt(), 100)->record().id.value() != "a10");
+    // Work known from a share is part of what the endpoint reports.
+    load_share share;
+    share.gateway = host_id("other");
+    share.sequence = 1;
+    share.loads = {{endpoint_id("a10"), {3, 0, 0}}};
+    REQUIRE(f.peers.put(share, at(0)));
+    REQUIRE(f.selection.total_load(*e, at(100)).requests == 8);
+    // An older report that arrives later changes nothing.
+    report.running = 1;
+    e->record_report(report, at(-200));
+    REQUIRE(f.selection.total_load(*e, at(100)).requests == 8);
+    REQUIRE(e->recent_report(at(100))->running == 8);
+    REQUIRE_FALSE(e->recent_report(at(1600)));
+    REQUIRE(f.selection.total_load(*e, at(1600)).requests == 3);
+}
+
 // Without the exchange of loads, two gateways prefill their prompts at the same
 // endpoints while others are idle.
 TEST_CASE("prompts avoid endpoints that other gateways use", "[selection]")
--- a/tests/gateway/simulated_store.hpp
+++ b/tests/gateway/simulated_store.hpp
@@ -47,6 +47,7 @@
 
     void list(std::string const&, std::string const&, handler done) override
     {
+        ++listings;
         deliver(
             std::move(done), false,
             [this](row_read_result& answer)
@@ -73,7 +74,8 @@
             latency,
             [this, number, wait]
             {
-                if (!available || revision > calls_[number].after)
+                if (!available || calls_[number].after < history_lost_before ||
+                    revision > calls_[number].after)
                 {
                     answer_changes(number);
                     return;
@@ -93,14 +95,6 @@
             });
     }
 
-    std::uint64_t last_revision(std::string const& key) const
-    {
-        std::uint64_t last = 0;
-        for (auto const& [at, row] : history)
-            last = row.key == key ? row.revision : last;
-        return last;
-    }
-
     milliseconds time() const
     {
         return std::chrono::duration_cast<milliseconds>(
@@ -113,6 +107,8 @@
     bool tells_time = true;
     duration clock_offset = milliseconds(77);
     std::uint64_t revision = 0;
+    std::uint64_t history_lost_before = 0;
+    std::size_t listings = 0;
     milliseconds last_wait{0};
     std::vector<std::pair<steady_time, store_row>> history;
 
@@ -132,6 +128,11 @@
             std::move(call.done), true,
             [this, after = call.after](row_read_result& answer)
             {
+                if (after < history_lost_before)
+                {
+                    answer.status = row_read_status::history_lost;
+                    return;
+                }
                 for (auto const& [at, row] : history)
                 {
                     if (row.revision > after)
@@ -196,7 +197,6 @@
         change_period const& period) override
     {
         copy.clear();
-        listing = true;
         for (auto const& row : rows)
             on_change(row, period);
     }
@@ -214,42 +214,41 @@
             REQUIRE(period.not_before <= store.history[row.revision - 1].first);
     }
 
-    void on_current_as_of(steady_time at, std::uint64_t as_of) override
+    void on_current(copy_state const& current) override
     {
+        auto const at = current.proven;
+        auto const as_of = current.revision;
         REQUIRE(at <= scheduler.now());
         REQUIRE((!proven || at >= *proven));
         REQUIRE(as_of >= revision);
         proven = at;
         revision = as_of;
-        if (std::exchange(listing, false))
-            listed_revision = as_of;
-        std::map<std::string, std::pair<std::uint64_t, bool>> state;
+        // The copy is the table as of the revision, which includes all that was
+        // committed by the time of the proof.
+        std::map<std::string, std::uint64_t> expected;
         for (auto const& [committed, row] : store.history)
         {
-            if (committed <= at)
-                state[row.key] = {row.revision, !row.deleted};
+            REQUIRE((committed > at || row.revision <= as_of));
+            if (row.revision > as_of)
+                break;
+            if (row.deleted)
+                expected.erase(row.key);
+            else
+                expected[row.key] = row.revision;
         }
-        for (auto const& [key, expected] : state)
+        std::map<std::string, std::uint64_t> held;
+        for (auto const& [key, row] : copy)
         {
-            auto const found = copy.find(key);
-            bool const delivered = found != copy.end();
-            auto const known =
-                delivered ? std::max(found->second.revision, listed_revision)
-                          : listed_revision;
-            REQUIRE(known >= expected.first);
-            bool const last = store.last_revision(key) == expected.first;
-            if (last)
-                REQUIRE(
-                    (delivered && !found->second.deleted) == expected.second);
+            if (!row.deleted)
+                held[key] = row.revision;
         }
+        REQUIRE(held == expected);
     }
 
     manual_scheduler& scheduler;
     simulated_store& store;
     std::map<std::string, store_row> copy; // with rows of deletions
     std::uint64_t revision = 0;
-    std::uint64_t listed_revision = 0;
-    bool listing = false;
     change_period last_period;
     std::optional<steady_time> proven;
 };
--- a/tests/gateway/table_sharing_test.cpp
+++ b/tests/gateway/table_sharing_test.cpp
@@ -236,7 +236,7 @@
     for (int step = 0; step < steps; ++step)
     {
         auto& m = *fleet.members[std::size_t(fleet.below(size))];
-        switch (fleet.below(9))
+        switch (fleet.below(10))
         {
         case 0:
         case 1:
@@ -263,6 +263,9 @@
             fleet.lossy = fleet.below(2) == 0;
             fleet.max_latency_ms = fleet.below(3) == 0 ? 900 : 3;
             break;
+        case 8:
+            store.history_lost_before = store.revision;
+            break;
         default:
             store.tells_time = fleet.below(4) > 0;
         }
@@ -279,10 +282,13 @@
     }
     fleet.run(milliseconds(6000));
     for (auto const& m : fleet.members)
-        REQUIRE((m->listener.copy.empty() == (store.revision == 0)));
+        REQUIRE(m->listener.revision == store.revision);
     for (auto const& m : fleet.members)
-        REQUIRE(
-            fleet.scheduler.now() - *m->listener.proven < milliseconds(3000));
+    {
+        freshness_lease lease{withdrawal_bound};
+        lease.renew(*m->listener.proven);
+        REQUIRE(lease.valid(fleet.scheduler.now()));
+    }
 }
 
 } // namespace
@@ -330,6 +336,36 @@
         REQUIRE(m->listener.copy.size() == 40);
 }
 
+// When the store forgot its history, every gateway of a fleet listed the table.
+TEST_CASE("followers need no listing after a loss of history", "[tables]")
+{
+    simulated_fleet fleet(1, 12);
+    auto& store = fleet.store;
+    for (int i = 0; i < 6; ++i)
+        store.commit("k" + std::to_string(i));
+    fleet.run(milliseconds(3000));
+    store.listings = 0;
+    // The changes of an outage are lost with the history.
+    for (auto const& m : fleet.members)
+        m->path.reachable = false;
+    fleet.run(milliseconds(500));
+    store.commit("k0", true);
+    store.commit("k1");
+    store.commit("k9");
+    store.history_lost_before = store.revision;
+    for (auto const& m : fleet.members)
+        m->path.reachable = true;
+    fleet.run(milliseconds(4000));
+    REQUIRE(store.listings <= table_source_selector::readers_per_zone);
+    for (auto const& m : fleet.members)
+    {
+        auto const k0 = m->listener.copy.find("k0");
+        REQUIRE((k0 == m->listener.copy.end() || k0->second.deleted));
+        REQUIRE(m->listener.copy.at("k1").revision == 8);
+        REQUIRE(m->listener.copy.count("k9") == 1);
+    }
+}
+
 // A host that the store turns away, or cannot reach at all, refused its callers
 // with a key although its neighbours knew that the key holds.
 TEST_CASE("a gateway cut off from the store keeps its lease", "[tables]")
@@ -393,7 +429,7 @@
     {
     }
     void on_change(store_row const&, change_period const&) override {}
-    void on_current_as_of(steady_time, std::uint64_t) override {}
+    void on_current(copy_state const&) override {}
 };
 
 } // namespace
@@ -424,10 +460,10 @@
     unused_listener listener;
     shared_table shared(listener, scheduler, milliseconds(2500));
     shared.on_listing({}, {});
-    shared.on_current_as_of(scheduler.now(), 10);
+    shared.on_current({scheduler.now(), 10});
     shared.on_change({"a", "v", 11, false}, {});
     shared.on_change({"b", "v", 12, true}, {});
-    shared.on_current_as_of(scheduler.now(), 12);
+    shared.on_current({scheduler.now(), 12});
     scheduler.advance(milliseconds(r.age_ms));
     std::optional<row_read_result> got;
     shared.changes(
@@ -451,7 +487,7 @@
     unused_listener listener;
     shared_table shared(listener, scheduler, milliseconds(2500));
     shared.on_listing({}, {});
-    shared.on_current_as_of(scheduler.now(), 10);
+    shared.on_current({scheduler.now(), 10});
     int answers = 0;
     row_read_result last;
     for (std::size_t i = 0; i <= shared_table::max_held_calls; ++i)
--- a/tests/gateway/table_source_selector_test.cpp
+++ b/tests/gateway/table_source_selector_test.cpp
@@ -127,3 +127,26 @@
     REQUIRE(sources.size() == 1);
     REQUIRE(sources[0].is_store());
 }
+
+// Work that is done once for a zone, such as asking an endpoint for its load,
+// must be done by exactly one of its gateways and be spread over both readers.
+TEST_CASE("one reader of a zone represents it in a task", "[tables]")
+{
+    int const per_zone = GENERATE(1, 2, 12);
+    std::map<host_id, int> tasks;
+    for (int task = 0; task < 40; ++task)
+    {
+        int doers = 0;
+        for (int n = 0; n < per_zone; ++n)
+        {
+            table_source_selector selector(host(0, n));
+            selector.set_peers(peers_of(0, n, 6, per_zone));
+            if (!selector.represents_zone("endpoint" + std::to_string(task)))
+                continue;
+            ++doers;
+            ++tasks[host(0, n)];
+        }
+        REQUIRE(doers == 1);
+    }
+    REQUIRE(tasks.size() == std::size_t(std::min(per_zone, 2)));
+}
--- a/tests/platform/peer_tables_test.cpp
+++ b/tests/platform/peer_tables_test.cpp
@@ -16,7 +16,7 @@
     {
     }
     void on_change(store_row const&, change_period const&) override {}
-    void on_current_as_of(steady_time, std::uint64_t) override {}
+    void on_current(copy_state const&) override {}
 };
 
 /// A service that offers one table on loopback, and a client.
@@ -33,13 +33,13 @@
     {
         service.offer("t", table_copy);
         table_copy.on_listing({}, {});
-        table_copy.on_current_as_of(clock.now(), 10);
+        table_copy.on_current({clock.now(), 10});
     }
 
     void publish(std::uint64_t revision)
     {
         table_copy.on_change({"k", "value", revision, false}, {});
-        table_copy.on_current_as_of(clock.now(), revision);
+        table_copy.on_current({clock.now(), revision});
     }
 
     void call(std::uint64_t after, milliseconds wait)
--- a/tests/relay/load_share_test.cpp
+++ b/tests/relay/load_share_test.cpp
@@ -21,6 +21,13 @@
         share.loads.push_back(
             {endpoint_id("i-" + std::to_string(i)), {1, 8650, 8000}});
     share.failed = {endpoint_id("i-1")};
+    share.zone = zone_id("a1");
+    endpoint_report report;
+    report.running = 11;
+    report.waiting = 2;
+    report.used_tokens = 70000;
+    share.reports = {
+        {endpoint_id("i-2"), report, std::chrono::milliseconds(350)}};
     return share;
 }
 
@@ -35,6 +42,28 @@
     REQUIRE(share.loads.size() == 3);
     REQUIRE(share.loads[2].load.memory_tokens == 8650);
     REQUIRE(share.failed.at(0).value() == "i-1");
+    REQUIRE(share.zone.value() == "a1");
+    auto const& shared = share.reports.at(0);
+    REQUIRE(shared.endpoint.value() == "i-2");
+    REQUIRE(shared.report.running == 11);
+    REQUIRE(shared.report.waiting == 2);
+    REQUIRE(shared.report.used_tokens == 70000);
+    REQUIRE(shared.age == std::chrono::milliseconds(350));
+}
+
+// Gateways of an earlier build run beside this one during an upgrade.
+TEST_CASE("a load share of an earlier build is decoded", "[share]")
+{
+    // [1, "g", 5, 6, [["e", 1, 2, 3]], ["f"]]
+    std::string const bytes = "\x96\x01\xa1g\x05\x06\x91\x94\xa1"
+                              "e\x01\x02\x03\x91\xa1"
+                              "f";
+    auto const share = decode_load_share(bytes);
+    REQUIRE(share.gateway.value() == "g");
+    REQUIRE(share.loads.at(0).load.memory_tokens == 2);
+    REQUIRE(share.failed.at(0).value() == "f");
+    REQUIRE(share.zone.empty());
+    REQUIRE(share.reports.empty());
 }
 
 TEST_CASE("oversized load share is truncated to one datagram", "[share]")
