--- a/src/gateway/table_source_selector.hpp
+++ b/src/gateway/table_source_selector.hpp
@@ -93,6 +93,25 @@
         return reads_store() && std::size_t(in_zone) >= readers_per_zone;
     }
 
+    /// Whether this gateway is the one of its zone's readers that does a task
+    /// once for the zone. Gateways that see different members may both do it.
+    bool represents_zone(std::string const& task) const
+    {
+        if (!reads_store())
+            return false;
+        auto const own = rendezvous_weight(task, self_.value());
+        std::size_t readers = 1; // this gateway
+        for (auto const& p : peers_)
+        {
+            if (!p.same_zone || readers == readers_per_zone)
+                break;
+            ++readers;
+            if (rendezvous_weight(task, p.host.value()) > own)
+                return false;
+        }
+        return true;
+    }
+
     /// Sources in the order in which they are tried.
     std::vector<table_source> sources(steady_time now) const
     {
@@ -116,6 +135,12 @@
             [this, now](table_source const& s) { return !avoided(s, now); });
         if (ordered.size() > max_sources)
             keep_store_within_limit(ordered);
+        // While the store is down, its readers ask for its return; more calls
+        // would only add to its load.
+        if (!reads_store() && ordered.size() > 1 && avoided({}, now))
+            ordered.erase(std::find_if(
+                ordered.begin(), ordered.end(),
+                [](table_source const& s) { return s.is_store(); }));
         return ordered;
     }
 
