--- a/src/gateway/table_source_selector.hpp
+++ b/src/gateway/table_source_selector.hpp
@@ -69,7 +69,7 @@
         peers_ = std::move(peers);
         std::sort(
             peers_.begin(), peers_.end(),
-            [this](table_peer const& a, table_peer const& b)
+            [](table_peer const& a, table_peer const& b)
             { return order_of(a) < order_of(b); });
     }
 
