--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,10 @@
 SEEDS   ?= 10
 SECONDS ?= 20
 
-.PHONY: all deps build demo test test-asan test-tsan soak soak-broken bench fuzz format format-check lint generate clean
+# Schedules of gateways that share a table; the first seed is SEED.
+SCHEDULES ?= 100000
+
+.PHONY: all deps build demo test test-asan test-tsan explore soak soak-broken bench fuzz format format-check lint generate clean
 
 all: build
 
@@ -34,6 +37,9 @@
 	$(MAKE) build BUILD=build-tsan CMAKE_FLAGS="-DDOTTERELLOCK_SANITIZE=thread -DCMAKE_BUILD_TYPE=RelWithDebInfo"
 	ctest --test-dir build-tsan --output-on-failure -R unit
 
+explore: build
+	SEED=$(SEED) SCHEDULES=$(SCHEDULES) $(BUILD)/dotterellock_tests "[.explore]"
+
 soak: build
 	scripts/soak $(BUILD) seeds $(SEED) $(SEEDS) --seconds $(SECONDS)
 
