--- a/tests/platform/relay_faults_test.cpp
+++ b/tests/platform/relay_faults_test.cpp
@@ -16,25 +16,6 @@
 namespace
 {
 
-std::string event(int id)
-{
-    return "id: " + std::to_string(id) + "\ndata: token\n\n";
-}
-
-std::string chunk(std::string const& text)
-{
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-    return size + text + "\r\n";
-}
-
-std::string stream_head(std::string const& id = "r1")
-{
-    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
-           "\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n"
-           "Transfer-Encoding: chunked\r\n\r\n";
-}
-
 /// Runs for the time of two ticks of the gateway. Timers fire in the order of
 /// their times, so the ticks have run then, however slow the machine is.
 void run_ticks(relay_fixture& fixture)
--- a/tests/platform/relay_fixture.hpp
+++ b/tests/platform/relay_fixture.hpp
@@ -4,6 +4,7 @@
 #define DOTTERELLOCK_TESTS_PLATFORM_RELAY_FIXTURE_HPP
 
 #include <algorithm>
+#include <cstdio>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -226,6 +227,26 @@
     std::vector<std::shared_ptr<test_connection>> connections;
 };
 
+/// Parts of an endpoint's streamed response.
+inline std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: token\n\n";
+}
+
+inline std::string chunk(std::string const& text)
+{
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+}
+
+inline std::string stream_head(std::string const& id = "r1")
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+           "\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
 struct relay_fixture
 {
     relay_fixture()
