Never move the start of a shared history back

Found by reading the change once more. Rows of a listing enter the history in the order of their keys; when old rows were dropped, a row with a lower revision set the start of the history back, and a gateway from before it was answered without the dropped changes.

--- a/src/gateway/shared_table.cpp
+++ b/src/gateway/shared_table.cpp
@@ -128,7 +128,7 @@
     history_.push_back(row);
     while (history_.size() > max_history_rows)
     {
-        history_start_ = history_.front().revision;
+        history_start_ = std::max(history_start_, history_.front().revision);
         history_.pop_front();
     }
 }
--- a/tests/gateway/simulated_store.hpp
+++ b/tests/gateway/simulated_store.hpp
@@ -14,20 +14,13 @@
 
 #include "gateway/table_watcher.hpp"
 #include "manual_scheduler.hpp"
+#include "silent_listeners.hpp"
 
 namespace dotterellock::testing
 {
 
 using std::chrono::milliseconds;
 
-struct silent_log : event_log
-{
-    void
-    record(event_level, char const*, std::vector<event_field> const&) override
-    {
-    }
-};
-
 /// One table with its history. Holds a call for changes until there is one.
 class simulated_store : public row_reader
 {
--- a/tests/gateway/table_sharing_test.cpp
+++ b/tests/gateway/table_sharing_test.cpp
@@ -22,14 +22,6 @@
 
 class simulated_fleet;
 
-struct silent_events : event_log
-{
-    void
-    record(event_level, char const*, std::vector<event_field> const&) override
-    {
-    }
-};
-
 /// The store as one gateway reaches it. Calls that are cut off never end, so
 /// they are ended by the client's time limit.
 struct store_path : row_reader
@@ -90,7 +82,7 @@
     bool frozen = false;
     std::vector<std::function<void()>> delivered_while_frozen;
 
-    silent_events log;
+    silent_log log;
     counter_registry counters;
     seeded_random random{7};
     checking_listener listener;
@@ -419,21 +411,6 @@
     }
 }
 
-namespace
-{
-
-struct unused_listener : table_listener
-{
-    void
-    on_listing(std::vector<store_row> const&, change_period const&) override
-    {
-    }
-    void on_change(store_row const&, change_period const&) override {}
-    void on_current(copy_state const&) override {}
-};
-
-} // namespace
-
 // A call that is answered from an older copy would take its caller back.
 TEST_CASE("a copy answers only what it knows", "[tables]")
 {
@@ -457,7 +434,7 @@
     CAPTURE(r.after, r.wait_ms, r.age_ms);
     manual_scheduler scheduler;
     scheduler.advance(std::chrono::hours(1));
-    unused_listener listener;
+    silent_table_listener listener;
     shared_table shared(listener, scheduler, milliseconds(2500));
     shared.on_listing({}, {});
     shared.on_current({scheduler.now(), 10});
@@ -484,7 +461,7 @@
 {
     manual_scheduler scheduler;
     scheduler.advance(std::chrono::hours(1));
-    unused_listener listener;
+    silent_table_listener listener;
     shared_table shared(listener, scheduler, milliseconds(2500));
     shared.on_listing({}, {});
     shared.on_current({scheduler.now(), 10});
@@ -509,3 +486,34 @@
     REQUIRE(last.status == row_read_status::ok);
     REQUIRE(last.proven_after_sending == milliseconds(0));
 }
+
+// Rows of a listing come in the order of their keys. When the oldest were
+// dropped, a row with a lower revision moved the start of the history back, and
+// a caller from before it missed the dropped ones.
+TEST_CASE("the start of the history never goes back", "[tables]")
+{
+    manual_scheduler scheduler;
+    scheduler.advance(std::chrono::hours(1));
+    silent_table_listener listener;
+    shared_table shared(listener, scheduler, milliseconds(2500));
+    auto const now = scheduler.now();
+    shared.on_listing({}, {});
+    shared.on_current({now, 10});
+    shared.on_listing({{"a", "v", 90, false}, {"b", "v", 80, false}}, {});
+    shared.on_current({now, 90, true});
+    std::uint64_t revision = 90;
+    for (int gap = 0; gap < 20; ++gap)
+    {
+        revision += 10;
+        shared.on_current({now, revision, true});
+    }
+    // Drops both rows of the listing.
+    for (std::size_t i = 0; i < shared_table::max_history_rows; ++i)
+        shared.on_change({"c", "v", ++revision, false}, {});
+    shared.on_current({now, revision});
+    std::optional<row_read_result> got;
+    shared.changes(
+        85, milliseconds(0),
+        [&](row_read_result answer) { got = std::move(answer); });
+    REQUIRE(got->status == row_read_status::history_lost);
+}
--- a/tests/platform/peer_tables_test.cpp
+++ b/tests/platform/peer_tables_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "gateway/silent_listeners.hpp"
 #include "relay/peer_tables.hpp"
 #include "relay_fixture.hpp"
 
@@ -9,16 +10,6 @@
 namespace
 {
 
-struct ignoring_listener : table_listener
-{
-    void
-    on_listing(std::vector<store_row> const&, change_period const&) override
-    {
-    }
-    void on_change(store_row const&, change_period const&) override {}
-    void on_current(copy_state const&) override {}
-};
-
 /// A service that offers one table on loopback, and a client.
 struct peer_tables_fixture : relay_fixture
 {
@@ -52,7 +43,7 @@
 
     bool known = true;
     std::string const address;
-    ignoring_listener listener;
+    silent_table_listener listener;
     shared_table table_copy;
     peer_table_service service;
     peer_table_client client;
--- a/tests/platform/relay_faults_test.cpp
+++ b/tests/platform/relay_faults_test.cpp
@@ -16,8 +16,8 @@
 namespace
 {
 
-/// Runs for the time of two ticks of the gateway. Timers fire in the order of
-/// their times, so the ticks have run then, however slow the machine is.
+/// Runs until the gateway has ticked. Timers fire in the order of their times,
+/// and this one is later than the next tick, however slow the machine is.
 void run_ticks(relay_fixture& fixture)
 {
     bool passed = false;
--- a/tests/relay/prompt_cache_lookup_test.cpp
+++ b/tests/relay/prompt_cache_lookup_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gateway/gateway_fixture.hpp"
+#include "gateway/silent_listeners.hpp"
 #include "manual_scheduler.hpp"
 #include "platform/platform_protocol.hpp"
 #include "relay/prompt_cache_lookup.hpp"
@@ -13,14 +14,6 @@
 namespace
 {
 
-struct discarding_log : event_log
-{
-    void
-    record(event_level, char const*, std::vector<event_field> const&) override
-    {
-    }
-};
-
 /// A gateway's lookups in a fleet of 148 endpoints in six zones.
 struct lookup_fixture
 {
@@ -72,7 +65,7 @@
           {"b2", "b"},
           {"b3", "b"}}}};
     platform_protocol protocol;
-    discarding_log log;
+    silent_log log;
     std::vector<made_call> calls;
     prompt_cache_lookup lookup{
         selection, protocol, scheduler, log,
