Move the following of tables out of gateway.cpp; remove doubles

One parser of decimal numbers for headers, targets and lengths, where three stood; load shares walk the endpoints once; accessors without a user are gone; the accessor of the gateways' table no longer hides its type.

--- a/src/gateway/shared_table.hpp
+++ b/src/gateway/shared_table.hpp
@@ -62,9 +62,6 @@
         return proven_ && now - *proven_ <= max_age_;
     }
 
-    /// Time up to which the copy is known to be complete.
-    std::optional<steady_time> proven() const { return proven_; }
-
     // table_listener
     void on_listing(
         std::vector<store_row> const& rows,
--- a/src/gateway/table_watcher.cpp
+++ b/src/gateway/table_watcher.cpp
@@ -28,7 +28,6 @@
 void table_watcher::request_listing()
 {
     call_pending_ = true;
-    ++call_count_;
     auto const sent = clock_.now();
     // The smallest key after the last one of the previous page.
     std::string const from =
@@ -80,12 +79,11 @@
 void table_watcher::request_changes()
 {
     call_pending_ = true;
-    ++call_count_;
     auto const sent = clock_.now();
     // After a failure, an answer without wait proves at once that the copy is
     // current again.
-    bool const at_once =
-        interrupted_ || (reads_store_ && store_clock_.needs_calibration(sent));
+    bool const at_once = interrupted_ || (answered_by_store_ &&
+                                          store_clock_.needs_calibration(sent));
     store_.changes(
         table_, revision_,
         at_once ? std::chrono::milliseconds(0) : settings_.poll_wait,
@@ -121,8 +119,8 @@
     for (auto const& row : answer.rows)
         listener_.on_change(row, period);
     revision_ = answer.revision;
-    on_proven(proven, !reads_store_);
-    if (!answer.rows.empty() && reads_store_)
+    on_proven(proven, !answered_by_store_);
+    if (!answer.rows.empty() && answered_by_store_)
         next_call_ = clock_.now() + settings_.change_batch_delay;
     poll();
 }
@@ -132,8 +130,8 @@
 table_watcher::proof_of(steady_time sent, row_read_result const& answer)
 {
     auto const now = clock_.now();
-    reads_store_ = !answer.proven_after_sending;
-    if (reads_store_)
+    answered_by_store_ = !answer.proven_after_sending;
+    if (answered_by_store_)
         return store_clock_.answered_not_before(sent, now, answer.store_time);
     return std::min(sent + *answer.proven_after_sending, now);
 }
--- a/src/gateway/table_watcher.hpp
+++ b/src/gateway/table_watcher.hpp
@@ -132,7 +132,6 @@
     bool listed() const { return listed_; }
     std::optional<steady_time> current_as_of() const { return current_as_of_; }
     bool connected() const { return consecutive_failures_ == 0 && listed_; }
-    std::uint64_t call_count() const { return call_count_; }
 
 private:
     void request_listing();
@@ -157,14 +156,13 @@
     bool listed_ = false; // complete listing received; following changes
     bool was_listed_ = false;
     std::uint64_t revision_ = 0;
-    std::uint64_t call_count_ = 0;
     std::uint32_t consecutive_failures_ = 0;
     steady_time next_call_{};
     std::vector<store_row> listed_rows_;
     std::uint64_t first_page_revision_ = 0;
     steady_time first_page_time_{}; // not produced before
     store_clock store_clock_;
-    bool reads_store_ = true; // the last answer came from the store itself
+    bool answered_by_store_ = true; // the last call; else by another gateway
     std::optional<steady_time> current_as_of_; // last proof of completeness
     bool interrupted_ = false;                 // a call failed since then
 };
--- a/src/relay/client_session.cpp
+++ b/src/relay/client_session.cpp
@@ -1,11 +1,11 @@
 #include "client_session.hpp"
 
-#include <charconv>
 #include <cstdio>
 
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
+#include "http/decimal.hpp"
 #include "http/reason_phrase.hpp"
 #include "socket_options.hpp"
 
@@ -26,10 +26,8 @@
     auto const* const text = find_header(head.headers, "content-length");
     if (text == nullptr)
         return false;
-    std::size_t length = 0;
-    auto const r =
-        std::from_chars(text->data(), text->data() + text->size(), length);
-    return r.ec != std::errc{} || length > limit;
+    auto const length = parse_decimal(*text);
+    return !length || *length > limit;
 }
 
 } // namespace
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -1,4 +1,4 @@
-// Index: table sinks; construction; admission; exchanges; request queues;
+// Index: construction; admission; exchanges; request queues;
 // timer; shutdown.
 #include "gateway.hpp"
 
@@ -92,115 +92,6 @@
 
 } // namespace
 
-// Table sinks ----------------------------------------------------------------
-
-class gateway::configuration_sink : public table_listener
-{
-public:
-    explicit configuration_sink(gateway& owner) : owner_(owner) {}
-
-    void on_listing(
-        std::vector<store_row> const& rows,
-        change_period const& period) override
-    {
-        for (auto const& row : rows)
-            on_change(row, period);
-    }
-
-    void on_change(store_row const& row, change_period const&) override
-    {
-        if (row.deleted)
-            return; // the last version remains in force
-        try
-        {
-            if (auto c = owner_.env_.codec.read_configuration(row))
-                owner_.apply_configuration(std::move(*c), row.revision);
-        }
-        catch (error const& e)
-        {
-            owner_.env_.log.record(
-                event_level::error, "configuration_unreadable",
-                {{"key", row.key},
-                 {"revision", std::to_string(row.revision)},
-                 {"detail", e.detail()}});
-        }
-    }
-
-    void on_current(copy_state const& state) override
-    {
-        owner_.freshness_lease_.renew(state.proven);
-        owner_.accept_when_ready();
-    }
-
-private:
-    gateway& owner_;
-};
-
-class gateway::endpoint_sink : public table_listener
-{
-public:
-    explicit endpoint_sink(gateway& owner) : owner_(owner) {}
-
-    void on_listing(
-        std::vector<store_row> const& rows,
-        change_period const& period) override
-    {
-        std::set<std::string> ids;
-        for (auto const& row : rows)
-        {
-            ids.insert(row.key);
-            on_change(row, period);
-        }
-        owner_.endpoints_.keep_only(ids, removed_at(period));
-    }
-
-    void on_change(store_row const& row, change_period const& period) override
-    {
-        if (row.deleted)
-        {
-            owner_.endpoints_.remove(endpoint_id(row.key), removed_at(period));
-            log(row, "removed", {});
-            return;
-        }
-        try
-        {
-            auto const record = owner_.env_.codec.read_endpoint(row);
-            owner_.endpoints_.put(record, period.not_before);
-            log(row, record.draining ? "draining" : "ready", record.address);
-            if (record.draining)
-                owner_.pool_.close_idle(record);
-            owner_.on_capacity_freed(record.service);
-        }
-        catch (error const& e)
-        {
-            // A malformed row does not take an endpoint out of service.
-            log(row, "unreadable", e.detail());
-        }
-    }
-
-    void on_current(copy_state const&) override { owner_.accept_when_ready(); }
-
-private:
-    // Rows that expired while the store was unavailable return within seconds
-    // if their endpoints are alive, so the loss of a row says little then.
-    steady_time removed_at(change_period const& period) const
-    {
-        return period.interrupted ? owner_.env_.clock.now() : period.not_before;
-    }
-
-    void log(store_row const& row, char const* state, std::string const& detail)
-    {
-        owner_.env_.log.record(
-            event_level::info, "endpoint",
-            {{"endpoint", row.key},
-             {"state", state},
-             {"detail", detail.empty() ? "-" : detail},
-             {"revision", std::to_string(row.revision)}});
-    }
-
-    gateway& owner_;
-};
-
 // Construction ---------------------------------------------------------------
 
 gateway::gateway(gateway_settings settings, gateway_environment environment)
@@ -211,8 +102,8 @@
           {zone_id(settings_.zone), settings_.regions}),
       pool_(env_.io, env_.clock),
       freshness_lease_(settings_.key_withdrawal_bound),
-      configuration_sink_(std::make_unique<configuration_sink>(*this)),
-      endpoint_sink_(std::make_unique<endpoint_sink>(*this)),
+      configuration_sink_(make_configuration_sink()),
+      endpoint_sink_(make_endpoint_sink()),
       table_sources_(host_id(settings_.host)),
       shared_configuration_(
           *configuration_sink_, env_.clock, max_shared_configuration_age),
@@ -280,7 +171,7 @@
             env_.codec.configuration_table(), shared_configuration_);
         table_service_->offer(env_.codec.endpoint_table(), shared_endpoints_);
         table_service_->offer(
-            peer_load_sync::table_name, peer_load_sync_->shared_table());
+            peer_load_sync::table_name, peer_load_sync_->gateway_table());
     }
     schedule_tick();
 }
@@ -368,29 +259,6 @@
         settings.drain_bound - last_resort_margin);
 }
 
-void gateway::apply_configuration(
-    gateway_configuration configuration, std::uint64_t revision)
-{
-    auto const version = configuration.version;
-    bool const older =
-        table_ && (version < table_->version() || revision < table_revision_);
-    bool const same = table_ && revision == table_revision_;
-    if (same)
-        return;
-    env_.log.record(
-        older ? event_level::warn : event_level::info,
-        older ? "configuration_ignored" : "configuration_applied",
-        {{"version", std::to_string(version)},
-         {"revision", std::to_string(revision)},
-         {"in_force", table_ ? std::to_string(table_->version()) : "-"},
-         {"routes", std::to_string(configuration.routes.size())}});
-    if (older)
-        return;
-    table_ = std::make_shared<routing_table const>(std::move(configuration));
-    table_revision_ = revision;
-    env_.counters.counter("configuration_version").set(version);
-}
-
 // Admission ------------------------------------------------------------------
 
 caller_limits gateway::limits() const
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -154,9 +154,12 @@
     load_share local_load_share();
     void on_load_share(load_share const& share);
     void sweep_endpoints(steady_time now);
+    std::unique_ptr<table_listener> make_configuration_sink();
+    std::unique_ptr<table_listener> make_endpoint_sink();
     void update_table_sources(steady_time now);
     void update_poll_wait();
     void request_reports(steady_time now);
+    bool reports_for_zone(endpoint_state const& endpoint) const;
     bool needs_report(endpoint_state const& endpoint, steady_time now) const;
     void on_report(endpoint_state& endpoint, endpoint_reply const& reply);
     bool accepts_during_shutdown(admitted_request const& r) const;
@@ -178,8 +181,8 @@
     freshness_lease freshness_lease_;
     std::shared_ptr<routing_table const> table_;
     std::uint64_t table_revision_ = 0;
-    std::unique_ptr<configuration_sink> configuration_sink_;
-    std::unique_ptr<endpoint_sink> endpoint_sink_;
+    std::unique_ptr<table_listener> configuration_sink_;
+    std::unique_ptr<table_listener> endpoint_sink_;
     table_source_selector table_sources_;
     shared_table shared_configuration_;
     shared_table shared_endpoints_;
--- a/src/relay/gateway_endpoints.cpp
+++ b/src/relay/gateway_endpoints.cpp
@@ -1,5 +1,4 @@
-// How a gateway tracks the state of endpoints. Index: health; peers; reports;
-// table sources.
+// How a gateway tracks the state of endpoints. Index: health; peers; reports.
 #include "gateway.hpp"
 
 #include <algorithm>
@@ -162,22 +161,14 @@
     {
         for (auto const& endpoint : endpoints_.of_service(service))
         {
+            auto const& id = endpoint->record().id;
             auto const& load = endpoint->load;
             if (load.requests > 0 || load.memory_tokens > 0)
-                share.loads.push_back({endpoint->record().id, load});
-        }
-    }
-    for (auto const& service : engine_services_)
-    {
-        for (auto const& endpoint : endpoints_.of_service(service))
-        {
-            auto const& record = endpoint->record();
-            if (!table_sources_.represents_zone(record.id.value()) ||
-                record.zone != zone_id(settings_.zone))
-                continue;
-            if (auto const report = endpoint->recent_report(now))
+                share.loads.push_back({id, load});
+            auto const report = endpoint->recent_report(now);
+            if (report && reports_for_zone(*endpoint))
                 share.reports.push_back(
-                    {record.id, *report,
+                    {id, *report,
                      std::chrono::duration_cast<milliseconds>(
                          now - endpoint->last_report_at())});
         }
@@ -239,17 +230,21 @@
     }
 }
 
+/// Whether this gateway asks the endpoint for its report for the whole zone.
+bool gateway::reports_for_zone(endpoint_state const& endpoint) const
+{
+    auto const& record = endpoint.record();
+    return record.zone.value() == settings_.zone &&
+           table_sources_.represents_zone(record.id.value());
+}
+
 /// A busy endpoint is asked by one of the gateways in its zone that read the
 /// tables, for all others; by another one only if it has much work there and no
 /// report.
 bool gateway::needs_report(
     endpoint_state const& endpoint, steady_time now) const
 {
-    auto const& record = endpoint.record();
-    bool const in_zone = selection_.location().distance_to(record.zone) ==
-                         topology::distance::same_zone;
-    bool const reporter =
-        in_zone && table_sources_.represents_zone(record.id.value());
+    bool const reporter = reports_for_zone(endpoint);
     auto const known = reporter ? selection_.total_load(endpoint, now).requests
                                 : endpoint.load.requests;
     bool const reported_busy =
@@ -285,35 +280,6 @@
     call->start(std::move(request), env_.clock.now(), probe);
 }
 
-// Table sources --------------------------------------------------------------
-
-void gateway::update_table_sources(steady_time now)
-{
-    if (!peer_load_sync_)
-        return;
-    auto const& location = selection_.location();
-    std::vector<table_peer> peers;
-    for (auto const& holder : peer_load_sync_->table_holders(now))
-    {
-        auto const distance = location.distance_to(holder.zone);
-        peers.push_back(
-            {holder.host, holder.address,
-             distance == topology::distance::same_zone,
-             distance != topology::distance::other_region});
-    }
-    table_sources_.set_peers(std::move(peers));
-    update_poll_wait();
-}
-
-void gateway::update_poll_wait()
-{
-    auto const bound = settings_.key_withdrawal_bound;
-    configuration_watch_.set_poll_wait(
-        table_sources_.serves_followers()
-            ? freshness_lease::max_shared_poll_wait(bound)
-            : freshness_lease::max_poll_wait(bound));
-}
-
 void gateway::sweep_endpoints(steady_time now)
 {
     endpoints_.remove_unused(now);
--- /dev/null
+++ b/src/relay/gateway_tables.cpp
@@ -0,0 +1,185 @@
+// How a gateway follows the tables of the platform's store. Index: sinks;
+// configuration in force; sources.
+#include "gateway.hpp"
+
+#include <utility>
+
+#include <dotterellock/error.hpp>
+
+namespace dotterellock
+{
+
+// Sinks ----------------------------------------------------------------------
+
+class gateway::configuration_sink : public table_listener
+{
+public:
+    explicit configuration_sink(gateway& owner) : owner_(owner) {}
+
+    void on_listing(
+        std::vector<store_row> const& rows,
+        change_period const& period) override
+    {
+        for (auto const& row : rows)
+            on_change(row, period);
+    }
+
+    void on_change(store_row const& row, change_period const&) override
+    {
+        if (row.deleted)
+            return; // the last version remains in force
+        try
+        {
+            if (auto c = owner_.env_.codec.read_configuration(row))
+                owner_.apply_configuration(std::move(*c), row.revision);
+        }
+        catch (error const& e)
+        {
+            owner_.env_.log.record(
+                event_level::error, "configuration_unreadable",
+                {{"key", row.key},
+                 {"revision", std::to_string(row.revision)},
+                 {"detail", e.detail()}});
+        }
+    }
+
+    void on_current(copy_state const& state) override
+    {
+        owner_.freshness_lease_.renew(state.proven);
+        owner_.accept_when_ready();
+    }
+
+private:
+    gateway& owner_;
+};
+
+class gateway::endpoint_sink : public table_listener
+{
+public:
+    explicit endpoint_sink(gateway& owner) : owner_(owner) {}
+
+    void on_listing(
+        std::vector<store_row> const& rows,
+        change_period const& period) override
+    {
+        std::set<std::string> ids;
+        for (auto const& row : rows)
+        {
+            ids.insert(row.key);
+            on_change(row, period);
+        }
+        owner_.endpoints_.keep_only(ids, removed_at(period));
+    }
+
+    void on_change(store_row const& row, change_period const& period) override
+    {
+        if (row.deleted)
+        {
+            owner_.endpoints_.remove(endpoint_id(row.key), removed_at(period));
+            log(row, "removed", {});
+            return;
+        }
+        try
+        {
+            auto const record = owner_.env_.codec.read_endpoint(row);
+            owner_.endpoints_.put(record, period.not_before);
+            log(row, record.draining ? "draining" : "ready", record.address);
+            if (record.draining)
+                owner_.pool_.close_idle(record);
+            owner_.on_capacity_freed(record.service);
+        }
+        catch (error const& e)
+        {
+            // A malformed row does not take an endpoint out of service.
+            log(row, "unreadable", e.detail());
+        }
+    }
+
+    void on_current(copy_state const&) override { owner_.accept_when_ready(); }
+
+private:
+    // Rows that expired while the store was unavailable return within seconds
+    // if their endpoints are alive, so the loss of a row says little then.
+    steady_time removed_at(change_period const& period) const
+    {
+        return period.interrupted ? owner_.env_.clock.now() : period.not_before;
+    }
+
+    void log(store_row const& row, char const* state, std::string const& detail)
+    {
+        owner_.env_.log.record(
+            event_level::info, "endpoint",
+            {{"endpoint", row.key},
+             {"state", state},
+             {"detail", detail.empty() ? "-" : detail},
+             {"revision", std::to_string(row.revision)}});
+    }
+
+    gateway& owner_;
+};
+
+std::unique_ptr<table_listener> gateway::make_configuration_sink()
+{
+    return std::make_unique<configuration_sink>(*this);
+}
+
+std::unique_ptr<table_listener> gateway::make_endpoint_sink()
+{
+    return std::make_unique<endpoint_sink>(*this);
+}
+
+// Configuration in force -----------------------------------------------------
+
+void gateway::apply_configuration(
+    gateway_configuration configuration, std::uint64_t revision)
+{
+    auto const version = configuration.version;
+    bool const older =
+        table_ && (version < table_->version() || revision < table_revision_);
+    bool const same = table_ && revision == table_revision_;
+    if (same)
+        return;
+    env_.log.record(
+        older ? event_level::warn : event_level::info,
+        older ? "configuration_ignored" : "configuration_applied",
+        {{"version", std::to_string(version)},
+         {"revision", std::to_string(revision)},
+         {"in_force", table_ ? std::to_string(table_->version()) : "-"},
+         {"routes", std::to_string(configuration.routes.size())}});
+    if (older)
+        return;
+    table_ = std::make_shared<routing_table const>(std::move(configuration));
+    table_revision_ = revision;
+    env_.counters.counter("configuration_version").set(version);
+}
+
+// Sources --------------------------------------------------------------------
+
+void gateway::update_table_sources(steady_time now)
+{
+    if (!peer_load_sync_)
+        return;
+    auto const& location = selection_.location();
+    std::vector<table_peer> peers;
+    for (auto const& holder : peer_load_sync_->table_holders(now))
+    {
+        auto const distance = location.distance_to(holder.zone);
+        peers.push_back(
+            {holder.host, holder.address,
+             distance == topology::distance::same_zone,
+             distance != topology::distance::other_region});
+    }
+    table_sources_.set_peers(std::move(peers));
+    update_poll_wait();
+}
+
+void gateway::update_poll_wait()
+{
+    auto const bound = settings_.key_withdrawal_bound;
+    configuration_watch_.set_poll_wait(
+        table_sources_.serves_followers()
+            ? freshness_lease::max_shared_poll_wait(bound)
+            : freshness_lease::max_poll_wait(bound));
+}
+
+} // namespace dotterellock
--- a/src/relay/peer_load_sync.cpp
+++ b/src/relay/peer_load_sync.cpp
@@ -55,10 +55,10 @@
     : host_(std::move(host)), address_(std::move(address)), writer_(writer),
       clock_(clock), log_(log), share_source_(std::move(source)),
       share_handler_(std::move(handler)),
-      shared_table_(*this, clock, max_shared_age),
+      gateway_table_(*this, clock, max_shared_age),
       peer_watch_(
-          table_name, peer_watch_settings, reader, shared_table_, clock, random,
-          log),
+          table_name, peer_watch_settings, reader, gateway_table_, clock,
+          random, log),
       socket_(io), incarnation_(random.next())
 {
 }
--- a/src/relay/peer_load_sync.hpp
+++ b/src/relay/peer_load_sync.hpp
@@ -84,7 +84,7 @@
     std::vector<table_holder> table_holders(steady_time now) const;
 
     /// This gateway's copy of the table of gateways.
-    dotterellock::shared_table& shared_table() { return shared_table_; }
+    shared_table& gateway_table() { return gateway_table_; }
 
     /// Whether a registered gateway has this IP address.
     bool is_peer(std::string const& ip) const;
@@ -121,7 +121,7 @@
     event_log& log_;
     share_source const share_source_;
     share_handler const share_handler_;
-    dotterellock::shared_table shared_table_;
+    shared_table gateway_table_;
     table_watcher peer_watch_;
     asio::ip::udp::socket socket_;
     asio::ip::udp::endpoint sender_;
--- a/src/relay/table_share_codec.cpp
+++ b/src/relay/table_share_codec.cpp
@@ -1,13 +1,14 @@
 #include "table_share_codec.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <limits>
 
 #include <nlohmann/json.hpp>
 
 #include <dotterellock/error.hpp>
 
+#include "http/decimal.hpp"
+
 namespace dotterellock
 {
 
@@ -23,16 +24,6 @@
 // Longer waits would outlast the time for which a copy may be used.
 constexpr std::uint64_t max_wait_ms = 30000;
 
-std::optional<std::uint64_t> parse_uint64(std::string_view text)
-{
-    std::uint64_t value = 0;
-    auto const end = text.data() + text.size();
-    auto const r = std::from_chars(text.data(), end, value);
-    if (r.ec != std::errc{} || r.ptr != end)
-        return std::nullopt;
-    return value;
-}
-
 /// Removes and returns the text up to the next slash.
 std::string_view take_segment(std::string_view& path)
 {
@@ -84,8 +75,8 @@
     target.remove_prefix(path_prefix.size());
     table_share_call call;
     call.table = take_segment(target);
-    auto const after = parse_uint64(take_segment(target));
-    auto const wait = parse_uint64(target);
+    auto const after = parse_decimal(take_segment(target));
+    auto const wait = parse_decimal(target);
     if (call.table.empty() || !after || !wait || *wait > max_wait_ms)
         return std::nullopt;
     call.after = *after;
