relay: log why a request ends without an answer

The logs did not tell the hypotheses apart: a connection closed as it was reused, a rejection that is not sent, an attempt that is given up with nothing to follow.

no_further_attempt says which limit ended a request (runs, time, retry budget), unanswered_input names bytes of a caller that get no answer, and configuration_applied names the idle timeout.

--- a/src/relay/client_session.cpp
+++ b/src/relay/client_session.cpp
@@ -82,7 +82,12 @@
 void client_session::on_bytes(std::string_view bytes)
 {
     if (state_ == state::closing || input_discarded_)
+    {
+        handler_.on_unanswered_input(
+            *this, closed_idle_ ? "idle_closed" : "last_response",
+            bytes.size());
         return;
+    }
     unparsed_.append(bytes);
     if (state_ != state::responding)
     {
@@ -93,6 +98,7 @@
         return;
     // Without reading on, the disconnect of the caller would go unnoticed. The
     // connection closes after the current response.
+    handler_.on_unanswered_input(*this, "pipelined", unparsed_.size());
     unparsed_.clear();
     input_discarded_ = true;
     keep_alive_ = false;
@@ -211,6 +217,8 @@
     }
     if (state_ == state::responding && bytes_in_flight_ > 0)
         return; // the rest of the response is still being written
+    if (state_ == state::reading)
+        handler_.on_unanswered_input(*this, "incomplete", request_.body.size());
     close();
 }
 
@@ -318,6 +326,9 @@
         if (!keep_alive_)
         {
             state_ = state::closing;
+            if (!unparsed_.empty())
+                handler_.on_unanswered_input(
+                    *this, "pipelined", unparsed_.size());
             unparsed_.clear();
             asio::error_code ignored; // the peer may have closed already
             socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -402,6 +413,7 @@
     if (state_ != state::idle || awaits_first_request)
         return;
     state_ = state::closing;
+    closed_idle_ = true;
     last_progress_ = now;
     asio::error_code ignored; // the peer may have closed already
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
--- a/src/relay/client_session.hpp
+++ b/src/relay/client_session.hpp
@@ -47,6 +47,16 @@
     virtual void on_rejected(
         client_session const& session, unsigned status, char const* why) = 0;
 
+    /// Input of the caller remains without an answer of its own.
+    /// @param why    "idle_closed": it arrived after an idle connection was
+    ///               shut down; "last_response": after the last response;
+    ///               "incomplete": the caller closed within a request;
+    ///               "pipelined": it followed a request that closes the
+    ///               connection
+    /// @param bytes  size of that input
+    virtual void on_unanswered_input(
+        client_session const& session, char const* why, std::size_t bytes) = 0;
+
     virtual void on_closed(client_session& session) = 0;
     virtual caller_limits limits() const = 0;
 
@@ -182,6 +192,7 @@
     bool keep_alive_ = true;
     bool first_request_read_ = false;
     bool input_discarded_ = false; // more than may be buffered was received
+    bool closed_idle_ = false;     // shut down without a response
     steady_time accepted_{};
     steady_time last_progress_{}; // of a state change or body bytes
     std::array<char, 8192> buffer_;
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -300,6 +300,19 @@
          {"reason", why}});
 }
 
+void gateway::on_unanswered_input(
+    client_session const& session, char const* why, std::size_t bytes)
+{
+    env_.counters
+        .counter("unanswered_input_total", std::string("reason=\"") + why + '"')
+        .add();
+    env_.log.record(
+        event_level::warn, "unanswered_input",
+        {{"peer", session.peer()},
+         {"reason", why},
+         {"bytes", std::to_string(bytes)}});
+}
+
 void gateway::on_closed(client_session& session)
 {
     sessions_.erase(&session);
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -101,6 +101,9 @@
     void on_rejected(
         client_session const& session, unsigned status,
         char const* why) override;
+    void on_unanswered_input(
+        client_session const& session, char const* why,
+        std::size_t bytes) override;
     void on_closed(client_session& session) override;
     caller_limits limits() const override;
     bool close_after_response() const override { return shutting_down_; }
--- a/src/relay/gateway_tables.cpp
+++ b/src/relay/gateway_tables.cpp
@@ -145,7 +145,9 @@
         {{"version", std::to_string(version)},
          {"revision", std::to_string(revision)},
          {"in_force", table_ ? std::to_string(table_->version()) : "-"},
-         {"routes", std::to_string(configuration.routes.size())}});
+         {"routes", std::to_string(configuration.routes.size())},
+         {"idle_timeout_ms",
+          std::to_string(configuration.limits.idle_timeout.count())}});
     if (older)
         return;
     table_ = std::make_shared<routing_table const>(std::move(configuration));
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -320,6 +320,17 @@
     bool const budget = may_repeat(outcome);
     auto const verdict = attempt_policy::decide(
         *request_.route, history_, outcome, time_left, budget);
+    if (verdict != attempt_decision::retry &&
+        verdict != attempt_decision::retry_later)
+        context_.log().record(
+            event_level::warn, "no_further_attempt",
+            {{"request", request_.metadata.id.value()},
+             {"runs", std::to_string(history_.runs)},
+             {"max_attempts", std::to_string(request_.route->max_attempts)},
+             {"refusals", std::to_string(history_.refusals)},
+             {"left_ms", milliseconds_text(deadline_ - now)},
+             {"budget", budget ? "1" : "0"},
+             {"begun", response_begun_ ? "1" : "0"}});
     switch (verdict)
     {
     case attempt_decision::retry:
--- a/src/relay/session_listener.hpp
+++ b/src/relay/session_listener.hpp
@@ -32,6 +32,10 @@
 
 protected:
     void on_rejected(client_session const&, unsigned, char const*) override {}
+    void on_unanswered_input(
+        client_session const&, char const*, std::size_t) override
+    {
+    }
     void on_closed(client_session& session) override
     {
         sessions_.erase(&session);
