relay: give up a suspected endpoint only if another attempt can follow

Cause: an endpoint that was silent for 0.8 of the tolerated gap, or that did not answer a check, lost its streams at once. Only then were the retry budget and a place elsewhere looked for; without them the stream ended. Class of fault: an irreversible step is taken on a suspicion before it is known that the next step is possible.

Change: silence, a slow call and a failed check end an attempt only if attempts, time and retry budget are left and another endpoint has room now; otherwise the connection itself decides, and attempt_suspect says so once. Tests failed before with the stream closed without event 2, and 502 for the slow call.

--- a/src/gateway/service_retry_budget.hpp
+++ b/src/gateway/service_retry_budget.hpp
@@ -50,8 +50,8 @@
 
     void request_started(steady_time now) { requests_.push_back(now); }
 
-    /// Counts one more retry and returns true, or returns false if over budget.
-    bool try_spend(steady_time now)
+    /// Whether one more retry is within the budget.
+    bool available(steady_time now)
     {
         remove_expired(requests_, now);
         remove_expired(retries_, now);
@@ -61,7 +61,13 @@
         double const allowed =
             local_ratio_fraction * settings_.ratio * double(requests_.size()) +
             allowance;
-        if (double(retries_.size()) + 1 > allowed)
+        return double(retries_.size()) + 1 <= allowed;
+    }
+
+    /// Counts one more retry and returns true, or returns false if over budget.
+    bool try_spend(steady_time now)
+    {
+        if (!available(now))
             return false;
         retries_.push_back(now);
         return true;
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -196,6 +196,8 @@
     if (spec != nullptr)
         context_.on_load_changed();
     sent_at_ = last_progress_ = now;
+    next_suspicion_ = now;
+    suspicion_logged_ = false;
     stream_began_at_.reset();
     confirmed_at_.reset();
     response_head_.reset();
@@ -370,6 +372,49 @@
     return repeat_paid_;
 }
 
+/// Whether an attempt at another endpoint could start now.
+bool relay_exchange::another_attempt_can_follow(steady_time now)
+{
+    auto const& route = *request_.route;
+    if (!route.repeatable() || history_.runs + 1 >= route.max_attempts ||
+        deadline_ - now <= min_time_left ||
+        !context_.budget(request_.service).available(now))
+        return false;
+    if (standby_copies_->find_resume_point(stream_began_at_, now))
+        return true;
+    auto work = work_;
+    work.resuming = response_begun_;
+    work.excluded.insert(endpoint_->record().id.value());
+    return context_.selection().choose(work, engine(), now) != nullptr;
+}
+
+/// Fails an attempt whose endpoint only appears to be lost, but not if nothing
+/// could follow it: its connection may still deliver the answer.
+void relay_exchange::give_up_attempt(
+    attempt_outcome outcome, char const* reason)
+{
+    auto const now = context_.clock().now();
+    if (now < next_suspicion_)
+        return;
+    if (another_attempt_can_follow(now))
+    {
+        on_attempt_failed(outcome, reason);
+        return;
+    }
+    next_suspicion_ = now + suspicion_interval;
+    if (std::exchange(suspicion_logged_, true))
+        return;
+    context_.log().record(
+        event_level::warn, "attempt_suspect",
+        {{"request", request_.metadata.id.value()},
+         {"endpoint", endpoint_->record().id.value()},
+         {"reason", reason},
+         {"runs", std::to_string(history_.runs)},
+         {"left_ms", milliseconds_text(deadline_ - now)},
+         {"budget",
+          context_.budget(request_.service).available(now) ? "1" : "0"}});
+}
+
 // Response from the endpoint -------------------------------------------------
 
 void relay_exchange::on_connected()
@@ -668,7 +713,7 @@
         auto const timeout =
             liveness_policy::call_timeout(route, endpoint_->latency());
         if (!streaming() && now - sent_at_ > timeout)
-            on_attempt_failed(attempt_outcome::silent, "no_answer");
+            give_up_attempt(attempt_outcome::silent, "no_answer");
         return;
     }
     attempt_progress p;
@@ -693,7 +738,7 @@
         context_.check_endpoint(endpoint_);
         break;
     case liveness_decision::abandon:
-        on_attempt_failed(attempt_outcome::silent, "silent");
+        give_up_attempt(attempt_outcome::silent, "silent");
         break;
     }
 }
@@ -705,7 +750,7 @@
         last_progress_ > checked || !request_.route->repeatable())
         return;
     auto const self = shared_from_this();
-    on_attempt_failed(attempt_outcome::lost, "endpoint_dead");
+    give_up_attempt(attempt_outcome::lost, "endpoint_dead");
 }
 
 void relay_exchange::on_endpoint_report(
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -167,6 +167,9 @@
     // Limits the memory of a stream whose caller reads too slowly.
     static constexpr std::size_t max_unsent_bytes = 1u << 20;
 
+    // Interval of the search for another endpoint while one is suspected.
+    static constexpr std::chrono::milliseconds suspicion_interval{100};
+
     // No retry with less time than this, as it would most likely not complete.
     static constexpr std::chrono::milliseconds min_time_left{5};
 
@@ -183,6 +186,8 @@
     void release_attempt_resources();
     void on_attempt_failed(attempt_outcome outcome, char const* reason);
     bool may_repeat(attempt_outcome outcome);
+    bool another_attempt_can_follow(steady_time now);
+    void give_up_attempt(attempt_outcome outcome, char const* reason);
 
     void on_connected() override;
     void on_response_head(message_head head) override;
@@ -223,6 +228,8 @@
     bool sole_prefill_ = false; // no other prefill of this gateway there
     steady_time sent_at_{};
     steady_time last_progress_{};
+    steady_time next_suspicion_{}; // earliest time to act on a suspicion
+    bool suspicion_logged_ = false;
     std::optional<steady_time> stream_began_at_; // in this attempt
     std::optional<steady_time> confirmed_at_;    // by an endpoint report
     std::optional<message_head> response_head_;  // from the endpoint
--- /dev/null
+++ b/tests/platform/unanswered_requests_test.cpp
@@ -0,0 +1,106 @@
+// Requests that got neither an answer nor a refusal. Index: suspected endpoints.
+#include <catch2/catch.hpp>
+
+#include "relay_fixture.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+
+namespace
+{
+
+void run_ticks(relay_fixture& fixture)
+{
+    bool passed = false;
+    asio::steady_timer timer(fixture.io, milliseconds(45));
+    timer.async_wait([&](asio::error_code const&) { passed = true; });
+    fixture.run_until([&] { return passed; });
+}
+
+/// Moves a stopped clock in steps that are no pause of the process.
+void advance(relay_fixture& fixture, milliseconds span)
+{
+    constexpr milliseconds step{100};
+    for (milliseconds passed{0}; passed < span; passed += step)
+    {
+        fixture.clock.offset += step;
+        run_ticks(fixture);
+    }
+}
+
+void set_engine_gap_target(relay_fixture& fixture, std::string const& ms)
+{
+    auto& text = fixture.configuration.rows[0].value;
+    std::string const from = R"("sticky":true,"gapTargetMs":9000)";
+    text.replace(
+        text.find(from), from.size(), R"("sticky":true,"gapTargetMs":)" + ms);
+}
+
+void allow_no_retries(relay_fixture& fixture)
+{
+    fixture.settings.retries.ratio = 0;
+    fixture.settings.retries.allowance = 0;
+}
+
+} // namespace
+
+// Suspicion ------------------------------------------------------------------
+
+// A begun stream was broken off because its sound endpoint was silent for a
+// second while the retry budget was spent.
+TEST_CASE("silence ends no stream that nothing can follow", "[unanswered]")
+{
+    struct row
+    {
+        char const* name;
+        bool budget;
+        bool others; // other endpoints that could take over
+        bool refuses_connections;
+    };
+    auto const r = GENERATE(
+        row{"no retry budget", false, true, false},
+        row{"no other endpoint", true, false, false},
+        row{"no retry budget, check fails", false, true, true},
+        row{"no other endpoint, check fails", true, false, true});
+    CAPTURE(r.name);
+    relay_fixture fixture;
+    set_engine_gap_target(fixture, "1000");
+    if (!r.budget)
+        allow_no_retries(fixture);
+    if (!r.others)
+        fixture.table.rows.resize(3); // "one", "two" and "m1"
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request("/llm/x"));
+    auto& m1 = *fixture.endpoints[2];
+    REQUIRE(fixture.run_until([&] { return m1.request_count() == 1; }));
+    fixture.clock.stop();
+    m1.connections[0]->send(stream_head() + chunk(event(1)));
+    REQUIRE(fixture.run_until([&] { return caller->has("id: 1"); }));
+    if (r.refuses_connections)
+        m1.acceptor.close();
+    advance(fixture, milliseconds(1500));
+    m1.connections[0]->send(chunk(event(2)) + "0\r\n\r\n");
+    REQUIRE(fixture.run_until(
+        [&] { return caller->closed || caller->has("\r\n0\r\n\r\n"); }));
+    REQUIRE(caller->has("id: 2"));
+    REQUIRE(caller->has("\r\n0\r\n\r\n"));
+    REQUIRE(fixture.endpoints[3]->request_count() == 0);
+}
+
+// A call that may be repeated failed with 502 as its endpoint was slow and the
+// retry budget spent.
+TEST_CASE("a slow call waits when it cannot be repeated", "[unanswered]")
+{
+    relay_fixture fixture;
+    allow_no_retries(fixture);
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request("/safe/x"));
+    auto& one = *fixture.endpoints[0];
+    REQUIRE(fixture.run_until([&] { return one.request_count() == 1; }));
+    fixture.clock.stop();
+    advance(fixture, milliseconds(3000));
+    REQUIRE(caller->received.empty());
+    one.connections[0]->send(fixture.response());
+    REQUIRE(fixture.run_until([&] { return caller->has("body"); }));
+    REQUIRE(caller->has("HTTP/1.1 200"));
+}
