relay: let a begun stream wait for the retry budget

Callers: a stream that had begun ended in the middle as soon as its endpoint was lost, although the retry budget had room again a moment later.

Cause: without budget the attempt policy ended every request at once. That is right before the first byte, as a caller that gets an error asks again, but a begun response can only be broken off.

Change: such a stream waits for the budget for up to two seconds, for which callers wait in any case, then resumes or ends visibly incomplete. Failed before: 'a begun stream waits for the retry budget', the connection was closed at once.

--- a/src/gateway/attempt_policy.hpp
+++ b/src/gateway/attempt_policy.hpp
@@ -26,6 +26,7 @@
 {
     retry,
     retry_later,    // once an endpoint has capacity
+    await_budget,   // once the retry budget allows it
     reply_not_run,  // 503 with a retry time; nothing ran
     reply_unknown,  // 502; the request may have run
     forward_failure // forwards the endpoint's own error
@@ -40,6 +41,10 @@
     static constexpr std::uint32_t max_refusals = 4;
     static constexpr std::uint32_t max_failed_connections = 6;
 
+    // A begun stream waits for the retry budget as long as its caller certainly
+    // waits for the next event.
+    static constexpr std::chrono::milliseconds max_budget_wait{2000};
+
     /// True if an attempt with this outcome proves that the request did not
     /// run.
     static bool proven_not_run(attempt_outcome outcome)
@@ -61,9 +66,10 @@
 
     /// @param history  including the attempt that just ended
     /// @param budget   whether the retry budget allows one more attempt
+    /// @param begun    whether the caller has part of the response
     static attempt_decision decide(
         gateway_route const& route, attempt_history const& history,
-        attempt_outcome outcome, bool time_left, bool budget)
+        attempt_outcome outcome, bool time_left, bool budget, bool begun)
     {
         bool const answered = outcome == attempt_outcome::failed_answer;
         bool const not_run = history.runs == 0;
@@ -78,6 +84,8 @@
         if (may_run_again && time_left && budget && route.event_stream &&
             !not_run)
             return attempt_decision::retry_later;
+        if (may_run_again && time_left && begun)
+            return attempt_decision::await_budget;
         if (answered)
             return attempt_decision::forward_failure;
         return not_run ? attempt_decision::reply_not_run
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -321,9 +321,11 @@
     bool const time_left = deadline_ - now > min_time_left;
     bool const budget = may_repeat(outcome);
     auto const verdict = attempt_policy::decide(
-        *request_.route, history_, outcome, time_left, budget);
-    if (verdict != attempt_decision::retry &&
-        verdict != attempt_decision::retry_later)
+        *request_.route, history_, outcome, time_left, budget, response_begun_);
+    bool const continues = verdict == attempt_decision::retry ||
+                           verdict == attempt_decision::retry_later ||
+                           verdict == attempt_decision::await_budget;
+    if (!continues)
         context_.log().record(
             event_level::warn, "no_further_attempt",
             {{"request", request_.metadata.id.value()},
@@ -343,6 +345,10 @@
         work_.resuming = response_begun_;
         wait_for_capacity();
         break;
+    case attempt_decision::await_budget:
+        state_ = state::awaiting_budget;
+        budget_wait_began_ = now;
+        break;
     case attempt_decision::forward_failure:
         send_whole_response();
         break;
@@ -372,6 +378,15 @@
     return repeat_paid_;
 }
 
+void relay_exchange::await_budget(steady_time now)
+{
+    repeat_paid_ = context_.budget(request_.service).try_spend(now);
+    if (repeat_paid_)
+        start_next_attempt();
+    else if (now - budget_wait_began_ > attempt_policy::max_budget_wait)
+        fail(502, "no_retry_budget");
+}
+
 /// Whether an attempt at another endpoint could start now.
 bool relay_exchange::another_attempt_can_follow(steady_time now)
 {
@@ -685,6 +700,11 @@
             fail(504, route_timeout_first_ ? "route_timeout" : "deadline");
         return;
     }
+    if (state_ == state::awaiting_budget)
+    {
+        await_budget(now);
+        return;
+    }
     if (state_ != state::attempting)
         return;
     if (paused)
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -157,6 +157,7 @@
         created,
         waiting,    // for capacity at an endpoint
         attempting, // sent or being sent to endpoint_
+        awaiting_budget,
         done
     };
 
@@ -186,6 +187,7 @@
     void release_attempt_resources();
     void on_attempt_failed(attempt_outcome outcome, char const* reason);
     bool may_repeat(attempt_outcome outcome);
+    void await_budget(steady_time now);
     bool another_attempt_can_follow(steady_time now);
     void give_up_attempt(attempt_outcome outcome, char const* reason);
 
@@ -218,6 +220,7 @@
     state state_ = state::created;
     attempt_history history_;
     bool repeat_paid_ = false; // from the retry budget, for the next arrival
+    steady_time budget_wait_began_{};
 
     // Current attempt
     endpoint_ptr endpoint_;
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -217,6 +217,7 @@
         bool time;
         bool budget;
         v verdict;
+        bool begun = false;
     };
     auto const r = GENERATE(values<row>({
         {"unsafe", {o::unreachable}, true, true, v::retry},
@@ -241,6 +242,22 @@
          true,
          v::forward_failure},
         {"resumable", {o::lost, o::silent}, true, true, v::retry},
+        {"resumable", {o::lost}, true, false, v::reply_unknown},
+        {"resumable", {o::lost}, true, false, v::await_budget, true},
+        {"resumable",
+         {o::lost, o::refused},
+         true,
+         false,
+         v::await_budget,
+         true},
+        {"resumable", {o::lost}, false, false, v::reply_unknown, true},
+        {"resumable",
+         {o::lost, o::lost, o::lost},
+         true,
+         false,
+         v::reply_unknown,
+         true},
+        {"stream", {o::lost}, true, false, v::reply_unknown, true},
         {"resumable",
          {o::refused, o::refused, o::refused, o::refused, o::refused},
          true,
@@ -289,8 +306,8 @@
         attempt_policy::record(history, outcome);
     REQUIRE(
         attempt_policy::decide(
-            route_of(r.kind), history, r.outcomes.back(), r.time, r.budget) ==
-        r.verdict);
+            route_of(r.kind), history, r.outcomes.back(), r.time, r.budget,
+            r.begun) == r.verdict);
 }
 
 // Shutdown -------------------------------------------------------------------
--- a/tests/platform/unanswered_requests_test.cpp
+++ b/tests/platform/unanswered_requests_test.cpp
@@ -1,4 +1,5 @@
-// Requests that got neither an answer nor a refusal. Index: suspected endpoints.
+// Requests that got neither an answer nor a refusal. Index: suspicion; retry
+// budget.
 #include <catch2/catch.hpp>
 
 #include "relay_fixture.hpp"
@@ -104,3 +105,54 @@
     REQUIRE(fixture.run_until([&] { return caller->has("body"); }));
     REQUIRE(caller->has("HTTP/1.1 200"));
 }
+
+// Retry budget ---------------------------------------------------------------
+
+// A begun stream whose endpoint was lost ended at once while the retry budget
+// was spent.
+TEST_CASE("a begun stream waits for the retry budget", "[unanswered]")
+{
+    struct row
+    {
+        char const* name;
+        milliseconds window;
+        bool resumes;
+    };
+    auto const r = GENERATE(
+        row{"free again in time", milliseconds(1000), true},
+        row{"spent for longer", milliseconds(8000), false});
+    CAPTURE(r.name);
+    relay_fixture fixture;
+    set_engine_gap_target(fixture, "1000");
+    fixture.settings.retries.ratio = 0;
+    fixture.settings.retries.allowance = 1;
+    fixture.settings.retries.fleet_size = 1;
+    fixture.settings.retries.window = r.window;
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request("/llm/x"));
+    auto& m1 = *fixture.endpoints[2];
+    auto& m2 = *fixture.endpoints[3];
+    REQUIRE(fixture.run_until([&] { return m1.request_count() == 1; }));
+    fixture.clock.stop();
+    m1.connections[0]->send(stream_head() + chunk(event(1)));
+    REQUIRE(fixture.run_until([&] { return caller->has("id: 1"); }));
+    m1.connections[0]->reset(); // the first loss spends the budget
+    auto const at_m2 = [&] { return m2.request_count() > 0; };
+    REQUIRE(fixture.run_until(at_m2));
+    m2.connections[0]->send(stream_head() + chunk(event(2)));
+    REQUIRE(fixture.run_until([&] { return caller->has("id: 2"); }));
+    m2.connections[0]->reset();
+    run_ticks(fixture);
+    REQUIRE_FALSE(caller->has("\r\n0\r\n\r\n"));
+    REQUIRE_FALSE(caller->closed);
+    advance(fixture, milliseconds(2500));
+    auto const requests = [&]
+    {
+        return fixture.endpoints[2]->request_count() +
+               fixture.endpoints[3]->request_count() +
+               fixture.endpoints[4]->request_count();
+    };
+    REQUIRE((requests() == 3) == r.resumes);
+    REQUIRE(caller->closed != r.resumes);
+    REQUIRE_FALSE(caller->has("\r\n0\r\n\r\n"));
+}
