relay: send the rejection of a later request on a kept connection

Callers: a second request on a kept connection that is malformed, too large, late or over the memory limit got neither an answer nor a refusal; its connection stayed open until the caller left.

Cause: the flag that a response has ended was reset only for a request that was read in full. A rejection during reading met the flag of the previous response and was dropped. Class of fault: state of one request outlives it.

Change: all state of a request is reset with its first byte. Failed before, for 400, 413 (length and chunked) and 431: 'a rejection on a kept connection is sent', the connection was never closed.

--- a/src/relay/client_session.cpp
+++ b/src/relay/client_session.cpp
@@ -119,6 +119,8 @@
             request_.received = last_progress_;
             request_complete_ = false;
             rejection_status_ = 0;
+            response_ended_ = false;
+            chunked_ = false;
         }
         std::size_t const taken = parser_.feed(unparsed_);
         unparsed_.erase(0, taken);
@@ -148,8 +150,6 @@
         }
         state_ = state::responding;
         first_request_read_ = true;
-        response_ended_ = false;
-        chunked_ = false;
         keep_alive_ = parser_.keep_alive();
         handler_.on_request(shared_from_this(), std::move(request_));
     }
