relay: do not read requests that cross the close of an idle connection

Callers: a whole request that was sent just as its idle connection was closed got neither an answer nor a refusal. As the gateway had read it, a caller could not send it again unless it may run twice.

Cause: the session only shut down its sending side, then read and dropped input for up to a second. That is needed after a last response, which a reset could destroy, but an idle connection has nothing to deliver.

Change: an idle connection is closed for both directions, unless input was received already. The kernel resets what arrives later, so it is known to be unread. Failed before: unanswered_input was logged.

--- a/src/relay/client_session.cpp
+++ b/src/relay/client_session.cpp
@@ -83,9 +83,7 @@
 {
     if (state_ == state::closing || input_discarded_)
     {
-        handler_.on_unanswered_input(
-            *this, closed_idle_ ? "idle_closed" : "last_response",
-            bytes.size());
+        handler_.on_unanswered_input(*this, "last_response", bytes.size());
         return;
     }
     unparsed_.append(bytes);
@@ -410,13 +408,13 @@
     auto const now = clock_.now();
     bool const awaits_first_request =
         !first_request_read_ && now - accepted_ < first_request_wait;
-    if (state_ != state::idle || awaits_first_request)
+    asio::error_code ignored; // the session ends if the socket failed
+    if (state_ != state::idle || awaits_first_request ||
+        socket_.available(ignored) > 0)
         return;
-    state_ = state::closing;
-    closed_idle_ = true;
-    last_progress_ = now;
-    asio::error_code ignored; // the peer may have closed already
-    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    // Closed for input as well: a request that is on its way is reset unread,
+    // so its caller may send it again.
+    close();
 }
 
 void client_session::close()
--- a/src/relay/client_session.hpp
+++ b/src/relay/client_session.hpp
@@ -48,8 +48,7 @@
         client_session const& session, unsigned status, char const* why) = 0;
 
     /// Input of the caller remains without an answer of its own.
-    /// @param why    "idle_closed": it arrived after an idle connection was
-    ///               shut down; "last_response": after the last response;
+    /// @param why    "last_response": it arrived after the last response;
     ///               "incomplete": the caller closed within a request;
     ///               "pipelined": it followed a request that closes the
     ///               connection
@@ -121,8 +120,8 @@
 
     bool idle() const { return state_ == state::idle; }
 
-    /// Shuts an idle connection down gracefully, unless it is so new that its
-    /// first request is still on the way.
+    /// Closes an idle connection, unless input was received or it is so new
+    /// that its first request is still on the way.
     void close_idle();
 
     std::string const& peer() const { return peer_; }
@@ -192,7 +191,6 @@
     bool keep_alive_ = true;
     bool first_request_read_ = false;
     bool input_discarded_ = false; // more than may be buffered was received
-    bool closed_idle_ = false;     // shut down without a response
     steady_time accepted_{};
     steady_time last_progress_{}; // of a state change or body bytes
     std::array<char, 8192> buffer_;
--- a/tests/platform/unanswered_requests_test.cpp
+++ b/tests/platform/unanswered_requests_test.cpp
@@ -204,3 +204,24 @@
     REQUIRE(fixture.run_until([&] { return caller->closed; }));
     REQUIRE(caller->has(r.status));
 }
+
+// A request that crossed the close of its idle connection was read and dropped,
+// so its caller could not tell whether it had run.
+TEST_CASE("a request that crosses an idle close is not read", "[unanswered]")
+{
+    relay_fixture fixture;
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request("/safe/x"));
+    auto& one = *fixture.endpoints[0];
+    REQUIRE(fixture.run_until([&] { return one.request_count() == 1; }));
+    one.connections[0]->send(fixture.response());
+    REQUIRE(fixture.run_until([&] { return caller->has("body"); }));
+    fixture.clock.stop();
+    fixture.clock.offset += milliseconds(61000);
+    REQUIRE(fixture.run_until([&] { return caller->closed; }));
+    caller->send(fixture.request("/safe/x", "r2"));
+    for (int i = 0; i < 5; ++i)
+        run_ticks(fixture);
+    REQUIRE_FALSE(fixture.logged("unanswered_input"));
+    REQUIRE(one.request_count() == 1);
+}
