--- a/src/relay/client_session.cpp
+++ b/src/relay/client_session.cpp
@@ -82,7 +82,10 @@
 void client_session::on_bytes(std::string_view bytes)
 {
     if (state_ == state::closing || input_discarded_)
+    {
+        handler_.on_unanswered_input(*this, "last_response", bytes.size());
         return;
+    }
     unparsed_.append(bytes);
     if (state_ != state::responding)
     {
@@ -93,6 +96,7 @@
         return;
     // Without reading on, the disconnect of the caller would go unnoticed. The
     // connection closes after the current response.
+    handler_.on_unanswered_input(*this, "pipelined", unparsed_.size());
     unparsed_.clear();
     input_discarded_ = true;
     keep_alive_ = false;
@@ -113,6 +117,8 @@
             request_.received = last_progress_;
             request_complete_ = false;
             rejection_status_ = 0;
+            response_ended_ = false;
+            chunked_ = false;
         }
         std::size_t const taken = parser_.feed(unparsed_);
         unparsed_.erase(0, taken);
@@ -142,8 +148,6 @@
         }
         state_ = state::responding;
         first_request_read_ = true;
-        response_ended_ = false;
-        chunked_ = false;
         keep_alive_ = parser_.keep_alive();
         handler_.on_request(shared_from_this(), std::move(request_));
     }
@@ -211,6 +215,8 @@
     }
     if (state_ == state::responding && bytes_in_flight_ > 0)
         return; // the rest of the response is still being written
+    if (state_ == state::reading)
+        handler_.on_unanswered_input(*this, "incomplete", request_.body.size());
     close();
 }
 
@@ -318,6 +324,9 @@
         if (!keep_alive_)
         {
             state_ = state::closing;
+            if (!unparsed_.empty())
+                handler_.on_unanswered_input(
+                    *this, "pipelined", unparsed_.size());
             unparsed_.clear();
             asio::error_code ignored; // the peer may have closed already
             socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -399,12 +408,13 @@
     auto const now = clock_.now();
     bool const awaits_first_request =
         !first_request_read_ && now - accepted_ < first_request_wait;
-    if (state_ != state::idle || awaits_first_request)
+    asio::error_code ignored; // the session ends if the socket failed
+    if (state_ != state::idle || awaits_first_request ||
+        socket_.available(ignored) > 0)
         return;
-    state_ = state::closing;
-    last_progress_ = now;
-    asio::error_code ignored; // the peer may have closed already
-    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    // Closed for input as well: a request that is on its way is reset unread,
+    // so its caller may send it again.
+    close();
 }
 
 void client_session::close()
--- a/src/relay/client_session.hpp
+++ b/src/relay/client_session.hpp
@@ -47,6 +47,15 @@
     virtual void on_rejected(
         client_session const& session, unsigned status, char const* why) = 0;
 
+    /// Input of the caller remains without an answer of its own.
+    /// @param why    "last_response": it arrived after the last response;
+    ///               "incomplete": the caller closed within a request;
+    ///               "pipelined": it followed a request that closes the
+    ///               connection
+    /// @param bytes  size of that input
+    virtual void on_unanswered_input(
+        client_session const& session, char const* why, std::size_t bytes) = 0;
+
     virtual void on_closed(client_session& session) = 0;
     virtual caller_limits limits() const = 0;
 
@@ -111,8 +120,8 @@
 
     bool idle() const { return state_ == state::idle; }
 
-    /// Shuts an idle connection down gracefully, unless it is so new that its
-    /// first request is still on the way.
+    /// Closes an idle connection, unless input was received or it is so new
+    /// that its first request is still on the way.
     void close_idle();
 
     std::string const& peer() const { return peer_; }
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -196,6 +196,8 @@
     if (spec != nullptr)
         context_.on_load_changed();
     sent_at_ = last_progress_ = now;
+    next_suspicion_ = now;
+    suspicion_logged_ = false;
     stream_began_at_.reset();
     confirmed_at_.reset();
     response_head_.reset();
@@ -319,7 +321,20 @@
     bool const time_left = deadline_ - now > min_time_left;
     bool const budget = may_repeat(outcome);
     auto const verdict = attempt_policy::decide(
-        *request_.route, history_, outcome, time_left, budget);
+        *request_.route, history_, outcome, time_left, budget, response_begun_);
+    bool const continues = verdict == attempt_decision::retry ||
+                           verdict == attempt_decision::retry_later ||
+                           verdict == attempt_decision::await_budget;
+    if (!continues)
+        context_.log().record(
+            event_level::warn, "no_further_attempt",
+            {{"request", request_.metadata.id.value()},
+             {"runs", std::to_string(history_.runs)},
+             {"max_attempts", std::to_string(request_.route->max_attempts)},
+             {"refusals", std::to_string(history_.refusals)},
+             {"left_ms", milliseconds_text(deadline_ - now)},
+             {"budget", budget ? "1" : "0"},
+             {"begun", response_begun_ ? "1" : "0"}});
     switch (verdict)
     {
     case attempt_decision::retry:
@@ -330,6 +345,10 @@
         work_.resuming = response_begun_;
         wait_for_capacity();
         break;
+    case attempt_decision::await_budget:
+        state_ = state::awaiting_budget;
+        budget_wait_began_ = now;
+        break;
     case attempt_decision::forward_failure:
         send_whole_response();
         break;
@@ -359,6 +378,58 @@
     return repeat_paid_;
 }
 
+void relay_exchange::await_budget(steady_time now)
+{
+    repeat_paid_ = context_.budget(request_.service).try_spend(now);
+    if (repeat_paid_)
+        start_next_attempt();
+    else if (now - budget_wait_began_ > attempt_policy::max_budget_wait)
+        fail(502, "no_retry_budget");
+}
+
+/// Whether an attempt at another endpoint could start now.
+bool relay_exchange::another_attempt_can_follow(steady_time now)
+{
+    auto const& route = *request_.route;
+    if (!route.repeatable() || history_.runs + 1 >= route.max_attempts ||
+        deadline_ - now <= min_time_left ||
+        !context_.budget(request_.service).available(now))
+        return false;
+    if (standby_copies_->find_resume_point(stream_began_at_, now))
+        return true;
+    auto work = work_;
+    work.resuming = response_begun_;
+    work.excluded.insert(endpoint_->record().id.value());
+    return context_.selection().choose(work, engine(), now) != nullptr;
+}
+
+/// Fails an attempt whose endpoint only appears to be lost, but not if nothing
+/// could follow it: its connection may still deliver the answer.
+void relay_exchange::give_up_attempt(
+    attempt_outcome outcome, char const* reason)
+{
+    auto const now = context_.clock().now();
+    if (now < next_suspicion_)
+        return;
+    if (another_attempt_can_follow(now))
+    {
+        on_attempt_failed(outcome, reason);
+        return;
+    }
+    next_suspicion_ = now + suspicion_interval;
+    if (std::exchange(suspicion_logged_, true))
+        return;
+    context_.log().record(
+        event_level::warn, "attempt_suspect",
+        {{"request", request_.metadata.id.value()},
+         {"endpoint", endpoint_->record().id.value()},
+         {"reason", reason},
+         {"runs", std::to_string(history_.runs)},
+         {"left_ms", milliseconds_text(deadline_ - now)},
+         {"budget",
+          context_.budget(request_.service).available(now) ? "1" : "0"}});
+}
+
 // Response from the endpoint -------------------------------------------------
 
 void relay_exchange::on_connected()
@@ -629,6 +700,11 @@
             fail(504, route_timeout_first_ ? "route_timeout" : "deadline");
         return;
     }
+    if (state_ == state::awaiting_budget)
+    {
+        await_budget(now);
+        return;
+    }
     if (state_ != state::attempting)
         return;
     if (paused)
@@ -657,7 +733,7 @@
         auto const timeout =
             liveness_policy::call_timeout(route, endpoint_->latency());
         if (!streaming() && now - sent_at_ > timeout)
-            on_attempt_failed(attempt_outcome::silent, "no_answer");
+            give_up_attempt(attempt_outcome::silent, "no_answer");
         return;
     }
     attempt_progress p;
@@ -682,7 +758,7 @@
         context_.check_endpoint(endpoint_);
         break;
     case liveness_decision::abandon:
-        on_attempt_failed(attempt_outcome::silent, "silent");
+        give_up_attempt(attempt_outcome::silent, "silent");
         break;
     }
 }
@@ -694,7 +770,7 @@
         last_progress_ > checked || !request_.route->repeatable())
         return;
     auto const self = shared_from_this();
-    on_attempt_failed(attempt_outcome::lost, "endpoint_dead");
+    give_up_attempt(attempt_outcome::lost, "endpoint_dead");
 }
 
 void relay_exchange::on_endpoint_report(
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -157,6 +157,7 @@
         created,
         waiting,    // for capacity at an endpoint
         attempting, // sent or being sent to endpoint_
+        awaiting_budget,
         done
     };
 
@@ -167,6 +168,9 @@
     // Limits the memory of a stream whose caller reads too slowly.
     static constexpr std::size_t max_unsent_bytes = 1u << 20;
 
+    // Interval of the search for another endpoint while one is suspected.
+    static constexpr std::chrono::milliseconds suspicion_interval{100};
+
     // No retry with less time than this, as it would most likely not complete.
     static constexpr std::chrono::milliseconds min_time_left{5};
 
@@ -183,6 +187,9 @@
     void release_attempt_resources();
     void on_attempt_failed(attempt_outcome outcome, char const* reason);
     bool may_repeat(attempt_outcome outcome);
+    void await_budget(steady_time now);
+    bool another_attempt_can_follow(steady_time now);
+    void give_up_attempt(attempt_outcome outcome, char const* reason);
 
     void on_connected() override;
     void on_response_head(message_head head) override;
@@ -213,6 +220,7 @@
     state state_ = state::created;
     attempt_history history_;
     bool repeat_paid_ = false; // from the retry budget, for the next arrival
+    steady_time budget_wait_began_{};
 
     // Current attempt
     endpoint_ptr endpoint_;
@@ -223,6 +231,8 @@
     bool sole_prefill_ = false; // no other prefill of this gateway there
     steady_time sent_at_{};
     steady_time last_progress_{};
+    steady_time next_suspicion_{}; // earliest time to act on a suspicion
+    bool suspicion_logged_ = false;
     std::optional<steady_time> stream_began_at_; // in this attempt
     std::optional<steady_time> confirmed_at_;    // by an endpoint report
     std::optional<message_head> response_head_;  // from the endpoint
--- /dev/null
+++ b/tests/platform/unanswered_requests_test.cpp
@@ -0,0 +1,227 @@
+// Requests that got neither an answer nor a refusal. Index: suspicion; retry
+// budget; connections of callers.
+#include <catch2/catch.hpp>
+
+#include "relay_fixture.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+
+namespace
+{
+
+void run_ticks(relay_fixture& fixture)
+{
+    bool passed = false;
+    asio::steady_timer timer(fixture.io, milliseconds(45));
+    timer.async_wait([&](asio::error_code const&) { passed = true; });
+    fixture.run_until([&] { return passed; });
+}
+
+/// Moves a stopped clock in steps that are no pause of the process.
+void advance(relay_fixture& fixture, milliseconds span)
+{
+    constexpr milliseconds step{100};
+    for (milliseconds passed{0}; passed < span; passed += step)
+    {
+        fixture.clock.offset += step;
+        run_ticks(fixture);
+    }
+}
+
+void set_engine_gap_target(relay_fixture& fixture, std::string const& ms)
+{
+    auto& text = fixture.configuration.rows[0].value;
+    std::string const from = R"("sticky":true,"gapTargetMs":9000)";
+    text.replace(
+        text.find(from), from.size(), R"("sticky":true,"gapTargetMs":)" + ms);
+}
+
+void allow_no_retries(relay_fixture& fixture)
+{
+    fixture.settings.retries.ratio = 0;
+    fixture.settings.retries.allowance = 0;
+}
+
+} // namespace
+
+// Suspicion ------------------------------------------------------------------
+
+// A begun stream was broken off because its sound endpoint was silent for a
+// second while the retry budget was spent.
+TEST_CASE("silence ends no stream that nothing can follow", "[unanswered]")
+{
+    struct row
+    {
+        char const* name;
+        bool budget;
+        bool others; // other endpoints that could take over
+        bool refuses_connections;
+    };
+    auto const r = GENERATE(
+        row{"no retry budget", false, true, false},
+        row{"no other endpoint", true, false, false},
+        row{"no retry budget, check fails", false, true, true},
+        row{"no other endpoint, check fails", true, false, true});
+    CAPTURE(r.name);
+    relay_fixture fixture;
+    set_engine_gap_target(fixture, "1000");
+    if (!r.budget)
+        allow_no_retries(fixture);
+    if (!r.others)
+        fixture.table.rows.resize(3); // "one", "two" and "m1"
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request("/llm/x"));
+    auto& m1 = *fixture.endpoints[2];
+    REQUIRE(fixture.run_until([&] { return m1.request_count() == 1; }));
+    fixture.clock.stop();
+    m1.connections[0]->send(stream_head() + chunk(event(1)));
+    REQUIRE(fixture.run_until([&] { return caller->has("id: 1"); }));
+    if (r.refuses_connections)
+        m1.acceptor.close();
+    advance(fixture, milliseconds(1500));
+    m1.connections[0]->send(chunk(event(2)) + "0\r\n\r\n");
+    REQUIRE(fixture.run_until(
+        [&] { return caller->closed || caller->has("\r\n0\r\n\r\n"); }));
+    REQUIRE(caller->has("id: 2"));
+    REQUIRE(caller->has("\r\n0\r\n\r\n"));
+    REQUIRE(fixture.endpoints[3]->request_count() == 0);
+    REQUIRE(fixture.endpoints[4]->request_count() == 0);
+}
+
+// A call that may be repeated failed with 502 as its endpoint was slow and the
+// retry budget spent.
+TEST_CASE("a slow call waits when it cannot be repeated", "[unanswered]")
+{
+    relay_fixture fixture;
+    allow_no_retries(fixture);
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request("/safe/x"));
+    auto& one = *fixture.endpoints[0];
+    REQUIRE(fixture.run_until([&] { return one.request_count() == 1; }));
+    fixture.clock.stop();
+    advance(fixture, milliseconds(3000));
+    REQUIRE(caller->received.empty());
+    one.connections[0]->send(fixture.response());
+    REQUIRE(fixture.run_until([&] { return caller->has("body"); }));
+    REQUIRE(caller->has("HTTP/1.1 200"));
+}
+
+// Retry budget ---------------------------------------------------------------
+
+// A begun stream whose endpoint was lost ended at once while the retry budget
+// was spent.
+TEST_CASE("a begun stream waits for the retry budget", "[unanswered]")
+{
+    struct row
+    {
+        char const* name;
+        milliseconds window;
+        bool resumes;
+    };
+    auto const r = GENERATE(
+        row{"free again in time", milliseconds(1000), true},
+        row{"spent for longer", milliseconds(8000), false});
+    CAPTURE(r.name);
+    relay_fixture fixture;
+    set_engine_gap_target(fixture, "1000");
+    fixture.settings.retries.ratio = 0;
+    fixture.settings.retries.allowance = 1;
+    fixture.settings.retries.fleet_size = 1;
+    fixture.settings.retries.window = r.window;
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request("/llm/x"));
+    auto& m1 = *fixture.endpoints[2];
+    REQUIRE(fixture.run_until([&] { return m1.request_count() == 1; }));
+    fixture.clock.stop();
+    m1.connections[0]->send(stream_head() + chunk(event(1)));
+    REQUIRE(fixture.run_until([&] { return caller->has("id: 1"); }));
+    m1.connections[0]->reset(); // the first loss spends the budget
+    scripted_endpoint* second = nullptr;
+    auto const resumed = [&]
+    {
+        for (std::size_t i : {3, 4})
+        {
+            if (fixture.endpoints[i]->request_count() > 0)
+                second = fixture.endpoints[i].get();
+        }
+        return second != nullptr;
+    };
+    REQUIRE(fixture.run_until(resumed));
+    second->connections[0]->send(stream_head() + chunk(event(2)));
+    REQUIRE(fixture.run_until([&] { return caller->has("id: 2"); }));
+    second->connections[0]->reset();
+    run_ticks(fixture);
+    REQUIRE_FALSE(caller->has("\r\n0\r\n\r\n"));
+    REQUIRE_FALSE(caller->closed);
+    advance(fixture, milliseconds(2500));
+    auto const requests = [&]
+    {
+        return fixture.endpoints[2]->request_count() +
+               fixture.endpoints[3]->request_count() +
+               fixture.endpoints[4]->request_count();
+    };
+    REQUIRE((requests() == 3) == r.resumes);
+    REQUIRE(caller->closed != r.resumes);
+    REQUIRE_FALSE(caller->has("\r\n0\r\n\r\n"));
+}
+
+// Connections of callers -----------------------------------------------------
+
+// A rejection of a later request on a kept connection was never written.
+TEST_CASE("a rejection on a kept connection is sent", "[unanswered]")
+{
+    struct row
+    {
+        char const* name;
+        std::string request;
+        char const* status;
+    };
+    std::string const head =
+        "POST /safe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r2\r\n"
+        "Authorization: Bearer KEY\r\n";
+    auto const r = GENERATE_COPY(
+        row{"two lengths",
+            head + "Content-Length: 1\r\nContent-Length: 1\r\n\r\na", " 400 "},
+        row{"body too large",
+            head + "Content-Length: 10001\r\n\r\n" + std::string(10001, 'a'),
+            " 413 "},
+        row{"chunked body too large",
+            head + "Transfer-Encoding: chunked\r\n\r\n" +
+                chunk(std::string(10001, 'a')) + "0\r\n\r\n",
+            " 413 "},
+        row{"head too large",
+            head + "X: " + std::string(5000, 'a') + "\r\n\r\n", " 431 "});
+    CAPTURE(r.name);
+    relay_fixture fixture;
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request("/safe/x"));
+    auto& one = *fixture.endpoints[0];
+    REQUIRE(fixture.run_until([&] { return one.request_count() == 1; }));
+    one.connections[0]->send(fixture.response());
+    REQUIRE(fixture.run_until([&] { return caller->has("body"); }));
+    caller->send(r.request);
+    REQUIRE(fixture.run_until([&] { return caller->closed; }));
+    REQUIRE(caller->has(r.status));
+}
+
+// A request that crossed the close of its idle connection was read and dropped,
+// so its caller could not tell whether it had run.
+TEST_CASE("a request that crosses an idle close is not read", "[unanswered]")
+{
+    relay_fixture fixture;
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request("/safe/x"));
+    auto& one = *fixture.endpoints[0];
+    REQUIRE(fixture.run_until([&] { return one.request_count() == 1; }));
+    one.connections[0]->send(fixture.response());
+    REQUIRE(fixture.run_until([&] { return caller->has("body"); }));
+    fixture.clock.stop();
+    fixture.clock.offset += milliseconds(61000);
+    REQUIRE(fixture.run_until([&] { return caller->closed; }));
+    caller->send(fixture.request("/safe/x", "r2"));
+    for (int i = 0; i < 5; ++i)
+        run_ticks(fixture);
+    REQUIRE_FALSE(fixture.logged("unanswered_input"));
+    REQUIRE(one.request_count() == 1);
+}
