Do not repeat a request on a connection that refused it

Callers saw "not run, try again" (503) for a request that an endpoint was running, or the request ran at a second endpoint. An endpoint that had refused it wrote the refusal once more on the kept connection, after the same request had come again over it: repeated by the gateway, or by the caller with the same id. The id matched, so the copy counted as the answer.

A connection now remembers the requests that were answered on it but not served (refusals, errors, unsealed answers), and the pool does not give it to them again. Other requests go on using it, so no connection is opened for a refusal as such. It remembers up to 64 and is closed then.

Evidence: "a copy of its own refusal does not end a request" failed without the change in 12 rows, for 503, 429 and 408 with id: REQUIRE_FALSE( requested(fixture, "Request-Id: r1\r\n") ) with expansion: !true (the request ran at another endpoint). It passes with it.

The other tests of the new file found no fault: copies of 408, 421, 429, 500 and 503 beside the proper answer; 22 kinds of errors after a stream began; answers and streams cut at every position; streams that end with their connection, cut at every position; answers before the request was read.

The fixture holds the ports of its gateway. They were free for a moment, and one run of these tests, which start many gateways, met "bind: Address already in use".

--- a/src/relay/connection_pool.cpp
+++ b/src/relay/connection_pool.cpp
@@ -38,8 +38,9 @@
     return idle.connection->reusable() && age < allowed;
 }
 
-std::shared_ptr<http_connection>
-connection_pool::acquire(endpoint_record const& endpoint, bool require_recent)
+std::shared_ptr<http_connection> connection_pool::acquire(
+    endpoint_record const& endpoint, bool require_recent,
+    std::string_view request)
 {
     auto const found = idle_.find(pool_key(endpoint));
     if (found != idle_.end())
@@ -47,7 +48,8 @@
         auto& list = found->second;
         for (auto i = list.rbegin(); i != list.rend(); ++i)
         {
-            if (!is_usable(*i, require_recent))
+            if (!is_usable(*i, require_recent) ||
+                i->connection->had_unserved_request(request))
                 continue;
             auto connection = std::move(i->connection);
             list.erase(std::next(i).base());
@@ -69,7 +71,10 @@
     std::optional<std::chrono::milliseconds> idle_timeout)
 {
     if (!connection->reusable())
+    {
+        connection->abandon();
         return;
+    }
     auto const allowed = idle_timeout && *idle_timeout > idle_timeout_margin * 2
                              ? *idle_timeout - idle_timeout_margin
                              : default_idle_timeout;
--- a/src/relay/connection_pool.hpp
+++ b/src/relay/connection_pool.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <asio/io_context.hpp>
@@ -35,13 +36,16 @@
     /// The most recently used idle connection to the endpoint, or a new one.
     /// @param require_recent  for a request that must not be repeated: skips
     ///                        connections that the endpoint may be closing
-    std::shared_ptr<http_connection>
-    acquire(endpoint_record const& endpoint, bool require_recent);
+    /// @param request         skips connections on which this request was
+    ///                        answered but not served
+    std::shared_ptr<http_connection> acquire(
+        endpoint_record const& endpoint, bool require_recent,
+        std::string_view request = {});
 
     /// A new connection, not connected yet.
     std::shared_ptr<http_connection> create();
 
-    /// Returns a connection to the pool if it is reusable.
+    /// Returns a connection to the pool if it is reusable, or closes it.
     /// @param idle_timeout  as the endpoint advertised it
     void release(
         endpoint_record const& endpoint,
--- a/src/relay/http_connection.cpp
+++ b/src/relay/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "http_connection.hpp"
 
+#include <algorithm>
+
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
@@ -253,6 +255,18 @@
     head_accepted_ = false;
 }
 
+void http_connection::record_unserved_request(std::string_view id)
+{
+    unserved_requests_.push_back(std::hash<std::string_view>()(id));
+}
+
+bool http_connection::had_unserved_request(std::string_view id) const
+{
+    auto const& ids = unserved_requests_;
+    auto const hash = std::hash<std::string_view>()(id);
+    return std::find(ids.begin(), ids.end(), hash) != ids.end();
+}
+
 void http_connection::set_idle_closed_handler(std::function<void()> ended)
 {
     idle_closed_handler_ = std::move(ended);
--- a/src/relay/http_connection.hpp
+++ b/src/relay/http_connection.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -78,9 +79,15 @@
     /// Whether another request may be sent.
     bool reusable() const
     {
-        return reusable_ && !handler_ && socket_.is_open();
+        return reusable_ && !handler_ && socket_.is_open() &&
+               unserved_requests_.size() < max_unserved_requests;
     }
 
+    /// Records a request that was answered here but not served, so that a late
+    /// copy of that answer is not taken for the answer to its repetition.
+    void record_unserved_request(std::string_view id);
+    bool had_unserved_request(std::string_view id) const;
+
     /// Sets a function that is called when the connection is closed while idle
     /// or receives unexpected bytes.
     void set_idle_closed_handler(std::function<void()> ended);
@@ -97,6 +104,9 @@
     // endpoint, which would otherwise send them until the deadline.
     static constexpr std::size_t max_preliminary_bytes = 512u << 10;
 
+    // Limits what a connection that is kept for long has to remember.
+    static constexpr std::size_t max_unserved_requests = 64;
+
     void write(std::string bytes);
     void read();
     void on_bytes(std::string_view bytes);
@@ -125,7 +135,8 @@
     bool head_accepted_ = false;       // the response's own head was read
     bool reading_paused_ = false;
     bool read_pending_ = false;
-    std::size_t preliminary_bytes_ = 0; // before that head
+    std::size_t preliminary_bytes_ = 0;          // before that head
+    std::vector<std::size_t> unserved_requests_; // hashes of their ids
     steady_time last_used_{};
 };
 
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -228,7 +228,8 @@
          {"runs", std::to_string(history_.runs)},
          {"left_ms", milliseconds_text(deadline_ - now)}});
     bool const require_recent = !request_.route->repeatable();
-    connection_ = context_.pool().acquire(record, require_recent);
+    connection_ = context_.pool().acquire(
+        record, require_recent, request_.metadata.id.value());
     reused_connection_ = connection_->connected();
     connection_->send(
         *address, build_forwarded_request(record, copy), *this,
@@ -500,10 +501,15 @@
     auto const self = shared_from_this();
     auto const now = context_.clock().now();
     auto const& record = endpoint_->record();
+    auto const status = response_head_->status;
+    bool const served = attempt_is_stream_ || passing_through_ ||
+                        (status < 500 && !guarantees_not_run(status) &&
+                         response_metadata_.sealed);
+    if (!served || response_metadata_.not_run)
+        connection_->record_unserved_request(request_.metadata.id.value());
     context_.pool().release(
         record, std::move(connection_), response_metadata_.idle_timeout);
     connection_.reset();
-    auto const status = response_head_->status;
     if (attempt_is_stream_)
     {
         complete_stream();
--- /dev/null
+++ b/tests/platform/faulty_answers_test.cpp
@@ -0,0 +1,594 @@
+// Endpoints that answer a request twice, answer it with an error after a stream
+// began, stop in the middle of an answer, or answer before they have read the
+// request. Index: repeated refusals; errors after a stream began; cut answers;
+// answers that end with their connection; early answers.
+#include <catch2/catch.hpp>
+
+#include "relay_fixture.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+
+namespace
+{
+
+/// Runs what is ready, in which nothing is expected to happen.
+void settle(relay_fixture& fixture)
+{
+    for (int i = 0; i < 20; ++i)
+    {
+        bool passed = false;
+        asio::steady_timer timer(fixture.io, milliseconds(3));
+        timer.async_wait([&](asio::error_code const&) { passed = true; });
+        fixture.run_until([&] { return passed; });
+    }
+}
+
+struct decoded_body
+{
+    std::string text;
+    bool complete = false;
+};
+
+/// Body of the first response in `received`, if that is chunked.
+decoded_body decode_chunks(std::string const& received)
+{
+    decoded_body body;
+    auto at = received.find("\r\n\r\n");
+    if (at == std::string::npos)
+        return body;
+    at += 4;
+    while (true)
+    {
+        auto const end = received.find("\r\n", at);
+        if (end == std::string::npos)
+            return body;
+        auto const size =
+            std::stoul(received.substr(at, end - at), nullptr, 16);
+        if (received.size() < end + 2 + size + 2)
+            return body;
+        body.complete = size == 0;
+        if (body.complete)
+            return body;
+        body.text += received.substr(end + 2, size);
+        at = end + 2 + size + 2;
+    }
+}
+
+/// Waits for a request with `text` that is not answered yet.
+std::shared_ptr<test_connection>
+take_request(relay_fixture& fixture, std::string const& text)
+{
+    std::shared_ptr<test_connection> found;
+    fixture.run_until(
+        [&]
+        {
+            for (auto const& e : fixture.endpoints)
+            {
+                for (auto const& c : e->connections)
+                {
+                    bool const complete =
+                        c->has(text) && c->has("\r\n\r\n") && !c->closed;
+                    if (!found && complete)
+                        found = c;
+                }
+            }
+            return found != nullptr;
+        });
+    if (found)
+        found->received.clear();
+    return found;
+}
+
+bool requested(relay_fixture& fixture, std::string const& text)
+{
+    return std::any_of(
+        fixture.endpoints.begin(), fixture.endpoints.end(),
+        [&](auto const& e)
+        {
+            return std::any_of(
+                e->connections.begin(), e->connections.end(),
+                [&](auto const& c) { return c->has(text); });
+        });
+}
+
+void end_connection(test_connection& c, bool orderly)
+{
+    if (orderly)
+        c.close();
+    else
+        c.reset();
+}
+
+} // namespace
+
+// Repeated refusals ----------------------------------------------------------
+
+// A copy of a request's own refusal made the request count as "not run" while
+// it ran at that endpoint.
+TEST_CASE("a copy of its own refusal does not end a request", "[answers]")
+{
+    // An endpoint that answered 421 is not used again until the table changes.
+    auto const status =
+        GENERATE(as<char const*>{}, "503 Busy", "429 Too Many", "408 Timeout");
+    auto const with_id = GENERATE(true, false);
+    auto const by_caller = GENERATE(false, true); // else the gateway repeats it
+    auto const path = GENERATE(as<std::string>{}, "/safe/x", "/unsafe/x");
+    CAPTURE(status, with_id, by_caller, path);
+    relay_fixture fixture;
+    fixture.start();
+    std::string const line = std::string("HTTP/1.1 ") + status + "\r\n";
+    std::string const id = "Request-Id: r1\r\n";
+    std::string const proof = "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    auto const copy = line + (with_id ? id : "") + proof;
+    auto caller = fixture.connect_caller(fixture.request(path));
+    auto& one = *fixture.endpoints[0];
+    std::size_t refusals = 0;
+    while (by_caller || refusals < 2)
+    {
+        REQUIRE(fixture.run_until(
+            [&] {
+                return requested(fixture, "Request-Id: r1\r\n") ||
+                       caller->has(" 503 ");
+            }));
+        if (caller->has(" 503 "))
+            break;
+        auto const c = take_request(fixture, "Request-Id: r1\r\n");
+        REQUIRE(c);
+        c->send(line + id + proof);
+        ++refusals;
+    }
+    if (by_caller)
+        caller = fixture.connect_caller(fixture.request(path));
+    auto const running = take_request(fixture, "Request-Id: r1\r\n");
+    REQUIRE(running);
+    // Every endpoint repeats its refusal on its first connection.
+    for (auto const& e : fixture.endpoints)
+    {
+        if (!e->connections.empty())
+            e->connections[0]->send(copy);
+    }
+    settle(fixture);
+    REQUIRE_FALSE(caller->has("HTTP/1.1 "));
+    REQUIRE_FALSE(requested(fixture, "Request-Id: r1\r\n"));
+    running->send(fixture.response("r1", "mine"));
+    REQUIRE(fixture.run_until([&] { return caller->has("mine"); }));
+    REQUIRE(one.connections.size() <= 2 + refusals / 2);
+}
+
+// A copy that came with the proper answer replaced it, or reached the next
+// caller.
+TEST_CASE("a copy beside the proper answer is dropped", "[answers]")
+{
+    auto const status = GENERATE(
+        as<char const*>{}, "503 Busy", "429 Too Many", "421 Misdirected",
+        "408 Timeout", "500 Error");
+    auto const id = GENERATE(as<std::string>{}, "Request-Id: r1\r\n", "");
+    auto const before = GENERATE(true, false);
+    auto const path = GENERATE(as<std::string>{}, "/safe/x", "/unsafe/x");
+    CAPTURE(status, id, before, path);
+    relay_fixture fixture;
+    fixture.start();
+    std::string const copy = std::string("HTTP/1.1 ") + status + "\r\n" + id +
+                             "Not-Executed: 1\r\nContent-Length: 4\r\n\r\ncopy";
+    auto const first = fixture.connect_caller(fixture.request("/safe/x"));
+    auto const kept = take_request(fixture, "Request-Id: r1\r\n");
+    REQUIRE(kept);
+    kept->send(fixture.response("r1", "first"));
+    REQUIRE(fixture.run_until([&] { return first->has("first"); }));
+    auto const caller = fixture.connect_caller(fixture.request(path, "r2"));
+    REQUIRE(take_request(fixture, "Request-Id: r2\r\n") == kept);
+    auto const answer = fixture.response("r2", "second");
+    kept->send(before ? copy + answer : answer + copy);
+    REQUIRE(fixture.run_until([&] { return caller->has("second"); }));
+    REQUIRE_FALSE(caller->has("copy"));
+    // The next request gets a connection of its own.
+    auto const next = fixture.connect_caller(fixture.request(path, "r3"));
+    auto const fresh = take_request(fixture, "Request-Id: r3\r\n");
+    REQUIRE(fresh);
+    REQUIRE(fresh != kept);
+    fresh->send(fixture.response("r3", "third"));
+    REQUIRE(fixture.run_until([&] { return next->has("third"); }));
+}
+
+// A connection for each refusal would cost an endpoint under load the most.
+TEST_CASE("a connection that refused serves other requests", "[answers]")
+{
+    relay_fixture fixture;
+    fixture.start();
+    auto const first = fixture.connect_caller(fixture.request("/safe/x"));
+    auto const kept = take_request(fixture, "Request-Id: r1\r\n");
+    REQUIRE(kept);
+    kept->send(fixture.response(
+        "r1", "", "503 Busy", "Not-Executed: 1\r\nKeep-Alive: timeout=60\r\n"));
+    REQUIRE(take_request(fixture, "Request-Id: r1\r\n") != nullptr);
+    fixture.clock.offset =
+        milliseconds(2000); // the endpoint may have recovered
+    std::shared_ptr<test_connection> used;
+    for (int i = 2; i < 6 && used != kept; ++i)
+    {
+        auto const id = "r" + std::to_string(i);
+        auto const caller =
+            fixture.connect_caller(fixture.request("/safe/x", id));
+        used = take_request(fixture, "Request-Id: " + id + "\r\n");
+        REQUIRE(used);
+        used->send(fixture.response(id, "served"));
+        REQUIRE(fixture.run_until([&] { return caller->has("served"); }));
+    }
+    REQUIRE(used == kept);
+}
+
+// Errors after a stream began ------------------------------------------------
+
+// The text of an error, at times with its head, came in the middle of a stream,
+// or the stream ended there as if it were complete.
+TEST_CASE("an error does not get into a begun stream", "[answers]")
+{
+    struct row
+    {
+        char const* name;
+        std::string answer;
+        bool closes;
+    };
+    std::string const sealed = "Request-Id: r1\r\nResponse-Seal: s\r\n";
+    std::string const error = "HTTP/1.1 500 Error\r\n" + sealed;
+    std::string const ok = "HTTP/1.1 200 OK\r\n";
+    std::string const events = "Content-Type: text/event-stream\r\n";
+    std::string const chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    std::string const boom = "id: 2\ndata: boom\n\n";
+    std::string const proof = "Not-Executed: 1\r\n";
+    std::string const large = "boom" + std::string(300u << 10, 'x');
+    auto const with_length = [](std::string const& body)
+    {
+        return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+               body;
+    };
+    auto const r = GENERATE_COPY(
+        row{"length", error + with_length("boom"), false},
+        row{"chunked", error + chunked + chunk("boom") + "0\r\n\r\n", false},
+        row{"until close", error + "\r\nboom", true},
+        row{"other type",
+            ok + sealed + "Content-Type: text/plain\r\n" + with_length(boom),
+            false},
+        row{"no type", ok + sealed + with_length(boom), false},
+        row{"no type until close", ok + sealed + "\r\n" + boom, true},
+        row{"no content", "HTTP/1.1 204 None\r\n" + sealed + "\r\n", false},
+        row{"unsealed",
+            ok + "Request-Id: r1\r\n" + events + chunked + chunk(boom) +
+                "0\r\n\r\n",
+            false},
+        row{"unsealed until close",
+            ok + "Request-Id: r1\r\n" + events + "\r\n" + boom, true},
+        row{"event stream with status 500",
+            error + events + chunked + chunk(boom) + "0\r\n\r\n", false},
+        row{"event stream with status 500 until close",
+            error + events + "\r\n" + boom, true},
+        row{"event stream with status 201",
+            "HTTP/1.1 201 Created\r\n" + sealed + events + with_length(boom),
+            false},
+        row{"body like events", error + with_length(boom), false},
+        row{"refusal", relay_fixture::response("r1", boom, "503 Busy", proof),
+            false},
+        row{"refusal 429",
+            relay_fixture::response("r1", boom, "429 Too Many", proof), false},
+        row{"misdirected",
+            relay_fixture::response("r1", boom, "421 Misdirected", proof),
+            false},
+        row{"sealed refusal as events",
+            "HTTP/1.1 503 Busy\r\n" + sealed + proof + events +
+                with_length(boom),
+            false},
+        row{"client error",
+            "HTTP/1.1 404 None\r\n" + sealed + with_length(boom), false},
+        row{"large", error + with_length(large), false},
+        row{"large until close", error + "\r\n" + large, true},
+        row{"large refusal",
+            "HTTP/1.1 503 Busy\r\n" + sealed + proof + with_length(large),
+            false},
+        row{"large other type", ok + sealed + with_length(large), false});
+    auto const orderly = GENERATE(true, false);
+    CAPTURE(r.name, orderly);
+    relay_fixture fixture;
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request("/llm/x"));
+    auto const first = take_request(fixture, "Request-Id: r1\r\n");
+    REQUIRE(first);
+    first->send(stream_head() + chunk(event(1) + "id: 2\nda"));
+    REQUIRE(fixture.run_until([&] { return caller->has("id: 1"); }));
+    end_connection(*first, orderly);
+    auto const second = take_request(fixture, "Last-Event-Id: 1\r\n");
+    REQUIRE(second);
+    second->send(r.answer);
+    if (r.closes)
+        second->close();
+    auto const third = take_request(fixture, "Last-Event-Id: 1\r\n");
+    REQUIRE(third);
+    third->send(stream_head() + chunk(event(2)) + "0\r\n\r\n");
+    REQUIRE(fixture.run_until(
+        [&] { return decode_chunks(caller->received).complete; }));
+    REQUIRE(decode_chunks(caller->received).text == event(1) + event(2));
+}
+
+// Without another endpoint the stream must be seen to be incomplete.
+TEST_CASE("a stream that ends in errors is incomplete", "[answers]")
+{
+    auto const http_1_0 = GENERATE(false, true);
+    auto const status =
+        GENERATE(as<std::string>{}, "500 Error", "200 OK", "404 None");
+    CAPTURE(http_1_0, status);
+    relay_fixture fixture;
+    fixture.start();
+    auto text = fixture.request("/llm/x");
+    if (http_1_0)
+        text.replace(text.find("HTTP/1.1"), 8, "HTTP/1.0");
+    auto const caller = fixture.connect_caller(text);
+    auto const first = take_request(fixture, "Request-Id: r1\r\n");
+    REQUIRE(first);
+    first->send(stream_head() + chunk(event(1)));
+    REQUIRE(fixture.run_until([&] { return caller->has("id: 1"); }));
+    first->reset();
+    auto const second = take_request(fixture, "Last-Event-Id: 1\r\n");
+    REQUIRE(second);
+    second->send(fixture.response("r1", "boom", status));
+    auto const third = take_request(fixture, "Last-Event-Id: 1\r\n");
+    REQUIRE(third);
+    third->send(fixture.response("r1", "boom", status));
+    fixture.clock.offset = milliseconds(9100); // past the caller's deadline
+    REQUIRE(fixture.run_until([&] { return caller->closed; }));
+    REQUIRE(fixture.logged("outcome=broken"));
+    REQUIRE_FALSE(caller->has("boom"));
+    if (!http_1_0)
+        REQUIRE_FALSE(decode_chunks(caller->received).complete);
+}
+
+// Cut answers ----------------------------------------------------------------
+
+namespace
+{
+
+std::string const sealed_head =
+    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n";
+
+} // namespace
+
+// An answer that stopped in its head or body reached the caller as a whole one.
+TEST_CASE("an answer cut at any position is not whole", "[answers]")
+{
+    struct row
+    {
+        char const* name;
+        char const* path;
+        char const* method;
+        std::string answer;
+    };
+    std::string const length = sealed_head + "Content-Length: 4\r\n\r\n";
+    std::string const chunked =
+        sealed_head + "Transfer-Encoding: chunked\r\n\r\n";
+    auto const r = GENERATE_COPY(
+        row{"length", "/safe/x", "GET", length + "body"},
+        row{"length", "/unsafe/x", "GET", length + "body"},
+        row{"chunked", "/safe/x", "GET", chunked + "4\r\nbody\r\n0\r\n\r\n"},
+        row{"chunked", "/unsafe/x", "GET", chunked + "4\r\nbody\r\n0\r\n\r\n"},
+        row{"until close", "/safe/x", "GET", sealed_head + "\r\n"},
+        row{"until close", "/unsafe/x", "GET", sealed_head + "\r\n"},
+        row{"head", "/safe/x", "HEAD", length},
+        row{"head", "/unsafe/x", "HEAD", length});
+    auto const orderly = GENERATE(true, false);
+    bool const repeatable = std::string(r.path) == "/safe/x";
+    for (std::size_t cut = 0; cut < r.answer.size(); ++cut)
+    {
+        CAPTURE(r.name, r.path, r.method, orderly, cut);
+        relay_fixture fixture;
+        fixture.start();
+        auto text = fixture.request(r.path);
+        text.replace(0, 3, r.method);
+        auto const caller = fixture.connect_caller(text);
+        auto const c = take_request(fixture, "Request-Id: r1\r\n");
+        REQUIRE(c);
+        c->send(r.answer.substr(0, cut));
+        end_connection(*c, orderly);
+        if (repeatable)
+        {
+            auto const next = take_request(fixture, "Request-Id: r1\r\n");
+            REQUIRE(next);
+            next->send(
+                sealed_head + "Content-Length: 6\r\n\r\n" +
+                (std::string(r.method) == "GET" ? "second" : ""));
+        }
+        REQUIRE(fixture.run_until([&] { return caller->has("\r\n\r\n"); }));
+        REQUIRE(
+            caller->received.rfind(
+                repeatable ? "HTTP/1.1 200 " : "HTTP/1.1 502 ", 0) == 0);
+        if (repeatable && std::string(r.method) == "GET")
+            REQUIRE(fixture.run_until(
+                [&] { return caller->has("\r\n\r\nsecond"); }));
+        REQUIRE_FALSE(requested(fixture, "Request-Id: r1\r\n"));
+    }
+}
+
+// The same for streams: the next endpoint goes on after the last whole event.
+TEST_CASE("a stream cut at any position is resumed", "[answers]")
+{
+    auto const begun = GENERATE(false, true);
+    auto const orderly = GENERATE(true, false);
+    auto const framing = GENERATE(
+        as<std::string>{}, "Transfer-Encoding: chunked\r\n\r\n",
+        "Content-Length: 19\r\n\r\n");
+    auto const body = event(begun ? 2 : 1);
+    auto const sent = framing[0] == 'T' ? chunk(body) + "0\r\n\r\n" : body;
+    auto const answer =
+        sealed_head + "Content-Type: text/event-stream\r\n" + framing + sent;
+    REQUIRE(body.size() == 19);
+    for (std::size_t cut = 0; cut < answer.size(); ++cut)
+    {
+        CAPTURE(begun, orderly, framing, cut);
+        relay_fixture fixture;
+        fixture.start();
+        auto const caller = fixture.connect_caller(fixture.request("/llm/x"));
+        auto c = take_request(fixture, "Request-Id: r1\r\n");
+        REQUIRE(c);
+        if (begun)
+        {
+            c->send(stream_head() + chunk(event(1)));
+            REQUIRE(fixture.run_until([&] { return caller->has("id: 1"); }));
+            c->reset();
+            c = take_request(fixture, "Last-Event-Id: 1\r\n");
+            REQUIRE(c);
+        }
+        auto const events_before = begun ? 1 : 0;
+        c->send(answer.substr(0, cut));
+        end_connection(*c, orderly);
+        auto const next = take_request(fixture, "Request-Id: r1\r\n");
+        REQUIRE(next);
+        std::string rest; // repeats an event that the caller may have
+        for (int i = events_before + 1; i <= 3; ++i)
+            rest += event(i);
+        next->send(stream_head() + chunk(rest) + "0\r\n\r\n");
+        REQUIRE(fixture.run_until(
+            [&] { return decode_chunks(caller->received).complete; }));
+        REQUIRE(
+            decode_chunks(caller->received).text ==
+            event(1) + event(2) + event(3));
+    }
+}
+
+// Answers that end with their connection -------------------------------------
+
+// A stream without length or chunks is whole if its connection ends in order,
+// unless it ends inside an event.
+TEST_CASE("a stream until close ends between two events", "[answers]")
+{
+    auto const line_end = GENERATE(as<std::string>{}, "\n", "\r\n");
+    auto const orderly = GENERATE(true, false);
+    std::string const one =
+        "id: 1" + line_end + "data: a" + line_end + line_end;
+    std::string const two =
+        "id: 2" + line_end + "data: b" + line_end + line_end;
+    std::string const body = one + two;
+    for (std::size_t cut = 0; cut <= body.size(); ++cut)
+    {
+        CAPTURE(line_end, orderly, cut);
+        relay_fixture fixture;
+        fixture.start();
+        auto const caller = fixture.connect_caller(fixture.request("/llm/x"));
+        auto const c = take_request(fixture, "Request-Id: r1\r\n");
+        REQUIRE(c);
+        c->send(
+            sealed_head + "Content-Type: text/event-stream\r\n\r\n" +
+            body.substr(0, cut));
+        end_connection(*c, orderly);
+        bool const between =
+            cut == 0 || cut == one.size() || cut == body.size();
+        std::string expected = body.substr(0, cut);
+        if (!orderly || !between)
+        {
+            auto const next = take_request(fixture, "Request-Id: r1\r\n");
+            REQUIRE(next);
+            next->send(stream_head() + chunk(body) + "0\r\n\r\n");
+            expected = body;
+        }
+        REQUIRE(fixture.run_until(
+            [&] { return decode_chunks(caller->received).complete; }));
+        REQUIRE(decode_chunks(caller->received).text == expected);
+        REQUIRE_FALSE(requested(fixture, "Request-Id: r1\r\n"));
+    }
+}
+
+// Early answers --------------------------------------------------------------
+
+// Bytes of another request were sent where the rest of a body was due that the
+// endpoint had not read when it answered.
+TEST_CASE("an early answer ends the use of its connection", "[answers]")
+{
+    struct row
+    {
+        char const* name;
+        std::string answer;
+        bool refused;
+    };
+    auto const r = GENERATE(
+        row{"200", relay_fixture::response("r1", "early"), false},
+        row{"413",
+            relay_fixture::response("r1", "early", "413 Content Too Large"),
+            false},
+        row{"chunked",
+            "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n5\r\nearly\r\n0\r\n\r\n",
+            false},
+        row{"refusal",
+            relay_fixture::response(
+                "r1", "", "503 Busy", "Not-Executed: 1\r\n"),
+            true});
+    auto const path = GENERATE(as<std::string>{}, "/safe/x", "/unsafe/x");
+    auto const closes = GENERATE(false, true);
+    CAPTURE(r.name, path, closes);
+    constexpr std::size_t body_size = 24u << 20; // more than sockets buffer
+    relay_fixture fixture;
+    auto& limits = fixture.configuration.rows[0].value;
+    std::string const limit = R"("maxBodyBytes":10000)";
+    limits.replace(
+        limits.find(limit), limit.size(), R"("maxBodyBytes":100000000)");
+    asio::ip::tcp::acceptor acceptor(
+        fixture.io,
+        asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    auto& value = fixture.table.rows[0].value;
+    auto const address = fixture.endpoints[0]->address();
+    value.replace(
+        value.find(address), address.size(),
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    std::vector<asio::ip::tcp::socket> accepted; // read by this test only
+    std::function<void()> const accept = [&]
+    {
+        acceptor.async_accept(
+            [&](asio::error_code const& e, asio::ip::tcp::socket s)
+            {
+                if (e)
+                    return;
+                accepted.push_back(std::move(s));
+                accept();
+            });
+    };
+    accept();
+    fixture.start();
+    auto text = fixture.request(
+        path, "r1", "Content-Length: " + std::to_string(body_size) + "\r\n");
+    text.replace(0, 3, "POST");
+    text += std::string(body_size, 'b');
+    auto const caller = fixture.connect_caller("");
+    asio::async_write(
+        caller->socket, asio::buffer(text),
+        [](asio::error_code const&, std::size_t) {});
+    REQUIRE(fixture.run_until(
+        [&] { return !accepted.empty() && accepted[0].available() > 0; }));
+    settle(fixture);
+    asio::write(accepted[0], asio::buffer(r.answer));
+    if (closes)
+        accepted[0].shutdown(asio::ip::tcp::socket::shutdown_send);
+    if (r.refused)
+    {
+        auto const next = take_request(fixture, "Request-Id: r1\r\n");
+        REQUIRE(next);
+        next->send(fixture.response("r1", "early"));
+    }
+    REQUIRE(fixture.run_until([&] { return caller->has("early"); }));
+    auto const other = fixture.connect_caller(fixture.request("/open/x", "r2"));
+    auto const elsewhere = [&]
+    { return accepted.size() > 1 || requested(fixture, "Request-Id: r2\r\n"); };
+    REQUIRE(fixture.run_until(elsewhere));
+    // The endpoint reads on, up to the end of the connection.
+    accepted[0].non_blocking(true);
+    std::string received;
+    std::vector<char> buffer(1 << 20);
+    asio::error_code e;
+    REQUIRE(fixture.run_until(
+        [&]
+        {
+            auto const n = accepted[0].read_some(asio::buffer(buffer), e);
+            received.append(buffer.data(), n);
+            return e && e != asio::error::would_block;
+        }));
+    auto const body = received.find("\r\n\r\n");
+    REQUIRE(body != std::string::npos);
+    REQUIRE(received.size() < body_size); // the write was in progress
+    REQUIRE(received.find_first_not_of('b', body + 4) == std::string::npos);
+}
--- a/tests/platform/relay_fixture.hpp
+++ b/tests/platform/relay_fixture.hpp
@@ -317,11 +317,14 @@
                     R"(","zone":")" + zone + R"(","state":"ready","slots":8})");
     }
 
+    /// A port that no other process gets: a socket stays bound to it, and the
+    /// gateway may listen on it as neither side requires exclusive use.
     unsigned short free_port()
     {
-        asio::ip::tcp::acceptor a(
-            io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-        return a.local_endpoint().port();
+        auto& s = reserved_ports.emplace_back(io, asio::ip::tcp::v4());
+        s.set_option(asio::socket_base::reuse_address(true));
+        s.bind({asio::ip::address_v4::loopback(), 0});
+        return s.local_endpoint().port();
     }
 
     void start()
@@ -400,6 +403,7 @@
     in_memory_table peer_table{io};
     null_row_writer peer_writer;
     std::vector<std::unique_ptr<scripted_endpoint>> endpoints;
+    std::deque<asio::ip::tcp::socket> reserved_ports;
     gateway_settings settings;
     std::unique_ptr<gateway> subject;
 };
