tests: take the gateway's ports exclusively before sharing them

A run of 48 test cases still met "bind: Address already in use" once: with SO_REUSEADDR set before the bind, a port that is chosen by the system may be one that is shared already. The option is set after the bind now.

--- a/tests/platform/relay_fixture.hpp
+++ b/tests/platform/relay_fixture.hpp
@@ -317,13 +317,13 @@
                     R"(","zone":")" + zone + R"(","state":"ready","slots":8})");
     }
 
-    /// A port that no other process gets: a socket stays bound to it, and the
-    /// gateway may listen on it as neither side requires exclusive use.
+    /// A port that no other process gets: a socket stays bound to it. It allows
+    /// the gateway to listen there only once it has the port for itself.
     unsigned short free_port()
     {
         auto& s = reserved_ports.emplace_back(io, asio::ip::tcp::v4());
-        s.set_option(asio::socket_base::reuse_address(true));
         s.bind({asio::ip::address_v4::loopback(), 0});
+        s.set_option(asio::socket_base::reuse_address(true));
         return s.local_endpoint().port();
     }
 
