Do not pass on refusals that are larger than the buffer

So a refusal reached the caller after an earlier endpoint may have run the request, and one without the endpoint's proof too. Such an answer now ends the attempt as lost.

Evidence: "a long refusal is not passed on unchecked" failed without the change in all 16 rows: REQUIRE( caller->received.rfind("HTTP/1.1 502 ", 0) == 0 ) It passes with it; [answers] has 10 test cases, all passed.

--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -415,7 +415,9 @@
     buffered_body_.append(bytes);
     if (buffered_body_.size() <= max_buffered_bytes)
         return;
-    if (response_begun_ || !response_metadata_.sealed)
+    if (response_begun_ || !response_metadata_.sealed ||
+        response_metadata_.not_run ||
+        guarantees_not_run(response_head_->status))
     {
         on_attempt_failed(attempt_outcome::lost, "oversized_answer");
         return;
--- a/tests/platform/faulty_answers_test.cpp
+++ b/tests/platform/faulty_answers_test.cpp
@@ -218,6 +218,34 @@
     REQUIRE(used == kept);
 }
 
+// A refusal that is larger than the buffer was passed on although an earlier
+// endpoint may have run the request, or without the endpoint's proof.
+TEST_CASE("a long refusal is not passed on unchecked", "[answers]")
+{
+    auto const status = GENERATE(
+        as<char const*>{}, "503 Busy", "429 Too Many", "421 Misdirected",
+        "408 Timeout");
+    auto const proof = GENERATE(as<std::string>{}, "Not-Executed: 1\r\n", "");
+    auto const path = GENERATE(as<std::string>{}, "/safe/x", "/unsafe/x");
+    CAPTURE(status, proof, path);
+    relay_fixture fixture;
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request(path));
+    auto c = take_request(fixture, "Request-Id: r1\r\n");
+    REQUIRE(c);
+    if (path == "/safe/x")
+    {
+        c->reset(); // it may have run there
+        c = take_request(fixture, "Request-Id: r1\r\n");
+        REQUIRE(c);
+    }
+    c->send(fixture.response(
+        "r1", std::string(300u << 10, 'x'), status,
+        "Response-Seal: s\r\n" + proof));
+    REQUIRE(fixture.run_until([&] { return caller->has("\r\n\r\n"); }));
+    REQUIRE(caller->received.rfind("HTTP/1.1 502 ", 0) == 0);
+}
+
 // Errors after a stream began ------------------------------------------------
 
 // The text of an error, at times with its head, came in the middle of a stream,
