Do not take blank lines for a stream that broke off inside an event

A stream that ended in a blank line more than needed counted as broken off inside an event: it was run again at another endpoint, and its caller waited for that or found the stream incomplete. Only bytes other than line ends begin an event now.

--- a/src/gateway/event_splitter.hpp
+++ b/src/gateway/event_splitter.hpp
@@ -33,6 +33,13 @@
     std::optional<stream_event> next();
 
     std::size_t partial_bytes() const { return buffer_.size() - start_; }
+
+    /// Whether the bytes so far end inside an event. Blank lines after the last
+    /// event belong to none.
+    bool in_event() const
+    {
+        return buffer_.find_first_not_of("\r\n", start_) != std::string::npos;
+    }
     bool overflowed() const { return partial_bytes() > max_event_bytes; }
 
 private:
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -607,7 +607,7 @@
 
 void relay_exchange::complete_stream()
 {
-    if (events_.partial_bytes() > 0)
+    if (events_.in_event())
     {
         on_attempt_failed(attempt_outcome::lost, "cut_event");
         return;
--- a/tests/platform/faulty_answers_test.cpp
+++ b/tests/platform/faulty_answers_test.cpp
@@ -522,6 +522,35 @@
     }
 }
 
+// A whole stream was taken for one that broke off inside an event, and was run
+// again at another endpoint.
+TEST_CASE("blank lines after the last event are no event", "[answers]")
+{
+    auto const end = GENERATE(as<std::string>{}, "\n", "\r\n", "\r", "\n\n\n");
+    auto const framing =
+        GENERATE(as<std::string>{}, "Transfer-Encoding: chunked\r\n", "");
+    CAPTURE(end, framing);
+    relay_fixture fixture;
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request("/llm/x"));
+    auto const c = take_request(fixture, "Request-Id: r1\r\n");
+    REQUIRE(c);
+    auto const body = event(1) + end;
+    c->send(
+        sealed_head + "Content-Type: text/event-stream\r\n" + framing + "\r\n" +
+        (framing.empty() ? body : chunk(body) + "0\r\n\r\n"));
+    if (framing.empty())
+        c->close();
+    REQUIRE(fixture.run_until(
+        [&]
+        {
+            return decode_chunks(caller->received).complete ||
+                   requested(fixture, "Request-Id: r1\r\n");
+        }));
+    REQUIRE(decode_chunks(caller->received).complete);
+    REQUIRE(decode_chunks(caller->received).text.rfind(event(1), 0) == 0);
+}
+
 // Early answers --------------------------------------------------------------
 
 // Bytes of another request were sent where the rest of a body was due that the
