Send no body in answers to HEAD

A caller that sent HEAD and got an error of the gateway, or the answer of a stream, took the bytes after the head for the start of its next answer on the same connection. The gateway wrote the text of its error, or the last chunk of an empty stream, although an answer to HEAD ends with its head.

Evidence: "an answer to HEAD has a head only" failed without the change in all 3 rows (endpoint stopped in its head, unknown route, stream): REQUIRE( caller->received.compare(next, 9, "HTTP/1.1 ") == 0 ) with expansion: 1 == 0, 1 == 0, -1 == 0.

--- a/src/relay/client_session.cpp
+++ b/src/relay/client_session.cpp
@@ -113,6 +113,7 @@
             request_.received = last_progress_;
             request_complete_ = false;
             rejection_status_ = 0;
+            head_only_ = false;
         }
         std::size_t const taken = parser_.feed(unparsed_);
         unparsed_.erase(0, taken);
@@ -162,6 +163,7 @@
         write();
     }
     http_1_0_ = head.http_1_0;
+    head_only_ = head.method == "HEAD";
     request_.head = std::move(head);
 }
 
@@ -251,7 +253,8 @@
         status, reason, headers,
         bodiless ? std::string()
                  : "Content-Length: " + std::to_string(body.size()) + "\r\n");
-    outgoing_ += body;
+    if (!head_only_)
+        outgoing_ += body;
     finish_response();
 }
 
@@ -270,7 +273,8 @@
 
 void client_session::write_stream(std::string_view bytes)
 {
-    if (state_ != state::responding || response_ended_ || bytes.empty())
+    if (state_ != state::responding || response_ended_ || bytes.empty() ||
+        head_only_)
         return;
     if (chunked_)
     {
@@ -288,7 +292,7 @@
 {
     if (state_ != state::responding || response_ended_)
         return;
-    if (chunked_)
+    if (chunked_ && !head_only_)
         outgoing_ += "0\r\n\r\n";
     finish_response();
 }
--- a/src/relay/client_session.hpp
+++ b/src/relay/client_session.hpp
@@ -179,6 +179,7 @@
     bool response_ended_ = false;
     bool http_1_0_ = false;
     bool chunked_ = false;
+    bool head_only_ = false; // the request is HEAD: no body in the response
     bool keep_alive_ = true;
     bool first_request_read_ = false;
     bool input_discarded_ = false; // more than may be buffered was received
--- a/tests/platform/faulty_answers_test.cpp
+++ b/tests/platform/faulty_answers_test.cpp
@@ -1,7 +1,7 @@
 // Endpoints that answer a request twice, answer it with an error after a stream
 // began, stop in the middle of an answer, or answer before they have read the
 // request. Index: repeated refusals; errors after a stream began; cut answers;
-// answers that end with their connection; early answers.
+// answers that end with their connection; early answers; HEAD.
 #include <catch2/catch.hpp>
 
 #include "relay_fixture.hpp"
@@ -649,3 +649,33 @@
     REQUIRE(received.size() < body_size); // the write was in progress
     REQUIRE(received.find_first_not_of('b', body + 4) == std::string::npos);
 }
+
+// HEAD -----------------------------------------------------------------------
+
+// A caller that sent HEAD took the body of an error for the next answer.
+TEST_CASE("an answer to HEAD has a head only", "[answers]")
+{
+    auto const path =
+        GENERATE(as<std::string>{}, "/unsafe/x", "/none/x", "/llm/x");
+    CAPTURE(path);
+    relay_fixture fixture;
+    fixture.start();
+    auto text = fixture.request(path);
+    text.replace(0, 3, "HEAD");
+    auto const caller = fixture.connect_caller(text);
+    if (path != "/none/x")
+    {
+        auto const c = take_request(fixture, "Request-Id: r1\r\n");
+        REQUIRE(c);
+        c->send(
+            sealed_head + (path == "/llm/x"
+                               ? "Content-Type: text/event-stream\r\n\r\n"
+                               : "Content-Le"));
+        c->close();
+    }
+    REQUIRE(fixture.run_until([&] { return caller->has("\r\n\r\n"); }));
+    caller->send(fixture.request("/none/x", "r2"));
+    REQUIRE(fixture.run_until([&] { return caller->has("}\n"); }));
+    auto const next = caller->received.find("\r\n\r\n") + 4;
+    REQUIRE(caller->received.compare(next, 9, "HTTP/1.1 ") == 0);
+}
