Drop answers to requests on connections of internal calls

A report, a cache list or a copy of a run's memory is asked for over a kept connection that callers' requests used before. A late copy of an answer to one of these was taken for the answer to the call: an endpoint's report could be a caller's JSON, which reads as an endpoint without load. Such calls now skip an answer that carries a request id on a reused connection, as requests do.

--- a/src/relay/endpoint_call.cpp
+++ b/src/relay/endpoint_call.cpp
@@ -6,9 +6,10 @@
 {
 
 endpoint_call::endpoint_call(
-    connection_pool& pool, endpoint_record const& endpoint,
-    std::chrono::milliseconds timeout, handler done)
-    : pool_(pool), endpoint_(endpoint), timeout_(timeout),
+    connection_pool& pool, protocol_codec const& protocol,
+    endpoint_record const& endpoint, std::chrono::milliseconds timeout,
+    handler done)
+    : pool_(pool), protocol_(protocol), endpoint_(endpoint), timeout_(timeout),
       done_(std::move(done))
 {
 }
@@ -23,7 +24,8 @@
         return;
     }
     connection_ = probe ? pool_.create() : pool_.acquire(endpoint_, false);
-    reply_.accepted = connection_->connected();
+    reused_connection_ = connection_->connected();
+    reply_.accepted = reused_connection_;
     connection_->send(*address, std::move(request), *this);
 }
 
@@ -48,6 +50,13 @@
 
 void endpoint_call::on_response_head(message_head head)
 {
+    // Answers to such calls carry no request id; one that does is a late copy
+    // for a request that used the connection before.
+    if (reused_connection_ && protocol_.read_response(head).id)
+    {
+        connection_->skip_response();
+        return;
+    }
     response_status_ = head.status;
 }
 
--- a/src/relay/endpoint_call.hpp
+++ b/src/relay/endpoint_call.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "connection_pool.hpp"
+#include "protocol_codec.hpp"
 
 namespace dotterellock
 {
@@ -26,8 +27,9 @@
 
     /// @param done  called once, unless cancel() comes first
     endpoint_call(
-        connection_pool& pool, endpoint_record const& endpoint,
-        std::chrono::milliseconds timeout, handler done);
+        connection_pool& pool, protocol_codec const& protocol,
+        endpoint_record const& endpoint, std::chrono::milliseconds timeout,
+        handler done);
     ~endpoint_call() override { cancel(); }
 
     endpoint_call(endpoint_call const&) = delete;
@@ -59,12 +61,14 @@
     void complete();
 
     connection_pool& pool_;
+    protocol_codec const& protocol_;
     endpoint_record const endpoint_;
     std::chrono::milliseconds const timeout_;
     handler done_;
     steady_time began_{};
     std::shared_ptr<http_connection> connection_;
     endpoint_reply reply_;
+    bool reused_connection_ = false;
     unsigned response_status_ = 0;
 };
 
--- a/src/relay/gateway_endpoints.cpp
+++ b/src/relay/gateway_endpoints.cpp
@@ -275,7 +275,7 @@
     bool probe, endpoint_call::handler done)
 {
     auto const call = std::make_shared<endpoint_call>(
-        pool_, endpoint, timeout, std::move(done));
+        pool_, env_.protocol, endpoint, timeout, std::move(done));
     endpoint_calls_.push_back(call);
     call->start(std::move(request), env_.clock.now(), probe);
 }
--- a/tests/platform/faulty_answers_test.cpp
+++ b/tests/platform/faulty_answers_test.cpp
@@ -1,9 +1,11 @@
 // Endpoints that answer a request twice, answer it with an error after a stream
 // began, stop in the middle of an answer, or answer before they have read the
 // request. Index: repeated refusals; errors after a stream began; cut answers;
-// answers that end with their connection; early answers; HEAD.
+// answers that end with their connection; early answers; HEAD;
+// internal calls.
 #include <catch2/catch.hpp>
 
+#include "relay/endpoint_call.hpp"
 #include "relay_fixture.hpp"
 
 using namespace dotterellock;
@@ -679,3 +681,44 @@
     auto const next = caller->received.find("\r\n\r\n") + 4;
     REQUIRE(caller->received.compare(next, 9, "HTTP/1.1 ") == 0);
 }
+
+// Internal calls -------------------------------------------------------------
+
+// A late copy of a caller's answer on a reused connection was taken for the
+// answer to a call of the gateway itself, such as an empty endpoint report.
+TEST_CASE("an internal call drops an answer to a request", "[answers]")
+{
+    relay_fixture fixture;
+    auto const copy = GENERATE(
+        as<std::string>{}, relay_fixture::response("r1", "{}"),
+        relay_fixture::response("r1", "{}", "503 Busy", "Not-Executed: 1\r\n"));
+    connection_pool pool(fixture.io, fixture.clock);
+    endpoint_record record;
+    record.address = fixture.endpoints[0]->address();
+    std::vector<endpoint_reply> replies;
+    auto const start = [&]
+    {
+        auto call = std::make_unique<endpoint_call>(
+            pool, fixture.protocol, record, milliseconds(1000),
+            [&](endpoint_reply reply) { replies.push_back(std::move(reply)); });
+        call->start(
+            fixture.protocol.report_request(), fixture.clock.now(), false);
+        return call;
+    };
+    std::string const answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nreport";
+    auto const first = start();
+    auto const c = take_request(fixture, "GET /report ");
+    REQUIRE(c);
+    c->send(answer);
+    REQUIRE(fixture.run_until([&] { return replies.size() == 1; }));
+    auto const second = start();
+    REQUIRE(take_request(fixture, "GET /report ") == c);
+    c->send(copy);
+    settle(fixture);
+    c->send(answer);
+    REQUIRE(fixture.run_until([&] { return replies.size() == 2; }));
+    REQUIRE(replies[1].status == 200);
+    REQUIRE(replies[1].body == "report");
+    REQUIRE(pool.connections_created() == 1);
+}
