gateway: endpoints that announce their departure get nothing past the bound

Callers saw requests fail that were sent to an endpoint after it had said in its answers that it was leaving: the gateway ignored the header while the endpoint's row still said ready. Checks, reports, listings and copy calls had no bound at all, and a request could follow it on a slow connection.

response_metadata gets `leaving`. The first answer with it sets a deadline of its own on the endpoint's state, the drain bound less the margin after the arrival of the head; rows neither clear nor move it, and an expired row that returns finds it again for five minutes. A new incarnation starts without it. endpoint_state::accepts_requests() is asked by the selector, by checks, copy calls and all calls of the gateway, and again once a connection is established, so that a request leaves at the latest at the deadline and arrives half a round trip later, which the margin of 500 ms covers. Answers with 421, or with the id of another request, announce nothing. Callers do not get the header.

--- a/src/gateway/endpoint_selector.cpp
+++ b/src/gateway/endpoint_selector.cpp
@@ -40,7 +40,7 @@
     std::vector<candidate> leaving;
     for (auto const& endpoint : endpoints_.of_service(work.service))
     {
-        if (endpoint->has_left(now) ||
+        if (!endpoint->accepts_requests(now) ||
             work.excluded.count(endpoint->record().id.value()) != 0)
             continue;
         // An endpoint resets connections above a limit that all gateways share.
--- a/src/gateway/endpoint_state.hpp
+++ b/src/gateway/endpoint_state.hpp
@@ -80,17 +80,37 @@
     // Registration ----------------------------------------------------------
 
     /// Accepts new work only as a last resort, and none from `until` on.
-    void set_leaving(steady_time until)
+    /// @return whether its registration did not say so before
+    bool set_leaving(steady_time until)
     {
-        if (!leave_deadline_ || until < *leave_deadline_)
-            leave_deadline_ = until;
+        return set_earlier(leave_deadline_, until);
     }
+
+    /// Revokes set_leaving(), but not an announcement: the registration may be
+    /// older than that.
     void clear_leaving() { leave_deadline_.reset(); }
-    bool leaving() const { return leave_deadline_.has_value(); }
+
+    /// As set_leaving(), for an answer of the endpoint that says so. Holds for
+    /// the rest of this incarnation.
+    /// @return whether it is the first announcement
+    bool announce_leaving(steady_time until)
+    {
+        return set_earlier(announced_deadline_, until);
+    }
+
+    bool leaving() const { return leave_deadline_ || announced_deadline_; }
     bool has_left(steady_time now) const
     {
-        return leave_deadline_ && now >= *leave_deadline_;
+        return (leave_deadline_ && now >= *leave_deadline_) ||
+               (announced_deadline_ && now >= *announced_deadline_);
     }
+    std::optional<steady_time> announced_deadline() const
+    {
+        return announced_deadline_;
+    }
+
+    /// Whether the gateway may send anything to the endpoint.
+    bool accepts_requests(steady_time now) const { return !has_left(now); }
 
     // Health ----------------------------------------------------------------
 
@@ -173,6 +193,14 @@
     // Reports are some hundred milliseconds old on arrival.
     static constexpr std::chrono::milliseconds report_validity{1500};
 
+    static bool
+    set_earlier(std::optional<steady_time>& deadline, steady_time until)
+    {
+        bool const first = !deadline;
+        deadline = first ? until : std::min(*deadline, until);
+        return first;
+    }
+
     bool report_recent(steady_time now) const
     {
         return now - reported_at_ < report_validity;
@@ -188,7 +216,8 @@
 
     endpoint_record record_;
     bool listed_ = true;
-    std::optional<steady_time> leave_deadline_;
+    std::optional<steady_time> leave_deadline_;     // of the registration
+    std::optional<steady_time> announced_deadline_; // of an answer
     steady_time suspended_until_{};
     steady_time last_failure_{};
     steady_time last_activity_{};
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -5,7 +5,7 @@
 namespace dotterellock
 {
 
-void endpoint_table::put(endpoint_record const& record, steady_time changed_at)
+bool endpoint_table::put(endpoint_record const& record, steady_time changed_at)
 {
     auto const found = by_id_.find(record.id.value());
     if (found != by_id_.end())
@@ -18,10 +18,10 @@
         {
             found->second->update(record);
             if (record.draining)
-                found->second->set_leaving(changed_at + last_resort_period_);
-            else
-                found->second->clear_leaving();
-            return;
+                return found->second->set_leaving(
+                    changed_at + last_resort_period_);
+            found->second->clear_leaving();
+            return false;
         }
         detach(found->second);
     }
@@ -38,27 +38,31 @@
         endpoint->set_leaving(changed_at + last_resort_period_);
     by_id_[record.id.value()] = endpoint;
     by_service_[record.service.value()].push_back(std::move(endpoint));
+    return record.draining;
 }
 
-void endpoint_table::remove(endpoint_id const& id, steady_time changed_at)
+bool endpoint_table::remove(endpoint_id const& id, steady_time changed_at)
 {
     auto const found = by_id_.find(id.value());
     if (found == by_id_.end())
-        return;
-    found->second->set_leaving(changed_at + last_resort_period_);
+        return false;
     found->second->mark_unlisted();
+    return found->second->set_leaving(changed_at + last_resort_period_);
 }
 
-void endpoint_table::keep_only(
+std::vector<endpoint_id> endpoint_table::keep_only(
     std::set<std::string> const& ids, steady_time changed_at)
 {
+    std::vector<endpoint_id> leaving;
     for (auto const& [id, endpoint] : by_id_)
     {
         if (ids.count(id) != 0)
             continue;
-        endpoint->set_leaving(changed_at + last_resort_period_);
+        if (endpoint->set_leaving(changed_at + last_resort_period_))
+            leaving.push_back(endpoint->record().id);
         endpoint->mark_unlisted();
     }
+    return leaving;
 }
 
 void endpoint_table::remove_unused(steady_time now)
@@ -75,6 +79,9 @@
         // new endpoint.
         if (endpoint->listed())
             continue;
+        auto const announced = endpoint->announced_deadline();
+        if (announced && now < *announced + announcement_retention)
+            continue;
         by_id_.erase(endpoint->record().id.value());
         detach(endpoint);
     }
--- a/src/gateway/endpoint_table.hpp
+++ b/src/gateway/endpoint_table.hpp
@@ -29,6 +29,15 @@
     {
     }
 
+    // An endpoint that announced its departure is remembered for this long
+    // after it left, as its row may expire and return.
+    static constexpr std::chrono::minutes announcement_retention{5};
+
+    std::chrono::milliseconds last_resort_period() const
+    {
+        return last_resort_period_;
+    }
+
     void set_last_resort_period(std::chrono::milliseconds last_resort_period)
     {
         last_resort_period_ = last_resort_period;
@@ -40,12 +49,16 @@
 
     /// Adds or updates a row. A new incarnation replaces the endpoint and
     /// starts without history.
-    void put(endpoint_record const& record, steady_time changed_at);
+    /// @return whether the row newly says that the endpoint is leaving
+    bool put(endpoint_record const& record, steady_time changed_at);
 
-    void remove(endpoint_id const& id, steady_time changed_at);
+    /// @return whether the endpoint was not leaving by its row before
+    bool remove(endpoint_id const& id, steady_time changed_at);
 
     /// Removes all endpoints that are missing from a complete listing.
-    void keep_only(std::set<std::string> const& ids, steady_time changed_at);
+    /// @return those that were not leaving by their rows before
+    std::vector<endpoint_id>
+    keep_only(std::set<std::string> const& ids, steady_time changed_at);
 
     /// Removes endpoints that have left and have no requests in progress.
     void remove_unused(steady_time now);
--- a/src/relay/endpoint_call.cpp
+++ b/src/relay/endpoint_call.cpp
@@ -6,23 +6,25 @@
 {
 
 endpoint_call::endpoint_call(
-    connection_pool& pool, endpoint_record const& endpoint,
-    std::chrono::milliseconds timeout, handler done)
-    : pool_(pool), endpoint_(endpoint), timeout_(timeout),
-      done_(std::move(done))
+    connection_pool& pool, clock_source const& clock,
+    std::shared_ptr<endpoint_state const> endpoint,
+    std::chrono::milliseconds timeout, head_handler on_head, handler done)
+    : pool_(pool), clock_(clock), endpoint_(std::move(endpoint)),
+      record_(endpoint_->record()), timeout_(timeout),
+      on_head_(std::move(on_head)), done_(std::move(done))
 {
 }
 
 void endpoint_call::start(std::string request, steady_time now, bool probe)
 {
     began_ = now;
-    auto const address = parse_address(endpoint_.address);
-    if (!address)
+    auto const address = parse_address(record_.address);
+    if (!address || !endpoint_->accepts_requests(now))
     {
         complete();
         return;
     }
-    connection_ = probe ? pool_.create() : pool_.acquire(endpoint_, false);
+    connection_ = probe ? pool_.create() : pool_.acquire(record_, false);
     reply_.accepted = connection_->connected();
     connection_->send(*address, std::move(request), *this);
 }
@@ -46,9 +48,20 @@
     complete();
 }
 
+void endpoint_call::on_connected()
+{
+    reply_.accepted = true;
+    if (endpoint_->accepts_requests(clock_.now()))
+        return;
+    connection_->abandon();
+    connection_.reset();
+    complete();
+}
+
 void endpoint_call::on_response_head(message_head head)
 {
     response_status_ = head.status;
+    on_head_(head);
 }
 
 void endpoint_call::on_response_body(std::string_view bytes)
@@ -65,7 +78,7 @@
 void endpoint_call::on_response_complete()
 {
     reply_.status = response_status_;
-    pool_.release(endpoint_, std::move(connection_), std::nullopt);
+    pool_.release(record_, std::move(connection_), std::nullopt);
     connection_.reset();
     complete();
 }
--- a/src/relay/endpoint_call.hpp
+++ b/src/relay/endpoint_call.hpp
@@ -23,16 +23,20 @@
 {
 public:
     using handler = std::function<void(endpoint_reply)>;
+    using head_handler = std::function<void(message_head const&)>;
 
-    /// @param done  called once, unless cancel() comes first
+    /// @param on_head  receives the head of the answer
+    /// @param done     called once, unless cancel() comes first
     endpoint_call(
-        connection_pool& pool, endpoint_record const& endpoint,
-        std::chrono::milliseconds timeout, handler done);
+        connection_pool& pool, clock_source const& clock,
+        std::shared_ptr<endpoint_state const> endpoint,
+        std::chrono::milliseconds timeout, head_handler on_head, handler done);
     ~endpoint_call() override { cancel(); }
 
     endpoint_call(endpoint_call const&) = delete;
     endpoint_call& operator=(endpoint_call const&) = delete;
 
+    /// Sends the request, unless the endpoint accepts none by then.
     /// @param probe  opens a new connection, as silence on an existing one
     ///               proves nothing
     void start(std::string request, steady_time now, bool probe);
@@ -51,7 +55,7 @@
     // off.
     static constexpr std::size_t max_body_bytes = 1u << 20;
 
-    void on_connected() override { reply_.accepted = true; }
+    void on_connected() override;
     void on_response_head(message_head head) override;
     void on_response_body(std::string_view bytes) override;
     void on_response_complete() override;
@@ -59,8 +63,11 @@
     void complete();
 
     connection_pool& pool_;
-    endpoint_record const endpoint_;
+    clock_source const& clock_;
+    std::shared_ptr<endpoint_state const> const endpoint_;
+    endpoint_record const record_; // when the call was made
     std::chrono::milliseconds const timeout_;
+    head_handler const on_head_;
     handler done_;
     steady_time began_{};
     std::shared_ptr<http_connection> connection_;
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -38,7 +38,9 @@
 // Callers whose gateway failed reconnect within a few seconds.
 constexpr milliseconds caller_return_window{4000};
 
-// Allows for a listing that is one heartbeat old after a store outage.
+// Allows for a listing that is one heartbeat old after a store outage, and for
+// requests on their way: these are sent on an open connection and arrive half a
+// round trip later, 20 ms between regions.
 constexpr milliseconds last_resort_margin{500};
 
 // Request bodies that are read or relayed may use the memory limit divided by
@@ -134,7 +136,7 @@
       cache_lookup_(
           selection_, env_.protocol, env_.clock, env_.log,
           [this](
-              endpoint_record const& endpoint, milliseconds timeout,
+              endpoint_ptr const& endpoint, milliseconds timeout,
               std::string request, endpoint_call::handler done) {
               call(
                   endpoint, timeout, std::move(request), false,
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -120,8 +120,11 @@
     void report_outcome(
         endpoint_ptr const& endpoint, attempt_outcome outcome) override;
     void check_endpoint(endpoint_ptr const& endpoint) override;
+    void record_announcements(
+        endpoint_ptr const& endpoint, unsigned status,
+        response_metadata const& metadata) override;
     void call(
-        endpoint_record const& endpoint, std::chrono::milliseconds timeout,
+        endpoint_ptr const& endpoint, std::chrono::milliseconds timeout,
         std::string request, bool probe, endpoint_call::handler done) override;
     void
     record_stream_duration(service_name const& service, duration took) override;
@@ -147,6 +150,7 @@
     void dispatch_queue(service_name const& service, request_queue& queue);
     void dispatch_waiting();
     void refuse_waiting(queue_refusal const& refusal);
+    void log_leaving(endpoint_id const& endpoint, char const* source);
     void check_zone(endpoint_record const& failed);
     void on_check_finished(
         endpoint_ptr const& endpoint, steady_time began,
--- a/src/relay/gateway_endpoints.cpp
+++ b/src/relay/gateway_endpoints.cpp
@@ -66,6 +66,25 @@
     }
 }
 
+void gateway::record_announcements(
+    endpoint_ptr const& endpoint, unsigned status,
+    response_metadata const& metadata)
+{
+    if (status == 421)
+        return; // the answer of another incarnation
+    auto const now = env_.clock.now();
+    if (metadata.leaving &&
+        endpoint->announce_leaving(now + endpoints_.last_resort_period()))
+        log_leaving(endpoint->record().id, "answer");
+}
+
+void gateway::log_leaving(endpoint_id const& endpoint, char const* source)
+{
+    env_.log.record(
+        event_level::info, "endpoint_leaving",
+        {{"endpoint", endpoint.value()}, {"source", source}});
+}
+
 void gateway::check_zone(endpoint_record const& failed)
 {
     for (auto const& endpoint : endpoints_.of_service(failed.service))
@@ -79,6 +98,8 @@
 void gateway::check_endpoint(endpoint_ptr const& endpoint)
 {
     auto const now = env_.clock.now();
+    if (!endpoint->accepts_requests(now))
+        return;
     auto const id = endpoint->record().id.value();
     auto const last = last_checked_.find(id);
     if (last != last_checked_.end() && now - last->second < check_interval)
@@ -89,8 +110,7 @@
     bool const cross_region = place.distance_to(endpoint->record().zone) ==
                               topology::distance::other_region;
     call(
-        endpoint->record(),
-        cross_region ? cross_region_check_timeout : check_timeout,
+        endpoint, cross_region ? cross_region_check_timeout : check_timeout,
         env_.protocol.report_request(), true,
         [this, endpoint, now](endpoint_reply const& reply)
         { on_check_finished(endpoint, now, reply); });
@@ -222,8 +242,7 @@
                 continue;
             endpoint->record_report_request(now);
             call(
-                endpoint->record(), report_timeout,
-                env_.protocol.report_request(), false,
+                endpoint, report_timeout, env_.protocol.report_request(), false,
                 [this, endpoint](endpoint_reply const& reply)
                 { on_report(*endpoint, reply); });
         }
@@ -271,11 +290,17 @@
 }
 
 void gateway::call(
-    endpoint_record const& endpoint, milliseconds timeout, std::string request,
+    endpoint_ptr const& endpoint, milliseconds timeout, std::string request,
     bool probe, endpoint_call::handler done)
 {
     auto const call = std::make_shared<endpoint_call>(
-        pool_, endpoint, timeout, std::move(done));
+        pool_, env_.clock, endpoint, timeout,
+        [this, endpoint](message_head const& head)
+        {
+            record_announcements(
+                endpoint, head.status, env_.protocol.read_response(head));
+        },
+        std::move(done));
     endpoint_calls_.push_back(call);
     call->start(std::move(request), env_.clock.now(), probe);
 }
--- a/src/relay/gateway_tables.cpp
+++ b/src/relay/gateway_tables.cpp
@@ -68,22 +68,31 @@
             ids.insert(row.key);
             on_change(row, period);
         }
-        owner_.endpoints_.keep_only(ids, removed_at(period));
+        for (auto const& id :
+             owner_.endpoints_.keep_only(ids, removed_at(period)))
+            owner_.log_leaving(id, "registration");
     }
 
     void on_change(store_row const& row, change_period const& period) override
     {
         if (row.deleted)
         {
-            owner_.endpoints_.remove(endpoint_id(row.key), removed_at(period));
+            endpoint_id const id(row.key);
+            bool const leaving =
+                owner_.endpoints_.remove(id, removed_at(period));
             log(row, "removed", {});
+            if (leaving)
+                owner_.log_leaving(id, "registration");
             return;
         }
         try
         {
             auto const record = owner_.env_.codec.read_endpoint(row);
-            owner_.endpoints_.put(record, period.not_before);
+            bool const leaving =
+                owner_.endpoints_.put(record, period.not_before);
             log(row, record.draining ? "draining" : "ready", record.address);
+            if (leaving)
+                owner_.log_leaving(record.id, "registration");
             if (record.draining)
                 owner_.pool_.close_idle(record);
             owner_.on_capacity_freed(record.service);
--- a/src/relay/prompt_cache_lookup.cpp
+++ b/src/relay/prompt_cache_lookup.cpp
@@ -44,7 +44,7 @@
     l.open = true;
     l.began = now;
     call_(
-        endpoint->record(), listing_timeout, protocol_.cache_list_request(),
+        endpoint, listing_timeout, protocol_.cache_list_request(),
         [this, endpoint](endpoint_reply const& reply)
         { on_listed(*endpoint, reply); });
 }
--- a/src/relay/prompt_cache_lookup.hpp
+++ b/src/relay/prompt_cache_lookup.hpp
@@ -35,7 +35,7 @@
 
     /// Sends a request to an endpoint; ends within the timeout.
     using endpoint_caller = std::function<void(
-        endpoint_record const& endpoint, std::chrono::milliseconds timeout,
+        endpoint_ptr const& endpoint, std::chrono::milliseconds timeout,
         std::string request, endpoint_call::handler done)>;
 
     // One listing of an endpoint serves all callers that return together.
--- a/src/relay/protocol_codec.hpp
+++ b/src/relay/protocol_codec.hpp
@@ -37,6 +37,7 @@
     std::optional<request_id> id;
     bool sealed = false;  // signed by the endpoint
     bool not_run = false; // the endpoint proves that the request did not run
+    bool leaving = false; // the endpoint ends soon
     std::optional<std::chrono::milliseconds> idle_timeout;
     std::optional<std::chrono::milliseconds> retry_after;
 };
@@ -75,6 +76,10 @@
     /// the gateway sets itself or withholds from endpoints.
     virtual bool forwards_header(std::string_view header) const = 0;
 
+    /// Whether an endpoint's header is forwarded to the caller. False for
+    /// headers that only tell the gateway something.
+    virtual bool forwards_response_header(std::string_view header) const = 0;
+
     /// Request for an endpoint's report.
     virtual std::string report_request() const = 0;
 
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -363,7 +363,14 @@
 
 void relay_exchange::on_connected()
 {
-    endpoint_->record_activity(context_.clock().now());
+    auto const now = context_.clock().now();
+    endpoint_->record_activity(now);
+    if (endpoint_->accepts_requests(now))
+        return;
+    // The endpoint left while the connection was made. Nothing was sent.
+    auto const self = shared_from_this();
+    release_attempt_resources();
+    start_next_attempt();
 }
 
 void relay_exchange::on_response_head(message_head head)
@@ -386,6 +393,7 @@
         connection_->skip_response();
         return;
     }
+    context_.record_announcements(endpoint_, head.status, metadata);
     response_metadata_ = std::move(metadata);
     auto const* const type = find_header(head.headers, "content-type");
     attempt_is_stream_ = streaming() && head.status == 200 &&
@@ -566,7 +574,8 @@
     header_list headers;
     for (auto const& [name, value] : response_head_->headers)
     {
-        if (!is_hop_by_hop(response_head_->headers, name))
+        if (context_.protocol().forwards_response_header(name) &&
+            !is_hop_by_hop(response_head_->headers, name))
             headers.emplace_back(name, value);
     }
     return headers;
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -59,9 +59,14 @@
     /// Probes the endpoint for its report, unless it was probed just before.
     virtual void check_endpoint(endpoint_ptr const& endpoint) = 0;
 
+    /// Applies what the head of an endpoint's answer says about the endpoint.
+    virtual void record_announcements(
+        endpoint_ptr const& endpoint, unsigned status,
+        response_metadata const& metadata) = 0;
+
     /// Sends a request of the gateway itself; ends within the timeout.
     virtual void call(
-        endpoint_record const& endpoint, std::chrono::milliseconds timeout,
+        endpoint_ptr const& endpoint, std::chrono::milliseconds timeout,
         std::string request, bool probe, endpoint_call::handler done) = 0;
 
     /// Records the duration of a complete stream.
--- a/src/relay/standby_copies.cpp
+++ b/src/relay/standby_copies.cpp
@@ -76,7 +76,8 @@
 
 void standby_copies::renew_if_needed(steady_time now)
 {
-    if (!engine_ || pending_copy_ || now < next_call_at_)
+    if (!engine_ || pending_copy_ || now < next_call_at_ ||
+        !source_->accepts_requests(now))
         return;
     bool const needed =
         !copy_ || copy_->lost(now) ||
@@ -89,7 +90,7 @@
     if (!pending_copy_)
         return;
     context_.call(
-        source_->record(), call_timeout,
+        source_, call_timeout,
         context_.protocol().copy_request(
             run_, pending_copy_->standby->record().address),
         false,
@@ -136,7 +137,7 @@
         return;
     // The copy would expire later anyway, but holds memory until then.
     context_.call(
-        source_->record(), call_timeout,
+        source_, call_timeout,
         context_.protocol().free_copy_request(*copy_->name), false,
         [](endpoint_reply const&) {});
 }
--- a/tests/gateway/endpoints_test.cpp
+++ b/tests/gateway/endpoints_test.cpp
@@ -1,6 +1,7 @@
 // Index: endpoint table; health; selection; zones; prompt caches.
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <map>
 
 #include "gateway/peer_group.hpp"
@@ -93,6 +94,75 @@
     REQUIRE_FALSE(table.find(endpoint_id("one"))->leaving());
 }
 
+// Guards against requests past the drain bound to an endpoint whose answers say
+// that it is leaving, while its row says otherwise.
+TEST_CASE("no row revokes an announced departure", "[endpoints]")
+{
+    struct row
+    {
+        char const* name;
+        int forgotten_at;                               // 0: never
+        std::function<void(endpoint_table&)> after_100; // and before 400
+        bool leaving;
+        int left_at;
+    };
+    auto const ready = endpoint("one", "a1");
+    auto draining = ready;
+    draining.draining = true;
+    auto restarted = ready;
+    restarted.incarnation_start = 1;
+    auto const r = GENERATE_COPY(
+        row{"no change", 0, [](endpoint_table&) {}, true, 2100},
+        row{"ready again", 0, [=](auto& t) { t.put(ready, at(200)); }, true,
+            2100},
+        row{"draining before", 0, [=](auto& t) { t.put(draining, at(-500)); },
+            true, 1500},
+        row{"draining, then ready", 0,
+            [=](auto& t)
+            {
+                t.put(draining, at(-500));
+                t.put(ready, at(200));
+            },
+            true, 2100},
+        row{"announced again", 0,
+            [=](auto& t) { t.find(ready.id)->announce_leaving(at(2300)); },
+            true, 2100},
+        row{"row returned late", 3000,
+            [=](auto& t) { t.remove(ready.id, at(200)); }, true, 2100},
+        row{"new incarnation", 0, [=](auto& t) { t.put(restarted, at(200)); },
+            false, 0});
+    CAPTURE(r.name);
+    endpoint_table table{milliseconds(2000)};
+    table.put(ready, at(0));
+    REQUIRE(
+        table.find(ready.id)->announce_leaving(at(100) + milliseconds(2000)));
+    r.after_100(table);
+    if (r.forgotten_at > 0)
+    {
+        table.remove_unused(at(r.forgotten_at));
+        table.put(ready, at(r.forgotten_at));
+    }
+    auto const e = table.find(ready.id);
+    REQUIRE(e->leaving() == r.leaving);
+    REQUIRE_FALSE(e->has_left(at(r.leaving ? r.left_at - 1 : 100000)));
+    REQUIRE(e->has_left(at(r.left_at)) == r.leaving);
+}
+
+// Guards against growth with the number of incarnations that ever announced.
+TEST_CASE("an announced departure is forgotten in the end", "[endpoints]")
+{
+    endpoint_table table{milliseconds(2000)};
+    auto const ready = endpoint("one", "a1");
+    table.put(ready, at(0));
+    table.find(ready.id)->announce_leaving(at(2000));
+    table.remove(ready.id, at(0));
+    auto const end = at(2000) + endpoint_table::announcement_retention;
+    table.remove_unused(end - milliseconds(1));
+    REQUIRE(table.size() == 1);
+    table.remove_unused(end);
+    REQUIRE(table.size() == 0);
+}
+
 // A restarted endpoint has lost its state; earlier failures do not count for
 // it.
 TEST_CASE("a new incarnation has no history", "[endpoints]")
--- /dev/null
+++ b/tests/platform/endpoint_announcements_test.cpp
@@ -0,0 +1,192 @@
+// What endpoints announce in their answers. Index: leaving.
+#include <catch2/catch.hpp>
+
+#include "relay_fixture.hpp"
+
+using namespace dotterellock;
+using namespace dotterellock::testing;
+
+namespace
+{
+
+std::string const leaving = "Response-Seal: s\r\nServer-Leaving: 1\r\n";
+
+/// Runs until the gateway has ticked. Timers fire in the order of their times,
+/// and this one is later than the next tick, however slow the machine is.
+void run_ticks(relay_fixture& fixture)
+{
+    bool passed = false;
+    asio::steady_timer timer(fixture.io, milliseconds(45));
+    timer.async_wait([&](asio::error_code const&) { passed = true; });
+    fixture.run_until([&] { return passed; });
+}
+
+/// Moves a stopped clock in steps that are no pause of the process.
+void advance(relay_fixture& fixture, milliseconds span)
+{
+    constexpr milliseconds step{100};
+    for (milliseconds passed{0}; passed < span; passed += step)
+    {
+        fixture.clock.offset += step;
+        run_ticks(fixture);
+    }
+}
+
+/// Publishes a change once the gateway asks for changes, which it does with a
+/// pause.
+void publish(relay_fixture& fixture, store_row const& row)
+{
+    auto& table = fixture.table;
+    for (int i = 0; i < 10 && !table.pending_changes; ++i)
+        advance(fixture, milliseconds(100));
+    REQUIRE(table.pending_changes);
+    table.publish_change(row);
+}
+
+/// Runs for a while in which nothing is expected to happen.
+void settle(relay_fixture& fixture)
+{
+    for (int i = 0; i < 5; ++i)
+        run_ticks(fixture);
+}
+
+/// Answers the last request that the endpoint received.
+void answer(
+    scripted_endpoint& e, std::string const& id,
+    std::string const& status = "200 OK",
+    std::string const& more = "Response-Seal: s\r\n")
+{
+    auto const sent = std::find_if(
+        e.connections.rbegin(), e.connections.rend(),
+        [&id](auto const& c) { return c->has("Request-Id: " + id + "\r\n"); });
+    REQUIRE(sent != e.connections.rend());
+    (*sent)->send(relay_fixture::response(id, "body", status, more));
+}
+
+/// Sends a request that has to reach the endpoint, and answers it.
+std::shared_ptr<test_connection> serve(
+    relay_fixture& fixture, scripted_endpoint& e, std::string const& id,
+    std::string const& status = "200 OK",
+    std::string const& more = "Response-Seal: s\r\n")
+{
+    auto const before = e.request_count();
+    auto const caller = fixture.connect_caller(fixture.request("/open/x", id));
+    REQUIRE(fixture.run_until([&] { return e.request_count() == before + 1; }));
+    answer(e, id, status, more);
+    return caller;
+}
+
+void start_with(relay_fixture& fixture, std::vector<std::size_t> const& rows)
+{
+    std::vector<store_row> kept;
+    for (auto const i : rows)
+        kept.push_back(fixture.table.rows[i]);
+    fixture.table.rows = kept;
+    fixture.settings.drain_bound = milliseconds(4000);
+    fixture.start();
+    REQUIRE(fixture.run_until([&] { return fixture.subject->ready(); }));
+    fixture.clock.stop();
+}
+
+std::size_t count_reports(scripted_endpoint const& e)
+{
+    std::size_t n = 0;
+    for (auto const& c : e.connections)
+        n += c->has("GET /report ") ? 1 : 0;
+    return n;
+}
+
+} // namespace
+
+// Leaving --------------------------------------------------------------------
+
+// An endpoint got requests after the drain bound, because its row still said
+// ready while its answers said that it was leaving.
+TEST_CASE("an announced departure holds whatever the row says", "[announced]")
+{
+    relay_fixture fixture;
+    start_with(fixture, {0});
+    auto& e = *fixture.endpoints[0];
+    auto const ready = fixture.table.rows[0];
+    auto const change = GENERATE(
+        as<std::string>{}, "none", "ready", "draining, ready",
+        "removed, returned");
+    auto const caller = serve(fixture, e, "r1", "200 OK", leaving);
+    REQUIRE(fixture.run_until([&] { return caller->has("\r\n\r\nbody"); }));
+    REQUIRE_FALSE(caller->has("Server-Leaving"));
+    REQUIRE(fixture.logged("endpoint_leaving endpoint=one source=answer"));
+    auto const announced_at = fixture.clock.now();
+    auto row = ready;
+    if (change == "removed, returned")
+    {
+        row.deleted = true;
+        publish(fixture, row);
+    }
+    if (change == "draining, ready")
+    {
+        auto& text = row.value;
+        text.replace(text.find("ready"), 5, "draining");
+        publish(fixture, row);
+    }
+    if (change != "none")
+        publish(fixture, ready);
+    fixture.clock.offset +=
+        announced_at + milliseconds(3400) - fixture.clock.now();
+    settle(fixture);
+    serve(fixture, e, "r2"); // the last resort
+    advance(fixture, milliseconds(200));
+    auto const count = e.request_count();
+    auto const late = fixture.connect_caller(fixture.request("/open/x", "r3"));
+    settle(fixture);
+    REQUIRE(e.request_count() == count);
+    // A new incarnation has announced nothing.
+    row = ready;
+    row.value.insert(1, R"("born":99,)");
+    row.key = "one-again";
+    publish(fixture, row);
+    REQUIRE(fixture.run_until([&] { return e.request_count() == count + 1; }));
+}
+
+// Requests followed the bound if their connection was made slowly.
+TEST_CASE("nothing is sent on a connection made too late", "[announced]")
+{
+    relay_fixture fixture;
+    start_with(fixture, {0});
+    auto& e = *fixture.endpoints[0];
+    // The connection is not reused.
+    serve(fixture, e, "r1", "200 OK", leaving + "Connection: close\r\n");
+    settle(fixture);
+    advance(fixture, milliseconds(3400));
+    auto const late = fixture.connect_caller(fixture.request("/open/x", "r2"));
+    REQUIRE(fixture.run_until(
+        [&] { return fixture.logged("dispatch request=r2"); }));
+    fixture.clock.offset += milliseconds(120);
+    settle(fixture);
+    REQUIRE(e.request_count() == 1);
+}
+
+// The gateway's own calls learned nothing from what their answers announced.
+TEST_CASE("an answer to a call announces a departure", "[announced]")
+{
+    relay_fixture fixture;
+    start_with(fixture, {2});
+    auto& m1 = *fixture.endpoints[2];
+    auto const caller = fixture.connect_caller(fixture.request("/llm/x"));
+    REQUIRE(fixture.run_until([&] { return m1.request_count() == 1; }));
+    m1.connections[0]->send(stream_head() + chunk(event(1)));
+    REQUIRE(fixture.run_until([&] { return caller->has(event(1)); }));
+    for (int i = 0; i < 10 && count_reports(m1) == 0; ++i)
+        advance(fixture, milliseconds(100));
+    REQUIRE(count_reports(m1) == 1);
+    m1.connections.back()->send(
+        "HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nContent-Length: 2\r\n\r\n{}");
+    REQUIRE(fixture.run_until(
+        [&] {
+            return fixture.logged("endpoint_leaving endpoint=m1 source=answer");
+        }));
+    // Checks are bound by it as well.
+    advance(fixture, milliseconds(3600));
+    auto const count = m1.request_count();
+    advance(fixture, milliseconds(1000));
+    REQUIRE(m1.request_count() == count);
+}
--- a/tests/platform/protocol_test.cpp
+++ b/tests/platform/protocol_test.cpp
@@ -142,6 +142,10 @@
     REQUIRE_FALSE(terms.sealed);
     REQUIRE(terms.idle_timeout == milliseconds(5000));
     REQUIRE(terms.retry_after == milliseconds(1500));
+    REQUIRE_FALSE(terms.leaving);
+    REQUIRE(platform_protocol()
+                .read_response(head_with({{"server-leaving", "1"}}))
+                .leaving);
 }
 
 TEST_CASE("reports, prompt caches and copy responses are parsed", "[platform]")
--- a/tests/relay/prompt_cache_lookup_test.cpp
+++ b/tests/relay/prompt_cache_lookup_test.cpp
@@ -70,9 +70,9 @@
     prompt_cache_lookup lookup{
         selection, protocol, scheduler, log,
         [this](
-            endpoint_record const& e, milliseconds, std::string,
+            endpoint_ptr const& e, milliseconds, std::string,
             endpoint_call::handler done) {
-            calls.push_back({e.id, std::move(done)});
+            calls.push_back({e->record().id, std::move(done)});
         }};
 };
 
