gateway: an endpoint that asks for a pause gets nothing until it is over

An endpoint that answered 503 with Retry-After got requests again after 200 ms, and checks and reports all the time: the wait was only forwarded to the caller.

endpoint_state keeps a paused-until time of at most 60 s, which a later refusal extends and never shortens. accepts_requests() includes it, so that selection, standbys, listings, reports, checks and copy calls skip the endpoint, and nothing is sent on a connection that is established after the refusal was read. If all endpoints of a service are paused, queued requests that cannot start in time are refused at once with the shortest pause. A 503 without proof that the request did not run pauses the endpoint too.

--- a/src/gateway/endpoint_selector.cpp
+++ b/src/gateway/endpoint_selector.cpp
@@ -180,7 +180,8 @@
     for (auto const& endpoint : endpoints_.of_service(work.service))
     {
         auto const& record = endpoint->record();
-        if (!endpoint->leaving() && !endpoint->suspended(now))
+        if (!endpoint->leaving() && !endpoint->suspended(now) &&
+            !endpoint->paused(now))
             ranked.push_back(
                 {{location_.distance_to(record.zone),
                   ~rendezvous_weight(work.affinity_key, record.address)},
@@ -196,6 +197,23 @@
     return likely;
 }
 
+std::optional<steady_time> endpoint_selector::earliest_pause_end(
+    service_name const& service, steady_time now) const
+{
+    std::optional<steady_time> earliest;
+    for (auto const& endpoint : endpoints_.of_service(service))
+    {
+        if (endpoint->has_left(now))
+            continue;
+        if (!endpoint->paused(now))
+            return std::nullopt;
+        auto const end = endpoint->paused_until();
+        if (!endpoint->has_left(end))
+            earliest = std::min(earliest.value_or(end), end);
+    }
+    return earliest;
+}
+
 endpoint_ptr endpoint_selector::choose_standby(
     endpoint_requirements const& work, engine_spec const& engine,
     endpoint_state const& primary, steady_time now) const
--- a/src/gateway/endpoint_selector.hpp
+++ b/src/gateway/endpoint_selector.hpp
@@ -16,6 +16,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -103,6 +104,11 @@
         endpoint_requirements const& work, std::size_t max_count,
         steady_time now) const;
 
+    /// When the first endpoint of a service ends its pause; empty if one is not
+    /// paused or none will serve.
+    std::optional<steady_time>
+    earliest_pause_end(service_name const& service, steady_time now) const;
+
     /// Known work of all gateways at an endpoint.
     endpoint_state::workload
     total_load(endpoint_state const& endpoint, steady_time now) const;
--- a/src/gateway/endpoint_state.hpp
+++ b/src/gateway/endpoint_state.hpp
@@ -62,6 +62,8 @@
 class endpoint_state
 {
 public:
+    static constexpr std::chrono::seconds max_pause{60};
+
     explicit endpoint_state(endpoint_record record) : record_(std::move(record))
     {
     }
@@ -109,8 +111,25 @@
         return announced_deadline_;
     }
 
+    /// A refusal said how long to send nothing. Does not shorten a pause.
+    /// @return the bounded time from now on
+    std::chrono::milliseconds
+    pause(std::chrono::milliseconds wait, steady_time now)
+    {
+        auto const bounded =
+            std::min<std::chrono::milliseconds>(wait, max_pause);
+        paused_until_ = std::max(paused_until_, now + bounded);
+        return bounded;
+    }
+
+    bool paused(steady_time now) const { return now < paused_until_; }
+    steady_time paused_until() const { return paused_until_; }
+
     /// Whether the gateway may send anything to the endpoint.
-    bool accepts_requests(steady_time now) const { return !has_left(now); }
+    bool accepts_requests(steady_time now) const
+    {
+        return !has_left(now) && !paused(now);
+    }
 
     // Health ----------------------------------------------------------------
 
@@ -218,6 +237,7 @@
     bool listed_ = true;
     std::optional<steady_time> leave_deadline_;     // of the registration
     std::optional<steady_time> announced_deadline_; // of an answer
+    steady_time paused_until_{};
     steady_time suspended_until_{};
     steady_time last_failure_{};
     steady_time last_activity_{};
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -507,18 +507,29 @@
                            : e->received() + r.route->first_byte_target - first;
     entry.start_deadline =
         e->work().resuming ? e->deadline() : e->deadline() - whole;
-    if (auto const refusal = queue->enqueue(entry, now))
+    auto const pause_end = selection_.earliest_pause_end(r.service, now);
+    if (pause_end && *pause_end >= entry.start_deadline)
+        refuse_paused({entry.id, {}}, *pause_end);
+    else if (auto const refusal = queue->enqueue(entry, now))
         refuse_waiting(*refusal);
     return true;
 }
 
-void gateway::refuse_waiting(queue_refusal const& refusal)
+void gateway::refuse_waiting(queue_refusal const& refusal, char const* reason)
 {
     auto const found = exchanges_.find(refusal.id);
     if (found == exchanges_.end())
         return;
     auto const e = found->second;
-    e->refuse("no_room", refusal.retry_after);
+    e->refuse(reason, refusal.retry_after);
+}
+
+/// Refuses a request that cannot start before all endpoints end their pauses.
+void gateway::refuse_paused(queue_refusal refusal, steady_time until)
+{
+    refusal.retry_after =
+        std::chrono::ceil<milliseconds>(until - env_.clock.now());
+    refuse_waiting(refusal, "endpoints_paused");
 }
 
 void gateway::on_capacity_freed(service_name const&)
@@ -546,9 +557,15 @@
         dispatch_queue(service, *queue);
 }
 
-void gateway::dispatch_queue(service_name const&, request_queue& queue)
+void gateway::dispatch_queue(service_name const& service, request_queue& queue)
 {
     auto const now = env_.clock.now();
+    if (auto const pause_end = selection_.earliest_pause_end(service, now))
+    {
+        for (auto const& refusal : queue.remove_expired(*pause_end))
+            refuse_paused(refusal, *pause_end);
+        return; // no endpoint takes any of the others before
+    }
     for (auto const& refusal : queue.remove_expired(now))
         refuse_waiting(refusal);
     for (std::size_t n = queue.size(); n > 0; --n)
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -149,7 +149,9 @@
     void schedule_tick();
     void dispatch_queue(service_name const& service, request_queue& queue);
     void dispatch_waiting();
-    void refuse_waiting(queue_refusal const& refusal);
+    void refuse_waiting(
+        queue_refusal const& refusal, char const* reason = "no_room");
+    void refuse_paused(queue_refusal refusal, steady_time until);
     void log_leaving(endpoint_id const& endpoint, char const* source);
     void check_zone(endpoint_record const& failed);
     void on_check_finished(
--- a/src/relay/gateway_endpoints.cpp
+++ b/src/relay/gateway_endpoints.cpp
@@ -76,6 +76,15 @@
     if (metadata.leaving &&
         endpoint->announce_leaving(now + endpoints_.last_resort_period()))
         log_leaving(endpoint->record().id, "answer");
+    if (status != 503 ||
+        metadata.retry_after.value_or(milliseconds(0)) <= milliseconds(0))
+        return;
+    auto const pause = endpoint->pause(*metadata.retry_after, now);
+    env_.log.record(
+        event_level::info, "endpoint_paused",
+        {{"endpoint", endpoint->record().id.value()},
+         {"for_ms", std::to_string(pause.count())}});
+    on_capacity_freed(endpoint->record().service); // some may wait too long now
 }
 
 void gateway::log_leaving(endpoint_id const& endpoint, char const* source)
@@ -237,6 +246,7 @@
         for (auto const& endpoint : endpoints_.of_service(service))
         {
             if (endpoint->leaving() || endpoint->suspended(now) ||
+                endpoint->paused(now) ||
                 now - endpoint->last_report_attempt() < report_interval ||
                 !needs_report(*endpoint, now))
                 continue;
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -367,7 +367,8 @@
     endpoint_->record_activity(now);
     if (endpoint_->accepts_requests(now))
         return;
-    // The endpoint left while the connection was made. Nothing was sent.
+    // The endpoint left or asked for a pause while the connection was made.
+    // Nothing was sent.
     auto const self = shared_from_this();
     release_attempt_resources();
     start_next_attempt();
--- a/src/relay/standby_copies.hpp
+++ b/src/relay/standby_copies.hpp
@@ -72,7 +72,7 @@
         bool lost(steady_time now) const
         {
             return standby->leaving() || standby->suspended(now) ||
-                   standby->last_failure() > began;
+                   standby->paused(now) || standby->last_failure() > began;
         }
     };
 
--- a/tests/gateway/endpoints_test.cpp
+++ b/tests/gateway/endpoints_test.cpp
@@ -163,6 +163,60 @@
     REQUIRE(table.size() == 0);
 }
 
+// Guards against requests to an endpoint during the time it asked to be left
+// alone, by any of the ways in which endpoints are selected.
+TEST_CASE("a paused endpoint is not even a last resort", "[endpoints]")
+{
+    endpoint_table table{milliseconds(2000)};
+    zone_failure_detector zones;
+    peer_loads const peers;
+    endpoint_selector selection(table, zones, peers, test_location());
+    auto const e = engine();
+    auto r = endpoint("one", "a1");
+    table.put(r, at(0));
+    auto const one = table.find(r.id);
+    struct row
+    {
+        std::vector<std::pair<int, int>> pauses; // time, seconds
+        int end;
+    };
+    auto const pauses = GENERATE(
+        row{{{0, 5}}, 5000}, row{{{0, 5}, {1000, 2}}, 5000},
+        row{{{0, 5}, {1000, 7}}, 8000}, row{{{0, 3600}}, 60000});
+    for (auto const& [time, seconds] : pauses.pauses)
+        one->pause(std::chrono::seconds(seconds), at(time));
+    auto w = prompt();
+    w.cached_endpoint = r.id;
+    for (bool const paused : {true, false})
+    {
+        int const now = pauses.end - (paused ? 1 : 0);
+        CAPTURE(now);
+        REQUIRE((selection.choose(w, &e, at(now)) == nullptr) == paused);
+        REQUIRE((selection.choose(w, nullptr, at(now)) == nullptr) == paused);
+        REQUIRE(selection.likely_caches(w, 9, at(now)).empty() == paused);
+        endpoint_state const primary(endpoint("two", "b1"));
+        REQUIRE(
+            (selection.choose_standby(w, e, primary, at(now)) == nullptr) ==
+            paused);
+        auto const end = selection.earliest_pause_end(r.service, at(now));
+        REQUIRE(end.has_value() == paused);
+        REQUIRE(end.value_or(at(pauses.end)) == at(pauses.end));
+    }
+    // The earliest end counts, unless that endpoint will have left.
+    table.put(endpoint("three", "a1"), at(0));
+    auto const three = table.find(endpoint_id("three"));
+    REQUIRE_FALSE(selection.earliest_pause_end(r.service, at(2000)));
+    three->pause(milliseconds(500), at(2000));
+    REQUIRE(selection.earliest_pause_end(r.service, at(2000)) == at(2500));
+    three->announce_leaving(at(2200));
+    REQUIRE(
+        selection.earliest_pause_end(r.service, at(2000)) == at(pauses.end));
+    // A new incarnation asked for nothing.
+    r.incarnation_start = 1;
+    table.put(r, at(100));
+    REQUIRE(selection.choose(w, &e, at(100)) != nullptr);
+}
+
 // A restarted endpoint has lost its state; earlier failures do not count for
 // it.
 TEST_CASE("a new incarnation has no history", "[endpoints]")
--- a/tests/platform/endpoint_announcements_test.cpp
+++ b/tests/platform/endpoint_announcements_test.cpp
@@ -1,4 +1,4 @@
-// What endpoints announce in their answers. Index: leaving.
+// What endpoints announce in their answers. Index: leaving; pauses.
 #include <catch2/catch.hpp>
 
 #include "relay_fixture.hpp"
@@ -190,3 +190,86 @@
     advance(fixture, milliseconds(1000));
     REQUIRE(m1.request_count() == count);
 }
+
+// Pauses ---------------------------------------------------------------------
+
+// Refused endpoints that asked for seconds got further requests after 200 ms.
+TEST_CASE("an endpoint that asks for a pause gets none", "[announced]")
+{
+    relay_fixture fixture;
+    start_with(fixture, {0, 1});
+    bool const proven = GENERATE(true, false);
+    std::string const proof = proven ? "Not-Executed: 1\r\n" : "";
+    auto& one = *fixture.endpoints[0];
+    auto& two = *fixture.endpoints[1];
+    auto const caller =
+        fixture.connect_caller(fixture.request("/open/x", "r1"));
+    REQUIRE(fixture.run_until([&] { return one.request_count() == 1; }));
+    answer(one, "r1", "503 Busy", proof + "Retry-After: 2\r\n");
+    if (proven)
+    {
+        REQUIRE(fixture.run_until([&] { return two.request_count() == 1; }));
+        answer(two, "r1");
+    }
+    REQUIRE(fixture.run_until([&] { return caller->has("\r\n\r\n"); }));
+    REQUIRE(fixture.logged("endpoint_paused endpoint=one for_ms=2000"));
+    for (int i = 2; i < 8; ++i)
+    {
+        serve(fixture, two, "r" + std::to_string(i));
+        advance(fixture, milliseconds(300));
+    }
+    REQUIRE(one.request_count() == 1);
+    advance(fixture, milliseconds(300));
+    serve(fixture, one, "r9");
+}
+
+// A request that no endpoint takes in time learns so at once; others wait.
+TEST_CASE("requests wait for the end of a pause", "[announced]")
+{
+    relay_fixture fixture;
+    start_with(fixture, {0});
+    auto& e = *fixture.endpoints[0];
+    struct row
+    {
+        char const* seconds;
+        bool refused;
+    };
+    auto const r = GENERATE(row{"2", false}, row{"30", true}, row{"70", true});
+    auto const waiting = serve(
+        fixture, e, "r1", "503 Busy",
+        std::string("Not-Executed: 1\r\nRetry-After: ") + r.seconds + "\r\n");
+    auto const next = fixture.connect_caller(fixture.request("/open/x", "r2"));
+    if (r.refused)
+    {
+        REQUIRE(fixture.run_until([&] { return next->has(" 503 "); }));
+        REQUIRE(fixture.run_until([&] { return waiting->has(" 503 "); }));
+        REQUIRE(next->has(
+            std::string("Retry-After: ") +
+            (r.seconds == std::string("70") ? "60" : r.seconds) + ".0\r\n"));
+        return;
+    }
+    advance(fixture, milliseconds(1900));
+    REQUIRE(e.request_count() == 1);
+    advance(fixture, milliseconds(300));
+    REQUIRE(fixture.run_until([&] { return e.request_count() == 3; }));
+}
+
+// A check is a request too; it reached endpoints in the middle of their pause.
+TEST_CASE("a paused endpoint is not checked", "[announced]")
+{
+    relay_fixture fixture;
+    start_with(fixture, {2});
+    auto& m1 = *fixture.endpoints[2];
+    auto const caller = fixture.connect_caller(fixture.request("/llm/x"));
+    REQUIRE(fixture.run_until([&] { return m1.request_count() == 1; }));
+    m1.connections[0]->send(stream_head() + chunk(event(1)));
+    REQUIRE(fixture.run_until([&] { return caller->has(event(1)); }));
+    auto const refused =
+        fixture.connect_caller(fixture.request("/llm/x", "r2"));
+    REQUIRE(fixture.run_until([&] { return m1.request_count() == 2; }));
+    answer(m1, "r2", "503 Busy", "Not-Executed: 1\r\nRetry-After: 3\r\n");
+    advance(fixture, milliseconds(2900));
+    REQUIRE(m1.request_count() == 2);
+    advance(fixture, milliseconds(300));
+    REQUIRE(fixture.run_until([&] { return m1.request_count() > 2; }));
+}
--- a/tests/platform/protocol_test.cpp
+++ b/tests/platform/protocol_test.cpp
@@ -146,6 +146,11 @@
     REQUIRE(platform_protocol()
                 .read_response(head_with({{"server-leaving", "1"}}))
                 .leaving);
+    // A very long wait is clamped, not ignored.
+    REQUIRE(
+        platform_protocol()
+            .read_response(head_with({{"Retry-After", "86400"}}))
+            .retry_after == std::chrono::hours(1));
 }
 
 TEST_CASE("reports, prompt caches and copy responses are parsed", "[platform]")
