gateway: a removal counts from the last proof after a short interruption

An endpoint got a request 3,972 ms after its row was removed, with a drain bound of 4,000 ms and a period of 3,500 ms: one call of the gateway's own reading was lost, and a removal read after an interruption counted from now, because rows that expired while the store was away return within two seconds.

endpoint_table::removed_at() now lets the endpoint be used until the later of the last proof plus the period and two seconds from now, and never longer than the period from now. Up to an interruption of the bound less the margin less two seconds (1.5 s of 4 s) no use follows the bound; a longer one may exceed it by the length of the excess less the margin, as the rows need the time to return. Listings take the same time; draining rows always counted from the last proof.

Seen before the change (the rule replaced by 'return now'): 'REQUIRE( table.find(id)->has_left(at(r.usable_until)) )' FAILED in the rows with an interruption. After: tests/gateway, relay, platform and http, 147 cases, all passed.

--- a/src/gateway/endpoint_table.hpp
+++ b/src/gateway/endpoint_table.hpp
@@ -4,6 +4,7 @@
 #ifndef DOTTERELLOCK_GATEWAY_ENDPOINT_TABLE_HPP
 #define DOTTERELLOCK_GATEWAY_ENDPOINT_TABLE_HPP
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -47,6 +48,26 @@
     // read later. `changed_at` is the earliest time at which the row may have
     // changed.
 
+    // Rows that expired while the store was unavailable return within this time
+    // after it is back, if their endpoints are alive.
+    static constexpr std::chrono::milliseconds row_return_window{2000};
+
+    /// The earliest time to assume for the loss of a row that is learned now.
+    /// After an interruption the endpoint stays usable for row_return_window,
+    /// or longer if the row may have been lost late enough.
+    /// @param last_proof   when the row was last known to exist
+    /// @param interrupted  calls to the store failed since then
+    steady_time
+    removed_at(steady_time last_proof, bool interrupted, steady_time now) const
+    {
+        if (!interrupted)
+            return last_proof;
+        return std::min(
+            now,
+            std::max(
+                last_proof, now + row_return_window - last_resort_period_));
+    }
+
     /// Adds or updates a row. A new incarnation replaces the endpoint and
     /// starts without history.
     /// @return whether the row newly says that the endpoint is leaving
--- a/src/relay/gateway_tables.cpp
+++ b/src/relay/gateway_tables.cpp
@@ -107,11 +107,10 @@
     void on_current(copy_state const&) override { owner_.accept_when_ready(); }
 
 private:
-    // Rows that expired while the store was unavailable return within seconds
-    // if their endpoints are alive, so the loss of a row says little then.
     steady_time removed_at(change_period const& period) const
     {
-        return period.interrupted ? owner_.env_.clock.now() : period.not_before;
+        return owner_.endpoints_.removed_at(
+            period.not_before, period.interrupted, owner_.env_.clock.now());
     }
 
     void log(store_row const& row, char const* state, std::string const& detail)
--- a/tests/gateway/endpoints_test.cpp
+++ b/tests/gateway/endpoints_test.cpp
@@ -94,6 +94,47 @@
     REQUIRE_FALSE(table.find(endpoint_id("one"))->leaving());
 }
 
+// A short interruption of this gateway's reading let it use a removed endpoint
+// past the drain bound: 3,972 ms after the removal, with a bound of 4,000 ms
+// and a margin of 500 ms. A long one must not take the endpoints whose rows
+// expired meanwhile out of service before the rows return.
+TEST_CASE("a removal counts from the last proof if it can", "[endpoints]")
+{
+    struct row
+    {
+        int bound;
+        int interruption; // -1: none; the removal is read 300 ms after the
+                          // proof
+        int usable_until; // after the last proof
+    };
+    constexpr int margin = 500;
+    auto const r = GENERATE(
+        row{4000, -1, 3500}, row{4000, 0, 3500}, row{4000, 500, 3500},
+        row{4000, 1500, 3500}, row{4000, 1600, 3600}, row{4000, 2000, 4000},
+        row{4000, 5000, 7000}, row{4000, 60000, 62000}, row{2500, 0, 2000},
+        row{2500, 500, 2500}, row{2500, 5000, 7000},
+        // A period below the return window is never exceeded.
+        row{2000, 500, 2000}, row{2000, 5000, 6500});
+    CAPTURE(r.bound, r.interruption);
+    endpoint_table table{milliseconds(r.bound - margin)};
+    endpoint_id const id("one");
+    table.put(endpoint("one", "a1"), at(-1000));
+    int const now = r.interruption < 0 ? 300 : r.interruption;
+    auto const at_once = table.removed_at(at(0), r.interruption >= 0, at(now));
+    bool const by_listing = GENERATE(true, false);
+    if (by_listing)
+        table.keep_only({}, at_once);
+    else
+        table.remove(id, at_once);
+    REQUIRE_FALSE(table.find(id)->has_left(at(r.usable_until - 1)));
+    REQUIRE(table.find(id)->has_left(at(r.usable_until)));
+    auto const window = int(endpoint_table::row_return_window.count());
+    if (r.interruption <= r.bound - margin - window)
+        REQUIRE(r.usable_until <= r.bound - margin);
+    if (r.bound - margin >= window && r.interruption >= 0)
+        REQUIRE(r.usable_until >= r.interruption + window);
+}
+
 // Guards against requests past the drain bound to an endpoint whose answers say
 // that it is leaving, while its row says otherwise.
 TEST_CASE("no row revokes an announced departure", "[endpoints]")
