--- a/tests/gateway/endpoints_test.cpp
+++ b/tests/gateway/endpoints_test.cpp
@@ -1,6 +1,7 @@
 // Index: endpoint table; health; selection; zones; prompt caches.
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <map>
 
 #include "gateway/peer_group.hpp"
@@ -93,6 +94,170 @@
     REQUIRE_FALSE(table.find(endpoint_id("one"))->leaving());
 }
 
+// A short interruption of this gateway's reading let it use a removed endpoint
+// past the drain bound: 3,972 ms after the removal, with a bound of 4,000 ms
+// and a margin of 500 ms. A long one must not take the endpoints whose rows
+// expired meanwhile out of service before the rows return.
+TEST_CASE("a removal counts from the last proof if it can", "[endpoints]")
+{
+    struct row
+    {
+        int bound;
+        int interruption; // -1: none; the removal is read 300 ms after the
+                          // proof
+        int usable_until; // after the last proof
+    };
+    constexpr int margin = 500;
+    auto const r = GENERATE(
+        row{4000, -1, 3500}, row{4000, 0, 3500}, row{4000, 500, 3500},
+        row{4000, 1500, 3500}, row{4000, 1600, 3600}, row{4000, 2000, 4000},
+        row{4000, 5000, 7000}, row{4000, 60000, 62000}, row{2500, 0, 2000},
+        row{2500, 500, 2500}, row{2500, 5000, 7000},
+        // A period below the return window is never exceeded.
+        row{2000, 500, 2000}, row{2000, 5000, 6500});
+    CAPTURE(r.bound, r.interruption);
+    endpoint_table table{milliseconds(r.bound - margin)};
+    endpoint_id const id("one");
+    table.put(endpoint("one", "a1"), at(-1000));
+    int const now = r.interruption < 0 ? 300 : r.interruption;
+    auto const at_once = table.removed_at(at(0), r.interruption >= 0, at(now));
+    bool const by_listing = GENERATE(true, false);
+    if (by_listing)
+        table.keep_only({}, at_once);
+    else
+        table.remove(id, at_once);
+    REQUIRE_FALSE(table.find(id)->has_left(at(r.usable_until - 1)));
+    REQUIRE(table.find(id)->has_left(at(r.usable_until)));
+    auto const window = int(endpoint_table::row_return_window.count());
+    if (r.interruption <= r.bound - margin - window)
+        REQUIRE(r.usable_until <= r.bound - margin);
+    if (r.bound - margin >= window && r.interruption >= 0)
+        REQUIRE(r.usable_until >= r.interruption + window);
+}
+
+// Guards against requests past the drain bound to an endpoint whose answers say
+// that it is leaving, while its row says otherwise.
+TEST_CASE("no row revokes an announced departure", "[endpoints]")
+{
+    struct row
+    {
+        char const* name;
+        int forgotten_at;                               // 0: never
+        std::function<void(endpoint_table&)> after_100; // and before 400
+        bool leaving;
+        int left_at;
+    };
+    auto const ready = endpoint("one", "a1");
+    auto draining = ready;
+    draining.draining = true;
+    auto restarted = ready;
+    restarted.incarnation_start = 1;
+    auto const r = GENERATE_COPY(
+        row{"no change", 0, [](endpoint_table&) {}, true, 2100},
+        row{"ready again", 0, [=](auto& t) { t.put(ready, at(200)); }, true,
+            2100},
+        row{"draining before", 0, [=](auto& t) { t.put(draining, at(-500)); },
+            true, 1500},
+        row{"draining, then ready", 0,
+            [=](auto& t)
+            {
+                t.put(draining, at(-500));
+                t.put(ready, at(200));
+            },
+            true, 2100},
+        row{"announced again", 0,
+            [=](auto& t) { t.find(ready.id)->announce_leaving(at(2300)); },
+            true, 2100},
+        row{"row returned late", 3000,
+            [=](auto& t) { t.remove(ready.id, at(200)); }, true, 2100},
+        row{"new incarnation", 0, [=](auto& t) { t.put(restarted, at(200)); },
+            false, 0});
+    CAPTURE(r.name);
+    endpoint_table table{milliseconds(2000)};
+    table.put(ready, at(0));
+    REQUIRE(
+        table.find(ready.id)->announce_leaving(at(100) + milliseconds(2000)));
+    r.after_100(table);
+    if (r.forgotten_at > 0)
+    {
+        table.remove_unused(at(r.forgotten_at));
+        table.put(ready, at(r.forgotten_at));
+    }
+    auto const e = table.find(ready.id);
+    REQUIRE(e->leaving() == r.leaving);
+    REQUIRE_FALSE(e->has_left(at(r.leaving ? r.left_at - 1 : 100000)));
+    REQUIRE(e->has_left(at(r.left_at)) == r.leaving);
+}
+
+// Guards against growth with the number of incarnations that ever announced.
+TEST_CASE("an announced departure is forgotten in the end", "[endpoints]")
+{
+    endpoint_table table{milliseconds(2000)};
+    auto const ready = endpoint("one", "a1");
+    table.put(ready, at(0));
+    table.find(ready.id)->announce_leaving(at(2000));
+    table.remove(ready.id, at(0));
+    auto const end = at(2000) + endpoint_table::announcement_retention;
+    table.remove_unused(end - milliseconds(1));
+    REQUIRE(table.size() == 1);
+    table.remove_unused(end);
+    REQUIRE(table.size() == 0);
+}
+
+// Guards against requests to an endpoint during the time it asked to be left
+// alone, by any of the ways in which endpoints are selected.
+TEST_CASE("a paused endpoint is not even a last resort", "[endpoints]")
+{
+    endpoint_table table{milliseconds(2000)};
+    zone_failure_detector zones;
+    peer_loads const peers;
+    endpoint_selector selection(table, zones, peers, test_location());
+    auto const e = engine();
+    auto r = endpoint("one", "a1");
+    table.put(r, at(0));
+    auto const one = table.find(r.id);
+    struct row
+    {
+        std::vector<std::pair<int, int>> pauses; // time, seconds
+        int end;
+    };
+    auto const pauses = GENERATE(
+        row{{{0, 5}}, 5000}, row{{{0, 5}, {1000, 2}}, 5000},
+        row{{{0, 5}, {1000, 7}}, 8000}, row{{{0, 3600}}, 60000});
+    for (auto const& [time, seconds] : pauses.pauses)
+        one->pause(std::chrono::seconds(seconds), at(time));
+    auto w = prompt();
+    w.cached_endpoint = r.id;
+    for (bool const paused : {true, false})
+    {
+        int const now = pauses.end - (paused ? 1 : 0);
+        CAPTURE(now);
+        REQUIRE((selection.choose(w, &e, at(now)) == nullptr) == paused);
+        REQUIRE((selection.choose(w, nullptr, at(now)) == nullptr) == paused);
+        REQUIRE(selection.likely_caches(w, 9, at(now)).empty() == paused);
+        endpoint_state const primary(endpoint("two", "b1"));
+        REQUIRE(
+            (selection.choose_standby(w, e, primary, at(now)) == nullptr) ==
+            paused);
+        auto const end = selection.earliest_pause_end(r.service, at(now));
+        REQUIRE(end.has_value() == paused);
+        REQUIRE(end.value_or(at(pauses.end)) == at(pauses.end));
+    }
+    // The earliest end counts, unless that endpoint will have left.
+    table.put(endpoint("three", "a1"), at(0));
+    auto const three = table.find(endpoint_id("three"));
+    REQUIRE_FALSE(selection.earliest_pause_end(r.service, at(2000)));
+    three->pause(milliseconds(500), at(2000));
+    REQUIRE(selection.earliest_pause_end(r.service, at(2000)) == at(2500));
+    three->announce_leaving(at(2200));
+    REQUIRE(
+        selection.earliest_pause_end(r.service, at(2000)) == at(pauses.end));
+    // A new incarnation asked for nothing.
+    r.incarnation_start = 1;
+    table.put(r, at(100));
+    REQUIRE(selection.choose(w, &e, at(100)) != nullptr);
+}
+
 // A restarted endpoint has lost its state; earlier failures do not count for
 // it.
 TEST_CASE("a new incarnation has no history", "[endpoints]")
--- a/tests/platform/faulty_answers_test.cpp
+++ b/tests/platform/faulty_answers_test.cpp
@@ -699,7 +699,9 @@
     auto const start = [&]
     {
         auto call = std::make_unique<endpoint_call>(
-            pool, fixture.protocol, record, milliseconds(1000),
+            pool, fixture.protocol, fixture.clock,
+            std::make_shared<endpoint_state>(record), milliseconds(1000),
+            [](message_head const&) {},
             [&](endpoint_reply reply) { replies.push_back(std::move(reply)); });
         call->start(
             fixture.protocol.report_request(), fixture.clock.now(), false);
