platform: decode all parts of a prompt

The gateway reads only the last part of a prompt.

Blanks and empty entries are skipped, so that gateways agree on the parts of a prompt. At most 64 parts are kept, the first 63 and the last, which bounds the work for one request.

Test: "the parts of a prompt are parsed in order".

--- a/src/relay/protocol_codec.hpp
+++ b/src/relay/protocol_codec.hpp
@@ -29,6 +29,7 @@
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0; // upper limit
     std::string last_prompt_part;    // specific to this request or its session
+    std::vector<std::string> prompt_parts; // in order, including the last one
 };
 
 /// Values from the head of an endpoint's response.
--- a/tests/platform/protocol_test.cpp
+++ b/tests/platform/protocol_test.cpp
@@ -76,6 +76,58 @@
     REQUIRE(terms.last_prompt_part == "e440");
 }
 
+// Guards against a shared part that is missed, taken for the last one, or read
+// differently by two gateways because of blanks and empty entries.
+TEST_CASE("the parts of a prompt are parsed in order", "[platform]")
+{
+    using parts = std::vector<std::string>;
+    auto const numbered = [](std::size_t count)
+    {
+        std::string text;
+        for (std::size_t i = 0; i < count; ++i)
+            text += (i ? "," : "") + std::to_string(i) + ":9";
+        return text;
+    };
+    auto const first_and = [](std::size_t last)
+    {
+        parts p;
+        for (std::size_t i = 0; i < 63; ++i)
+            p.push_back(std::to_string(i));
+        p.push_back(std::to_string(last));
+        return p;
+    };
+    struct entry
+    {
+        char const* name;
+        std::string header;
+        parts expected;
+    };
+    auto const e = GENERATE_COPY(
+        entry{"none", "", {}}, entry{"one", "a:1", {"a"}},
+        entry{
+            "several", "5c1e:800,91bd:410,e440:250", {"5c1e", "91bd", "e440"}},
+        entry{"blanks", " a : 1 ,\tb:2 , c", {"a", "b", "c"}},
+        entry{"blank inside an id", "a b:1,c:2", {"a b", "c"}},
+        entry{"empty entries", ",a:1,,b:2,", {"a", "b"}},
+        entry{"blank entries", " , a:1, \t ,b:2, ", {"a", "b"}},
+        entry{"no id", ":7,a:1,:", {"a"}},
+        entry{"no count", "a,b:,c:x", {"a", "b", "c"}},
+        entry{"two colons", "a:1:2,b::", {"a", "b"}},
+        entry{"only separators", ",:,::, ,", {}},
+        entry{"repeated", "a:1,a:1", {"a", "a"}},
+        entry{"not text", "\xff\x01:1,\xc3\x28", {"\xff\x01", "\xc3\x28"}},
+        entry{"as many as allowed", numbered(64), first_and(63)},
+        entry{"one too many", numbered(65), first_and(64)},
+        entry{"far too many", numbered(5000), first_and(4999)},
+        entry{
+            "separators beyond the limit", numbered(64) + ",,,",
+            first_and(63)});
+    CAPTURE(e.name);
+    auto const terms = platform_protocol().read_request(
+        head_with({{"Request-Id", "a"}, {"Prompt-Prefix", e.header}}));
+    REQUIRE(terms.prompt_parts == e.expected);
+}
+
 TEST_CASE("a missing request id or invalid deadline is rejected", "[platform]")
 {
     auto const headers = GENERATE(values<header_list>(
