relay: quarantine prompts that crash endpoints

Callers would see all requests fail as endpoints go out of service.

An attempt whose endpoint is lost (reset, closed, or dead by a check) within 1 s of its first event is reported with the prompt's shared parts; one that writes for 1 s or completes is reported as a proof. A quarantined prompt is refused at admission, in the queue and before each attempt: 503 quarantined_prompt with the rest as Retry-After if nothing ran, else 502, and a begun stream is broken off. Comments are no events in this respect. Not counted: refusals, silence, error answers, malformed and unsealed ones, cut events, unreachable endpoints, and reused connections that end before any byte of an answer.

Gateways send their evidence as a second kind of datagram on the socket of the load shares, on change (40 ms apart) and every 250 ms while there is any.

--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -32,9 +32,6 @@
 // is newer than this, which exceeds the lag of versions; otherwise with 503.
 constexpr milliseconds max_refusal_age{3200};
 
-// Time in which a process without a configuration should receive one.
-constexpr milliseconds unconfigured_retry_after{1000};
-
 // Callers whose gateway failed reconnect within a few seconds.
 constexpr milliseconds caller_return_window{4000};
 
@@ -97,6 +94,13 @@
 gateway::gateway(gateway_settings settings, gateway_environment environment)
     : settings_(std::move(settings)), env_(environment),
       endpoints_(settings_.drain_bound - last_resort_margin),
+      prompt_crashes_(
+          env_.log, env_.counters,
+          [this]
+          {
+              if (peer_load_sync_)
+                  peer_load_sync_->request_evidence_send();
+          }),
       selection_(
           endpoints_, zones_, peers_,
           {zone_id(settings_.zone), settings_.regions}),
@@ -146,7 +150,10 @@
             env_.io, settings_.host, settings_.peer_listen, peer_reader_,
             env_.peer_writer, env_.clock, env_.random, env_.log,
             [this] { return local_load_share(); },
-            [this](load_share const& share) { on_load_share(share); });
+            [this](load_share const& share) { on_load_share(share); },
+            [this] { return prompt_crashes_.evidence(env_.clock.now()); },
+            [this](host_id const& peer, crash_evidence const& evidence)
+            { prompt_crashes_.merge(peer, evidence, env_.clock.now()); });
 }
 
 gateway::~gateway() = default;
@@ -307,13 +314,14 @@
 
 void gateway::reject(
     client_session& session, std::string const& id, unsigned status,
-    char const* reason, std::string const& detail)
+    char const* reason, std::string const& detail, milliseconds retry_after)
 {
     header_list headers{{"Content-Type", "application/json"}};
     if (status == 503)
         headers.emplace_back(
             "Retry-After",
-            std::to_string(unconfigured_retry_after.count() / 1000));
+            std::to_string(
+                std::chrono::ceil<std::chrono::seconds>(retry_after).count()));
     auto const age = freshness_lease_.age(env_.clock.now());
     env_.counters
         .counter(
@@ -394,6 +402,16 @@
         reject(*session, id, 503, "shutting_down", r.route->name);
         return;
     }
+    if (r.route->engine_prompt)
+        r.shared_parts =
+            prompt_part_keys_of(r.service, r.metadata.prompt_parts);
+    if (auto const rest =
+            prompt_crashes_.quarantined_for(r.shared_parts, env_.clock.now()))
+    {
+        prompt_crashes_.count_refusal();
+        reject(*session, id, 503, quarantined_prompt, r.route->name, *rest);
+        return;
+    }
     if (auto const* const spec = table_->service(r.service);
         spec && spec->engine)
         engine_services_.insert(r.service);
@@ -620,6 +638,7 @@
     {
         last_sweep_ = now;
         pool_.close_expired();
+        prompt_crashes_.remove_expired(now);
         sweep_endpoints(now);
         update_table_sources(now);
         dispatch_waiting();
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -91,6 +91,9 @@
     std::string metrics();
 
 private:
+    // Time in which a process without a configuration should receive one.
+    static constexpr std::chrono::milliseconds unconfigured_retry_after{1000};
+
     class configuration_sink;
     class endpoint_sink;
 
@@ -115,6 +118,7 @@
     event_log& log() override { return env_.log; }
     service_retry_budget& budget(service_name const& service) override;
     first_event_estimate& estimate(service_name const& service) override;
+    prompt_crash_monitor& prompt_crashes() override { return prompt_crashes_; }
     std::size_t fleet_size() const;
     std::uint32_t connection_share(service_spec const& service) override;
     void report_outcome(
@@ -166,7 +170,8 @@
 
     void reject(
         client_session& session, std::string const& id, unsigned status,
-        char const* reason, std::string const& detail);
+        char const* reason, std::string const& detail,
+        std::chrono::milliseconds retry_after = unconfigured_retry_after);
     bool configuration_newer_than(std::chrono::milliseconds age) const;
     void apply_configuration(
         gateway_configuration configuration, std::uint64_t revision);
@@ -176,6 +181,7 @@
     endpoint_table endpoints_;
     zone_failure_detector zones_;
     peer_loads peers_;
+    prompt_crash_monitor prompt_crashes_;
     endpoint_selector selection_;
     connection_pool pool_;
     freshness_lease freshness_lease_;
--- a/src/relay/gateway_metrics.cpp
+++ b/src/relay/gateway_metrics.cpp
@@ -47,6 +47,16 @@
     c.counter("endpoints").set(endpoints_.size());
     c.counter("gateways")
         .set(peer_load_sync_ ? peer_load_sync_->fleet_size() : 1);
+    c.counter("quarantined_prompt_parts")
+        .set(prompt_crashes_.quarantined_parts(env_.clock.now()));
+    if (peer_load_sync_)
+    {
+        auto const& evidence = peer_load_sync_->evidence_datagrams();
+        c.counter("evidence_datagrams_sent_total").set(evidence.sent);
+        c.counter("evidence_datagrams_received_total").set(evidence.received);
+        c.counter("evidence_datagrams_unreadable_total")
+            .set(evidence.unreadable);
+    }
     c.counter("connections_opened").set(pool_.connections_created());
     c.counter("store_calls")
         .set(
--- a/src/relay/peer_load_sync.cpp
+++ b/src/relay/peer_load_sync.cpp
@@ -6,6 +6,7 @@
 #include <dotterellock/error.hpp>
 
 #include "connection_pool.hpp"
+#include "crash_evidence_codec.hpp"
 #include "gateway/peer_group.hpp"
 #include "load_share_codec.hpp"
 
@@ -17,8 +18,8 @@
 
 using std::chrono::milliseconds;
 
-// A changed share is sent at once, but no sooner than the minimum interval. An
-// unchanged one is repeated, in case a datagram was lost.
+// A changed share or changed evidence is sent at once, but no sooner than the
+// minimum interval. Unchanged ones are repeated, in case a datagram was lost.
 constexpr milliseconds max_send_interval{250};
 constexpr milliseconds min_send_interval{40};
 
@@ -51,10 +52,12 @@
     asio::io_context& io, std::string host, std::string address,
     row_reader& reader, row_writer& writer, clock_source const& clock,
     random_source& random, event_log& log, share_source source,
-    share_handler handler)
+    share_handler handler, evidence_source evidence,
+    evidence_handler on_evidence)
     : host_(std::move(host)), address_(std::move(address)), writer_(writer),
       clock_(clock), log_(log), share_source_(std::move(source)),
-      share_handler_(std::move(handler)),
+      share_handler_(std::move(handler)), evidence_source_(std::move(evidence)),
+      evidence_handler_(std::move(on_evidence)),
       gateway_table_(*this, clock, max_shared_age),
       peer_watch_(
           table_name, peer_watch_settings, reader, gateway_table_, clock,
@@ -89,6 +92,14 @@
         send();
         remove_lost_peers(now);
     }
+    auto const unsent = now - evidence_sent_;
+    if ((evidence_requested_ && unsent >= min_send_interval) ||
+        unsent >= max_send_interval)
+    {
+        evidence_requested_ = false;
+        evidence_sent_ = now;
+        send_evidence();
+    }
 }
 
 void peer_load_sync::register_self()
@@ -226,7 +237,24 @@
     share.gateway = host_id(host_);
     share.incarnation = incarnation_;
     share.sequence = ++sequence_;
-    auto const bytes = encode_load_share(std::move(share));
+    send_to_group(encode_load_share(std::move(share)));
+}
+
+void peer_load_sync::send_evidence()
+{
+    if (peers_.empty())
+        return;
+    auto const evidence = evidence_source_();
+    if (evidence.parts.empty())
+        return;
+    evidence_counts_.sent +=
+        send_to_group(encode_crash_evidence(host_id(host_), evidence));
+}
+
+/// @return number of peers
+std::size_t peer_load_sync::send_to_group(std::string const& bytes)
+{
+    std::size_t sent = 0;
     for (auto const& [host, peer] : peers_)
     {
         if (!peer.in_group)
@@ -234,7 +262,9 @@
         // A datagram that cannot be sent is superseded by the next one.
         asio::error_code ignored;
         socket_.send_to(asio::buffer(bytes), peer.address, 0, ignored);
+        ++sent;
     }
+    return sent;
 }
 
 void peer_load_sync::receive()
@@ -256,6 +286,11 @@
 void peer_load_sync::on_datagram(
     std::string const& bytes, asio::ip::udp::endpoint const& sender)
 {
+    if (is_crash_evidence(bytes))
+    {
+        on_evidence_datagram(bytes, sender);
+        return;
+    }
     try
     {
         auto const share = decode_load_share(bytes);
@@ -276,4 +311,26 @@
     }
 }
 
+void peer_load_sync::on_evidence_datagram(
+    std::string const& bytes, asio::ip::udp::endpoint const& sender)
+{
+    try
+    {
+        auto const shared = decode_crash_evidence(bytes);
+        auto const known = peers_.find(shared.gateway.value());
+        if (known == peers_.end() || known->second.address != sender)
+            return;
+        ++evidence_counts_.received;
+        evidence_handler_(shared.gateway, shared.evidence);
+    }
+    catch (error const& problem)
+    {
+        ++evidence_counts_.unreadable;
+        log_.record(
+            event_level::warn, "evidence_unreadable",
+            {{"from", sender.address().to_string()},
+             {"detail", problem.detail()}});
+    }
+}
+
 } // namespace dotterellock
--- a/src/relay/peer_load_sync.hpp
+++ b/src/relay/peer_load_sync.hpp
@@ -1,4 +1,5 @@
-// Sends this gateway's load share to its peers over UDP and receives theirs.
+// Sends this gateway's load share to its peers over UDP and receives theirs; so
+// too its evidence about crashes, in datagrams of their own.
 // Gateways discover each other through a table of the platform's store, where
 // each writes its address at startup and removes it at shutdown. Each datagram
 // supersedes the previous one, so a lost one is not sent again.
@@ -17,6 +18,7 @@
 
 #include "gateway/event_log.hpp"
 #include "gateway/peer_loads.hpp"
+#include "gateway/prompt_quarantine.hpp"
 #include "gateway/shared_table.hpp"
 #include "gateway/table_watcher.hpp"
 
@@ -44,6 +46,17 @@
 
     using share_source = std::function<load_share()>;
     using share_handler = std::function<void(load_share const&)>;
+    using evidence_source = std::function<crash_evidence()>;
+    using evidence_handler = std::function<void(
+        host_id const& gateway, crash_evidence const& evidence)>;
+
+    /// Datagrams with evidence.
+    struct evidence_counts
+    {
+        std::uint64_t sent = 0;
+        std::uint64_t received = 0;
+        std::uint64_t unreadable = 0;
+    };
 
     /// @param host     name of this gateway's host; the key of its row
     /// @param address  this gateway's address, IP:PORT
@@ -51,7 +64,8 @@
         asio::io_context& io, std::string host, std::string address,
         row_reader& reader, row_writer& writer, clock_source const& clock,
         random_source& random, event_log& log, share_source source,
-        share_handler handler);
+        share_handler handler, evidence_source evidence,
+        evidence_handler on_evidence);
 
     peer_load_sync(peer_load_sync const&) = delete;
     peer_load_sync& operator=(peer_load_sync const&) = delete;
@@ -66,6 +80,14 @@
     /// Sends the load share as soon as the minimum interval allows.
     void request_send() { send_requested_ = true; }
 
+    /// Sends the evidence as soon as the minimum interval allows.
+    void request_evidence_send() { evidence_requested_ = true; }
+
+    evidence_counts const& evidence_datagrams() const
+    {
+        return evidence_counts_;
+    }
+
     /// Removes this gateway's row from the table.
     void unregister();
 
@@ -111,7 +133,11 @@
     void receive();
     void on_datagram(
         std::string const& bytes, asio::ip::udp::endpoint const& sender);
+    void on_evidence_datagram(
+        std::string const& bytes, asio::ip::udp::endpoint const& sender);
     void send();
+    void send_evidence();
+    std::size_t send_to_group(std::string const& bytes);
     void remove_lost_peers(steady_time now);
 
     std::string const host_;
@@ -121,6 +147,8 @@
     event_log& log_;
     share_source const share_source_;
     share_handler const share_handler_;
+    evidence_source const evidence_source_;
+    evidence_handler const evidence_handler_;
     shared_table gateway_table_;
     table_watcher peer_watch_;
     asio::ip::udp::socket socket_;
@@ -135,6 +163,9 @@
     bool send_requested_ = false;
     steady_time next_write_{};
     steady_time last_sent_{};
+    bool evidence_requested_ = false;
+    steady_time evidence_sent_{}; // or was found to be empty
+    evidence_counts evidence_counts_;
 };
 
 } // namespace dotterellock
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -1,5 +1,5 @@
 // Index: construction and dispatch; attempts; response from the endpoint;
-// response to the caller; timeouts; completion.
+// response to the caller; timeouts; prompts that crash endpoints; completion.
 #include "relay_exchange.hpp"
 
 #include <algorithm>
@@ -122,7 +122,7 @@
 
 bool relay_exchange::try_leave_queue()
 {
-    if (state_ != state::waiting)
+    if (state_ != state::waiting || refuse_if_quarantined())
         return true;
     auto endpoint =
         context_.selection().choose(work_, engine(), context_.clock().now());
@@ -136,6 +136,8 @@
 
 void relay_exchange::start_next_attempt()
 {
+    if (refuse_if_quarantined())
+        return;
     auto const now = context_.clock().now();
     // Resumes a run from the copy of its memory, if there is one.
     if (auto const at =
@@ -197,6 +199,8 @@
         context_.on_load_changed();
     sent_at_ = last_progress_ = now;
     stream_began_at_.reset();
+    first_content_at_.reset();
+    proof_reported_ = false;
     confirmed_at_.reset();
     response_head_.reset();
     response_metadata_ = {};
@@ -466,6 +470,10 @@
     {
         last_progress_ = now;
         confirmed_at_.reset();
+        if (!first_content_at_)
+            first_content_at_ = now;
+        if (now - *first_content_at_ >= prompt_quarantine::proving_time)
+            report_proof();
     }
     if (!stream_began_at_)
     {
@@ -511,6 +519,8 @@
     }
     if (passing_through_)
     {
+        if (status < 400)
+            report_proof();
         context_.report_outcome(endpoint_, attempt_outcome::served);
         session_->end_stream();
         finish("served", status, {});
@@ -540,6 +550,8 @@
     endpoint_->record_latency(
         std::chrono::duration_cast<std::chrono::microseconds>(now - sent_at_));
     context_.report_outcome(endpoint_, attempt_outcome::served);
+    if (success)
+        report_proof();
     send_whole_response();
 }
 
@@ -549,6 +561,11 @@
     auto const outcome = failure == connection_failure::not_connected
                              ? attempt_outcome::unreachable
                              : attempt_outcome::lost;
+    // An idle connection may be closed just as it is reused.
+    bool const stale = reused_connection_ && !response_head_;
+    if (!stale && (failure == connection_failure::closed ||
+                   failure == connection_failure::reset))
+        report_crash();
     if (passing_through_)
     {
         context_.report_outcome(endpoint_, outcome);
@@ -605,6 +622,7 @@
         return;
     }
     context_.report_outcome(endpoint_, attempt_outcome::served);
+    report_proof();
     context_.record_stream_duration(
         request_.service, context_.clock().now() - request_.message.received);
     if (!response_begun_)
@@ -629,6 +647,8 @@
             fail(504, route_timeout_first_ ? "route_timeout" : "deadline");
         return;
     }
+    if (state_ == state::waiting && refuse_if_quarantined())
+        return;
     if (state_ != state::attempting)
         return;
     if (paused)
@@ -694,6 +714,7 @@
         last_progress_ > checked || !request_.route->repeatable())
         return;
     auto const self = shared_from_this();
+    report_crash();
     on_attempt_failed(attempt_outcome::lost, "endpoint_dead");
 }
 
@@ -718,6 +739,41 @@
         confirmed_at_.reset();
 }
 
+// Prompts that crash endpoints ----------------------------------------------
+
+bool relay_exchange::refuse_if_quarantined()
+{
+    auto const rest = context_.prompt_crashes().quarantined_for(
+        request_.shared_parts, context_.clock().now());
+    if (!rest)
+        return false;
+    context_.prompt_crashes().count_refusal();
+    refuse(quarantined_prompt, *rest);
+    return true;
+}
+
+void relay_exchange::report_crash()
+{
+    auto const now = context_.clock().now();
+    bool const lasted =
+        first_content_at_ &&
+        now - *first_content_at_ >= prompt_quarantine::proving_time;
+    if (lasted || !connection_ || !connection_->connected())
+        return;
+    context_.prompt_crashes().record_crash(
+        request_.metadata.id, endpoint_->record().id, request_.shared_parts,
+        now);
+}
+
+void relay_exchange::report_proof()
+{
+    if (std::exchange(proof_reported_, true))
+        return;
+    auto const now = context_.clock().now();
+    context_.prompt_crashes().record_proof(
+        request_.shared_parts, first_content_at_.value_or(now), now);
+}
+
 // Completion -----------------------------------------------------------------
 
 void relay_exchange::refuse(char const* reason, milliseconds retry_after)
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -18,6 +18,7 @@
 #include "gateway/liveness.hpp"
 #include "gateway/service_retry_budget.hpp"
 #include "http_connection.hpp"
+#include "prompt_crash_monitor.hpp"
 #include "protocol_codec.hpp"
 #include "standby_copies.hpp"
 
@@ -48,6 +49,7 @@
     virtual event_log& log() = 0;
     virtual service_retry_budget& budget(service_name const& service) = 0;
     virtual first_event_estimate& estimate(service_name const& service) = 0;
+    virtual prompt_crash_monitor& prompt_crashes() = 0;
 
     /// Number of connections that this gateway may open to one endpoint.
     virtual std::uint32_t connection_share(service_spec const& service) = 0;
@@ -96,6 +98,7 @@
     organisation_id organisation;
     std::uint32_t rank = 0;
     request_metadata metadata;
+    prompt_part_keys shared_parts; // of the prompt; empty: not examined
     client_request message;
 };
 
@@ -184,6 +187,15 @@
     void on_attempt_failed(attempt_outcome outcome, char const* reason);
     bool may_repeat(attempt_outcome outcome);
 
+    /// Refuses the request if its prompt is quarantined.
+    bool refuse_if_quarantined();
+
+    /// Reports that the endpoint was lost, unless the attempt had lasted.
+    void report_crash();
+
+    /// Reports, once an attempt, that its prompt does not crash endpoints.
+    void report_proof();
+
     void on_connected() override;
     void on_response_head(message_head head) override;
     void on_response_body(std::string_view bytes) override;
@@ -223,9 +235,11 @@
     bool sole_prefill_ = false; // no other prefill of this gateway there
     steady_time sent_at_{};
     steady_time last_progress_{};
-    std::optional<steady_time> stream_began_at_; // in this attempt
-    std::optional<steady_time> confirmed_at_;    // by an endpoint report
-    std::optional<message_head> response_head_;  // from the endpoint
+    std::optional<steady_time> stream_began_at_;  // in this attempt
+    std::optional<steady_time> first_content_at_; // in this attempt
+    bool proof_reported_ = false;
+    std::optional<steady_time> confirmed_at_;   // by an endpoint report
+    std::optional<message_head> response_head_; // from the endpoint
     response_metadata response_metadata_;
     std::string buffered_body_; // unless the response is a stream
     event_splitter events_;
