gateway: compare received quarantine times without overflow

A peer's rest of a quarantine near the largest value overflowed when converted to nanoseconds. The undefined behaviour sanitizer reported it in the test "hostile evidence is bounded".

--- a/src/gateway/prompt_quarantine.cpp
+++ b/src/gateway/prompt_quarantine.cpp
@@ -255,9 +255,9 @@
         auto const quarantines =
             std::clamp(received.quarantines, 1U, max_counted_quarantines);
         auto const length = quarantine_length(quarantines);
-        auto const until = now + (*received.quarantined_for < length
-                                      ? duration(*received.quarantined_for)
-                                      : length);
+        auto const until = now + std::min(
+                                     *received.quarantined_for,
+                                     duration_cast<milliseconds>(length));
         bool const unfounded =
             disproved && counting(part, {}).size() < min_incidents;
         bool const outdated =
