--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -32,13 +32,12 @@
 // is newer than this, which exceeds the lag of versions; otherwise with 503.
 constexpr milliseconds max_refusal_age{3200};
 
-// Time in which a process without a configuration should receive one.
-constexpr milliseconds unconfigured_retry_after{1000};
-
 // Callers whose gateway failed reconnect within a few seconds.
 constexpr milliseconds caller_return_window{4000};
 
-// Allows for a listing that is one heartbeat old after a store outage.
+// Allows for a listing that is one heartbeat old after a store outage, and for
+// requests on their way: these are sent on an open connection and arrive half a
+// round trip later, 20 ms between regions.
 constexpr milliseconds last_resort_margin{500};
 
 // Request bodies that are read or relayed may use the memory limit divided by
@@ -97,6 +96,13 @@
 gateway::gateway(gateway_settings settings, gateway_environment environment)
     : settings_(std::move(settings)), env_(environment),
       endpoints_(settings_.drain_bound - last_resort_margin),
+      prompt_crashes_(
+          env_.log, env_.counters,
+          [this]
+          {
+              if (peer_load_sync_)
+                  peer_load_sync_->request_evidence_send();
+          }),
       selection_(
           endpoints_, zones_, peers_,
           {zone_id(settings_.zone), settings_.regions}),
@@ -134,7 +140,7 @@
       cache_lookup_(
           selection_, env_.protocol, env_.clock, env_.log,
           [this](
-              endpoint_record const& endpoint, milliseconds timeout,
+              endpoint_ptr const& endpoint, milliseconds timeout,
               std::string request, endpoint_call::handler done) {
               call(
                   endpoint, timeout, std::move(request), false,
@@ -146,7 +152,10 @@
             env_.io, settings_.host, settings_.peer_listen, peer_reader_,
             env_.peer_writer, env_.clock, env_.random, env_.log,
             [this] { return local_load_share(); },
-            [this](load_share const& share) { on_load_share(share); });
+            [this](load_share const& share) { on_load_share(share); },
+            [this] { return prompt_crashes_.evidence(env_.clock.now()); },
+            [this](host_id const& peer, crash_evidence const& evidence)
+            { prompt_crashes_.merge(peer, evidence, env_.clock.now()); });
 }
 
 gateway::~gateway() = default;
@@ -320,13 +329,14 @@
 
 void gateway::reject(
     client_session& session, std::string const& id, unsigned status,
-    char const* reason, std::string const& detail)
+    char const* reason, std::string const& detail, milliseconds retry_after)
 {
     header_list headers{{"Content-Type", "application/json"}};
     if (status == 503)
         headers.emplace_back(
             "Retry-After",
-            std::to_string(unconfigured_retry_after.count() / 1000));
+            std::to_string(
+                std::chrono::ceil<std::chrono::seconds>(retry_after).count()));
     auto const age = freshness_lease_.age(env_.clock.now());
     env_.counters
         .counter(
@@ -407,6 +417,16 @@
         reject(*session, id, 503, "shutting_down", r.route->name);
         return;
     }
+    if (r.route->engine_prompt)
+        r.shared_parts =
+            prompt_part_keys_of(r.service, r.metadata.prompt_parts);
+    if (auto const rest =
+            prompt_crashes_.quarantined_for(r.shared_parts, env_.clock.now()))
+    {
+        prompt_crashes_.count_refusal();
+        reject(*session, id, 503, quarantined_prompt, r.route->name, *rest);
+        return;
+    }
     if (auto const* const spec = table_->service(r.service);
         spec && spec->engine)
         engine_services_.insert(r.service);
@@ -518,18 +538,29 @@
                            : e->received() + r.route->first_byte_target - first;
     entry.start_deadline =
         e->work().resuming ? e->deadline() : e->deadline() - whole;
-    if (auto const refusal = queue->enqueue(entry, now))
+    auto const pause_end = selection_.earliest_pause_end(r.service, now);
+    if (pause_end && *pause_end >= entry.start_deadline)
+        refuse_paused({entry.id, {}}, *pause_end);
+    else if (auto const refusal = queue->enqueue(entry, now))
         refuse_waiting(*refusal);
     return true;
 }
 
-void gateway::refuse_waiting(queue_refusal const& refusal)
+void gateway::refuse_waiting(queue_refusal const& refusal, char const* reason)
 {
     auto const found = exchanges_.find(refusal.id);
     if (found == exchanges_.end())
         return;
     auto const e = found->second;
-    e->refuse("no_room", refusal.retry_after);
+    e->refuse(reason, refusal.retry_after);
+}
+
+/// Refuses a request that cannot start before all endpoints end their pauses.
+void gateway::refuse_paused(queue_refusal refusal, steady_time until)
+{
+    refusal.retry_after =
+        std::chrono::ceil<milliseconds>(until - env_.clock.now());
+    refuse_waiting(refusal, "endpoints_paused");
 }
 
 void gateway::on_capacity_freed(service_name const&)
@@ -557,9 +588,15 @@
         dispatch_queue(service, *queue);
 }
 
-void gateway::dispatch_queue(service_name const&, request_queue& queue)
+void gateway::dispatch_queue(service_name const& service, request_queue& queue)
 {
     auto const now = env_.clock.now();
+    if (auto const pause_end = selection_.earliest_pause_end(service, now))
+    {
+        for (auto const& refusal : queue.remove_expired(*pause_end))
+            refuse_paused(refusal, *pause_end);
+        return; // no endpoint takes any of the others before
+    }
     for (auto const& refusal : queue.remove_expired(now))
         refuse_waiting(refusal);
     for (std::size_t n = queue.size(); n > 0; --n)
@@ -633,6 +670,7 @@
     {
         last_sweep_ = now;
         pool_.close_expired();
+        prompt_crashes_.remove_expired(now);
         sweep_endpoints(now);
         update_table_sources(now);
         dispatch_waiting();
--- a/src/relay/gateway_endpoints.cpp
+++ b/src/relay/gateway_endpoints.cpp
@@ -66,6 +66,34 @@
     }
 }
 
+void gateway::record_announcements(
+    endpoint_ptr const& endpoint, unsigned status,
+    response_metadata const& metadata)
+{
+    if (status == 421)
+        return; // the answer of another incarnation
+    auto const now = env_.clock.now();
+    if (metadata.leaving &&
+        endpoint->announce_leaving(now + endpoints_.last_resort_period()))
+        log_leaving(endpoint->record().id, "answer");
+    if (status != 503 ||
+        metadata.retry_after.value_or(milliseconds(0)) <= milliseconds(0))
+        return;
+    auto const pause = endpoint->pause(*metadata.retry_after, now);
+    env_.log.record(
+        event_level::info, "endpoint_paused",
+        {{"endpoint", endpoint->record().id.value()},
+         {"for_ms", std::to_string(pause.count())}});
+    on_capacity_freed(endpoint->record().service); // some may wait too long now
+}
+
+void gateway::log_leaving(endpoint_id const& endpoint, char const* source)
+{
+    env_.log.record(
+        event_level::info, "endpoint_leaving",
+        {{"endpoint", endpoint.value()}, {"source", source}});
+}
+
 void gateway::check_zone(endpoint_record const& failed)
 {
     for (auto const& endpoint : endpoints_.of_service(failed.service))
@@ -79,6 +107,8 @@
 void gateway::check_endpoint(endpoint_ptr const& endpoint)
 {
     auto const now = env_.clock.now();
+    if (!endpoint->accepts_requests(now))
+        return;
     auto const id = endpoint->record().id.value();
     auto const last = last_checked_.find(id);
     if (last != last_checked_.end() && now - last->second < check_interval)
@@ -89,8 +119,7 @@
     bool const cross_region = place.distance_to(endpoint->record().zone) ==
                               topology::distance::other_region;
     call(
-        endpoint->record(),
-        cross_region ? cross_region_check_timeout : check_timeout,
+        endpoint, cross_region ? cross_region_check_timeout : check_timeout,
         env_.protocol.report_request(), true,
         [this, endpoint, now](endpoint_reply const& reply)
         { on_check_finished(endpoint, now, reply); });
@@ -217,13 +246,13 @@
         for (auto const& endpoint : endpoints_.of_service(service))
         {
             if (endpoint->leaving() || endpoint->suspended(now) ||
+                endpoint->paused(now) ||
                 now - endpoint->last_report_attempt() < report_interval ||
                 !needs_report(*endpoint, now))
                 continue;
             endpoint->record_report_request(now);
             call(
-                endpoint->record(), report_timeout,
-                env_.protocol.report_request(), false,
+                endpoint, report_timeout, env_.protocol.report_request(), false,
                 [this, endpoint](endpoint_reply const& reply)
                 { on_report(*endpoint, reply); });
         }
@@ -271,11 +300,17 @@
 }
 
 void gateway::call(
-    endpoint_record const& endpoint, milliseconds timeout, std::string request,
+    endpoint_ptr const& endpoint, milliseconds timeout, std::string request,
     bool probe, endpoint_call::handler done)
 {
     auto const call = std::make_shared<endpoint_call>(
-        pool_, endpoint, timeout, std::move(done));
+        pool_, env_.protocol, env_.clock, endpoint, timeout,
+        [this, endpoint](message_head const& head)
+        {
+            record_announcements(
+                endpoint, head.status, env_.protocol.read_response(head));
+        },
+        std::move(done));
     endpoint_calls_.push_back(call);
     call->start(std::move(request), env_.clock.now(), probe);
 }
--- a/src/relay/protocol_codec.hpp
+++ b/src/relay/protocol_codec.hpp
@@ -29,6 +29,7 @@
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0; // upper limit
     std::string last_prompt_part;    // specific to this request or its session
+    std::vector<std::string> prompt_parts; // in order, including the last one
 };
 
 /// Values from the head of an endpoint's response.
@@ -37,6 +38,7 @@
     std::optional<request_id> id;
     bool sealed = false;  // signed by the endpoint
     bool not_run = false; // the endpoint proves that the request did not run
+    bool leaving = false; // the endpoint ends soon
     std::optional<std::chrono::milliseconds> idle_timeout;
     std::optional<std::chrono::milliseconds> retry_after;
 };
@@ -75,6 +77,10 @@
     /// the gateway sets itself or withholds from endpoints.
     virtual bool forwards_header(std::string_view header) const = 0;
 
+    /// Whether an endpoint's header is forwarded to the caller. False for
+    /// headers that only tell the gateway something.
+    virtual bool forwards_response_header(std::string_view header) const = 0;
+
     /// Request for an endpoint's report.
     virtual std::string report_request() const = 0;
 
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -1,5 +1,5 @@
 // Index: construction and dispatch; attempts; response from the endpoint;
-// response to the caller; timeouts; completion.
+// response to the caller; timeouts; prompts that crash endpoints; completion.
 #include "relay_exchange.hpp"
 
 #include <algorithm>
@@ -122,7 +122,7 @@
 
 bool relay_exchange::try_leave_queue()
 {
-    if (state_ != state::waiting)
+    if (state_ != state::waiting || refuse_if_quarantined())
         return true;
     auto endpoint =
         context_.selection().choose(work_, engine(), context_.clock().now());
@@ -136,6 +136,8 @@
 
 void relay_exchange::start_next_attempt()
 {
+    if (refuse_if_quarantined())
+        return;
     auto const now = context_.clock().now();
     // Resumes a run from the copy of its memory, if there is one.
     if (auto const at =
@@ -199,6 +201,9 @@
     next_suspicion_ = now;
     suspicion_logged_ = false;
     stream_began_at_.reset();
+    first_content_at_.reset();
+    proof_reported_ = false;
+    crash_reported_ = false;
     confirmed_at_.reset();
     response_head_.reset();
     response_metadata_ = {};
@@ -230,7 +235,8 @@
          {"runs", std::to_string(history_.runs)},
          {"left_ms", milliseconds_text(deadline_ - now)}});
     bool const require_recent = !request_.route->repeatable();
-    connection_ = context_.pool().acquire(record, require_recent);
+    connection_ = context_.pool().acquire(
+        record, require_recent, request_.metadata.id.value());
     reused_connection_ = connection_->connected();
     connection_->send(
         *address, build_forwarded_request(record, copy), *this,
@@ -305,10 +311,8 @@
          {"events", std::to_string(events_sent_)},
          {"copy", resumed_from_copy_ ? "1" : "0"}});
     context_.count_failed_attempt(reason);
-    // An idle connection may be closed just as it is reused; that is no sign
-    // of a fault.
-    bool const stale = reused_connection_ && !response_head_ &&
-                       outcome == attempt_outcome::lost;
+    bool const stale =
+        outcome == attempt_outcome::lost && closed_while_reused(now);
     bool const no_copy =
         resumed_from_copy_ && outcome == attempt_outcome::refused;
     if (!stale && !no_copy)
@@ -434,7 +438,15 @@
 
 void relay_exchange::on_connected()
 {
-    endpoint_->record_activity(context_.clock().now());
+    auto const now = context_.clock().now();
+    endpoint_->record_activity(now);
+    if (endpoint_->accepts_requests(now))
+        return;
+    // The endpoint left or asked for a pause while the connection was made.
+    // Nothing was sent.
+    auto const self = shared_from_this();
+    release_attempt_resources();
+    start_next_attempt();
 }
 
 void relay_exchange::on_response_head(message_head head)
@@ -457,6 +469,7 @@
         connection_->skip_response();
         return;
     }
+    context_.record_announcements(endpoint_, head.status, metadata);
     response_metadata_ = std::move(metadata);
     auto const* const type = find_header(head.headers, "content-type");
     attempt_is_stream_ = streaming() && head.status == 200 &&
@@ -485,7 +498,9 @@
     buffered_body_.append(bytes);
     if (buffered_body_.size() <= max_buffered_bytes)
         return;
-    if (response_begun_ || !response_metadata_.sealed)
+    if (response_begun_ || !response_metadata_.sealed ||
+        response_metadata_.not_run ||
+        guarantees_not_run(response_head_->status))
     {
         on_attempt_failed(attempt_outcome::lost, "oversized_answer");
         return;
@@ -537,6 +552,10 @@
     {
         last_progress_ = now;
         confirmed_at_.reset();
+        if (!first_content_at_)
+            first_content_at_ = now;
+        if (now - *first_content_at_ >= prompt_quarantine::proving_time)
+            report_proof();
     }
     if (!stream_began_at_)
     {
@@ -571,10 +590,15 @@
     auto const self = shared_from_this();
     auto const now = context_.clock().now();
     auto const& record = endpoint_->record();
+    auto const status = response_head_->status;
+    bool const served = attempt_is_stream_ || passing_through_ ||
+                        (status < 500 && !guarantees_not_run(status) &&
+                         response_metadata_.sealed);
+    if (!served || response_metadata_.not_run)
+        connection_->record_unserved_request(request_.metadata.id.value());
     context_.pool().release(
         record, std::move(connection_), response_metadata_.idle_timeout);
     connection_.reset();
-    auto const status = response_head_->status;
     if (attempt_is_stream_)
     {
         complete_stream();
@@ -582,6 +606,8 @@
     }
     if (passing_through_)
     {
+        if (status < 400)
+            report_proof();
         context_.report_outcome(endpoint_, attempt_outcome::served);
         session_->end_stream();
         finish("served", status, {});
@@ -611,6 +637,8 @@
     endpoint_->record_latency(
         std::chrono::duration_cast<std::chrono::microseconds>(now - sent_at_));
     context_.report_outcome(endpoint_, attempt_outcome::served);
+    if (success)
+        report_proof();
     send_whole_response();
 }
 
@@ -620,6 +648,10 @@
     auto const outcome = failure == connection_failure::not_connected
                              ? attempt_outcome::unreachable
                              : attempt_outcome::lost;
+    bool const stale = closed_while_reused(context_.clock().now());
+    if (!stale && (failure == connection_failure::closed ||
+                   failure == connection_failure::reset))
+        report_crash();
     if (passing_through_)
     {
         context_.report_outcome(endpoint_, outcome);
@@ -637,7 +669,8 @@
     header_list headers;
     for (auto const& [name, value] : response_head_->headers)
     {
-        if (!is_hop_by_hop(response_head_->headers, name))
+        if (context_.protocol().forwards_response_header(name) &&
+            !is_hop_by_hop(response_head_->headers, name))
             headers.emplace_back(name, value);
     }
     return headers;
@@ -670,12 +703,13 @@
 
 void relay_exchange::complete_stream()
 {
-    if (events_.partial_bytes() > 0)
+    if (events_.in_event())
     {
         on_attempt_failed(attempt_outcome::lost, "cut_event");
         return;
     }
     context_.report_outcome(endpoint_, attempt_outcome::served);
+    report_proof();
     context_.record_stream_duration(
         request_.service, context_.clock().now() - request_.message.received);
     if (!response_begun_)
@@ -700,6 +734,10 @@
             fail(504, route_timeout_first_ ? "route_timeout" : "deadline");
         return;
     }
+    bool const queued =
+        state_ == state::waiting || state_ == state::awaiting_budget;
+    if (queued && refuse_if_quarantined())
+        return;
     if (state_ == state::awaiting_budget)
     {
         await_budget(now);
@@ -770,7 +808,9 @@
         last_progress_ > checked || !request_.route->repeatable())
         return;
     auto const self = shared_from_this();
-    give_up_attempt(attempt_outcome::lost, "endpoint_dead");
+    report_crash();
+    if (!refuse_if_quarantined())
+        give_up_attempt(attempt_outcome::lost, "endpoint_dead");
 }
 
 void relay_exchange::on_endpoint_report(
@@ -794,6 +834,42 @@
         confirmed_at_.reset();
 }
 
+// Prompts that crash endpoints ----------------------------------------------
+
+bool relay_exchange::refuse_if_quarantined()
+{
+    auto const rest = context_.prompt_crashes().quarantined_for(
+        request_.shared_parts, context_.clock().now());
+    if (!rest)
+        return false;
+    context_.prompt_crashes().count_refusal();
+    refuse(quarantined_prompt, *rest);
+    return true;
+}
+
+void relay_exchange::report_crash()
+{
+    auto const now = context_.clock().now();
+    bool const lasted =
+        first_content_at_ &&
+        now - *first_content_at_ >= prompt_quarantine::proving_time;
+    if (lasted || !connection_ || !connection_->connected() ||
+        std::exchange(crash_reported_, true))
+        return;
+    context_.prompt_crashes().record_crash(
+        request_.metadata.id, endpoint_->record().id, request_.shared_parts,
+        now);
+}
+
+void relay_exchange::report_proof()
+{
+    if (std::exchange(proof_reported_, true))
+        return;
+    auto const now = context_.clock().now();
+    context_.prompt_crashes().record_proof(
+        request_.shared_parts, first_content_at_.value_or(now), now);
+}
+
 // Completion -----------------------------------------------------------------
 
 void relay_exchange::refuse(char const* reason, milliseconds retry_after)
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -18,6 +18,7 @@
 #include "gateway/liveness.hpp"
 #include "gateway/service_retry_budget.hpp"
 #include "http_connection.hpp"
+#include "prompt_crash_monitor.hpp"
 #include "protocol_codec.hpp"
 #include "standby_copies.hpp"
 
@@ -48,6 +49,7 @@
     virtual event_log& log() = 0;
     virtual service_retry_budget& budget(service_name const& service) = 0;
     virtual first_event_estimate& estimate(service_name const& service) = 0;
+    virtual prompt_crash_monitor& prompt_crashes() = 0;
 
     /// Number of connections that this gateway may open to one endpoint.
     virtual std::uint32_t connection_share(service_spec const& service) = 0;
@@ -59,9 +61,14 @@
     /// Probes the endpoint for its report, unless it was probed just before.
     virtual void check_endpoint(endpoint_ptr const& endpoint) = 0;
 
+    /// Applies what the head of an endpoint's answer says about the endpoint.
+    virtual void record_announcements(
+        endpoint_ptr const& endpoint, unsigned status,
+        response_metadata const& metadata) = 0;
+
     /// Sends a request of the gateway itself; ends within the timeout.
     virtual void call(
-        endpoint_record const& endpoint, std::chrono::milliseconds timeout,
+        endpoint_ptr const& endpoint, std::chrono::milliseconds timeout,
         std::string request, bool probe, endpoint_call::handler done) = 0;
 
     /// Records the duration of a complete stream.
@@ -96,6 +103,7 @@
     organisation_id organisation;
     std::uint32_t rank = 0;
     request_metadata metadata;
+    prompt_part_keys shared_parts; // of the prompt; empty: not examined
     client_request message;
 };
 
@@ -168,6 +176,10 @@
     // Limits the memory of a stream whose caller reads too slowly.
     static constexpr std::size_t max_unsent_bytes = 1u << 20;
 
+    // Several round trips between regions. A connection that ends later was
+    // lost with its endpoint.
+    static constexpr std::chrono::milliseconds reuse_race_window{200};
+
     // Interval of the search for another endpoint while one is suspected.
     static constexpr std::chrono::milliseconds suspicion_interval{100};
 
@@ -191,6 +203,23 @@
     bool another_attempt_can_follow(steady_time now);
     void give_up_attempt(attempt_outcome outcome, char const* reason);
 
+    /// Whether an idle connection was closed just as it was reused, which is no
+    /// sign of a fault.
+    bool closed_while_reused(steady_time now) const
+    {
+        return reused_connection_ && !response_head_ &&
+               now - sent_at_ < reuse_race_window;
+    }
+
+    /// Refuses the request if its prompt is quarantined.
+    bool refuse_if_quarantined();
+
+    /// Reports that the endpoint was lost, unless the attempt had lasted.
+    void report_crash();
+
+    /// Reports, once an attempt, that its prompt does not crash endpoints.
+    void report_proof();
+
     void on_connected() override;
     void on_response_head(message_head head) override;
     void on_response_body(std::string_view bytes) override;
@@ -233,9 +262,12 @@
     steady_time last_progress_{};
     steady_time next_suspicion_{}; // earliest time to act on a suspicion
     bool suspicion_logged_ = false;
-    std::optional<steady_time> stream_began_at_; // in this attempt
-    std::optional<steady_time> confirmed_at_;    // by an endpoint report
-    std::optional<message_head> response_head_;  // from the endpoint
+    std::optional<steady_time> stream_began_at_;  // in this attempt
+    std::optional<steady_time> first_content_at_; // in this attempt
+    bool proof_reported_ = false;
+    bool crash_reported_ = false;
+    std::optional<steady_time> confirmed_at_;   // by an endpoint report
+    std::optional<message_head> response_head_; // from the endpoint
     response_metadata response_metadata_;
     std::string buffered_body_; // unless the response is a stream
     event_splitter events_;
