relay: do not give a silent endpoint up for one that failed just now

Found in review: the search for another endpoint falls back to suspended and leaving ones. When many endpoints pause at once, a sound stream was moved to one believed dead, which also spent a retry. A suspicion now needs an endpoint in order. No test of its own; the cases without another endpoint are in unanswered_requests_test.cpp.

--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -404,7 +404,8 @@
     auto work = work_;
     work.resuming = response_begun_;
     work.excluded.insert(endpoint_->record().id.value());
-    return context_.selection().choose(work, engine(), now) != nullptr;
+    auto const next = context_.selection().choose(work, engine(), now);
+    return next && !next->suspended(now) && !next->leaving();
 }
 
 /// Fails an attempt whose endpoint only appears to be lost, but not if nothing
