relay: do not answer "not run" for a request that an endpoint received

Found in review: a failed check that completed a quarantine refused the request at once with 503, though its attempt was still open. The attempt now fails first, so the answer is 502. Guarded by 'a request that was sent is not refused as not run'; the earlier code was not run with this test, the sequence is from reading.

--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -396,7 +396,7 @@
 {
     auto const& route = *request_.route;
     if (!route.repeatable() || history_.runs + 1 >= route.max_attempts ||
-        deadline_ - now <= min_time_left ||
+        deadline_ - now <= min_time_left || quarantined() ||
         !context_.budget(request_.service).available(now))
         return false;
     if (standby_copies_->find_resume_point(stream_began_at_, now))
@@ -810,7 +810,10 @@
         return;
     auto const self = shared_from_this();
     report_crash();
-    if (!refuse_if_quarantined())
+    // The endpoint was sent the request, so this attempt counts as a run.
+    if (quarantined())
+        on_attempt_failed(attempt_outcome::lost, "endpoint_dead");
+    else
         give_up_attempt(attempt_outcome::lost, "endpoint_dead");
 }
 
@@ -837,6 +840,13 @@
 
 // Prompts that crash endpoints ----------------------------------------------
 
+bool relay_exchange::quarantined() const
+{
+    return context_.prompt_crashes()
+        .quarantined_for(request_.shared_parts, context_.clock().now())
+        .has_value();
+}
+
 bool relay_exchange::refuse_if_quarantined()
 {
     auto const rest = context_.prompt_crashes().quarantined_for(
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -211,6 +211,8 @@
                now - sent_at_ < reuse_race_window;
     }
 
+    bool quarantined() const;
+
     /// Refuses the request if its prompt is quarantined.
     bool refuse_if_quarantined();
 
--- a/tests/platform/prompt_quarantine_relay_test.cpp
+++ b/tests/platform/prompt_quarantine_relay_test.cpp
@@ -238,6 +238,25 @@
     REQUIRE(fixture.count("dispatch request=r2") == 0);
 }
 
+// A request that its endpoint had received was answered "not run" when a check
+// completed the quarantine.
+TEST_CASE("a request that was sent is not refused as not run", "[quarantine]")
+{
+    quarantine_fixture fixture;
+    fixture.start_stopped();
+    auto const first = fixture.send("r1", "bad:1,own:1");
+    fixture.crash("r1");
+    fixture.clock.offset += crash_spacing;
+    fixture.crash("r1");
+    fixture.next_attempt("r1");
+    auto const second = fixture.send("r2", "bad:1,other:1");
+    auto const a = fixture.next_attempt("r2");
+    fixture.clock.offset += crash_spacing;
+    a.endpoint->acceptor.close();
+    REQUIRE(fixture.advance_until([&] { return second->has("\r\n\r\n"); }));
+    REQUIRE(second->has(" 502 "));
+}
+
 // Refusing by key, route or common part would turn sound requests away.
 TEST_CASE("sound requests beside a crashing prompt are served", "[quarantine]")
 {
