gateway: close gaps in the evidence about crashing prompts

A connection that ended 60 to 200 ms after its reuse counted as a closed idle one, so a fast crash left no evidence; a stream that ended without an event proved its parts; proofs were the first to be cut from a datagram; a route that is split between services running one engine split the evidence. Keys now name the part alone.

--- a/src/gateway/prompt_quarantine.cpp
+++ b/src/gateway/prompt_quarantine.cpp
@@ -34,12 +34,11 @@
 
 // Keys -----------------------------------------------------------------------
 
-prompt_part_keys prompt_part_keys_of(
-    service_name const& service, std::vector<std::string> const& parts)
+prompt_part_keys prompt_part_keys_of(std::vector<std::string> const& parts)
 {
     prompt_part_keys keys;
     for (std::size_t i = 0; i + 1 < parts.size(); ++i)
-        keys.push_back(hash_of(service.value() + '\0' + parts[i]));
+        keys.push_back(hash_of(parts[i]));
     return keys;
 }
 
--- a/src/gateway/prompt_quarantine.hpp
+++ b/src/gateway/prompt_quarantine.hpp
@@ -31,8 +31,7 @@
 
 /// Keys of a prompt's shared parts. The last part belongs to the request itself
 /// and is left out.
-prompt_part_keys prompt_part_keys_of(
-    service_name const& service, std::vector<std::string> const& parts);
+prompt_part_keys prompt_part_keys_of(std::vector<std::string> const& parts);
 
 /// What gateways exchange. Ages and rests are those at the time of sending.
 struct crash_evidence
--- a/src/relay/crash_evidence_codec.cpp
+++ b/src/relay/crash_evidence_codec.cpp
@@ -113,10 +113,16 @@
                to_msgpack(json::array(
                    {format_version, gateway.value(), std::move(parts)}));
     };
+    // Proofs first: a gateway that refuses a sound part cannot prove it itself.
+    auto ordered = evidence.parts;
+    std::stable_partition(
+        ordered.begin(), ordered.end(),
+        [](crash_evidence::part const& p)
+        { return p.incidents.empty() && p.proven_age; });
     // The header of a longer list takes two more bytes.
     std::size_t size = envelope(json::array()).size() + 2;
     json parts = json::array();
-    for (auto const& part : evidence.parts)
+    for (auto const& part : ordered)
     {
         auto item = to_json(part);
         size += to_msgpack(item).size();
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -418,8 +418,7 @@
         return;
     }
     if (r.route->engine_prompt)
-        r.shared_parts =
-            prompt_part_keys_of(r.service, r.metadata.prompt_parts);
+        r.shared_parts = prompt_part_keys_of(r.metadata.prompt_parts);
     if (auto const rest =
             prompt_crashes_.quarantined_for(r.shared_parts, env_.clock.now()))
     {
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -710,7 +710,8 @@
         return;
     }
     context_.report_outcome(endpoint_, attempt_outcome::served);
-    report_proof();
+    if (first_content_at_)
+        report_proof();
     context_.record_stream_duration(
         request_.service, context_.clock().now() - request_.message.received);
     if (!response_begun_)
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -176,9 +176,9 @@
     // Limits the memory of a stream whose caller reads too slowly.
     static constexpr std::size_t max_unsent_bytes = 1u << 20;
 
-    // Several round trips between regions. A connection that ends later was
-    // lost with its endpoint.
-    static constexpr std::chrono::milliseconds reuse_race_window{200};
+    // A round trip between regions. A connection that ends later was lost with
+    // its endpoint.
+    static constexpr std::chrono::milliseconds reuse_race_window{60};
 
     // Interval of the search for another endpoint while one is suspected.
     static constexpr std::chrono::milliseconds suspicion_interval{100};
