gateway: pass on copies of the endpoint list only within the drain bound

Cause: a gateway that reads the list for its zone was turned away by the store and took its own follower as its source. The follower went on following it. Both passed their copies on until these were 5 s old, and a call for changes was held for up to 1.5 s more; the drain bound was in neither figure. Evidence: table_source lines of front-bne-c-3 and front-bne-c-4, refused with 503 only 4.3 s after the store turned the first one away.

Change: the waits of readers and followers, the pause after a change and the age up to which a copy is passed on follow from the bound (endpoint_copy_policy), so that a copy which stands still is left in time, whoever follows whom.

--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -9,6 +9,7 @@
 
 #include <dotterellock/error.hpp>
 
+#include "gateway/endpoint_copy_policy.hpp"
 #include "http/reason_phrase.hpp"
 
 namespace dotterellock
@@ -35,11 +36,6 @@
 // Callers whose gateway failed reconnect within a few seconds.
 constexpr milliseconds caller_return_window{4000};
 
-// Allows for a listing that is one heartbeat old after a store outage, and for
-// requests on their way: these are sent on an open connection and arrive half a
-// round trip later, 20 ms between regions.
-constexpr milliseconds last_resort_margin{500};
-
 // Request bodies that are read or relayed may use the memory limit divided by
 // this.
 constexpr std::size_t body_memory_divisor = 4;
@@ -57,19 +53,11 @@
 // after this time and receive an error.
 constexpr milliseconds max_startup_wait{600};
 
-// A zone restart changes many rows at once; the pause lets a few calls read
-// them all. Both times are short compared to the drain bound.
-constexpr table_watch_settings endpoint_watch_settings{
-    milliseconds(4000), milliseconds(600)};
-
-// Copies that other gateways may use. A reader's own copy is at most as old as
-// one of its calls takes.
+// The configuration's copies that other gateways may use. A reader's own copy
+// is at most as old as one of its calls takes.
 constexpr milliseconds max_shared_configuration_age{2500};
-constexpr milliseconds max_shared_endpoints_age{5000};
 
-// Longest waits of calls to other gateways. That of the configuration adds to
-// the age by which keys are judged.
-constexpr milliseconds max_endpoint_peer_wait{1500};
+// Longest wait of a call for the list of gateways to another gateway.
 constexpr milliseconds max_gateway_peer_wait{5000};
 
 std::string_view request_path(std::string_view target)
@@ -95,7 +83,8 @@
 
 gateway::gateway(gateway_settings settings, gateway_environment environment)
     : settings_(std::move(settings)), env_(environment),
-      endpoints_(settings_.drain_bound - last_resort_margin),
+      endpoints_(
+          endpoint_copy_policy::last_resort_period(settings_.drain_bound)),
       prompt_crashes_(
           env_.log, env_.counters,
           [this]
@@ -113,7 +102,9 @@
       table_sources_(host_id(settings_.host)),
       shared_configuration_(
           *configuration_sink_, env_.clock, max_shared_configuration_age),
-      shared_endpoints_(*endpoint_sink_, env_.clock, max_shared_endpoints_age),
+      shared_endpoints_(
+          *endpoint_sink_, env_.clock,
+          endpoint_copy_policy::max_shared_age(settings_.drain_bound)),
       configuration_peers_(env_.io, env_.clock),
       endpoint_peers_(env_.io, env_.clock), gateway_peers_(env_.io, env_.clock),
       configuration_reader_(
@@ -121,7 +112,8 @@
           freshness_lease::max_follower_wait, table_sources_, env_.clock,
           env_.log, env_.counters),
       endpoint_reader_(
-          env_.endpoint_reader, endpoint_peers_, max_endpoint_peer_wait,
+          env_.endpoint_reader, endpoint_peers_,
+          endpoint_copy_policy::follower_wait(settings_.drain_bound),
           table_sources_, env_.clock, env_.log, env_.counters),
       peer_reader_(
           env_.peer_reader, gateway_peers_, max_gateway_peer_wait,
@@ -133,7 +125,9 @@
           configuration_reader_, shared_configuration_, env_.clock, env_.random,
           env_.log),
       endpoint_watch_(
-          env_.codec.endpoint_table(), endpoint_watch_settings,
+          env_.codec.endpoint_table(),
+          {endpoint_copy_policy::reader_wait(settings_.drain_bound),
+           endpoint_copy_policy::change_batch_delay(settings_.drain_bound)},
           endpoint_reader_, shared_endpoints_, env_.clock, env_.random,
           env_.log),
       acceptor_(env_.io), tick_timer_(env_.io),
@@ -265,7 +259,7 @@
     for (auto& [service, budget] : budgets_)
         budget.set_settings(settings.retries);
     endpoints_.set_last_resort_period(
-        settings.drain_bound - last_resort_margin);
+        endpoint_copy_policy::last_resort_period(settings.drain_bound));
 }
 
 // Admission ------------------------------------------------------------------
--- a/tests/gateway/table_sharing_test.cpp
+++ b/tests/gateway/table_sharing_test.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <random>
 
+#include "gateway/endpoint_copy_policy.hpp"
 #include "gateway/freshness_lease.hpp"
 #include "gateway/shared_table.hpp"
 #include "relay/shared_row_reader.hpp"
@@ -22,6 +23,18 @@
 
 class simulated_fleet;
 
+/// How a fleet follows its table.
+struct sharing_times
+{
+    milliseconds poll_wait = freshness_lease::max_poll_wait(withdrawal_bound);
+    milliseconds shared_poll_wait =
+        freshness_lease::max_shared_poll_wait(withdrawal_bound);
+    std::vector<milliseconds> change_batch_delays{
+        milliseconds(0), milliseconds(600)}; // of members in turn
+    milliseconds follower_wait = freshness_lease::max_follower_wait;
+    milliseconds max_shared_age{2500};
+};
+
 /// The store as one gateway reaches it. Calls that are cut off never end, so
 /// they are ended by the client's time limit.
 struct store_path : row_reader
@@ -44,7 +57,10 @@
     {
         ++calls;
         auto const once = limited(wait + milliseconds(800), std::move(done));
-        if (reachable)
+        if (turned_away)
+            scheduler.schedule(
+                milliseconds(4), [once] { once(row_read_result{}); });
+        else if (reachable)
             store.changes(table, after, wait, once);
     }
 
@@ -64,6 +80,7 @@
     manual_scheduler& scheduler;
     simulated_store& store;
     bool reachable = true;
+    bool turned_away = false; // calls are answered with an error
     std::size_t calls = 0;
 };
 
@@ -95,7 +112,8 @@
 class simulated_fleet
 {
 public:
-    simulated_fleet(std::uint64_t seed, int size) : draw_(seed)
+    simulated_fleet(std::uint64_t seed, int size, sharing_times const& t = {})
+        : times(t), draw_(seed)
     {
         scheduler.advance(std::chrono::hours(1));
         for (int i = 0; i < size; ++i)
@@ -156,6 +174,7 @@
         return nullptr;
     }
 
+    sharing_times const times;
     manual_scheduler scheduler;
     simulated_store store{scheduler};
     std::vector<std::unique_ptr<member>> members;
@@ -178,9 +197,8 @@
             }
             m->selector.set_peers(peers);
             m->watcher.set_poll_wait(
-                m->selector.serves_followers()
-                    ? freshness_lease::max_shared_poll_wait(withdrawal_bound)
-                    : freshness_lease::max_poll_wait(withdrawal_bound));
+                m->selector.serves_followers() ? times.shared_poll_wait
+                                               : times.poll_wait);
         }
     }
 
@@ -191,14 +209,15 @@
 member::member(simulated_fleet& f, int number)
     : fleet(f), host("g" + std::to_string(number)), path(f.scheduler, f.store),
       listener(f.scheduler, f.store),
-      shared(listener, f.scheduler, milliseconds(2500)), selector(host),
+      shared(listener, f.scheduler, f.times.max_shared_age), selector(host),
       reader(
-          path, *this, freshness_lease::max_follower_wait, selector,
-          f.scheduler, log, counters),
+          path, *this, f.times.follower_wait, selector, f.scheduler, log,
+          counters),
       watcher(
           "t",
-          {freshness_lease::max_poll_wait(withdrawal_bound),
-           milliseconds(number % 2 == 0 ? 0 : 600)},
+          {f.times.poll_wait,
+           f.times.change_batch_delays
+               [std::size_t(number) % f.times.change_batch_delays.size()]},
           reader, shared, f.scheduler, random, log)
 {
 }
@@ -375,6 +394,40 @@
     }
 }
 
+// A reader that the store turned away followed its own follower. Both passed on
+// copies that stood still, and an endpoint that left was used past its bound.
+TEST_CASE("a turned away reader does not hold back others", "[tables][drain]")
+{
+    using policy = endpoint_copy_policy;
+    milliseconds const bound{GENERATE(2500, 4000, 10000)};
+    auto const size = GENERATE(range(3, 9));
+    auto const turned_away = GENERATE_COPY(range(0, size));
+    milliseconds const before{250 * GENERATE(range(0, 8))};
+    CAPTURE(bound.count(), size, turned_away, before.count());
+    sharing_times times;
+    times.poll_wait = times.shared_poll_wait = policy::reader_wait(bound);
+    times.change_batch_delays = {policy::change_batch_delay(bound)};
+    times.follower_wait = policy::follower_wait(bound);
+    times.max_shared_age = policy::max_shared_age(bound);
+    simulated_fleet fleet(1, size, times);
+    fleet.run(milliseconds(6000));
+    fleet.store.commit("k", false);
+    fleet.run(milliseconds(6000) + before);
+    std::vector<member*> others;
+    for (int i = 0; i < size; ++i)
+    {
+        if (i == turned_away)
+            fleet.members[std::size_t(i)]->path.turned_away = true;
+        else
+            others.push_back(fleet.members[std::size_t(i)].get());
+    }
+    fleet.run(before / 2);
+    fleet.store.commit("k", true);
+    fleet.run(policy::last_resort_period(bound));
+    for (auto const* const m : others)
+        REQUIRE(m->listener.revision == fleet.store.revision);
+}
+
 // Losing the store for three fifths of the withdrawal bound must not refuse
 // callers, whether a gateway reads it or follows one that does.
 TEST_CASE("all leases outlast a short loss of the store", "[tables][lease]")
