relay: call for each copy of a run over a new connection

Callers: a stream could resume from the memory of another run (mixed answers).

Cause: answers to calls for copies carry no request id. A late answer to the call for one run, on a kept connection that is in use again, was taken for that to the next and named the wrong copy.

'each call for a copy has a connection of its own' failed before: the call came over a kept connection.

--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -67,6 +67,7 @@
         response_metadata const& metadata) = 0;
 
     /// Sends a request of the gateway itself; ends within the timeout.
+    /// @param probe  opens a new connection
     virtual void call(
         endpoint_ptr const& endpoint, std::chrono::milliseconds timeout,
         std::string request, bool probe, endpoint_call::handler done) = 0;
--- a/src/relay/standby_copies.cpp
+++ b/src/relay/standby_copies.cpp
@@ -93,7 +93,9 @@
         source_, call_timeout,
         context_.protocol().copy_request(
             run_, pending_copy_->standby->record().address),
-        false,
+        // On a reused connection, a late answer to the call for another run
+        // would name the memory of that run.
+        true,
         [weak = weak_from_this(), source = source_](endpoint_reply const& reply)
         {
             if (auto const self = weak.lock())
--- a/tests/platform/faulty_answers_test.cpp
+++ b/tests/platform/faulty_answers_test.cpp
@@ -724,3 +724,46 @@
     REQUIRE(replies[1].body == "report");
     REQUIRE(pool.connections_created() == 1);
 }
+
+// The late answer to the call for one run's copy was taken for that to another,
+// whose stream would resume from the memory of the first.
+TEST_CASE("each call for a copy has a connection of its own", "[answers]")
+{
+    relay_fixture fixture;
+    fixture.start();
+    auto& primary = *fixture.endpoints[2];
+    std::string const counts = "Token-Counts: 800,60\r\n";
+    std::vector<std::shared_ptr<test_connection>> callers;
+    for (std::string const id : {"r1", "r2"})
+    {
+        callers.push_back(
+            fixture.connect_caller(fixture.request("/llm/x", id, counts)));
+        callers.push_back(fixture.connect_caller(
+            fixture.request("/llm/x", id + "b", counts)));
+    }
+    REQUIRE(fixture.run_until([&] { return primary.request_count() > 1; }));
+    store_row standby;
+    standby.deleted = true;
+    for (auto const& c : primary.connections)
+    {
+        auto const at = c->received.find("Request-Id: ") + 12;
+        auto const id = c->received.substr(at, c->received.find('\r', at) - at);
+        bool const first = c == primary.connections[0];
+        if (first)
+            standby.key =
+                c->has("Kv-Backup: " + fixture.endpoints[3]->address()) ? "m2"
+                                                                        : "m3";
+        c->received.clear();
+        c->send(stream_head(id) + chunk(event(1)) + (first ? "" : "0\r\n\r\n"));
+    }
+    settle(fixture);
+    auto const before = primary.connections.size();
+    REQUIRE(before > 1); // one serves a stream, the others are idle
+    fixture.table.publish_change(standby);
+    settle(fixture);
+    for (std::size_t i = 0; i < before; ++i)
+        REQUIRE_FALSE(primary.connections[i]->has("\"to\""));
+    REQUIRE(std::any_of(
+        primary.connections.begin(), primary.connections.end(),
+        [](auto const& c) { return c->has("\"to\""); }));
+}
