relay: answer a request whose admission fails with an error

Callers: a request at which an unexpected error arose in the gateway got no answer until its caller gave up, as the error ended the handler that read it.

Change: the session answers 500 and closes, then passes the error on, which is logged and counted as before. 'an error in admission is answered' failed before: the connection stayed open. No such error is known.

'silence ends no stream that nothing can follow' has two more cases, endpoints that are leaving; they failed without the rule of 'do not give a silent endpoint up for one that failed just now', which had no test of its own.

--- a/src/relay/client_session.cpp
+++ b/src/relay/client_session.cpp
@@ -150,7 +150,16 @@
         state_ = state::responding;
         first_request_read_ = true;
         keep_alive_ = parser_.keep_alive();
-        handler_.on_request(shared_from_this(), std::move(request_));
+        try
+        {
+            handler_.on_request(shared_from_this(), std::move(request_));
+        }
+        catch (...)
+        {
+            if (state_ == state::responding && !response_ended_)
+                reject(500, "internal_error");
+            throw;
+        }
     }
 }
 
--- a/tests/platform/unanswered_requests_test.cpp
+++ b/tests/platform/unanswered_requests_test.cpp
@@ -51,25 +51,41 @@
 // second while the retry budget was spent.
 TEST_CASE("silence ends no stream that nothing can follow", "[unanswered]")
 {
+    enum class others // that could take over
+    {
+        ready,
+        leaving,
+        none
+    };
     struct row
     {
         char const* name;
         bool budget;
-        bool others; // other endpoints that could take over
+        others rest;
         bool refuses_connections;
     };
     auto const r = GENERATE(
-        row{"no retry budget", false, true, false},
-        row{"no other endpoint", true, false, false},
-        row{"no retry budget, check fails", false, true, true},
-        row{"no other endpoint, check fails", true, false, true});
+        row{"no retry budget", false, others::ready, false},
+        row{"no other endpoint", true, others::none, false},
+        row{"the others are leaving", true, others::leaving, false},
+        row{"no retry budget, check fails", false, others::ready, true},
+        row{"no other endpoint, check fails", true, others::none, true},
+        row{"the others are leaving, check fails", true, others::leaving,
+            true});
     CAPTURE(r.name);
     relay_fixture fixture;
     set_engine_gap_target(fixture, "1000");
     if (!r.budget)
         allow_no_retries(fixture);
-    if (!r.others)
+    if (r.rest == others::none)
         fixture.table.rows.resize(3); // "one", "two" and "m1"
+    for (std::size_t i = 3; i < fixture.table.rows.size(); ++i)
+    {
+        auto& text = fixture.table.rows[i].value;
+        if (r.rest == others::leaving)
+            text.replace(text.find("ready"), 5, "draining");
+    }
+    fixture.settings.drain_bound = std::chrono::minutes(1);
     fixture.start();
     auto const caller = fixture.connect_caller(fixture.request("/llm/x"));
     auto& m1 = *fixture.endpoints[2];
@@ -225,3 +241,30 @@
     REQUIRE_FALSE(fixture.logged("unanswered_input"));
     REQUIRE(one.request_count() == 1);
 }
+
+// An unexpected error in the admission of a request left it without an answer
+// until its caller gave up.
+TEST_CASE("an error in admission is answered", "[unanswered]")
+{
+    struct faulty_protocol : platform_protocol
+    {
+        request_metadata read_request(message_head const&) const override
+        {
+            throw std::runtime_error("unexpected");
+        }
+    } const faulty;
+    relay_fixture fixture;
+    fixture.subject = std::make_unique<gateway>(
+        fixture.settings,
+        gateway_environment{
+            fixture.io, fixture.clock, fixture.random, faulty, fixture.codec,
+            fixture.configuration, fixture.table, fixture.peer_table,
+            fixture.peer_writer, fixture.log, fixture.counters});
+    fixture.subject->start();
+    auto const caller = fixture.connect_caller(fixture.request("/safe/x"));
+    REQUIRE_THROWS_AS(
+        fixture.run_until([&] { return caller->closed; }), std::runtime_error);
+    REQUIRE(fixture.run_until([&] { return caller->closed; }));
+    REQUIRE(caller->received.rfind("HTTP/1.1 500 ", 0) == 0);
+    REQUIRE(caller->has("Connection: close\r\n"));
+}
