--- a/tests/platform/endpoint_announcements_test.cpp
+++ b/tests/platform/endpoint_announcements_test.cpp
@@ -11,45 +11,17 @@
 
 std::string const leaving = "Response-Seal: s\r\nServer-Leaving: 1\r\n";
 
-/// Runs until the gateway has ticked. Timers fire in the order of their times,
-/// and this one is later than the next tick, however slow the machine is.
-void run_ticks(relay_fixture& fixture)
-{
-    bool passed = false;
-    asio::steady_timer timer(fixture.io, milliseconds(45));
-    timer.async_wait([&](asio::error_code const&) { passed = true; });
-    fixture.run_until([&] { return passed; });
-}
-
-/// Moves a stopped clock in steps that are no pause of the process.
-void advance(relay_fixture& fixture, milliseconds span)
-{
-    constexpr milliseconds step{100};
-    for (milliseconds passed{0}; passed < span; passed += step)
-    {
-        fixture.clock.offset += step;
-        run_ticks(fixture);
-    }
-}
-
 /// Publishes a change once the gateway asks for changes, which it does with a
 /// pause.
 void publish(relay_fixture& fixture, store_row const& row)
 {
     auto& table = fixture.table;
     for (int i = 0; i < 10 && !table.pending_changes; ++i)
-        advance(fixture, milliseconds(100));
+        fixture.advance(milliseconds(100));
     REQUIRE(table.pending_changes);
     table.publish_change(row);
 }
 
-/// Runs for a while in which nothing is expected to happen.
-void settle(relay_fixture& fixture)
-{
-    for (int i = 0; i < 5; ++i)
-        run_ticks(fixture);
-}
-
 /// Answers the last request that the endpoint received.
 void answer(
     scripted_endpoint& e, std::string const& id,
@@ -132,12 +104,12 @@
         publish(fixture, ready);
     fixture.clock.offset +=
         announced_at + milliseconds(3400) - fixture.clock.now();
-    settle(fixture);
+    fixture.settle();
     serve(fixture, e, "r2"); // the last resort
-    advance(fixture, milliseconds(200));
+    fixture.advance(milliseconds(200));
     auto const count = e.request_count();
     auto const late = fixture.connect_caller(fixture.request("/open/x", "r3"));
-    settle(fixture);
+    fixture.settle();
     REQUIRE(e.request_count() == count);
     // A new incarnation has announced nothing.
     row = ready;
@@ -155,13 +127,13 @@
     auto& e = *fixture.endpoints[0];
     // The connection is not reused.
     serve(fixture, e, "r1", "200 OK", leaving + "Connection: close\r\n");
-    settle(fixture);
-    advance(fixture, milliseconds(3400));
+    fixture.settle();
+    fixture.advance(milliseconds(3400));
     auto const late = fixture.connect_caller(fixture.request("/open/x", "r2"));
     REQUIRE(fixture.run_until(
         [&] { return fixture.logged("dispatch request=r2"); }));
     fixture.clock.offset += milliseconds(120);
-    settle(fixture);
+    fixture.settle();
     REQUIRE(e.request_count() == 1);
 }
 
@@ -176,7 +148,7 @@
     m1.connections[0]->send(stream_head() + chunk(event(1)));
     REQUIRE(fixture.run_until([&] { return caller->has(event(1)); }));
     for (int i = 0; i < 10 && count_reports(m1) == 0; ++i)
-        advance(fixture, milliseconds(100));
+        fixture.advance(milliseconds(100));
     REQUIRE(count_reports(m1) == 1);
     m1.connections.back()->send(
         "HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nContent-Length: 2\r\n\r\n{}");
@@ -185,9 +157,9 @@
             return fixture.logged("endpoint_leaving endpoint=m1 source=answer");
         }));
     // Checks are bound by it as well.
-    advance(fixture, milliseconds(3600));
+    fixture.advance(milliseconds(3600));
     auto const count = m1.request_count();
-    advance(fixture, milliseconds(1000));
+    fixture.advance(milliseconds(1000));
     REQUIRE(m1.request_count() == count);
 }
 
@@ -216,10 +188,10 @@
     for (int i = 2; i < 8; ++i)
     {
         serve(fixture, two, "r" + std::to_string(i));
-        advance(fixture, milliseconds(300));
+        fixture.advance(milliseconds(300));
     }
     REQUIRE(one.request_count() == 1);
-    advance(fixture, milliseconds(300));
+    fixture.advance(milliseconds(300));
     serve(fixture, one, "r9");
 }
 
@@ -248,9 +220,9 @@
             (r.seconds == std::string("70") ? "60" : r.seconds) + ".0\r\n"));
         return;
     }
-    advance(fixture, milliseconds(1900));
+    fixture.advance(milliseconds(1900));
     REQUIRE(e.request_count() == 1);
-    advance(fixture, milliseconds(300));
+    fixture.advance(milliseconds(300));
     REQUIRE(fixture.run_until([&] { return e.request_count() == 3; }));
 }
 
@@ -268,8 +240,8 @@
         fixture.connect_caller(fixture.request("/llm/x", "r2"));
     REQUIRE(fixture.run_until([&] { return m1.request_count() == 2; }));
     answer(m1, "r2", "503 Busy", "Not-Executed: 1\r\nRetry-After: 3\r\n");
-    advance(fixture, milliseconds(2900));
+    fixture.advance(milliseconds(2900));
     REQUIRE(m1.request_count() == 2);
-    advance(fixture, milliseconds(300));
+    fixture.advance(milliseconds(300));
     REQUIRE(fixture.run_until([&] { return m1.request_count() > 2; }));
 }
--- a/tests/platform/prompt_quarantine_relay_test.cpp
+++ b/tests/platform/prompt_quarantine_relay_test.cpp
@@ -62,34 +62,6 @@
         clock.stop();
     }
 
-    /// Runs until the gateway has ticked. Timers fire in the order of their
-    /// times, and this one is later than the next tick.
-    void run_ticks()
-    {
-        bool passed = false;
-        asio::steady_timer timer(io, milliseconds(45));
-        timer.async_wait([&](asio::error_code const&) { passed = true; });
-        run_until([&] { return passed; });
-    }
-
-    /// Runs for a while in which nothing is expected to happen.
-    void settle()
-    {
-        for (int i = 0; i < 5; ++i)
-            run_ticks();
-    }
-
-    /// Moves the clock in steps that are no pause of the process.
-    void advance(milliseconds span)
-    {
-        constexpr milliseconds step{100};
-        for (milliseconds passed{0}; passed < span; passed += step)
-        {
-            clock.offset += step;
-            run_ticks();
-        }
-    }
-
     bool advance_until(std::function<bool()> const& done)
     {
         for (int i = 0; i < 100 && !done(); ++i)
--- a/tests/platform/relay_faults_test.cpp
+++ b/tests/platform/relay_faults_test.cpp
@@ -13,51 +13,6 @@
 using namespace dotterellock;
 using namespace dotterellock::testing;
 
-namespace
-{
-
-/// Runs until the gateway has ticked. Timers fire in the order of their times,
-/// and this one is later than the next tick, however slow the machine is.
-void run_ticks(relay_fixture& fixture)
-{
-    bool passed = false;
-    asio::steady_timer timer(fixture.io, milliseconds(45));
-    timer.async_wait([&](asio::error_code const&) { passed = true; });
-    fixture.run_until([&] { return passed; });
-}
-
-/// Moves a stopped clock in steps that are no pause of the process.
-void advance(
-    relay_fixture& fixture, milliseconds span,
-    std::function<void()> const& each_step = [] {})
-{
-    constexpr milliseconds step{100};
-    for (milliseconds passed{0}; passed < span; passed += step)
-    {
-        fixture.clock.offset += step;
-        each_step();
-        run_ticks(fixture);
-    }
-}
-
-/// Runs for a while in which nothing is expected to happen.
-void settle(relay_fixture& fixture)
-{
-    for (int i = 0; i < 5; ++i)
-        run_ticks(fixture);
-}
-
-/// Sets the tolerated gap between the events of the engine's route.
-void set_engine_gap_target(relay_fixture& fixture, std::string const& ms)
-{
-    auto& text = fixture.configuration.rows[0].value;
-    std::string const from = R"("sticky":true,"gapTargetMs":9000)";
-    text.replace(
-        text.find(from), from.size(), R"("sticky":true,"gapTargetMs":)" + ms);
-}
-
-} // namespace
-
 // Late copies ----------------------------------------------------------------
 
 // A server sent a second copy of an answer, late, on a connection that was in
@@ -93,7 +48,7 @@
     REQUIRE(fixture.run_until([&] { return one.request_count() == 2; }));
     REQUIRE(one.connections.size() == 1); // the connection is in use again
     one.connections[0]->send(r.copy);
-    settle(fixture);
+    fixture.settle();
     one.connections[0]->send(relay_fixture::response("r2", "second"));
     REQUIRE(fixture.run_until([&] { return next->has("second"); }));
     REQUIRE_FALSE(next->has("first"));
@@ -130,7 +85,7 @@
     fixture.subject->begin_shutdown();
     fixture.clock.offset = milliseconds(2600); // idle connections are closed
     auto const caller = fixture.connect_caller("");
-    settle(fixture);
+    fixture.settle();
     caller->send(fixture.request("/safe/x"));
     REQUIRE(fixture.run_until(
         [&] {
@@ -188,7 +143,7 @@
 TEST_CASE("a stalled stream moves on despite single bytes", "[faults]")
 {
     relay_fixture fixture;
-    set_engine_gap_target(fixture, "1000");
+    fixture.set_engine_gap_target("1000");
     fixture.start();
     auto const bytes =
         GENERATE(as<std::string>{}, "d", ": comment\n\n", "id: 1\ndata: a\n\n");
@@ -199,9 +154,8 @@
     fixture.clock.stop();
     m1.connections[0]->send(stream_head() + chunk(event(1)));
     REQUIRE(fixture.run_until([&] { return caller->has("id: 1"); }));
-    advance(
-        fixture, milliseconds(1000),
-        [&] { m1.connections[0]->send(chunk(bytes)); });
+    fixture.advance(
+        milliseconds(1000), [&] { m1.connections[0]->send(chunk(bytes)); });
     auto const elsewhere = [&]
     {
         return fixture.endpoints[3]->request_count() +
@@ -216,7 +170,7 @@
 TEST_CASE("a slow stream with events in time is not cut", "[faults]")
 {
     relay_fixture fixture;
-    set_engine_gap_target(fixture, "1000");
+    fixture.set_engine_gap_target("1000");
     fixture.start();
     auto const caller = fixture.connect_caller(fixture.request("/llm/x"));
     auto& m1 = *fixture.endpoints[2];
@@ -242,7 +196,7 @@
         m1.connections[0]->send(chunk(event(i)));
         REQUIRE(fixture.run_until(
             [&] { return caller->has("id: " + std::to_string(i)); }));
-        advance(fixture, milliseconds(700), answer_checks);
+        fixture.advance(milliseconds(700), answer_checks);
     }
     m1.connections[0]->send("0\r\n\r\n");
     REQUIRE(fixture.run_until([&] { return caller->has("\r\n0\r\n\r\n"); }));
@@ -352,7 +306,7 @@
     one.connections[0]->close();
     REQUIRE(fixture.run_until([&] { return caller->has("HTTP/1.1 "); }));
     REQUIRE(caller->has("HTTP/1.1 502 "));
-    settle(fixture);
+    fixture.settle();
     REQUIRE(one.request_count() == 1);
     REQUIRE(fixture.endpoints[1]->request_count() == 0);
 }
@@ -376,7 +330,7 @@
     for (auto const i : {2, 3, 4})
         fixture.endpoints[std::size_t(i)]->acceptor.close();
     m1.connections[0]->reset();
-    advance(fixture, milliseconds(3000));
+    fixture.advance(milliseconds(3000));
     REQUIRE_FALSE(caller->closed);
     // One of them is back.
     auto& again = fixture.endpoints[3]->acceptor;
@@ -385,7 +339,7 @@
     again.bind(m2);
     again.listen();
     fixture.endpoints[3]->accept();
-    advance(fixture, milliseconds(3500));
+    fixture.advance(milliseconds(3500));
     auto const& back = fixture.endpoints[3]->connections;
     REQUIRE(std::any_of(
         back.begin(), back.end(),
@@ -528,7 +482,7 @@
     REQUIRE(fixture.run_until(
         [&]
         {
-            settle(fixture);
+            fixture.settle();
             return std::exchange(before, sender->sent) == sender->sent;
         }));
     // Socket buffers on both sides and the limit of the gateway.
@@ -561,7 +515,7 @@
         fixture.request("/safe/x") + std::string(200000, 'x'));
     REQUIRE(fixture.run_until(
         [&] { return fixture.endpoints[0]->request_count() == 1; }));
-    settle(fixture);
+    fixture.settle();
     caller->close();
     REQUIRE(fixture.run_until(
         [&] { return fixture.endpoints[0]->connections[0]->closed; }));
--- a/tests/platform/relay_fixture.hpp
+++ b/tests/platform/relay_fixture.hpp
@@ -347,6 +347,47 @@
         return done();
     }
 
+    /// Runs until the gateway has ticked. Timers fire in the order of their
+    /// times, and this one is later than the next tick, however slow the
+    /// machine is.
+    void run_ticks()
+    {
+        bool passed = false;
+        asio::steady_timer timer(io, milliseconds(45));
+        timer.async_wait([&](asio::error_code const&) { passed = true; });
+        run_until([&] { return passed; });
+    }
+
+    /// Runs for a while in which nothing is expected to happen.
+    void settle()
+    {
+        for (int i = 0; i < 5; ++i)
+            run_ticks();
+    }
+
+    /// Moves a stopped clock in steps that are no pause of the process.
+    void advance(
+        milliseconds span, std::function<void()> const& each_step = [] {})
+    {
+        constexpr milliseconds step{100};
+        for (milliseconds passed{0}; passed < span; passed += step)
+        {
+            clock.offset += step;
+            each_step();
+            run_ticks();
+        }
+    }
+
+    /// Sets the tolerated gap between the events of the engine's route.
+    void set_engine_gap_target(std::string const& ms)
+    {
+        auto& text = configuration.rows[0].value;
+        std::string const from = R"("sticky":true,"gapTargetMs":9000)";
+        text.replace(
+            text.find(from), from.size(),
+            R"("sticky":true,"gapTargetMs":)" + ms);
+    }
+
     std::shared_ptr<test_connection>
     connect(std::string const& address, std::string const& text)
     {
--- a/tests/platform/unanswered_requests_test.cpp
+++ b/tests/platform/unanswered_requests_test.cpp
@@ -10,33 +10,6 @@
 namespace
 {
 
-void run_ticks(relay_fixture& fixture)
-{
-    bool passed = false;
-    asio::steady_timer timer(fixture.io, milliseconds(45));
-    timer.async_wait([&](asio::error_code const&) { passed = true; });
-    fixture.run_until([&] { return passed; });
-}
-
-/// Moves a stopped clock in steps that are no pause of the process.
-void advance(relay_fixture& fixture, milliseconds span)
-{
-    constexpr milliseconds step{100};
-    for (milliseconds passed{0}; passed < span; passed += step)
-    {
-        fixture.clock.offset += step;
-        run_ticks(fixture);
-    }
-}
-
-void set_engine_gap_target(relay_fixture& fixture, std::string const& ms)
-{
-    auto& text = fixture.configuration.rows[0].value;
-    std::string const from = R"("sticky":true,"gapTargetMs":9000)";
-    text.replace(
-        text.find(from), from.size(), R"("sticky":true,"gapTargetMs":)" + ms);
-}
-
 void allow_no_retries(relay_fixture& fixture)
 {
     fixture.settings.retries.ratio = 0;
@@ -74,7 +47,7 @@
             true});
     CAPTURE(r.name);
     relay_fixture fixture;
-    set_engine_gap_target(fixture, "1000");
+    fixture.set_engine_gap_target("1000");
     if (!r.budget)
         allow_no_retries(fixture);
     if (r.rest == others::none)
@@ -95,7 +68,7 @@
     REQUIRE(fixture.run_until([&] { return caller->has("id: 1"); }));
     if (r.refuses_connections)
         m1.acceptor.close();
-    advance(fixture, milliseconds(1500));
+    fixture.advance(milliseconds(1500));
     m1.connections[0]->send(chunk(event(2)) + "0\r\n\r\n");
     REQUIRE(fixture.run_until(
         [&] { return caller->closed || caller->has("\r\n0\r\n\r\n"); }));
@@ -116,7 +89,7 @@
     auto& one = *fixture.endpoints[0];
     REQUIRE(fixture.run_until([&] { return one.request_count() == 1; }));
     fixture.clock.stop();
-    advance(fixture, milliseconds(3000));
+    fixture.advance(milliseconds(3000));
     REQUIRE(caller->received.empty());
     one.connections[0]->send(fixture.response());
     REQUIRE(fixture.run_until([&] { return caller->has("body"); }));
@@ -140,7 +113,7 @@
         row{"spent for longer", milliseconds(8000), false});
     CAPTURE(r.name);
     relay_fixture fixture;
-    set_engine_gap_target(fixture, "1000");
+    fixture.set_engine_gap_target("1000");
     fixture.settings.retries.ratio = 0;
     fixture.settings.retries.allowance = 1;
     fixture.settings.retries.fleet_size = 1;
@@ -167,10 +140,10 @@
     second->connections[0]->send(stream_head() + chunk(event(2)));
     REQUIRE(fixture.run_until([&] { return caller->has("id: 2"); }));
     second->connections[0]->reset();
-    run_ticks(fixture);
+    fixture.run_ticks();
     REQUIRE_FALSE(caller->has("\r\n0\r\n\r\n"));
     REQUIRE_FALSE(caller->closed);
-    advance(fixture, milliseconds(2500));
+    fixture.advance(milliseconds(2500));
     auto const requests = [&]
     {
         return fixture.endpoints[2]->request_count() +
@@ -237,7 +210,7 @@
     REQUIRE(fixture.run_until([&] { return caller->closed; }));
     caller->send(fixture.request("/safe/x", "r2"));
     for (int i = 0; i < 5; ++i)
-        run_ticks(fixture);
+        fixture.run_ticks();
     REQUIRE_FALSE(fixture.logged("unanswered_input"));
     REQUIRE(one.request_count() == 1);
 }
