--- a/tests/platform/prompt_quarantine_relay_test.cpp
+++ b/tests/platform/prompt_quarantine_relay_test.cpp
@@ -62,34 +62,6 @@
         clock.stop();
     }
 
-    /// Runs until the gateway has ticked. Timers fire in the order of their
-    /// times, and this one is later than the next tick.
-    void run_ticks()
-    {
-        bool passed = false;
-        asio::steady_timer timer(io, milliseconds(45));
-        timer.async_wait([&](asio::error_code const&) { passed = true; });
-        run_until([&] { return passed; });
-    }
-
-    /// Runs for a while in which nothing is expected to happen.
-    void settle()
-    {
-        for (int i = 0; i < 5; ++i)
-            run_ticks();
-    }
-
-    /// Moves the clock in steps that are no pause of the process.
-    void advance(milliseconds span)
-    {
-        constexpr milliseconds step{100};
-        for (milliseconds passed{0}; passed < span; passed += step)
-        {
-            clock.offset += step;
-            run_ticks();
-        }
-    }
-
     bool advance_until(std::function<bool()> const& done)
     {
         for (int i = 0; i < 100 && !done(); ++i)
@@ -586,6 +558,31 @@
     REQUIRE(fixture.other.evidence.size() == last);
 }
 
+// Repeating unchanged evidence to 32 peers took 18 times the traffic that is
+// planned for control.
+TEST_CASE("unchanged evidence goes to peers in turn", "[quarantine][peers]")
+{
+    peer_fixture fixture;
+    fake_peer third(fixture.io);
+    fixture.peer_table.rows.push_back(
+        relay_fixture::row("third", third.address()));
+    fixture.start_with_peer();
+    auto const caller = fixture.send("r1", "bad:1,own:1");
+    fixture.crash("r1");
+    fixture.advance(milliseconds(100));
+    REQUIRE(fixture.run_until(
+        [&] {
+            return fixture.other.evidence.size() == 1 &&
+                   third.evidence.size() == 1;
+        }));
+    fixture.advance(milliseconds(2000));
+    auto const to_other = fixture.other.evidence.size() - 1;
+    auto const to_third = third.evidence.size() - 1;
+    REQUIRE(to_other + to_third <= 9);
+    REQUIRE(to_other >= 3);
+    REQUIRE(to_third >= 3);
+}
+
 // Without it each gateway would lose three endpoints of its own.
 TEST_CASE("a quarantine of a peer is in force here", "[quarantine][peers]")
 {
--- a/tests/platform/unanswered_requests_test.cpp
+++ b/tests/platform/unanswered_requests_test.cpp
@@ -10,33 +10,6 @@
 namespace
 {
 
-void run_ticks(relay_fixture& fixture)
-{
-    bool passed = false;
-    asio::steady_timer timer(fixture.io, milliseconds(45));
-    timer.async_wait([&](asio::error_code const&) { passed = true; });
-    fixture.run_until([&] { return passed; });
-}
-
-/// Moves a stopped clock in steps that are no pause of the process.
-void advance(relay_fixture& fixture, milliseconds span)
-{
-    constexpr milliseconds step{100};
-    for (milliseconds passed{0}; passed < span; passed += step)
-    {
-        fixture.clock.offset += step;
-        run_ticks(fixture);
-    }
-}
-
-void set_engine_gap_target(relay_fixture& fixture, std::string const& ms)
-{
-    auto& text = fixture.configuration.rows[0].value;
-    std::string const from = R"("sticky":true,"gapTargetMs":9000)";
-    text.replace(
-        text.find(from), from.size(), R"("sticky":true,"gapTargetMs":)" + ms);
-}
-
 void allow_no_retries(relay_fixture& fixture)
 {
     fixture.settings.retries.ratio = 0;
@@ -51,25 +24,41 @@
 // second while the retry budget was spent.
 TEST_CASE("silence ends no stream that nothing can follow", "[unanswered]")
 {
+    enum class others // that could take over
+    {
+        ready,
+        leaving,
+        none
+    };
     struct row
     {
         char const* name;
         bool budget;
-        bool others; // other endpoints that could take over
+        others rest;
         bool refuses_connections;
     };
     auto const r = GENERATE(
-        row{"no retry budget", false, true, false},
-        row{"no other endpoint", true, false, false},
-        row{"no retry budget, check fails", false, true, true},
-        row{"no other endpoint, check fails", true, false, true});
+        row{"no retry budget", false, others::ready, false},
+        row{"no other endpoint", true, others::none, false},
+        row{"the others are leaving", true, others::leaving, false},
+        row{"no retry budget, check fails", false, others::ready, true},
+        row{"no other endpoint, check fails", true, others::none, true},
+        row{"the others are leaving, check fails", true, others::leaving,
+            true});
     CAPTURE(r.name);
     relay_fixture fixture;
-    set_engine_gap_target(fixture, "1000");
+    fixture.set_engine_gap_target("1000");
     if (!r.budget)
         allow_no_retries(fixture);
-    if (!r.others)
+    if (r.rest == others::none)
         fixture.table.rows.resize(3); // "one", "two" and "m1"
+    for (std::size_t i = 3; i < fixture.table.rows.size(); ++i)
+    {
+        auto& text = fixture.table.rows[i].value;
+        if (r.rest == others::leaving)
+            text.replace(text.find("ready"), 5, "draining");
+    }
+    fixture.settings.drain_bound = std::chrono::minutes(1);
     fixture.start();
     auto const caller = fixture.connect_caller(fixture.request("/llm/x"));
     auto& m1 = *fixture.endpoints[2];
@@ -79,7 +68,7 @@
     REQUIRE(fixture.run_until([&] { return caller->has("id: 1"); }));
     if (r.refuses_connections)
         m1.acceptor.close();
-    advance(fixture, milliseconds(1500));
+    fixture.advance(milliseconds(1500));
     m1.connections[0]->send(chunk(event(2)) + "0\r\n\r\n");
     REQUIRE(fixture.run_until(
         [&] { return caller->closed || caller->has("\r\n0\r\n\r\n"); }));
@@ -100,7 +89,7 @@
     auto& one = *fixture.endpoints[0];
     REQUIRE(fixture.run_until([&] { return one.request_count() == 1; }));
     fixture.clock.stop();
-    advance(fixture, milliseconds(3000));
+    fixture.advance(milliseconds(3000));
     REQUIRE(caller->received.empty());
     one.connections[0]->send(fixture.response());
     REQUIRE(fixture.run_until([&] { return caller->has("body"); }));
@@ -124,7 +113,7 @@
         row{"spent for longer", milliseconds(8000), false});
     CAPTURE(r.name);
     relay_fixture fixture;
-    set_engine_gap_target(fixture, "1000");
+    fixture.set_engine_gap_target("1000");
     fixture.settings.retries.ratio = 0;
     fixture.settings.retries.allowance = 1;
     fixture.settings.retries.fleet_size = 1;
@@ -151,10 +140,10 @@
     second->connections[0]->send(stream_head() + chunk(event(2)));
     REQUIRE(fixture.run_until([&] { return caller->has("id: 2"); }));
     second->connections[0]->reset();
-    run_ticks(fixture);
+    fixture.run_ticks();
     REQUIRE_FALSE(caller->has("\r\n0\r\n\r\n"));
     REQUIRE_FALSE(caller->closed);
-    advance(fixture, milliseconds(2500));
+    fixture.advance(milliseconds(2500));
     auto const requests = [&]
     {
         return fixture.endpoints[2]->request_count() +
@@ -221,7 +210,34 @@
     REQUIRE(fixture.run_until([&] { return caller->closed; }));
     caller->send(fixture.request("/safe/x", "r2"));
     for (int i = 0; i < 5; ++i)
-        run_ticks(fixture);
+        fixture.run_ticks();
     REQUIRE_FALSE(fixture.logged("unanswered_input"));
     REQUIRE(one.request_count() == 1);
 }
+
+// An unexpected error in the admission of a request left it without an answer
+// until its caller gave up.
+TEST_CASE("an error in admission is answered", "[unanswered]")
+{
+    struct faulty_protocol : platform_protocol
+    {
+        request_metadata read_request(message_head const&) const override
+        {
+            throw std::runtime_error("unexpected");
+        }
+    } const faulty;
+    relay_fixture fixture;
+    fixture.subject = std::make_unique<gateway>(
+        fixture.settings,
+        gateway_environment{
+            fixture.io, fixture.clock, fixture.random, faulty, fixture.codec,
+            fixture.configuration, fixture.table, fixture.peer_table,
+            fixture.peer_writer, fixture.log, fixture.counters});
+    fixture.subject->start();
+    auto const caller = fixture.connect_caller(fixture.request("/safe/x"));
+    REQUIRE_THROWS_AS(
+        fixture.run_until([&] { return caller->closed; }), std::runtime_error);
+    REQUIRE(fixture.run_until([&] { return caller->closed; }));
+    REQUIRE(caller->received.rfind("HTTP/1.1 500 ", 0) == 0);
+    REQUIRE(caller->has("Connection: close\r\n"));
+}
