--- a/review/common/standins.hpp
+++ b/review/common/standins.hpp
@@ -174,7 +174,8 @@
     explicit message_reader(int fd) : fd_(fd) {}
 
     /// Reads one message. `response` without framing ends with the connection.
-    message read(bool response, int timeout_ms = 60000)
+    /// @param head_only  the response to a HEAD request
+    message read(bool response, int timeout_ms = 60000, bool head_only = false)
     {
         deadline_ = now_ms() + timeout_ms;
         message m;
@@ -208,6 +209,12 @@
             m.headers[name] =
                 value == std::string::npos ? "" : line.substr(value);
         }
+        bool const interim = response && m.status() < 200;
+        if (head_only || interim || (response && m.status() == 204))
+        {
+            m.complete = true;
+            return m;
+        }
         if (m.header("transfer-encoding") == "chunked")
         {
             while (read_line(line))
