--- a/review/common/standins.hpp
+++ b/review/common/standins.hpp
@@ -606,6 +606,7 @@
         return pid_ <= 0;
     }
 
+    pid_t pid() const { return pid_; }
     int exit_status() const { return exit_status_; }
     int front() const { return front_; }
 
