--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,7 +1,7 @@
 // The operator takes away the only tenant's keys by removing the tenant. From
 // revokeMs after the store's acknowledgement on, no request that needs a key
 // may run.
-#include "../common/standins.hpp"
+#include "../common/standins.h"
 
 #include <set>
 
@@ -66,8 +66,8 @@
                     run.insert(id);
                 }
                 record.line(
-                    "i-a runs " + id + " Tenant-Id '" +
-                    m.header("tenant-id") + "'");
+                    "i-a runs " + id + " Tenant-Id '" + m.header("tenant-id") +
+                    "'");
                 if (!send_all(
                         fd, "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
                                 "\r\nResponse-Seal: i-a." + id +
@@ -92,11 +92,12 @@
         if (fd < 0)
             end_case(2);
         send_all(
-            fd, "POST /book/kettle HTTP/1.1\r\nHost: shop.example\r\n"
-                "Request-Id: " +
-                    id + "\r\nDeadline-Ms: 4000\r\n" +
-                    (key.empty() ? "" : "Authorization: Bearer " + key + "\r\n") +
-                    "Content-Length: 3\r\n\r\none");
+            fd,
+            "POST /book/kettle HTTP/1.1\r\nHost: shop.example\r\n"
+            "Request-Id: " +
+                id + "\r\nDeadline-Ms: 4000\r\n" +
+                (key.empty() ? "" : "Authorization: Bearer " + key + "\r\n") +
+                "Content-Length: 3\r\n\r\none");
         message_reader in(fd);
         auto const m = in.read(true, 6000);
         ::close(fd);
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p build
-for source in [1-5]/case.cpp; do
+for source in [1-5]/case.cc; do
     number=${source%%/*}
     g++ -std=c++17 -O1 -pthread -o "build/case-$number" "$source"
 done
--- a/review/common/standins.h
+++ b/review/common/standins.h
@@ -1,7 +1,7 @@
 // Stand-ins of the review: the platform's store, plain HTTP servers and
 // clients, each connection on a thread of its own. Loopback only.
-#ifndef REVIEW_COMMON_STANDINS_HPP
-#define REVIEW_COMMON_STANDINS_HPP
+#ifndef REVIEW_COMMON_STANDINS_H
+#define REVIEW_COMMON_STANDINS_H
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -129,8 +129,8 @@
     std::size_t done = 0;
     while (done < bytes.size())
     {
-        auto const n = ::send(
-            fd, bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL);
+        auto const n =
+            ::send(fd, bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL);
         if (n <= 0)
             return false;
         done += std::size_t(n);
@@ -142,7 +142,7 @@
 
 struct message
 {
-    std::string start; // first line
+    std::string start;                          // first line
     std::map<std::string, std::string> headers; // names in lower case
     std::string body;
     bool complete = false;  // its framing says that it ended
@@ -202,10 +202,9 @@
             std::transform(
                 name.begin(), name.end(), name.begin(),
                 [](unsigned char c) { return char(std::tolower(c)); });
-            auto const value =
-                colon == std::string::npos
-                    ? line.size()
-                    : line.find_first_not_of(' ', colon + 1);
+            auto const value = colon == std::string::npos
+                                   ? line.size()
+                                   : line.find_first_not_of(' ', colon + 1);
             m.headers[name] =
                 value == std::string::npos ? "" : line.substr(value);
         }
@@ -219,7 +218,8 @@
         {
             while (read_line(line))
             {
-                std::size_t const size = std::strtoul(line.c_str(), nullptr, 16);
+                std::size_t const size =
+                    std::strtoul(line.c_str(), nullptr, 16);
                 if (!read_bytes(size, m.body) || !read_line(line))
                     return m;
                 if (size == 0)
@@ -327,7 +327,8 @@
             {
                 while (true)
                 {
-                    int const c = ::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
+                    int const c =
+                        ::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
                     if (c < 0)
                         return;
                     int const on = 1;
@@ -345,10 +346,7 @@
     }
 
     int port() const { return port_; }
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(port_);
-    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
 private:
     connection_handler const handler_;
@@ -431,8 +429,12 @@
     json to_json(
         std::string const& table, std::string const& key, row const& r) const
     {
-        json j = {{"table", table}, {"part", ""},        {"key", key},
-                  {"value", r.value}, {"ver", r.version}};
+        json j = {
+            {"table", table},
+            {"part", ""},
+            {"key", key},
+            {"value", r.value},
+            {"ver", r.version}};
         if (r.deleted)
             j["isDeleted"] = true;
         return j;
@@ -440,10 +442,11 @@
 
     json answer(json rows)
     {
-        return {{"rows", std::move(rows)},
-                {"hasMore", false},
-                {"ver", version_},
-                {"nowMs", now_ms() + 50000}};
+        return {
+            {"rows", std::move(rows)},
+            {"hasMore", false},
+            {"ver", version_},
+            {"nowMs", now_ms() + 50000}};
     }
 
     void serve(int fd)
@@ -492,9 +495,8 @@
                     return rows;
                 };
                 json rows = news();
-                while (rows.empty() &&
-                       changed_.wait_until(lock, until) !=
-                           std::cv_status::timeout)
+                while (rows.empty() && changed_.wait_until(lock, until) !=
+                                           std::cv_status::timeout)
                     rows = news();
                 body = answer(news());
             }
@@ -554,9 +556,10 @@
             << "host: \"" << name << "\"\navailability_zone: \"" << zone
             << "\"\nregions:\n  zone-a: \"region-a\"\n  zone-b: \"region-a\"\n"
             << "listen: \"127.0.0.1:" << front_ << "\"\nstatus_listen: "
-            << "\"127.0.0.1:" << ready_ << "\"\nmetrics_listen: \"127.0.0.1:"
-            << free_port() << "\"\npeer_listen: \"127.0.0.1:" << free_port()
-            << "\"\nstore: \"" << store_address
+            << "\"127.0.0.1:" << ready_
+            << "\"\nmetrics_listen: \"127.0.0.1:" << free_port()
+            << "\"\npeer_listen: \"127.0.0.1:" << free_port() << "\"\nstore: \""
+            << store_address
             << "\"\nkey_withdrawal_bound_ms: 5000\ndrain_bound_ms: 2500\n"
             << "shutdown_grace_s: 8\nfirst_start: "
             << (first_start ? "true" : "false")
@@ -656,10 +659,11 @@
 
 inline json default_limits()
 {
-    return {{"maxHeaderBytes", 16384},
-            {"maxBodyBytes", 4194304},
-            {"headerTimeoutMs", 3000},
-            {"idleTimeoutMs", 15000}};
+    return {
+        {"maxHeaderBytes", 16384},
+        {"maxBodyBytes", 4194304},
+        {"headerTimeoutMs", 3000},
+        {"idleTimeoutMs", 15000}};
 }
 
 /// Ends the case at once; its gateways end with it, and so do the threads of
