--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -57,7 +57,7 @@
     {
         auto row =
             endpoint_row("llm", "127.0.0.1:" + std::to_string(port_), 48);
-        row["born"] = 1700000000000 + now_ms();
+        born_ = row["born"];
         platform_.put("servers", id_, row);
         auto const now = std::make_shared<incarnation>();
         current_ = now;
@@ -137,6 +137,7 @@
                     {"stage", "colocated"},
                     {"busy", false},
                     {"seqNo", 1},
+                    {"born", born_.load()},
                     {"queueDepth", now.waiting.load()},
                     {"activeSeqs", now.active.load()},
                     {"kvUsed", 1000 * now.active},
@@ -210,6 +211,7 @@
     store& platform_;
     int port_ = 0;
     int listener_ = -1;
+    std::atomic<std::int64_t> born_{0};
     std::shared_ptr<incarnation> current_;
 };
 
--- a/review/common/standins.h
+++ b/review/common/standins.h
@@ -25,6 +25,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -538,6 +539,13 @@
 
 // Gateway --------------------------------------------------------------------
 
+/// Processes of gateways that have not been waited for.
+inline std::set<pid_t>& started_gateways()
+{
+    static std::set<pid_t> pids;
+    return pids;
+}
+
 /// The deployed gateway as a process of its own, started with the command of
 /// deploy/system.toml and with settings like those that the platform renders
 /// from deploy/gateway.yaml.in.
@@ -584,6 +592,7 @@
                 static_cast<char*>(nullptr));
             ::_exit(127);
         }
+        started_gateways().insert(pid_);
     }
 
     void signal(int number) const { ::kill(pid_, number); }
@@ -594,6 +603,7 @@
             return;
         ::kill(pid_, SIGKILL);
         ::waitpid(pid_, nullptr, 0);
+        started_gateways().erase(pid_);
         pid_ = -1;
     }
 
@@ -603,6 +613,7 @@
         int status = 0;
         if (pid_ > 0 && ::waitpid(pid_, &status, WNOHANG) == pid_)
         {
+            started_gateways().erase(pid_);
             pid_ = -1;
             exit_status_ = status;
         }
@@ -649,12 +660,20 @@
 
 // Documents ------------------------------------------------------------------
 
+/// The Unix millisecond, for the start of a server.
+inline std::int64_t unix_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 inline json
 endpoint_row(std::string const& service, std::string const& address, int slots)
 {
     return {{"service", service}, {"address", address}, {"zone", "zone-a"},
             {"version", "v1"},    {"slots", slots},     {"state", "ready"},
-            {"coldLeftMs", 0},    {"seqNo", 1}};
+            {"coldLeftMs", 0},    {"seqNo", 1},         {"born", unix_ms()}};
 }
 
 inline json default_limits()
@@ -666,10 +685,14 @@
         {"idleTimeoutMs", 15000}};
 }
 
-/// Ends the case at once; its gateways end with it, and so do the threads of
-/// the stand-ins.
+/// Ends the case and the gateways that it started.
 [[noreturn]] inline void end_case(int status)
 {
+    for (auto const pid : started_gateways())
+    {
+        ::kill(pid, SIGKILL);
+        ::waitpid(pid, nullptr, 0);
+    }
     std::fflush(nullptr);
     std::_Exit(status);
 }
@@ -683,6 +706,7 @@
 
     case_arguments(int argc, char** argv)
     {
+        ::alarm(115); // no case may take longer
         if (argc < 3)
             std::exit(2);
         folder = argv[1];
