gateway: hold reload signals back while a process starts or ends

Cause: asio's signal set restores the default action when it is destroyed, on the way out of main(); the same action holds from exec() until the set is made. A SIGHUP in either span kills the process, at the start with the connections that its listener has accepted. Change: SIGHUP is blocked until the handler is in place, and stays pending; all three signals are blocked once the event loop has ended. Test: 'a reload signal does not end the process' failed before (no reload of the pending signal, then the process ended); holds now.

--- a/src/relay/gateway_process.cpp
+++ b/src/relay/gateway_process.cpp
@@ -8,6 +8,8 @@
 
 #include <dotterellock/error.hpp>
 
+#include "signal_mask.hpp"
+
 namespace dotterellock
 {
 
@@ -29,6 +31,7 @@
       gateway_(settings, environment), stop_signals_(env_.io, SIGTERM, SIGINT),
       reload_signals_(env_.io, SIGHUP), timer_(env_.io)
 {
+    block_signals({SIGHUP}, false); // main() blocks it until here
 }
 
 void gateway_process::run()
@@ -44,6 +47,9 @@
     {
     }
     env_.log.record(event_level::info, "stopped", {});
+    // The default actions, which return with the destructor of the signal sets,
+    // would end the process with an error.
+    block_signals({SIGHUP, SIGTERM, SIGINT}, true);
 }
 
 /// Runs until the process stops. An error that nothing else handled ends the
--- a/tests/platform/relay_faults_test.cpp
+++ b/tests/platform/relay_faults_test.cpp
@@ -3,16 +3,34 @@
 // errors inside the process; lost answers; bytes without end.
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <fstream>
 
 #include <dotterellock/error.hpp>
 
 #include "relay/gateway_process.hpp"
+#include "relay/signal_mask.hpp"
 #include "relay_fixture.hpp"
 
 using namespace dotterellock;
 using namespace dotterellock::testing;
 
+namespace
+{
+
+/// Undoes what gateway_process leaves behind when it ends: blocked signals.
+struct signal_mask_restorer
+{
+    ~signal_mask_restorer()
+    {
+        std::signal(SIGHUP, SIG_IGN); // discards a pending one
+        block_signals({SIGHUP, SIGTERM, SIGINT}, false);
+        std::signal(SIGHUP, SIG_DFL);
+    }
+};
+
+} // namespace
+
 // Late copies ----------------------------------------------------------------
 
 // A server sent a second copy of an answer, late, on a connection that was in
@@ -249,6 +267,7 @@
 // An error that nothing else handled must end one handler only.
 TEST_CASE("an unexpected error does not end the process", "[faults]")
 {
+    signal_mask_restorer const restorer;
     relay_fixture fixture;
     std::string const file = "unexpected_error_test.yaml";
     std::ofstream(file) << "";
@@ -273,6 +292,40 @@
     REQUIRE(fixture.logged("unexpected_error detail=malformed"));
 }
 
+// A reload that came while the process started or ended killed it.
+TEST_CASE("a reload signal does not end the process", "[faults]")
+{
+    signal_mask_restorer const restorer;
+    relay_fixture fixture;
+    std::string const file = "reload_signal_test.yaml";
+    std::ofstream(file) << "";
+    block_signals({SIGHUP}, true); // as main() does
+    std::raise(SIGHUP);
+    {
+        gateway_process process(
+            file, "", fixture.settings,
+            {fixture.io, fixture.clock, fixture.random, fixture.protocol,
+             fixture.codec, fixture.configuration, fixture.table,
+             fixture.peer_table, fixture.peer_writer, fixture.log,
+             fixture.counters});
+        // Only a test that fails reaches the limit.
+        asio::steady_timer limit(fixture.io, std::chrono::seconds(10));
+        limit.async_wait([&](asio::error_code const&) { fixture.io.stop(); });
+        std::function<void()> const stop_once_reloaded = [&]
+        {
+            if (fixture.logged("settings_unchanged"))
+                fixture.io.stop();
+            else
+                asio::post(fixture.io, stop_once_reloaded);
+        };
+        stop_once_reloaded();
+        process.run();
+    }
+    std::remove(file.c_str());
+    std::raise(SIGHUP);
+    REQUIRE(fixture.logged("settings_unchanged cause=signal"));
+}
+
 // Lost answers ---------------------------------------------------------------
 
 // After an answer was lost, work that had run was run again, or the caller was
