reject nested messages before they exhaust the stack

Seen: a gateway that reads a table answer of 200,000 nested lists from another gateway ends with SIGSEGV.

Cause: nlohmann's MessagePack reader calls itself for every level.

Change: one parser for JSON and MessagePack from outside, bounded_json, that stops at 32 levels or 262,144 values and at a field that comes twice.

--- a/src/relay/crash_evidence_codec.cpp
+++ b/src/relay/crash_evidence_codec.cpp
@@ -9,6 +9,8 @@
 
 #include <dotterellock/error.hpp>
 
+#include "bounded_json.hpp"
+
 namespace dotterellock
 {
 
@@ -145,7 +147,7 @@
     bytes.remove_prefix(prefix.size());
     try
     {
-        auto const a = json::from_msgpack(bytes.begin(), bytes.end());
+        auto const a = parse_message_pack(bytes, "the crash evidence");
         if (number<std::uint32_t>(a.at(0)) != format_version)
             throw_malformed("unsupported crash evidence format version");
         shared_evidence shared;
--- a/src/relay/load_share_codec.cpp
+++ b/src/relay/load_share_codec.cpp
@@ -7,6 +7,8 @@
 
 #include <dotterellock/error.hpp>
 
+#include "bounded_json.hpp"
+
 namespace dotterellock
 {
 
@@ -83,7 +85,7 @@
 {
     try
     {
-        auto const a = json::from_msgpack(bytes.begin(), bytes.end());
+        auto const a = parse_message_pack(bytes, "the load share");
         if (number<std::uint32_t>(a.at(0)) != format_version)
             throw error(
                 error_code::protocol_error, "decode", "",
--- a/src/relay/table_share_codec.cpp
+++ b/src/relay/table_share_codec.cpp
@@ -7,6 +7,7 @@
 
 #include <dotterellock/error.hpp>
 
+#include "bounded_json.hpp"
 #include "http/decimal.hpp"
 
 namespace dotterellock
@@ -106,7 +107,7 @@
 {
     try
     {
-        auto const a = json::from_msgpack(bytes.begin(), bytes.end());
+        auto const a = parse_message_pack(bytes, "the table answer");
         if (uint64_of(a.at(0)) != format_version)
             throw_malformed("unsupported table answer format version");
         row_read_result answer;
