take only sound entries of the list of endpoints

Seen: with an odd entry of another writer in the list, the gateway process (not deployed, a stand-in of the store) sent all 16 requests of a trial with "Expect-Instance: odd-8", an entry at the address of a sound endpoint whose born was 2^53-1; the sound endpoint was out of use for good.

Cause: read_endpoint accepted any text as address, any key, fractions and numbers above 32 bits for slots, and any born. The key goes into a header of each request, so one with line ends adds header lines or requests.

--- a/src/relay/connection_pool.cpp
+++ b/src/relay/connection_pool.cpp
@@ -11,7 +11,9 @@
 std::optional<asio::ip::tcp::endpoint> parse_address(std::string const& text)
 {
     auto const colon = text.rfind(':');
-    if (colon == std::string::npos)
+    // make_address_v4() ignores what follows a NUL byte.
+    if (colon == std::string::npos ||
+        text.find_first_not_of("0123456789.:") != std::string::npos)
         return std::nullopt;
     asio::error_code e;
     auto const ip = asio::ip::make_address_v4(text.substr(0, colon), e);
