hold entries of services that no configuration names

Seen: an entry with an unknown service at the address of a sound endpoint took that endpoint out of use; nothing served its requests.

Cause: endpoint_table::put takes a new entry for the owner of its address, whatever its service.

Change: such entries are logged as unreadable and held until a configuration names the service, also those read before the first configuration. An endpoint that is known keeps following its row when its service is taken out of the configuration. Logged keys are cut at 200 bytes.

--- a/src/gateway/routing_table.cpp
+++ b/src/gateway/routing_table.cpp
@@ -1,5 +1,6 @@
 #include "routing_table.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace dotterellock
@@ -56,6 +57,22 @@
                : &configuration_.services[found->second];
 }
 
+bool routing_table::names(service_name const& service) const
+{
+    if (services_by_name_.count(service.value()) != 0)
+        return true;
+    auto const& routes = configuration_.routes;
+    return std::any_of(
+        routes.begin(), routes.end(),
+        [&service](gateway_route const& route)
+        {
+            return std::any_of(
+                route.targets.begin(), route.targets.end(),
+                [&service](route_target const& target)
+                { return target.service == service; });
+        });
+}
+
 service_name const&
 routing_table::select_target(gateway_route const& route, std::uint64_t draw)
 {
--- a/src/gateway/routing_table.hpp
+++ b/src/gateway/routing_table.hpp
@@ -119,6 +119,9 @@
 
     service_spec const* service(service_name const& name) const;
 
+    /// Whether the configuration has this service, itself or as a target.
+    bool names(service_name const& service) const;
+
     /// Selects a target by weight; the same draw selects the same target.
     /// @param draw  uniformly distributed over all values
     static service_name const&
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -91,6 +91,15 @@
     std::string metrics();
 
 private:
+    /// An endpoint as one of its rows describes it.
+    struct listed_endpoint
+    {
+        endpoint_record record;
+        std::uint64_t revision = 0; // of the row
+        steady_time changed_at{};   // not before
+        bool logged = false;        // that its service has no configuration
+    };
+
     // Time in which a process without a configuration should receive one.
     static constexpr std::chrono::milliseconds unconfigured_retry_after{1000};
 
@@ -160,6 +169,13 @@
         queue_refusal const& refusal, char const* reason = "no_room");
     void refuse_paused(queue_refusal refusal, steady_time until);
     void log_leaving(endpoint_id const& endpoint, char const* source);
+    void log_endpoint(
+        std::string const& key, char const* state, std::string const& detail,
+        std::uint64_t revision);
+    bool names_service(endpoint_record const& record) const;
+    void put_endpoint(listed_endpoint const& endpoint);
+    void put_or_hold_endpoint(listed_endpoint endpoint);
+    void put_named_endpoints();
     void check_zone(endpoint_record const& failed);
     void on_check_finished(
         endpoint_ptr const& endpoint, steady_time began,
@@ -188,6 +204,9 @@
     gateway_settings settings_;
     gateway_environment const env_;
     endpoint_table endpoints_;
+    // By key, until a configuration names their services. Until then they must
+    // not take the address of another endpoint.
+    std::map<std::string, listed_endpoint> unnamed_endpoints_;
     zone_failure_detector zones_;
     peer_loads peers_;
     prompt_crash_monitor prompt_crashes_;
--- a/src/relay/gateway_tables.cpp
+++ b/src/relay/gateway_tables.cpp
@@ -1,5 +1,5 @@
 // How a gateway follows the tables of the platform's store. Index: sinks;
-// configuration in force; sources.
+// configuration in force; endpoints; sources.
 #include "gateway.hpp"
 
 #include <utility>
@@ -62,6 +62,7 @@
         std::vector<store_row> const& rows,
         change_period const& period) override
     {
+        owner_.unnamed_endpoints_.clear();
         std::set<std::string> ids;
         for (auto const& row : rows)
         {
@@ -75,32 +76,28 @@
 
     void on_change(store_row const& row, change_period const& period) override
     {
+        owner_.unnamed_endpoints_.erase(row.key);
         if (row.deleted)
         {
             endpoint_id const id(row.key);
             bool const leaving =
                 owner_.endpoints_.remove(id, removed_at(period));
-            log(row, "removed", {});
+            owner_.log_endpoint(row.key, "removed", {}, row.revision);
             if (leaving)
                 owner_.log_leaving(id, "registration");
             return;
         }
         try
         {
-            auto const record = owner_.env_.codec.read_endpoint(row);
-            bool const leaving =
-                owner_.endpoints_.put(record, period.not_before);
-            log(row, record.draining ? "draining" : "ready", record.address);
-            if (leaving)
-                owner_.log_leaving(record.id, "registration");
-            if (record.draining)
-                owner_.pool_.close_idle(record);
-            owner_.on_capacity_freed(record.service);
+            owner_.put_or_hold_endpoint(
+                {owner_.env_.codec.read_endpoint(row), row.revision,
+                 period.not_before});
         }
         catch (error const& e)
         {
             // A malformed row does not take an endpoint out of service.
-            log(row, "unreadable", e.detail());
+            owner_.log_endpoint(
+                row.key, "unreadable", e.detail(), row.revision);
         }
     }
 
@@ -113,16 +110,6 @@
             period.not_before, period.interrupted, owner_.env_.clock.now());
     }
 
-    void log(store_row const& row, char const* state, std::string const& detail)
-    {
-        owner_.env_.log.record(
-            event_level::info, "endpoint",
-            {{"endpoint", row.key},
-             {"state", state},
-             {"detail", detail.empty() ? "-" : detail},
-             {"revision", std::to_string(row.revision)}});
-    }
-
     gateway& owner_;
 };
 
@@ -161,6 +148,75 @@
     table_ = std::make_shared<routing_table const>(std::move(configuration));
     table_revision_ = revision;
     env_.counters.counter("configuration_version").set(version);
+    put_named_endpoints();
+}
+
+// Endpoints ------------------------------------------------------------------
+
+void gateway::log_endpoint(
+    std::string const& key, char const* state, std::string const& detail,
+    std::uint64_t revision)
+{
+    constexpr std::size_t max_key_bytes = 200; // an endpoint's has no more
+    env_.log.record(
+        event_level::info, "endpoint",
+        {{"endpoint", key.substr(0, max_key_bytes)},
+         {"state", state},
+         {"detail", detail.empty() ? "-" : detail},
+         {"revision", std::to_string(revision)}});
+}
+
+/// Also true for a known endpoint whose service was taken out of the
+/// configuration, as requests under an earlier version still use it.
+bool gateway::names_service(endpoint_record const& record) const
+{
+    if (table_ && table_->names(record.service))
+        return true;
+    auto const known = endpoints_.find(record.id);
+    return known && known->record().service == record.service;
+}
+
+void gateway::put_endpoint(listed_endpoint const& endpoint)
+{
+    auto const& record = endpoint.record;
+    bool const leaving = endpoints_.put(record, endpoint.changed_at);
+    log_endpoint(
+        record.id.value(), record.draining ? "draining" : "ready",
+        record.address, endpoint.revision);
+    if (leaving)
+        log_leaving(record.id, "registration");
+    if (record.draining)
+        pool_.close_idle(record);
+    on_capacity_freed(record.service);
+}
+
+void gateway::put_or_hold_endpoint(listed_endpoint endpoint)
+{
+    auto const& record = endpoint.record;
+    if (names_service(record))
+    {
+        put_endpoint(endpoint);
+        return;
+    }
+    if (table_ && !endpoint.logged)
+    {
+        constexpr std::size_t max_quoted_bytes = 40;
+        log_endpoint(
+            record.id.value(), "unreadable",
+            "service '" + record.service.value().substr(0, max_quoted_bytes) +
+                "' is not in the configuration",
+            endpoint.revision);
+        endpoint.logged = true;
+    }
+    auto const key = record.id.value();
+    unnamed_endpoints_[key] = std::move(endpoint);
+}
+
+void gateway::put_named_endpoints()
+{
+    auto const held = std::exchange(unnamed_endpoints_, {});
+    for (auto const& [key, endpoint] : held)
+        put_or_hold_endpoint(endpoint);
 }
 
 // Sources --------------------------------------------------------------------
--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -1,4 +1,5 @@
-// Entries of another writer in the list of endpoints. Index: entries.
+// Entries of another writer in the list of endpoints. Index: entries;
+// services.
 #include <catch2/catch.hpp>
 
 #include <nlohmann/json.hpp>
@@ -132,7 +133,9 @@
          "null",
          "7",
          "[]"});
-    add_field(all, "service", R"("app")", {"\"\"", "null", "7", R"(["app"])"});
+    add_field(
+        all, "service", R"("app")",
+        {"\"\"", "\"nobody\"", R"("app\r\n")", "null", "7", R"(["app"])"});
     add_field(all, "zone", R"("near")", {"\"\"", "null", "7", "[]"});
     add_field(all, "version", R"("v1")", {"null", "7", "{}"});
     add_field(
@@ -144,6 +147,9 @@
 void add_owners(std::vector<odd_entry>& all)
 {
     auto const at_sound = replaced(sound_entry, own_address, sound_address);
+    all.push_back(
+        {"unknown service at the address of another endpoint",
+         replaced(at_sound, R"("app")", R"("nobody")")});
     all.push_back(
         {"born too large at the address of another endpoint",
          replaced(at_sound, "1700000000000", "9007199254740991")});
@@ -359,3 +365,43 @@
     CHECK_FALSE(fixture.logged("attempt_failed"));
     fixture.publish({});
 }
+
+// Services -------------------------------------------------------------------
+
+// Guards against an endpoint that stays out of service because its entry was
+// read before the configuration that names its service.
+TEST_CASE("an entry counts once a configuration names its service", "[rows]")
+{
+    auto const listed_first = GENERATE(true, false); // before a configuration
+    CAPTURE(listed_first);
+    odd_entries_fixture fixture;
+    auto const with_service = fixture.configuration.rows[0];
+    auto& text = fixture.configuration.rows[0].value;
+    if (listed_first)
+        fixture.configuration.rows.clear();
+    else
+        for (auto at = text.find("\"app\""); at != std::string::npos;
+             at = text.find("\"app\""))
+            text.replace(at, 5, "\"x\"");
+    fixture.start();
+    REQUIRE(fixture.run_until(
+        [&]
+        {
+            return fixture.logged("table_listed table=servers") &&
+                   fixture.configuration.pending_changes != nullptr;
+        }));
+    REQUIRE_FALSE(fixture.logged("endpoint=one state=ready"));
+    // A change of another entry and a removal meanwhile.
+    auto gone = fixture.sound("two", 1);
+    fixture.publish({gone});
+    gone.deleted = true;
+    fixture.publish({gone});
+    auto row = with_service;
+    row.value = replaced(row.value, R"("version":3)", R"("version":4)");
+    fixture.configuration.publish_change(row);
+    REQUIRE(fixture.run_until(
+        [&] { return fixture.logged("endpoint=one state=ready"); }));
+    REQUIRE_FALSE(fixture.logged("endpoint=two state=ready"));
+    fixture.serve_all();
+    REQUIRE(fixture.endpoints[0]->request_count() == 8);
+}
