go on with a table after a row or call that fails

Seen: an exception other than dotterellock::error in the handling of a row left the table's revision where it was, so that the same rows were read and failed again; one in a call to the store left the call pending for ever; either one ended the timer's tick, with the deadlines and checks behind it.

Cause: only dotterellock::error was caught, by each sink.

Change: run_isolated() is the one boundary: around each row in the sinks, each call, listing, change and revision in table_watcher, the decoding of answers, and each step of the tick, request, call and session. Each logs its reason.

--- a/src/gateway/table_watcher.cpp
+++ b/src/gateway/table_watcher.cpp
@@ -3,9 +3,18 @@
 #include <algorithm>
 #include <utility>
 
+#include "isolated_work.hpp"
+
 namespace dotterellock
 {
 
+namespace
+{
+
+constexpr std::size_t max_logged_key_bytes = 200;
+
+} // namespace
+
 table_watcher::table_watcher(
     std::string table, table_watch_settings const& settings, row_reader& store,
     table_listener& listener, clock_source const& clock, random_source& random,
@@ -27,17 +36,58 @@
 
 void table_watcher::request_listing()
 {
-    call_pending_ = true;
     auto const sent = clock_.now();
     // The smallest key after the last one of the previous page.
     std::string const from =
         listed_rows_.empty() ? std::string() : listed_rows_.back().key + '\x01';
-    store_.list(
-        table_, from,
+    start_call(
+        [this, &from](row_reader::handler done)
+        { store_.list(table_, from, std::move(done)); },
         [this, sent](row_read_result answer)
         { on_listing_page(sent, std::move(answer)); });
 }
 
+/// Makes a call. One that ends with an exception counts as failed; an answer
+/// that it may still get is ignored.
+template<typename Call>
+void table_watcher::start_call(Call const& call, row_reader::handler done)
+{
+    call_pending_ = true;
+    auto const number = ++call_number_;
+    run_isolated(
+        [&]
+        {
+            call(
+                [this, number, done](row_read_result answer)
+                {
+                    if (number == call_number_ && call_pending_)
+                        done(std::move(answer));
+                });
+        },
+        [&](std::string const& detail)
+        {
+            if (number != call_number_ || !call_pending_)
+                return; // it was answered before
+            row_read_result failed;
+            failed.detail = detail;
+            done(std::move(failed));
+        });
+}
+
+/// Passes on what was read. The table is followed further whatever comes of it.
+template<typename Work>
+void table_watcher::notify(std::string const& what, Work const& work)
+{
+    run_isolated(
+        work,
+        [this, &what](std::string const& detail)
+        {
+            log_.record(
+                event_level::error, "table_change_failed",
+                {{"table", table_}, {"change", what}, {"detail", detail}});
+        });
+}
+
 void table_watcher::on_listing_page(steady_time sent, row_read_result answer)
 {
     call_pending_ = false;
@@ -71,22 +121,25 @@
          {"revision", std::to_string(revision_)}});
     was_listed_ = true;
     on_success();
-    listener_.on_listing(rows, period_since_proof(first_page_time_));
+    notify(
+        "listing", [&]
+        { listener_.on_listing(rows, period_since_proof(first_page_time_)); });
     on_proven(first_page_time_, true);
     poll();
 }
 
 void table_watcher::request_changes()
 {
-    call_pending_ = true;
     auto const sent = clock_.now();
     // After a failure, an answer without wait proves at once that the copy is
     // current again.
     bool const at_once = interrupted_ || (answered_by_store_ &&
                                           store_clock_.needs_calibration(sent));
-    store_.changes(
-        table_, revision_,
-        at_once ? std::chrono::milliseconds(0) : settings_.poll_wait,
+    auto const wait =
+        at_once ? std::chrono::milliseconds(0) : settings_.poll_wait;
+    start_call(
+        [this, wait](row_reader::handler done)
+        { store_.changes(table_, revision_, wait, std::move(done)); },
         [this, sent](row_read_result const& answer)
         { on_changes(sent, answer); });
 }
@@ -117,7 +170,9 @@
     auto const proven = proof_of(sent, answer);
     auto const period = period_since_proof(proven);
     for (auto const& row : answer.rows)
-        listener_.on_change(row, period);
+        notify(
+            "row " + row.key.substr(0, max_logged_key_bytes),
+            [&] { listener_.on_change(row, period); });
     revision_ = answer.revision;
     on_proven(proven, !answered_by_store_);
     if (!answer.rows.empty() && answered_by_store_)
@@ -145,7 +200,11 @@
 {
     current_as_of_ = std::max(current_as_of_.value_or(proven), proven);
     interrupted_ = false;
-    listener_.on_current({*current_as_of_, revision_, changes_skipped});
+    notify(
+        "revision",
+        [&] {
+            listener_.on_current({*current_as_of_, revision_, changes_skipped});
+        });
 }
 
 void table_watcher::on_success()
--- a/src/gateway/table_watcher.hpp
+++ b/src/gateway/table_watcher.hpp
@@ -136,6 +136,10 @@
 private:
     void request_listing();
     void request_changes();
+    template<typename Call>
+    void start_call(Call const& call, row_reader::handler done);
+    template<typename Work>
+    void notify(std::string const& what, Work const& work);
     void on_listing_page(steady_time sent, row_read_result answer);
     void on_changes(steady_time sent, row_read_result const& answer);
     change_period period_since_proof(steady_time proven) const;
@@ -153,6 +157,7 @@
     event_log& log_;
 
     bool call_pending_ = false;
+    std::uint64_t call_number_ = 0; // tells answers to given up calls apart
     bool listed_ = false; // complete listing received; following changes
     bool was_listed_ = false;
     std::uint64_t revision_ = 0;
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -10,6 +10,7 @@
 #include <dotterellock/error.hpp>
 
 #include "gateway/endpoint_copy_policy.hpp"
+#include "gateway/isolated_work.hpp"
 #include "http/reason_phrase.hpp"
 
 namespace dotterellock
@@ -634,44 +635,67 @@
                                        now - last_tick_)
                                        .count())}});
     last_tick_ = now;
-    configuration_watch_.poll();
-    endpoint_watch_.poll();
-    accept_when_ready();
+    run_step("configuration", [this] { configuration_watch_.poll(); });
+    run_step("endpoints", [this] { endpoint_watch_.poll(); });
+    run_step("accept", [this] { accept_when_ready(); });
     if (peer_load_sync_)
-        peer_load_sync_->poll();
+        run_step("peers", [this] { peer_load_sync_->poll(); });
     if (table_service_)
-        table_service_->poll(now);
+        run_step("tables", [&] { table_service_->poll(now); });
     peers_.expire(now);
+    check_endpoint_calls(now, paused);
+    check_exchanges(now, paused);
+    note_freshness(now);
+    if (now - last_sweep_ < sweep_interval)
+        return;
+    last_sweep_ = now;
+    run_step("connections", [this] { pool_.close_expired(); });
+    run_step("prompts", [&] { prompt_crashes_.remove_expired(now); });
+    run_step("sweep", [&] { sweep_endpoints(now); });
+    run_step("sources", [&] { update_table_sources(now); });
+    run_step("queues", [this] { dispatch_waiting(); });
+    run_step("status", [&] { status_->check_timeouts(now); });
+    if (metrics_)
+        run_step("metrics", [&] { metrics_->check_timeouts(now); });
+    check_sessions(now);
+}
+
+/// Runs a part of the timer's work. An error ends that part only.
+template<typename Work>
+void gateway::run_step(char const* step, Work const& work)
+{
+    run_isolated(
+        work,
+        [this, step](std::string const& detail)
+        {
+            env_.counters.counter("unexpected_errors_total").add();
+            env_.log.record(
+                event_level::error, "unexpected_error",
+                {{"step", step}, {"detail", detail}});
+        });
+}
+
+void gateway::check_endpoint_calls(steady_time now, bool paused)
+{
     auto const calls = endpoint_calls_;
     for (auto const& call : calls)
-        call->check_timeouts(now, paused);
+        run_step("call", [&] { call->check_timeouts(now, paused); });
     endpoint_calls_.erase(
         std::remove_if(
             endpoint_calls_.begin(), endpoint_calls_.end(),
             [](std::shared_ptr<endpoint_call> const& c) { return c->done(); }),
         endpoint_calls_.end());
-    check_exchanges(now, paused);
+}
+
+void gateway::note_freshness(steady_time now)
+{
     bool const valid = table_ && freshness_lease_.valid(now);
-    if (valid != configuration_was_fresh_)
-    {
-        configuration_was_fresh_ = valid;
-        env_.log.record(
-            valid ? event_level::info : event_level::warn,
-            valid ? "configuration_fresh" : "configuration_stale", {});
-    }
-    if (now - last_sweep_ >= sweep_interval)
-    {
-        last_sweep_ = now;
-        pool_.close_expired();
-        prompt_crashes_.remove_expired(now);
-        sweep_endpoints(now);
-        update_table_sources(now);
-        dispatch_waiting();
-        status_->check_timeouts(now);
-        if (metrics_)
-            metrics_->check_timeouts(now);
-        check_sessions(now);
-    }
+    if (valid == configuration_was_fresh_)
+        return;
+    configuration_was_fresh_ = valid;
+    env_.log.record(
+        valid ? event_level::info : event_level::warn,
+        valid ? "configuration_fresh" : "configuration_stale", {});
 }
 
 void gateway::check_exchanges(steady_time now, bool paused)
@@ -685,10 +709,15 @@
                               now - shutdown_began_, settings_.shutdown_grace);
     for (auto const& e : exchanges)
     {
-        if (grace_over)
-            e->end_for_shutdown();
-        else
-            e->check_progress(now, paused);
+        run_step(
+            "request",
+            [&]
+            {
+                if (grace_over)
+                    e->end_for_shutdown();
+                else
+                    e->check_progress(now, paused);
+            });
     }
     if (grace_over)
         stop_accepting();
@@ -704,9 +733,14 @@
         now - shutdown_began_ > shutdown_policy::load_balancer_removal_time;
     for (auto const& session : sessions)
     {
-        session->check_timeouts(now);
-        if (leaving)
-            session->close_idle();
+        run_step(
+            "session",
+            [&]
+            {
+                session->check_timeouts(now);
+                if (leaving)
+                    session->close_idle();
+            });
     }
     if (leaving && sessions_.empty())
         stop_accepting();
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -160,6 +160,10 @@
     void add_session(asio::ip::tcp::socket socket);
     void stop_accepting();
     void tick();
+    template<typename Work>
+    void run_step(char const* step, Work const& work);
+    void check_endpoint_calls(steady_time now, bool paused);
+    void note_freshness(steady_time now);
     void check_exchanges(steady_time now, bool paused);
     void check_sessions(steady_time now);
     void schedule_tick();
--- a/src/relay/gateway_tables.cpp
+++ b/src/relay/gateway_tables.cpp
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-#include <dotterellock/error.hpp>
+#include "gateway/isolated_work.hpp"
 
 namespace dotterellock
 {
@@ -28,19 +28,20 @@
     {
         if (row.deleted)
             return; // the last version remains in force
-        try
-        {
-            if (auto c = owner_.env_.codec.read_configuration(row))
-                owner_.apply_configuration(std::move(*c), row.revision);
-        }
-        catch (error const& e)
-        {
-            owner_.env_.log.record(
-                event_level::error, "configuration_unreadable",
-                {{"key", row.key},
-                 {"revision", std::to_string(row.revision)},
-                 {"detail", e.detail()}});
-        }
+        run_isolated(
+            [&]
+            {
+                if (auto c = owner_.env_.codec.read_configuration(row))
+                    owner_.apply_configuration(std::move(*c), row.revision);
+            },
+            [&](std::string const& detail)
+            {
+                owner_.env_.log.record(
+                    event_level::error, "configuration_unreadable",
+                    {{"key", row.key},
+                     {"revision", std::to_string(row.revision)},
+                     {"detail", detail}});
+            });
     }
 
     void on_current(copy_state const& state) override
@@ -87,18 +88,18 @@
                 owner_.log_leaving(id, "registration");
             return;
         }
-        try
-        {
-            owner_.put_or_hold_endpoint(
-                {owner_.env_.codec.read_endpoint(row), row.revision,
-                 period.not_before});
-        }
-        catch (error const& e)
-        {
-            // A malformed row does not take an endpoint out of service.
-            owner_.log_endpoint(
-                row.key, "unreadable", e.detail(), row.revision);
-        }
+        // A malformed row does not take an endpoint out of service.
+        run_isolated(
+            [&]
+            {
+                owner_.put_or_hold_endpoint(
+                    {owner_.env_.codec.read_endpoint(row), row.revision,
+                     period.not_before});
+            },
+            [&](std::string const& detail) {
+                owner_.log_endpoint(
+                    row.key, "unreadable", detail, row.revision);
+            });
     }
 
     void on_current(copy_state const&) override { owner_.accept_when_ready(); }
@@ -216,7 +217,14 @@
 {
     auto const held = std::exchange(unnamed_endpoints_, {});
     for (auto const& [key, endpoint] : held)
-        put_or_hold_endpoint(endpoint);
+        run_isolated(
+            [&, &endpoint = endpoint] { put_or_hold_endpoint(endpoint); },
+            [&, &endpoint = endpoint](std::string const& detail)
+            {
+                log_endpoint(
+                    endpoint.record.id.value(), "unreadable", detail,
+                    endpoint.revision);
+            });
 }
 
 // Sources --------------------------------------------------------------------
--- a/src/relay/peer_load_sync.cpp
+++ b/src/relay/peer_load_sync.cpp
@@ -7,6 +7,7 @@
 
 #include "connection_pool.hpp"
 #include "crash_evidence_codec.hpp"
+#include "gateway/isolated_work.hpp"
 #include "gateway/peer_group.hpp"
 #include "load_share_codec.hpp"
 
@@ -105,17 +106,18 @@
 {
     registering_ = true;
     next_write_ = clock_.now() + registration_retry_interval;
-    writer_.put(
-        table_name, host_, address_,
-        [this](bool done)
-        {
-            registering_ = false;
-            registered_ = done;
-            log_.record(
-                done ? event_level::info : event_level::warn,
-                done ? "peer_registered" : "peer_registration_failed",
-                {{"host", host_}, {"address", address_}});
-        });
+    auto const on_done = [this](bool done)
+    {
+        registering_ = false;
+        registered_ = done;
+        log_.record(
+            done ? event_level::info : event_level::warn,
+            done ? "peer_registered" : "peer_registration_failed",
+            {{"host", host_}, {"address", address_}});
+    };
+    run_isolated(
+        [&] { writer_.put(table_name, host_, address_, on_done); },
+        [&](std::string const&) { on_done(false); });
 }
 
 void peer_load_sync::unregister()
@@ -180,20 +182,21 @@
         peers_.erase(row.key);
         return;
     }
-    try
-    {
-        peer p;
-        p.address_text = row.value;
-        p.address = udp_address(row.value);
-        p.last_heard = clock_.now();
-        peers_[row.key] = std::move(p);
-    }
-    catch (error const& e)
-    {
-        log_.record(
-            event_level::warn, "peer_unreadable",
-            {{"host", row.key}, {"detail", e.detail()}});
-    }
+    run_isolated(
+        [&]
+        {
+            peer p;
+            p.address_text = row.value;
+            p.address = udp_address(row.value);
+            p.last_heard = clock_.now();
+            peers_[row.key] = std::move(p);
+        },
+        [&](std::string const& detail)
+        {
+            log_.record(
+                event_level::warn, "peer_unreadable",
+                {{"host", row.key}, {"detail", detail}});
+        });
 }
 
 void peer_load_sync::update_peer_group()
--- a/src/relay/peer_tables.cpp
+++ b/src/relay/peer_tables.cpp
@@ -5,6 +5,7 @@
 #include <dotterellock/error.hpp>
 
 #include "connection_pool.hpp"
+#include "gateway/isolated_work.hpp"
 #include "http/reason_phrase.hpp"
 #include "table_share_codec.hpp"
 
@@ -52,15 +53,10 @@
         result.status = row_read_status::refused;
     if (reply.status != 200)
         return result;
-    try
-    {
-        return decode_table_answer(reply.body);
-    }
-    catch (error const& e)
-    {
-        result.detail = e.detail();
-        return result;
-    }
+    run_isolated(
+        [&] { result = decode_table_answer(reply.body); },
+        [&](std::string const& detail) { result.detail = detail; });
+    return result;
 }
 
 } // namespace
--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -1,5 +1,5 @@
-// Entries of another writer in the list of endpoints. Index: entries;
-// services.
+// Entries of another writer in the list of endpoints, and rows and calls whose
+// handling fails. Index: entries; services; failures of a row or a call.
 #include <catch2/catch.hpp>
 
 #include <nlohmann/json.hpp>
@@ -405,3 +405,195 @@
     fixture.serve_all();
     REQUIRE(fixture.endpoints[0]->request_count() == 8);
 }
+
+// Failures of a row or a call ------------------------------------------------
+
+namespace
+{
+
+/// Fails for the rows with a key.
+class failing_codec : public platform_row_codec
+{
+public:
+    explicit failing_codec(bool out_of_memory) : out_of_memory_(out_of_memory)
+    {
+    }
+
+    std::optional<gateway_configuration>
+    read_configuration(store_row const& row) const override
+    {
+        fail_for(row);
+        return platform_row_codec::read_configuration(row);
+    }
+
+    endpoint_record read_endpoint(store_row const& row) const override
+    {
+        fail_for(row);
+        return platform_row_codec::read_endpoint(row);
+    }
+
+private:
+    void fail_for(store_row const& row) const
+    {
+        if (row.key != odd_key)
+            return;
+        if (out_of_memory_)
+            throw std::bad_alloc();
+        throw std::runtime_error("decoder failed");
+    }
+
+    bool const out_of_memory_;
+};
+
+/// Throws instead of making a call, as long as it is told to.
+class failing_reader : public row_reader
+{
+public:
+    explicit failing_reader(row_reader& next) : next_(next) {}
+
+    void list(std::string const& table, std::string const& from, handler done)
+        override
+    {
+        fail();
+        next_.list(table, from, std::move(done));
+    }
+
+    void changes(
+        std::string const& table, std::uint64_t after, milliseconds wait,
+        handler done) override
+    {
+        last_after = after;
+        fail();
+        next_.changes(table, after, wait, std::move(done));
+    }
+
+    bool failing = false;
+    int failures = 0;
+    std::uint64_t last_after = 0;
+
+private:
+    void fail()
+    {
+        if (!failing)
+            return;
+        ++failures;
+        throw std::runtime_error("no descriptor");
+    }
+
+    row_reader& next_;
+};
+
+struct failing_fixture : odd_entries_fixture
+{
+    explicit failing_fixture(bool out_of_memory = false)
+        : failing(out_of_memory)
+    {
+    }
+
+    void start_failing()
+    {
+        subject = std::make_unique<gateway>(
+            settings,
+            gateway_environment{
+                io, clock, random, protocol, failing, configuration_calls,
+                endpoint_calls, peer_table, peer_writer, log, counters});
+        subject->start();
+    }
+
+    failing_codec failing;
+    failing_reader configuration_calls{configuration};
+    failing_reader endpoint_calls{table};
+};
+
+} // namespace
+
+// An error in one row's handling left the table where it was, so that the row
+// was read again and failed for ever.
+TEST_CASE("a row whose handling fails does not hold up its table", "[rows]")
+{
+    auto const out_of_memory = GENERATE(true, false);
+    auto const listed = GENERATE(true, false);
+    auto const of_configuration = GENERATE(true, false);
+    CAPTURE(out_of_memory, listed, of_configuration);
+    failing_fixture fixture(out_of_memory);
+    auto& table = of_configuration ? fixture.configuration : fixture.table;
+    auto const odd = fixture.row(odd_key, "x");
+    auto next = of_configuration ? table.rows[0] : fixture.sound("two", 1);
+    if (of_configuration)
+        next.value = replaced(next.value, R"("version":3)", R"("version":4)");
+    if (listed)
+        table.rows.insert(table.rows.begin(), odd);
+    fixture.start_failing();
+    REQUIRE(fixture.run_until(
+        [&] {
+            return fixture.subject->ready() && table.pending_changes != nullptr;
+        }));
+    row_read_result a;
+    a.status = row_read_status::ok;
+    a.rows = {odd, next};
+    a.rows[0].revision = a.rows[1].revision = a.revision = 7;
+    if (listed)
+        a.rows.erase(a.rows.begin());
+    std::exchange(table.pending_changes, nullptr)(a);
+    auto const& calls =
+        of_configuration ? fixture.configuration_calls : fixture.endpoint_calls;
+    REQUIRE(fixture.run_until([&] { return calls.last_after == 7; }));
+    REQUIRE(fixture.logged(
+        of_configuration ? "configuration_applied version=4"
+                         : "endpoint=two state=ready"));
+    REQUIRE(
+        fixture.count_lines(
+            of_configuration ? "configuration_unreadable key=odd-entry"
+                             : "endpoint=odd-entry state=unreadable") == 1);
+    REQUIRE(fixture.logged(
+        out_of_memory ? "detail=std::bad_alloc" : "detail=decoder failed"));
+    fixture.serve_all();
+}
+
+// A call to the store that failed with an exception was waited for ever, and
+// the rest of the timer's work was left out.
+TEST_CASE("a call that fails at once is repeated", "[rows]")
+{
+    auto const of_configuration = GENERATE(true, false);
+    auto const listed = GENERATE(true, false);
+    CAPTURE(of_configuration, listed);
+    failing_fixture fixture;
+    auto& calls =
+        of_configuration ? fixture.configuration_calls : fixture.endpoint_calls;
+    auto& table = of_configuration ? fixture.configuration : fixture.table;
+    calls.failing = !listed;
+    fixture.start_failing();
+    if (listed)
+    {
+        REQUIRE(fixture.run_until(
+            [&] {
+                return fixture.subject->ready() &&
+                       table.pending_changes != nullptr;
+            }));
+        calls.failing = true;
+        row_read_result refused;
+        refused.status = row_read_status::refused;
+        std::exchange(table.pending_changes, nullptr)(refused);
+    }
+    REQUIRE(fixture.run_until([&] { return calls.failures >= 3; }));
+    REQUIRE(fixture.logged("store_lost"));
+    if (listed)
+    {
+        // The endpoint does not answer.
+        auto const caller = fixture.connect_caller(
+            "GET /open/x HTTP/1.1\r\nHost: h\r\nRequest-Id: late\r\n"
+            "Deadline-Ms: 60\r\n\r\n");
+        REQUIRE(fixture.run_until([&] { return caller->has(" 504 "); }));
+    }
+    calls.failing = false;
+    REQUIRE(fixture.run_until(
+        [&] {
+            return fixture.subject->ready() && table.pending_changes != nullptr;
+        }));
+    row_read_result nothing_new;
+    nothing_new.status = row_read_status::ok;
+    nothing_new.revision = table.revision;
+    std::exchange(table.pending_changes, nullptr)(nothing_new);
+    REQUIRE(fixture.logged("store_regained"));
+    fixture.serve_all();
+}
