let an empty list of organisations close all routes

Cause: absent, null, empty and wrong values were not told apart.

Change: the organisations are optional; absent or null means that no keys are asked for, an empty list that no key is valid.

--- a/src/gateway/routing_table.cpp
+++ b/src/gateway/routing_table.cpp
@@ -14,10 +14,12 @@
         routes_[c.routes[i].host][c.routes[i].prefix] = i;
     for (std::size_t i = 0; i < c.services.size(); ++i)
         services_by_name_[c.services[i].name.value()] = i;
-    for (std::size_t i = 0; i < c.organisations.size(); ++i)
+    if (!c.organisations)
+        return;
+    for (auto const& organisation : *c.organisations)
     {
-        for (auto const& key : c.organisations[i].api_keys)
-            organisations_by_key_[key] = i;
+        for (auto const& key : organisation.api_keys)
+            organisations_by_key_[key] = &organisation;
     }
 }
 
@@ -44,9 +46,8 @@
 routing_table::organisation(std::string const& key) const
 {
     auto const found = organisations_by_key_.find(key);
-    return found == organisations_by_key_.end()
-               ? nullptr
-               : &configuration_.organisations[found->second];
+    return key.empty() || found == organisations_by_key_.end() ? nullptr
+                                                               : found->second;
 }
 
 service_spec const* routing_table::service(service_name const& name) const
--- a/src/gateway/routing_table.hpp
+++ b/src/gateway/routing_table.hpp
@@ -90,7 +90,9 @@
     std::uint64_t version = 0;
     std::vector<gateway_route> routes;
     std::vector<service_spec> services;
-    std::vector<organisation_spec> organisations; // empty: no API keys required
+
+    // Absent: no API keys are asked for. An empty list has no valid key.
+    std::optional<std::vector<organisation_spec>> organisations;
     caller_limits limits;
 };
 
@@ -106,7 +108,7 @@
     caller_limits const& limits() const { return configuration_.limits; }
     bool requires_api_key() const
     {
-        return !configuration_.organisations.empty();
+        return configuration_.organisations.has_value();
     }
 
     /// Finds the route of the host with the longest matching path prefix.
@@ -114,7 +116,7 @@
     gateway_route const*
     match(std::string_view host, std::string_view path) const;
 
-    /// Organisation that owns the key, or null.
+    /// Organisation that owns the key, or null; null for an empty key.
     organisation_spec const* organisation(std::string const& key) const;
 
     service_spec const* service(service_name const& name) const;
@@ -132,7 +134,8 @@
 
     gateway_configuration const configuration_;
     std::unordered_map<std::string, prefix_index> routes_; // by host
-    std::unordered_map<std::string, std::size_t> organisations_by_key_;
+    std::unordered_map<std::string, organisation_spec const*>
+        organisations_by_key_;
     std::unordered_map<std::string, std::size_t> services_by_name_;
 };
 
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -490,8 +490,8 @@
 std::uint32_t gateway::connection_share(service_spec const& service)
 {
     auto const gateways = fleet_size();
-    auto const usable =
-        service.max_connections * attempt_connections_percent / 100;
+    auto const usable = std::uint64_t(service.max_connections) *
+                        attempt_connections_percent / 100;
     return std::max<std::uint32_t>(
         std::uint32_t(usable / gateways), min_connection_share);
 }
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -39,7 +39,7 @@
     organisation_spec o;
     o.name = organisation_id("acme");
     o.api_keys = {"k1", "k2"};
-    c.organisations.push_back(o);
+    c.organisations.emplace().push_back(o);
     return c;
 }
 
--- a/tests/platform/protocol_test.cpp
+++ b/tests/platform/protocol_test.cpp
@@ -247,7 +247,7 @@
     REQUIRE(c->services[0].engine->standby_copies);
     REQUIRE_FALSE(c->services[1].engine);
     REQUIRE(c->limits.idle_timeout == milliseconds(15000));
-    REQUIRE(c->organisations[0].rank == 1u);
+    REQUIRE(c->organisations->at(0).rank == 1u);
     REQUIRE_FALSE(platform_row_codec().read_configuration(row("other", "x")));
 }
 
