read a table beside a key that is not Unicode

Seen by reading, played by test only: a key is any text; if one has half of a surrogate pair, which JSON writes as an escape, the whole answer of the store could not be parsed. The table was then not followed while the entry was there (store_lost), and a starting gateway had no endpoints.

Cause: the JSON parser rejects such escapes, and one answer holds all rows.

--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -1,5 +1,6 @@
 // Entries of another writer in the list of endpoints, and rows and calls whose
-// handling fails. Index: entries; services; failures of a row or a call.
+// handling fails. Index: entries; keys; services; failures of a row or a
+// call.
 #include <catch2/catch.hpp>
 
 #include <nlohmann/json.hpp>
@@ -366,6 +367,34 @@
     fixture.publish({});
 }
 
+// Keys -----------------------------------------------------------------------
+
+// A key with half of a surrogate pair made the whole list unreadable, so that
+// the table was not followed while the entry was there.
+TEST_CASE("a key that is not Unicode does not hide other rows", "[rows]")
+{
+    struct row
+    {
+        char const* key; // as the store writes it
+        std::string read;
+    };
+    auto const r = GENERATE(
+        row{R"(k\ud800)", std::string("k\0", 2)},
+        row{R"(\udc00k)", std::string("\0k", 2)},
+        row{R"(\uDBFFk\uDFFF)", std::string("\0k\0", 3)},
+        row{R"(\ud83d\ud83d\ude00)", std::string("\0", 1) + "\xf0\x9f\x98\x80"},
+        row{R"(\ud83d\ude00)", "\xf0\x9f\x98\x80"},
+        row{R"(\\ud800)", "\\ud800"},
+        row{R"(\\\ud800)", std::string("\\\0", 2)}, row{R"(\u0041)", "A"});
+    CAPTURE(r.key);
+    auto const answer = decode_row_response(
+        std::string(R"({"rows":[{"key":"a","ver":1},{"key":")") + r.key +
+        R"(","ver":2},{"key":"b","ver":3}],"ver":9})");
+    REQUIRE(answer.rows.size() == 3);
+    CHECK(answer.rows[1].key == r.read);
+    CHECK(answer.rows[2].key == "b");
+}
+
 // Services -------------------------------------------------------------------
 
 // Guards against an endpoint that stays out of service because its entry was
