relay: let no attempt add to bytes that only one endpoint can continue

A stream whose last event had no id was sent again from its start.

Cause: such an answer is passed on while it arrives, but a suspicion or a loss was decided as if the caller had nothing, or as if it could be resumed. The time limit of a call also counted from its sending, so an answer in progress was given up.

Change: attempt_policy decides, from what the caller has received, whether another attempt may follow; decide() and the check before giving up both use it. A call is given up after silence since the last byte.

--- a/src/gateway/attempt_policy.hpp
+++ b/src/gateway/attempt_policy.hpp
@@ -1,7 +1,8 @@
 // Decides what follows the end of an attempt. A request that must run at most
 // once is sent again only if the endpoint proved that it did not run it. A
 // repeatable request is sent again while attempts, time and the retry budget
-// last.
+// last. No attempt follows once the caller has bytes that cannot be resumed, as
+// its answer would be joined from two.
 #ifndef DOTTERELLOCK_GATEWAY_ATTEMPT_POLICY_HPP
 #define DOTTERELLOCK_GATEWAY_ATTEMPT_POLICY_HPP
 
@@ -22,6 +23,14 @@
     std::uint32_t failed_connections = 0; // connections not established
 };
 
+/// What the caller has received of the answer.
+enum class received_part
+{
+    nothing,
+    resumable_events, // another endpoint can continue after the last one
+    fixed_bytes       // only the endpoint that sent them can continue
+};
+
 enum class attempt_decision
 {
     retry,
@@ -29,6 +38,7 @@
     await_budget,   // once the retry budget allows it
     reply_not_run,  // 503 with a retry time; nothing ran
     reply_unknown,  // 502; the request may have run
+    break_off,      // closes the caller's connection within the answer
     forward_failure // forwards the endpoint's own error
 };
 
@@ -64,13 +74,23 @@
             ++history.runs;
     }
 
-    /// @param history  including the attempt that just ended
-    /// @param budget   whether the retry budget allows one more attempt
-    /// @param begun    whether the caller has part of the response
+    /// Whether another attempt may add to what the caller has received.
+    static bool may_follow(received_part received)
+    {
+        return received != received_part::fixed_bytes;
+    }
+
+    /// @param history   including the attempt that just ended
+    /// @param budget    whether the retry budget allows one more attempt
+    /// @param received  by the caller
     static attempt_decision decide(
         gateway_route const& route, attempt_history const& history,
-        attempt_outcome outcome, bool time_left, bool budget, bool begun)
+        attempt_outcome outcome, bool time_left, bool budget,
+        received_part received)
     {
+        if (!may_follow(received))
+            return attempt_decision::break_off;
+        bool const begun = received != received_part::nothing;
         bool const answered = outcome == attempt_outcome::failed_answer;
         bool const not_run = history.runs == 0;
         bool const may_run_again =
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -325,7 +325,8 @@
     bool const time_left = deadline_ - now > min_time_left;
     bool const budget = may_repeat(outcome);
     auto const verdict = attempt_policy::decide(
-        *request_.route, history_, outcome, time_left, budget, response_begun_);
+        *request_.route, history_, outcome, time_left, budget,
+        received_by_caller());
     bool const continues = verdict == attempt_decision::retry ||
                            verdict == attempt_decision::retry_later ||
                            verdict == attempt_decision::await_budget;
@@ -361,6 +362,7 @@
             reason, response_metadata_.retry_after.value_or(milliseconds(300)));
         break;
     case attempt_decision::reply_unknown:
+    case attempt_decision::break_off:
         fail(502, reason);
         break;
     }
@@ -391,11 +393,21 @@
         fail(502, "no_retry_budget");
 }
 
+received_part relay_exchange::received_by_caller() const
+{
+    if (!response_begun_)
+        return received_part::nothing;
+    return passing_through_ || !position_known_
+               ? received_part::fixed_bytes
+               : received_part::resumable_events;
+}
+
 /// Whether an attempt at another endpoint could start now.
 bool relay_exchange::another_attempt_can_follow(steady_time now)
 {
     auto const& route = *request_.route;
-    if (!route.repeatable() || history_.runs + 1 >= route.max_attempts ||
+    if (!attempt_policy::may_follow(received_by_caller()) ||
+        !route.repeatable() || history_.runs + 1 >= route.max_attempts ||
         deadline_ - now <= min_time_left || quarantined() ||
         !context_.budget(request_.service).available(now))
         return false;
@@ -476,13 +488,16 @@
     attempt_is_stream_ = streaming() && head.status == 200 &&
                          response_metadata_.sealed && type != nullptr &&
                          type->rfind("text/event-stream", 0) == 0;
+    if (!attempt_is_stream_)
+        last_progress_ = now;
     response_head_ = std::move(head);
 }
 
 void relay_exchange::on_response_body(std::string_view bytes)
 {
     auto const self = shared_from_this();
-    endpoint_->record_activity(context_.clock().now());
+    auto const now = context_.clock().now();
+    endpoint_->record_activity(now);
     if (attempt_is_stream_)
     {
         events_.append(bytes);
@@ -491,6 +506,7 @@
             on_attempt_failed(attempt_outcome::lost, "oversized_event");
         return;
     }
+    last_progress_ = now;
     if (passing_through_)
     {
         pass_through(bytes);
@@ -543,6 +559,8 @@
         out += event->bytes;
         ++events_sent_;
         ++events_in_attempt_;
+        if (event->has_content)
+            position_known_ = event->id.has_value();
         progress = progress || event->has_content;
     }
     if (out.empty())
@@ -772,7 +790,7 @@
     {
         auto const timeout =
             liveness_policy::call_timeout(route, endpoint_->latency());
-        if (!streaming() && now - sent_at_ > timeout)
+        if (!streaming() && now - last_progress_ > timeout)
             give_up_attempt(attempt_outcome::silent, "no_answer");
         return;
     }
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -201,6 +201,7 @@
     void on_attempt_failed(attempt_outcome outcome, char const* reason);
     bool may_repeat(attempt_outcome outcome);
     void await_budget(steady_time now);
+    received_part received_by_caller() const;
     bool another_attempt_can_follow(steady_time now);
     void give_up_attempt(attempt_outcome outcome, char const* reason);
 
@@ -280,6 +281,7 @@
     // Response to the caller
     bool response_begun_ = false;
     bool passing_through_ = false; // too large to buffer
+    bool position_known_ = true;   // the last event sent has an id
     std::optional<std::uint64_t> last_event_id_;
     std::size_t events_sent_ = 0;
     std::optional<steady_time> first_byte_at_;
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -210,6 +210,8 @@
 {
     using o = attempt_outcome;
     using v = attempt_decision;
+    constexpr auto events = received_part::resumable_events;
+    constexpr auto bytes = received_part::fixed_bytes;
     struct row
     {
         char const* kind;
@@ -217,7 +219,7 @@
         bool time;
         bool budget;
         v verdict;
-        bool begun = false;
+        received_part received = received_part::nothing;
     };
     auto const r = GENERATE(values<row>({
         {"unsafe", {o::unreachable}, true, true, v::retry},
@@ -243,21 +245,21 @@
          v::forward_failure},
         {"resumable", {o::lost, o::silent}, true, true, v::retry},
         {"resumable", {o::lost}, true, false, v::reply_unknown},
-        {"resumable", {o::lost}, true, false, v::await_budget, true},
+        {"resumable", {o::lost}, true, false, v::await_budget, events},
         {"resumable",
          {o::lost, o::refused},
          true,
          false,
          v::await_budget,
-         true},
-        {"resumable", {o::lost}, false, false, v::reply_unknown, true},
+         events},
+        {"resumable", {o::lost}, false, false, v::reply_unknown, events},
         {"resumable",
          {o::lost, o::lost, o::lost},
          true,
          false,
          v::reply_unknown,
-         true},
-        {"stream", {o::lost}, true, false, v::reply_unknown, true},
+         events},
+        {"stream", {o::lost}, true, false, v::reply_unknown, events},
         {"resumable",
          {o::refused, o::refused, o::refused, o::refused, o::refused},
          true,
@@ -300,6 +302,14 @@
          true,
          true,
          v::reply_unknown},
+        // The next endpoint's answer was joined to the first one's.
+        {"safe", {o::lost}, true, true, v::break_off, bytes},
+        {"safe", {o::silent}, true, true, v::break_off, bytes},
+        {"safe", {o::refused}, true, true, v::break_off, bytes},
+        {"resumable", {o::lost}, true, true, v::break_off, bytes},
+        {"resumable", {o::lost}, true, false, v::break_off, bytes},
+        {"unsafe", {o::lost}, true, true, v::break_off, bytes},
+        {"resumable", {o::lost}, true, true, v::retry, events},
     }));
     attempt_history history;
     for (auto const outcome : r.outcomes)
@@ -307,7 +317,7 @@
     REQUIRE(
         attempt_policy::decide(
             route_of(r.kind), history, r.outcomes.back(), r.time, r.budget,
-            r.begun) == r.verdict);
+            r.received) == r.verdict);
 }
 
 // Shutdown -------------------------------------------------------------------
