relay: wait for the caller of a stream that is behind

Seen by callers: a stream ended midway when its caller read slowly.

Cause: a stream with more than 1 MiB of unsent bytes was aborted, and logged as caller_gone although the caller was still there.

Change: streams use the back pressure of large answers. While reading is paused, silence and failed checks do not count against the endpoint; the deadline still ends the answer. What waits for one caller is bounded by 1 MiB plus one read and one event, 1.3 MiB together.

--- a/src/relay/http_connection.hpp
+++ b/src/relay/http_connection.hpp
@@ -75,6 +75,7 @@
     /// Stops reading while the receiver of the response is slow, and resumes.
     void pause_reading() { reading_paused_ = true; }
     void resume_reading();
+    bool reading_paused() const { return reading_paused_; }
 
     /// Whether another request may be sent.
     bool reusable() const
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -528,6 +528,8 @@
     buffered_body_.clear();
 }
 
+/// Sends a part of the answer. Reads no more from the endpoint while the caller
+/// is behind.
 void relay_exchange::pass_through(std::string_view bytes)
 {
     session_->write_stream(bytes);
@@ -596,12 +598,7 @@
         longest_gap_ = std::max(longest_gap_, now - last_sent_at_);
     }
     last_sent_at_ = now;
-    session_->write_stream(out);
-    if (session_->unsent_bytes() > max_unsent_bytes)
-    {
-        session_->abort();
-        on_caller_disconnected();
-    }
+    pass_through(out);
 }
 
 void relay_exchange::on_response_complete()
@@ -781,6 +778,12 @@
     }
     if (stream_began_at_)
         standby_copies_->renew_if_needed(now);
+    if (connection_->reading_paused())
+    {
+        // The caller is behind, so nothing is read from the endpoint.
+        last_progress_ = now;
+        return;
+    }
     auto const& route = *request_.route;
     bool const may_repeat =
         route.repeatable() && history_.runs + 1 < route.max_attempts;
@@ -825,7 +828,8 @@
     endpoint_state const& endpoint, steady_time checked)
 {
     if (state_ != state::attempting || endpoint_.get() != &endpoint ||
-        last_progress_ > checked || !request_.route->repeatable())
+        last_progress_ > checked || !request_.route->repeatable() ||
+        connection_->reading_paused())
         return;
     auto const self = shared_from_this();
     report_crash();
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -174,7 +174,8 @@
     // the request can be retried if one breaks off.
     static constexpr std::size_t max_buffered_bytes = 256u << 10;
 
-    // Limits the memory of a stream whose caller reads too slowly.
+    // Reading from the endpoint stops while more than this waits for a caller.
+    // One more read and an event that it completes may be added.
     static constexpr std::size_t max_unsent_bytes = 1u << 20;
 
     // A round trip between regions. A connection that ends later was lost with
--- a/tests/platform/answer_delivery_test.cpp
+++ b/tests/platform/answer_delivery_test.cpp
@@ -1,6 +1,6 @@
 // Answers that their endpoints still write reach the caller whole, or are seen
 // to be incomplete. Index: callers and endpoints; large answers; small answers;
-// streams.
+// streams; callers that read slowly.
 #include <catch2/catch.hpp>
 
 #include "relay_fixture.hpp"
@@ -340,3 +340,104 @@
     REQUIRE(answer.body() == r.first + (r.resumed ? event(3) : ""));
     REQUIRE(two.request_count() == (r.resumed ? 1u : 0u));
 }
+
+// Callers that read slowly ---------------------------------------------------
+
+namespace
+{
+
+/// Sends a text in pieces and counts what was sent.
+struct counting_sender : std::enable_shared_from_this<counting_sender>
+{
+    counting_sender(std::shared_ptr<test_connection> c, std::string t)
+        : connection(std::move(c)), text(std::move(t))
+    {
+    }
+
+    void run()
+    {
+        constexpr std::size_t max_piece = 16384;
+        auto const self = shared_from_this();
+        auto const piece = std::min(max_piece, text.size() - sent);
+        if (piece == 0)
+            return;
+        asio::async_write(
+            connection->socket, asio::buffer(text.data() + sent, piece),
+            [this, self](asio::error_code const& e, std::size_t n)
+            {
+                sent += n;
+                if (!e)
+                    run();
+            });
+    }
+
+    std::shared_ptr<test_connection> const connection;
+    std::string const text;
+    std::size_t sent = 0;
+};
+
+} // namespace
+
+// A caller of a stream that was 1 MiB behind was cut off.
+TEST_CASE("a stream waits for its caller", "[delivery]")
+{
+    struct row
+    {
+        char const* path;
+        std::size_t endpoint;
+        bool reads_on;
+    };
+    auto const r = GENERATE(
+        row{"/stream/x", 0, true}, row{"/stream/x", 0, false},
+        row{"/llm/x", 2, true}, row{"/llm/x", 2, false});
+    CAPTURE(r.path, r.reads_on);
+    relay_fixture fixture;
+    fixture.set_engine_gap_target("1000");
+    fixture.start();
+    asio::ip::tcp::socket socket(fixture.io);
+    socket.connect(*parse_address(fixture.settings.listen));
+    auto const caller = std::make_shared<test_connection>(std::move(socket));
+    caller->send(fixture.request(r.path));
+    received_answer answer(caller);
+    auto& endpoint = *fixture.endpoints[r.endpoint];
+    REQUIRE(fixture.run_until([&] { return endpoint.request_count() == 1; }));
+    fixture.clock.stop();
+    // More than all socket buffers and the gateway hold.
+    std::string body;
+    std::string text = stream_head();
+    for (int id = 1; body.size() < (48u << 20); ++id)
+    {
+        auto const next = "id: " + std::to_string(id) +
+                          "\ndata: " + std::string(4000, 'x') + "\n\n";
+        body += next;
+        text += chunk(next);
+    }
+    auto const sender = std::make_shared<counting_sender>(
+        endpoint.connections[0], text + "0\r\n\r\n");
+    sender->run();
+    std::size_t before = 0;
+    REQUIRE(fixture.run_until(
+        [&]
+        {
+            fixture.settle();
+            return std::exchange(before, sender->sent) == sender->sent;
+        }));
+    REQUIRE(sender->sent < body.size());
+    fixture.advance(milliseconds(2500));
+    REQUIRE(request_count(fixture) == 1);
+    REQUIRE_FALSE(endpoint.connections[0]->closed);
+    if (!r.reads_on)
+    {
+        fixture.clock.offset += milliseconds(9000); // past the deadline
+        REQUIRE(fixture.run_until(
+            [&] { return fixture.logged("outcome=broken"); }));
+    }
+    caller->read();
+    REQUIRE(fixture.run_until([&] { return answer.ended(); }));
+    REQUIRE(answer.complete() == r.reads_on);
+    bool const same = answer.body() == body.substr(0, answer.body().size());
+    REQUIRE(same);
+    REQUIRE((answer.body().size() == body.size()) == r.reads_on);
+    REQUIRE(request_count(fixture) == 1);
+    REQUIRE_FALSE(fixture.logged("caller_gone"));
+}
