gateway: let begun answers keep their place in the request queue

Seen by callers: an answer ended midway while it waited for an endpoint, although its deadline was far.

Cause: the queue treated begun answers as new requests: overdue ones were demoted, could then be evicted by more urgent requests, and were refused for an expected wait or because all endpoints were paused.

Change: a begun answer is not demoted, evicted or refused by the queue and takes none of its places, so others are not lost when they are demoted in a full queue. Its exchange ends it at its deadline.

--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -22,7 +22,8 @@
     q.rank = rank_of(entry.overdue ? entry.rank + 1 : entry.rank);
     q.tokens = std::uint32_t(std::clamp<std::uint64_t>(
         entry.tokens, 1, std::numeric_limits<std::uint32_t>::max()));
-    q.latest_start = entry.target_start;
+    q.latest_start = entry.begun ? steady_time::max() : entry.target_start;
+    q.keeps_place = entry.begun;
     return q;
 }
 
@@ -37,7 +38,7 @@
         start_times_.clear();
     prune_start_times(now);
     auto const wait = expected_wait(entry.rank);
-    if (wait && now + *wait > entry.start_deadline)
+    if (wait && !entry.begun && now + *wait > entry.start_deadline)
         return queue_refusal{entry.id, retry_after(entry.rank)};
     auto const evicted = insert(entry, now);
     if (!evicted)
@@ -63,7 +64,7 @@
 request_queue::insert(queued_request const& entry, steady_time now)
 {
     auto waiting = entry;
-    waiting.overdue = now >= entry.target_start;
+    waiting.overdue = !entry.begun && now >= entry.target_start;
     auto const pushed = queue_.push(to_queue_entry(waiting));
     if (!pushed.accepted)
         return entry.id;
@@ -90,7 +91,7 @@
 {
     for (auto& [id, entry] : waiting_)
     {
-        if (entry.overdue || now < entry.target_start)
+        if (entry.begun || entry.overdue || now < entry.target_start)
             continue;
         entry.overdue = true;
         queue_.erase(id);
@@ -110,12 +111,13 @@
     waiting_.erase(id);
 }
 
-std::vector<queue_refusal> request_queue::remove_expired(steady_time now)
+std::vector<queue_refusal>
+request_queue::remove_expired(steady_time earliest_start)
 {
     std::vector<queue_refusal> expired;
     for (auto const& [id, entry] : waiting_)
     {
-        if (now >= entry.start_deadline)
+        if (entry.too_late_at(earliest_start))
             expired.push_back({id, retry_after(entry.rank)});
     }
     for (auto const& refusal : expired)
--- a/src/gateway/request_queue.hpp
+++ b/src/gateway/request_queue.hpp
@@ -31,7 +31,17 @@
     std::uint64_t tokens = 1; // prompt tokens
     steady_time target_start{};   // latest start that meets the latency target
     steady_time start_deadline{}; // refused if not started by then
-    bool overdue = false;         // target_start passed while waiting
+
+    // Its caller has part of the answer: it is neither demoted nor evicted nor
+    // refused, and waits until its own deadline.
+    bool begun = false;
+    bool overdue = false; // target_start passed while waiting
+
+    /// Whether to refuse it as it cannot start before that time.
+    bool too_late_at(steady_time earliest_start) const
+    {
+        return !begun && earliest_start >= start_deadline;
+    }
 };
 
 struct queue_refusal
@@ -65,8 +75,8 @@
     /// Removes a request that ended for another reason.
     void erase(queue_entry_id id);
 
-    /// Removes and returns the requests whose start deadline has passed.
-    std::vector<queue_refusal> remove_expired(steady_time now);
+    /// Removes and returns the requests that cannot start in time.
+    std::vector<queue_refusal> remove_expired(steady_time earliest_start);
 
     std::size_t size() const { return waiting_.size(); }
 
--- a/src/queueing/fair_queue.cpp
+++ b/src/queueing/fair_queue.cpp
@@ -44,7 +44,8 @@
     entry.tokens = std::min(entry.tokens, max_entry_tokens);
     if (locations_.count(entry.id) != 0)
         return result;
-    if (size() >= policy_.current().queue.max_reservations)
+    if (!entry.keeps_place &&
+        size() - kept_places_ >= policy_.current().queue.max_reservations)
     {
         result.evicted = eviction_victim(entry);
         if (!result.evicted)
@@ -66,6 +67,7 @@
     update_backlog_length(q, entry.organisation, b.entries.size() - 1);
     locations_.emplace(entry.id, std::pair{entry.rank, entry.organisation});
     waiting_tokens_ += entry.tokens;
+    kept_places_ += entry.keeps_place ? 1 : 0;
     return result;
 }
 
@@ -74,11 +76,22 @@
 {
     std::size_t const reserved_places =
         policy_.current().queue.max_reservations / reserved_places_divisor;
-    auto const newest_of_longest_backlog = [](rank_queue const& q)
+    // The newest entry that may be evicted, of the longest backlog with one.
+    auto const newest_of_longest_backlog =
+        [](rank_queue const& q,
+           std::size_t longer_than) -> std::optional<queue_entry_id>
     {
-        return q.backlogs.at(q.backlogs_by_length.rbegin()->second)
-            .entries.back()
-            .id;
+        for (auto i = q.backlogs_by_length.rbegin();
+             i != q.backlogs_by_length.rend() && i->first > longer_than; ++i)
+        {
+            auto const& entries = q.backlogs.at(i->second).entries;
+            auto const found = std::find_if(
+                entries.rbegin(), entries.rend(),
+                [](queue_entry const& e) { return !e.keeps_place; });
+            if (found != entries.rend())
+                return found->id;
+        }
+        return std::nullopt;
     };
 
     bool const below_reserved_places =
@@ -87,18 +100,16 @@
     {
         if (*r == entry.rank && !below_reserved_places)
             break;
-        if (*r != entry.rank && queue_of(*r).entry_count > reserved_places)
-            return newest_of_longest_backlog(queue_of(*r));
+        if (*r == entry.rank || queue_of(*r).entry_count <= reserved_places)
+            continue;
+        if (auto const victim = newest_of_longest_backlog(queue_of(*r), 0))
+            return victim;
     }
     rank_queue const& own_queue = queue_of(entry.rank);
-    if (own_queue.backlogs_by_length.empty())
-        return std::nullopt;
     auto const found = own_queue.backlogs.find(entry.organisation);
     std::size_t const length =
         found == own_queue.backlogs.end() ? 0 : found->second.entries.size();
-    if (own_queue.backlogs_by_length.rbegin()->first <= length + 1)
-        return std::nullopt;
-    return newest_of_longest_backlog(own_queue);
+    return newest_of_longest_backlog(own_queue, length + 1);
 }
 
 std::optional<served_entry> fair_queue::pop(steady_time now)
@@ -178,6 +189,7 @@
         --q.entry_count;
         locations_.erase(entry.id);
         waiting_tokens_ -= entry.tokens;
+        kept_places_ -= entry.keeps_place ? 1 : 0;
         update_backlog_length(q, organisation, b.entries.size() + 1);
         remove_if_empty(q, organisation);
         return entry;
@@ -256,6 +268,7 @@
         entries.begin(), entries.end(),
         [id = id](queue_entry const& e) { return e.id == id; });
     waiting_tokens_ -= entry->tokens;
+    kept_places_ -= entry->keeps_place ? 1 : 0;
     entries.erase(entry);
     --q.entry_count;
     update_backlog_length(q, organisation, entries.size() + 1);
--- a/src/queueing/fair_queue.hpp
+++ b/src/queueing/fair_queue.hpp
@@ -40,6 +40,9 @@
     /// From this time on the entry is overdue: it cannot start early enough to
     /// meet the target of its rank.
     steady_time latest_start = steady_time::max();
+
+    /// Never evicted, and takes none of the queue's places.
+    bool keeps_place = false;
 };
 
 /// An entry that was taken from the queue. Passed to correct_cost() once its
@@ -145,6 +148,7 @@
     std::unordered_map<queue_entry_id, std::pair<rank, organisation_id>>
         locations_;
     std::uint64_t waiting_tokens_ = 0;
+    std::size_t kept_places_ = 0; // entries with keeps_place
 };
 
 } // namespace dotterellock
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -531,8 +531,9 @@
                            : e->received() + r.route->first_byte_target - first;
     entry.start_deadline =
         e->work().resuming ? e->deadline() : e->deadline() - whole;
+    entry.begun = e->work().resuming;
     auto const pause_end = selection_.earliest_pause_end(r.service, now);
-    if (pause_end && *pause_end >= entry.start_deadline)
+    if (pause_end && entry.too_late_at(*pause_end))
         refuse_paused({entry.id, {}}, *pause_end);
     else if (auto const refusal = queue->enqueue(entry, now))
         refuse_waiting(*refusal);
--- a/tests/gateway/request_queue_test.cpp
+++ b/tests/gateway/request_queue_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <set>
 
 #include "gateway/request_queue.hpp"
 #include "gateway_fixture.hpp"
@@ -48,6 +49,85 @@
     REQUIRE_FALSE(queue.pop(at(10)));
 }
 
+// A begun answer that waited for an endpoint was demoted, evicted or refused,
+// which ended it midway.
+TEST_CASE("a begun answer keeps its place", "[request_queue]")
+{
+    fixed_policy policy;
+    policy.settings.queue.max_reservations = 12;
+    request_queue queue(policy);
+    auto begun = entry(1, 0, 0, 1000);
+    begun.begun = true;
+    SECTION("when it is overdue")
+    {
+        REQUIRE_FALSE(queue.enqueue(begun, at(0)));
+        REQUIRE_FALSE(queue.enqueue(entry(2, 0, 0, 60000, "other"), at(0)));
+        REQUIRE_FALSE(queue.enqueue(entry(3, 0, 0, 60000), at(0)));
+        REQUIRE(queue.pop(at(1500))->id == 1);
+    }
+    SECTION("when it arrives overdue")
+    {
+        REQUIRE_FALSE(queue.enqueue(begun, at(1500)));
+        REQUIRE_FALSE(queue.enqueue(entry(2, 0, 0, 60000), at(1500)));
+        REQUIRE(queue.pop(at(1500))->id == 1);
+    }
+    SECTION("when no start is expected in time")
+    {
+        for (std::uint64_t id = 2; id < 8; ++id)
+            REQUIRE_FALSE(queue.enqueue(entry(id, 0, 0, 60000), at(0)));
+        for (int i = 0; i < 4; ++i)
+            REQUIRE(queue.pop(at(800 + 900 * i)));
+        REQUIRE(queue.enqueue(entry(8, 0, 3500, 1000), at(3500)));
+        begun.start_deadline = at(4500);
+        REQUIRE_FALSE(queue.enqueue(begun, at(3500)));
+    }
+    SECTION("when no endpoint can start it in time")
+    {
+        REQUIRE_FALSE(queue.enqueue(begun, at(0)));
+        REQUIRE_FALSE(queue.enqueue(entry(2, 0, 0, 1000), at(0)));
+        REQUIRE_FALSE(begun.too_late_at(at(5000)));
+        auto const expired = queue.remove_expired(at(5000));
+        REQUIRE(expired.size() == 1);
+        REQUIRE(expired[0].id == 2);
+        REQUIRE(queue.pop(at(10))->id == 1);
+    }
+    SECTION("behind a full queue")
+    {
+        auto const rank = GENERATE(0u, 1u, 2u);
+        CAPTURE(rank);
+        begun.rank = rank;
+        for (std::uint64_t id = 2; id < 14; ++id)
+            REQUIRE_FALSE(queue.enqueue(entry(id, rank, 0, 60000), at(0)));
+        REQUIRE_FALSE(queue.enqueue(begun, at(0)));
+        std::set<std::uint64_t> refused;
+        for (std::uint64_t id = 20; id < 60; ++id)
+        {
+            auto const refusal =
+                queue.enqueue(entry(id, 0, 0, 60000, "other"), at(0));
+            REQUIRE(refusal);
+            refused.insert(refusal->id);
+        }
+        REQUIRE(refused.count(1) == 0);
+        REQUIRE(queue.size() == 13);
+    }
+    SECTION("in a queue of begun answers")
+    {
+        for (std::uint64_t id = 1; id <= 30; ++id)
+        {
+            begun.id = id;
+            REQUIRE_FALSE(queue.enqueue(begun, at(0)));
+        }
+        for (std::uint64_t id = 31; id <= 42; ++id)
+            REQUIRE_FALSE(queue.enqueue(entry(id, 0, 0, 1000), at(0)));
+        REQUIRE(queue.enqueue(entry(43, 0, 0, 1000), at(0))->id == 43);
+        // The others become overdue meanwhile; none is lost by that.
+        std::set<std::uint64_t> started;
+        while (auto const next = queue.pop(at(2000)))
+            started.insert(next->id);
+        REQUIRE(started.size() == 42);
+    }
+}
+
 // A request that cannot start in time is refused on arrival instead of at its
 // deadline, with the time after which the queue is expected to be shorter.
 TEST_CASE(
