--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -174,7 +174,8 @@
     // the request can be retried if one breaks off.
     static constexpr std::size_t max_buffered_bytes = 256u << 10;
 
-    // Limits the memory of a stream whose caller reads too slowly.
+    // Reading from the endpoint stops while more than this waits for a caller.
+    // One more read and an event that it completes may be added.
     static constexpr std::size_t max_unsent_bytes = 1u << 20;
 
     // A round trip between regions. A connection that ends later was lost with
@@ -201,6 +202,7 @@
     void on_attempt_failed(attempt_outcome outcome, char const* reason);
     bool may_repeat(attempt_outcome outcome);
     void await_budget(steady_time now);
+    received_part received_by_caller() const;
     bool another_attempt_can_follow(steady_time now);
     void give_up_attempt(attempt_outcome outcome, char const* reason);
 
@@ -280,6 +282,7 @@
     // Response to the caller
     bool response_begun_ = false;
     bool passing_through_ = false; // too large to buffer
+    bool position_known_ = true;   // the last event sent has an id
     std::optional<std::uint64_t> last_event_id_;
     std::size_t events_sent_ = 0;
     std::optional<steady_time> first_byte_at_;
