Gateway: count a crash on a reused connection by what follows

Cause: a connection that ended within 60 ms after a request was sent on it, before a head, was taken for one closed while idle. A short prompt crashes an endpoint as fast. The crash was left out of the evidence against its part, and the losses of the sound prompts beside it were counted. Class: a loss was attributed by its time alone.

Change: such a loss is kept open as a suspicion. The endpoint is checked; if it accepts no connection, or another incarnation of it registers within 10 s, it is a crash at the time of the loss. Otherwise nothing is counted. Endpoints that are leaving close connections as planned and are not suspected. Whether the request is repeated at the same endpoint is decided as before.

--- a/src/gateway/prompt_quarantine.cpp
+++ b/src/gateway/prompt_quarantine.cpp
@@ -45,9 +45,11 @@
 // Recording ------------------------------------------------------------------
 
 void prompt_quarantine::record_crash(
-    endpoint_id const& endpoint, prompt_part_keys const& parts, steady_time now)
+    endpoint_id const& endpoint, prompt_part_keys const& parts, steady_time at,
+    steady_time now)
 {
-    auto const recorded = find_incident(hash_of(endpoint.value()), now);
+    auto const recorded = find_incident(hash_of(endpoint.value()), at);
+    recorded->at = std::min(recorded->at, at);
     for (auto const key : distinct(parts))
     {
         auto& part = parts_[key];
--- a/src/gateway/prompt_quarantine.hpp
+++ b/src/gateway/prompt_quarantine.hpp
@@ -92,7 +92,15 @@
     /// lost.
     void record_crash(
         endpoint_id const& endpoint, prompt_part_keys const& parts,
-        steady_time now);
+        steady_time now)
+    {
+        record_crash(endpoint, parts, now, now);
+    }
+
+    /// As above, for a loss at `at` that was recognised as one only now.
+    void record_crash(
+        endpoint_id const& endpoint, prompt_part_keys const& parts,
+        steady_time at, steady_time now);
 
     /// An attempt with these parts has proven itself; `first_event` is the time
     /// of its first event.
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -651,6 +651,7 @@
             [](std::shared_ptr<endpoint_call> const& c) { return c->done(); }),
         endpoint_calls_.end());
     check_exchanges(now, paused);
+    check_suspected_endpoints(now);
     bool const valid = table_ && freshness_lease_.valid(now);
     if (valid != configuration_was_fresh_)
     {
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -166,6 +166,7 @@
         endpoint_reply const& reply);
     load_share local_load_share();
     void on_load_share(load_share const& share);
+    void check_suspected_endpoints(steady_time now);
     void sweep_endpoints(steady_time now);
     std::unique_ptr<table_listener> make_configuration_sink();
     std::unique_ptr<table_listener> make_endpoint_sink();
--- a/src/relay/gateway_endpoints.cpp
+++ b/src/relay/gateway_endpoints.cpp
@@ -52,6 +52,8 @@
     }
     if (!failed)
         return;
+    if (outcome == attempt_outcome::unreachable)
+        prompt_crashes_.record_dead(*endpoint, now);
     pool_.close_idle(endpoint->record());
     recent_failures_.emplace_back(now, endpoint->record().id);
     on_load_changed();
@@ -164,6 +166,7 @@
         return;
     }
     endpoint->record_activity(now);
+    prompt_crashes_.record_alive(*endpoint, began);
     if (!report)
         return;
     endpoint->record_report(*report, now);
@@ -315,6 +318,21 @@
     call->start(std::move(request), env_.clock.now(), probe);
 }
 
+/// Decides suspicions that an endpoint crashed on a prompt.
+void gateway::check_suspected_endpoints(steady_time now)
+{
+    // One that is not listed any more may have left as planned.
+    prompt_crashes_.record_replaced(
+        [this](endpoint_state const& endpoint)
+        {
+            auto const known = endpoints_.find(endpoint.record().id);
+            return known && known.get() != &endpoint;
+        },
+        now);
+    for (auto const& endpoint : prompt_crashes_.suspected_endpoints())
+        check_endpoint(endpoint);
+}
+
 void gateway::sweep_endpoints(steady_time now)
 {
     endpoints_.remove_unused(now);
--- a/src/relay/prompt_crash_monitor.cpp
+++ b/src/relay/prompt_crash_monitor.cpp
@@ -33,7 +33,7 @@
 
 void prompt_crash_monitor::record_crash(
     request_id const& request, endpoint_id const& endpoint,
-    prompt_part_keys const& parts, steady_time now)
+    prompt_part_keys const& parts, steady_time at, steady_time now)
 {
     if (parts.empty())
         return;
@@ -46,7 +46,7 @@
         {{"request", request.value()},
          {"endpoint", endpoint.value()},
          {"parts", keys}});
-    quarantine_.record_crash(endpoint, parts, now);
+    quarantine_.record_crash(endpoint, parts, at, now);
     suspects_.insert(parts.begin(), parts.end());
     // The loss of a zone ends many attempts at once.
     if (quarantine_.quarantined_parts(now) != quarantined_.size())
@@ -54,6 +54,39 @@
     changed_();
 }
 
+void prompt_crash_monitor::suspect_crash(suspected_crash suspicion)
+{
+    // An endpoint that leaves closes its connections and then stops.
+    if (!suspicion.parts.empty() && !suspicion.endpoint->leaving())
+        suspicions_.add(std::move(suspicion));
+}
+
+void prompt_crash_monitor::record_dead(
+    endpoint_state const& endpoint, steady_time now)
+{
+    record_crashes(suspicions_.confirm(endpoint), now);
+}
+
+void prompt_crash_monitor::record_alive(
+    endpoint_state const& endpoint, steady_time began)
+{
+    suspicions_.record_alive(endpoint, began);
+}
+
+void prompt_crash_monitor::record_replaced(
+    std::function<bool(endpoint_state const& endpoint)> const& replaced,
+    steady_time now)
+{
+    record_crashes(suspicions_.confirm_replaced(replaced), now);
+}
+
+void prompt_crash_monitor::record_crashes(
+    suspected_crashes::crash_list const& crashes, steady_time now)
+{
+    for (auto const& c : crashes)
+        record_crash(c.request, c.endpoint->record().id, c.parts, c.at, now);
+}
+
 void prompt_crash_monitor::record_proof(
     prompt_part_keys const& parts, steady_time first_event, steady_time now)
 {
@@ -91,6 +124,7 @@
 
 void prompt_crash_monitor::remove_expired(steady_time now)
 {
+    suspicions_.remove_expired(now);
     quarantine_.remove_expired(now);
     if (!suspects_.empty())
         update(now, "here");
--- a/src/relay/prompt_crash_monitor.hpp
+++ b/src/relay/prompt_crash_monitor.hpp
@@ -6,14 +6,17 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <set>
+#include <vector>
 
 #include <dotterellock/observability.hpp>
 #include <dotterellock/types.hpp>
 
 #include "gateway/event_log.hpp"
 #include "gateway/prompt_quarantine.hpp"
+#include "gateway/suspected_crashes.hpp"
 
 namespace dotterellock
 {
@@ -32,10 +35,32 @@
     prompt_crash_monitor(prompt_crash_monitor const&) = delete;
     prompt_crash_monitor& operator=(prompt_crash_monitor const&) = delete;
 
-    /// The endpoint was lost before an attempt with these parts was proven.
+    /// The endpoint was lost at `at`, before an attempt with these parts was
+    /// proven.
     void record_crash(
         request_id const& request, endpoint_id const& endpoint,
-        prompt_part_keys const& parts, steady_time now);
+        prompt_part_keys const& parts, steady_time at, steady_time now);
+
+    /// The connection ended as if the endpoint had closed it while idle. It is
+    /// a crash if the endpoint turns out to be lost.
+    void suspect_crash(suspected_crash suspicion);
+
+    /// The endpoint accepts no connection.
+    void record_dead(endpoint_state const& endpoint, steady_time now);
+
+    /// The endpoint accepted a connection that was begun at `began`.
+    void record_alive(endpoint_state const& endpoint, steady_time began);
+
+    /// @param replaced  whether another incarnation is registered
+    void record_replaced(
+        std::function<bool(endpoint_state const& endpoint)> const& replaced,
+        steady_time now);
+
+    /// Endpoints whose check would decide whether they crashed.
+    std::vector<std::shared_ptr<endpoint_state>> suspected_endpoints() const
+    {
+        return suspicions_.undecided();
+    }
 
     /// An attempt with these parts is proven.
     void record_proof(
@@ -68,6 +93,8 @@
     }
 
 private:
+    void record_crashes(
+        suspected_crashes::crash_list const& crashes, steady_time now);
     void update(steady_time now, std::string const& source);
 
     event_log& log_;
@@ -75,6 +102,7 @@
     counter& refusals_;
     std::function<void()> const changed_;
     prompt_quarantine quarantine_;
+    suspected_crashes suspicions_;
     std::set<std::uint64_t> suspects_;    // parts with incidents
     std::set<std::uint64_t> quarantined_; // parts, as logged
 };
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -650,9 +650,9 @@
                              ? attempt_outcome::unreachable
                              : attempt_outcome::lost;
     bool const stale = closed_while_reused(context_.clock().now());
-    if (!stale && (failure == connection_failure::closed ||
-                   failure == connection_failure::reset))
-        report_crash();
+    if (failure == connection_failure::closed ||
+        failure == connection_failure::reset)
+        report_crash(stale);
     if (passing_through_)
     {
         context_.report_outcome(endpoint_, outcome);
@@ -810,7 +810,7 @@
         last_progress_ > checked || !request_.route->repeatable())
         return;
     auto const self = shared_from_this();
-    report_crash();
+    report_crash(false);
     // The endpoint was sent the request, so this attempt counts as a run.
     if (quarantined())
         on_attempt_failed(attempt_outcome::lost, "endpoint_dead");
@@ -859,7 +859,7 @@
     return true;
 }
 
-void relay_exchange::report_crash()
+void relay_exchange::report_crash(bool suspected)
 {
     auto const now = context_.clock().now();
     bool const lasted =
@@ -868,9 +868,13 @@
     if (lasted || !connection_ || !connection_->connected() ||
         std::exchange(crash_reported_, true))
         return;
-    context_.prompt_crashes().record_crash(
-        request_.metadata.id, endpoint_->record().id, request_.shared_parts,
-        now);
+    if (suspected)
+        context_.prompt_crashes().suspect_crash(
+            {request_.metadata.id, endpoint_, request_.shared_parts, now});
+    else
+        context_.prompt_crashes().record_crash(
+            request_.metadata.id, endpoint_->record().id, request_.shared_parts,
+            now, now);
 }
 
 void relay_exchange::report_proof()
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -204,8 +204,9 @@
     bool another_attempt_can_follow(steady_time now);
     void give_up_attempt(attempt_outcome outcome, char const* reason);
 
-    /// Whether an idle connection was closed just as it was reused, which is no
-    /// sign of a fault.
+    /// Whether the connection may have been closed while idle, just as it was
+    /// reused. A crash at once looks the same, so this must not decide whether
+    /// the endpoint was lost.
     bool closed_while_reused(steady_time now) const
     {
         return reused_connection_ && !response_head_ &&
@@ -218,7 +219,8 @@
     bool refuse_if_quarantined();
 
     /// Reports that the endpoint was lost, unless the attempt had lasted.
-    void report_crash();
+    /// @param suspected  the connection may have been closed while idle
+    void report_crash(bool suspected);
 
     /// Reports, once an attempt, that its prompt does not crash endpoints.
     void report_proof();
--- a/tests/platform/prompt_quarantine_relay_test.cpp
+++ b/tests/platform/prompt_quarantine_relay_test.cpp
@@ -377,6 +377,81 @@
         a.connection->close();
     REQUIRE(fixture.run_until(
         [&] { return fixture.logged("attempt_failed request=r2"); }));
+    fixture.advance(milliseconds(2000)); // the endpoint is seen alive
+    REQUIRE(fixture.logged("endpoint_checked endpoint=m1"));
+    REQUIRE(fixture.count("prompt_crash ") == 0);
+}
+
+// Short prompts crash an endpoint as fast as it closes an idle connection. Left
+// out of the evidence, such crashes were blamed on the sound prompts there.
+TEST_CASE("a crash at once on a reused connection counts", "[quarantine]")
+{
+    quarantine_fixture fixture;
+    struct row
+    {
+        char const* name;
+        bool repeated; // the request, at the endpoint that crashed
+        bool back;     // at once, before it is registered anew
+        bool by_reset;
+    };
+    auto const r = GENERATE(
+        row{"a repetition finds it dead", true, false, true},
+        row{"a check finds it dead, reset", false, false, true},
+        row{"a check finds it dead, close", false, false, false},
+        row{"another incarnation registers", false, true, true});
+    CAPTURE(r.name);
+    if (!r.repeated)
+        fixture.replace(R"("maxAttempts":6)", R"("maxAttempts":1)");
+    fixture.start_stopped();
+    fixture.serve("r1", "part:1,own:1");
+    auto const before = fixture.endpoints[first_engine]->connections.size();
+    auto const caller = fixture.send("r2", "part:1,own:1");
+    auto const a = fixture.next_attempt("r2");
+    REQUIRE(a.endpoint->connections.size() == before); // it is in use again
+    if (!r.back)
+        a.endpoint->acceptor.close();
+    if (r.by_reset)
+        a.connection->reset();
+    else
+        a.connection->close();
+    auto const lost = fixture.clock.now();
+    REQUIRE(fixture.run_until(
+        [&] { return fixture.logged("attempt_failed request=r2"); }));
+    if (r.back)
+    {
+        fixture.advance(milliseconds(2000));
+        REQUIRE(fixture.logged("endpoint_checked endpoint=m1"));
+        REQUIRE(fixture.count("prompt_crash ") == 0);
+        auto restarted = fixture.engine_row("m1", first_engine, "near");
+        restarted.value.insert(1, R"("born":5,)");
+        fixture.table.publish_change(restarted);
+    }
+    REQUIRE(fixture.advance_until(
+        [&]
+        { return fixture.count("prompt_crash request=r2 endpoint=m1") == 1; }));
+    REQUIRE(fixture.clock.now() - lost <= milliseconds(3000));
+    fixture.advance(milliseconds(500));
+    REQUIRE(fixture.count("prompt_crash ") == 1);
+}
+
+// One that leaves closes its connections and then accepts no more.
+TEST_CASE("an endpoint that leaves has not crashed", "[quarantine]")
+{
+    quarantine_fixture fixture;
+    fixture.start_stopped();
+    fixture.serve("r1", "part:1,own:1");
+    auto const caller = fixture.send("r2", "part:1,own:1");
+    auto const a = fixture.next_attempt("r2");
+    auto leaving = fixture.engine_row("m1", first_engine, "near");
+    leaving.value.replace(leaving.value.find("ready"), 5, "draining");
+    fixture.table.publish_change(leaving);
+    REQUIRE(fixture.run_until(
+        [&] { return fixture.logged("endpoint_leaving endpoint=m1"); }));
+    a.endpoint->acceptor.close();
+    a.connection->close();
+    REQUIRE(fixture.run_until(
+        [&] { return fixture.logged("attempt_failed request=r2"); }));
+    fixture.advance(milliseconds(1000));
     REQUIRE(fixture.count("prompt_crash ") == 0);
 }
 
