Quarantine: refuse one of equal suspects at a time

Cause: sound requests lost at the same endpoints make all their parts equal suspects. Such a group was refused only to requests that have all of it, and none has: a prompt has one of several parts at each position.

Change: one suspect of the group is refused for 10 s after its last incident, then the next one. Either crashes end, and the attempts that go on prove the others, or the next crash shows that it was another one. Gateways learn the position of a part in prompts with the evidence (a sixth element that earlier builds ignore) and choose a position at which several parts are known, so that all choose the same. Without one, the last suspect is refused once, and only if crashes went on after the quarantine began.

--- a/src/gateway/prompt_quarantine.cpp
+++ b/src/gateway/prompt_quarantine.cpp
@@ -23,6 +23,8 @@
     return XXH64(text.data(), text.size(), 0);
 }
 
+constexpr std::size_t max_positions = 256;
+
 prompt_part_keys distinct(prompt_part_keys keys)
 {
     std::sort(keys.begin(), keys.end());
@@ -56,6 +58,8 @@
         part.seen_here = true;
         add_incident(part, recorded);
     }
+    for (std::size_t i = 0; i < std::min(parts.size(), max_positions); ++i)
+        learn_position(parts_.at(parts[i]), std::uint8_t(i));
     update(now);
 }
 
@@ -109,7 +113,7 @@
 {
     std::size_t count = 0;
     for (auto const& group : refused_)
-        count += now < group.until ? group.keys.size() : 0;
+        count += now < group.until && !group.tentative ? group.keys.size() : 0;
     return count;
 }
 
@@ -185,6 +189,7 @@
             part.quarantined_for =
                 duration_cast<milliseconds>(state.until - now);
         part.quarantines = state.quarantines;
+        part.position = state.position;
         result.parts.push_back(std::move(part));
         sent.insert(key);
     }
@@ -219,6 +224,8 @@
 {
     auto const key = received.key;
     auto& part = parts_[key];
+    if (received.position)
+        learn_position(part, *received.position);
     if (received.proven_age && *received.proven_age <= renewal_memory)
     {
         auto const proven = now - *received.proven_age;
@@ -497,7 +504,7 @@
             continue;
         part.justified = part.incidents.empty();
         if (part.justified)
-            refused_.push_back({{key}, part.until});
+            refused_.push_back({{key}, part.until, now, false});
     }
 
     incident_set explained;
@@ -540,13 +547,58 @@
             quarantine(part, now);
             group.keys.push_back(key);
             group.until = std::max(group.until, part.until);
+            group.last_incident =
+                std::max(group.last_incident, *last_incident(part));
             for (auto const& i : part.incidents)
                 explained.insert(i.get());
         }
+        refuse_one_suspect(group, now);
         refused_.push_back(std::move(group));
     }
 }
 
+// No request may have all suspects that cannot be told apart, as prompts have
+// one of several parts at each position. Refuses one suspect at a time: either
+// crashes end and the attempts that go on prove the others, or the next crash
+// shows that it was another one.
+void prompt_quarantine::refuse_one_suspect(
+    refused_group const& group, steady_time now)
+{
+    if (group.keys.size() < 2)
+        return;
+    std::map<std::uint8_t, prompt_part_keys> suspects; // by position
+    for (auto const key : group.keys)
+        if (auto const position = parts_.at(key).position)
+            suspects[*position].push_back(key);
+    std::map<std::uint8_t, std::size_t> alternatives;
+    for (auto const& [key, part] : parts_)
+        if (part.position)
+            ++alternatives[*part.position];
+
+    std::vector<std::pair<std::size_t, std::uint8_t>> order;
+    for (auto const& [position, keys] : suspects)
+        if (alternatives.at(position) > 1)
+            order.emplace_back(alternatives.at(position), position);
+    std::sort(order.rbegin(), order.rend());
+    auto const since = std::max(now - group.last_incident, duration{0});
+    auto const turn = std::size_t(since / tentative_refusal);
+    // Without known alternatives all requests may have the part. It is refused
+    // only once, and if crashes went on after the quarantine began. Fewer
+    // requests share the later parts.
+    bool const continued =
+        counting(parts_.at(group.keys.front()), {}).size() > min_incidents;
+    if (order.empty() && turn == 0 && continued && !suspects.empty())
+        order.emplace_back(1, suspects.rbegin()->first);
+    if (order.empty())
+        return;
+    auto const& keys = suspects.at(order[turn % order.size()].second);
+    refused_.push_back(
+        {{keys[turn % keys.size()]},
+         group.last_incident + tentative_refusal * (turn + 1),
+         group.last_incident,
+         true});
+}
+
 // Starts, renews or extends the part's quarantine.
 void prompt_quarantine::quarantine(part_state& part, steady_time now)
 {
--- a/src/gateway/prompt_quarantine.hpp
+++ b/src/gateway/prompt_quarantine.hpp
@@ -49,6 +49,7 @@
         std::optional<std::chrono::milliseconds> proven_age;      // last proof
         std::optional<std::chrono::milliseconds> quarantined_for; // rest
         std::uint32_t quarantines = 0;                            // so far
+        std::optional<std::uint8_t> position; // in prompts, if known
     };
 
     std::vector<part> parts;
@@ -67,6 +68,9 @@
     // Two zones may be lost in short order.
     static constexpr std::size_t min_incidents = 3;
 
+    // A crashed endpoint is back and a request has proven its parts.
+    static constexpr std::chrono::seconds tentative_refusal{10};
+
     static constexpr std::chrono::minutes first_quarantine{5};
     static constexpr std::chrono::minutes max_quarantine{60};
     static constexpr std::chrono::minutes renewal_memory{60};
@@ -147,6 +151,7 @@
         steady_time until{};    // of the last quarantine, if there was one
         bool justified = false; // or other parts explain the incidents
         bool seen_here = false; // this gateway saw an incident
+        std::optional<std::uint8_t> position; // the lowest one seen
     };
 
     // Parts that cannot be told apart; a request with all of them is refused.
@@ -154,6 +159,8 @@
     {
         std::vector<std::uint64_t> keys;
         steady_time until{};
+        steady_time last_incident{};
+        bool tentative = false; // one of several suspects
     };
 
     struct rank;
@@ -164,6 +171,11 @@
     static std::optional<steady_time> last_incident(part_state const& part);
     static rank rank_of(part_state const& part, steady_time now);
 
+    static void learn_position(part_state& part, std::uint8_t position)
+    {
+        part.position = std::min(part.position.value_or(position), position);
+    }
+
     incident_pointer find_incident(std::uint64_t endpoint, steady_time at);
     void add_incident(part_state& part, incident_pointer const& added);
     bool put_proof(std::uint64_t key, steady_time first_event);
@@ -177,6 +189,7 @@
     void remove_excess_parts(steady_time now);
     void attribute_incidents(steady_time now);
     static void quarantine(part_state& part, steady_time now);
+    void refuse_one_suspect(refused_group const& group, steady_time now);
 
     using summary = std::vector<std::uint64_t>;
     summary summarise(steady_time now) const;
--- a/src/relay/crash_evidence_codec.cpp
+++ b/src/relay/crash_evidence_codec.cpp
@@ -50,9 +50,12 @@
     for (auto const& incident : part.incidents)
         incidents.push_back(
             json::array({incident.endpoint, to_number(incident.age)}));
-    return json::array(
+    json item = json::array(
         {part.key, std::move(incidents), to_json(part.proven_age),
          to_json(part.quarantined_for), part.quarantines});
+    if (part.position)
+        item.push_back(*part.position);
+    return item;
 }
 
 std::string to_msgpack(json const& value)
@@ -99,6 +102,12 @@
     part.proven_age = optional_time(item.at(2));
     part.quarantined_for = optional_time(item.at(3));
     part.quarantines = number<std::uint32_t>(item.at(4));
+    // Gateways of an earlier build send none.
+    bool const has_position = item.size() > 5 && item[5].is_number_unsigned() &&
+                              item[5].get<std::uint64_t>() <=
+                                  std::numeric_limits<std::uint8_t>::max();
+    if (has_position)
+        part.position = item[5].get<std::uint8_t>();
     return part;
 }
 
--- a/tests/gateway/prompt_quarantine_test.cpp
+++ b/tests/gateway/prompt_quarantine_test.cpp
@@ -175,6 +175,65 @@
     REQUIRE_FALSE(refused(q, {base, tools, other_tools}, 4100));
 }
 
+// Crashes went on, as sound requests were lost at the same endpoints and no
+// request had all suspects.
+TEST_CASE("one of equal suspects is refused at a time", "[quarantine]")
+{
+    prompt_part_keys const sound{base, tools};
+    prompt_part_keys const crashing{base, bad};
+    prompt_quarantine q;
+    prompt_quarantine peer;
+    auto const crash_both = [&](int t)
+    {
+        q.record_crash(e(t), sound, at(t));
+        q.record_crash(e(t), crashing, at(t));
+    };
+    crash_both(0);
+    crash_both(2000);
+    REQUIRE_FALSE(refused(q, sound, 2000));
+    REQUIRE_FALSE(refused(q, crashing, 2000));
+    crash_both(4000);
+    bool const sound_first = refused(q, sound, 4000);
+    REQUIRE(refused(q, crashing, 4000) != sound_first);
+    REQUIRE_FALSE(refused(q, {base, other_tools}, 4000));
+    auto const& first = sound_first ? sound : crashing;
+    REQUIRE(q.quarantined_for(first, at(4000)) == duration(seconds(10)));
+
+    // Gateways that saw no crash must refuse the same one.
+    send(q, peer, 4100);
+    REQUIRE(refused(peer, sound, 4100) == sound_first);
+    REQUIRE(refused(peer, crashing, 4100) != sound_first);
+
+    SECTION("then the other, as the first may be sound")
+    {
+        q.remove_expired(at(14000));
+        REQUIRE(refused(q, sound, 14000) != sound_first);
+        REQUIRE(refused(q, crashing, 14000) == sound_first);
+        q.remove_expired(at(24000));
+        REQUIRE(refused(q, sound, 24000) == sound_first);
+    }
+    SECTION("a crash without the refused one clears it")
+    {
+        auto const& other = sound_first ? crashing : sound;
+        q.record_crash(e(7000), other, at(7000));
+        REQUIRE(refused(q, other, 7000));
+        REQUIRE_FALSE(refused(q, first, 7000));
+        q.remove_expired(at(17000));
+        REQUIRE(refused(q, other, 17000));
+        REQUIRE_FALSE(refused(q, first, 17000));
+    }
+    SECTION("proofs clear the others")
+    {
+        prove(q, sound, 5000);
+        for (int const t : {6000, 14000, 24000})
+        {
+            q.remove_expired(at(t));
+            REQUIRE_FALSE(refused(q, sound, t));
+            REQUIRE(refused(q, crashing, t));
+        }
+    }
+}
+
 // Attribution must not depend on the order in which the connections of a
 // crashed endpoint end.
 TEST_CASE("the part with most incidents explains the others'", "[quarantine]")
@@ -676,10 +735,9 @@
     check_containment(c);
 }
 
-// Known to fail, see KNOWN-RED.txt.
+// Sound requests lost at the same endpoints made all parts equal suspects.
 TEST_CASE(
-    "a bad part is contained in a fleet without any proof",
-    "[.][quarantine-known-red]")
+    "a bad part is contained in a fleet without any proof", "[quarantine]")
 {
     check_containment(random_case(std::uint32_t(GENERATE(range(1, 61)))));
 }
--- a/tests/relay/crash_evidence_test.cpp
+++ b/tests/relay/crash_evidence_test.cpp
@@ -35,6 +35,8 @@
         if (i % 3 == 0)
             part.quarantined_for = milliseconds(3600000);
         part.quarantines = std::uint32_t(i);
+        if (i % 2 == 1)
+            part.position = std::uint8_t(i);
         evidence.parts.push_back(part);
     }
     return evidence;
@@ -52,6 +54,7 @@
     REQUIRE(a.proven_age == b.proven_age);
     REQUIRE(a.quarantined_for == b.quarantined_for);
     REQUIRE(a.quarantines == b.quarantines);
+    REQUIRE(a.position == b.position);
 }
 
 std::string encode(crash_evidence const& evidence)
