relay: keep a suspected attempt until the next endpoint accepts

Seen by callers: an answer waited, or ended, after its endpoint had been silent for a second, although that endpoint went on.

Cause: the attempt was abandoned once another endpoint was chosen. Only then a connection to it was made, which it might not accept.

Change: the connection to the next endpoint is made first. The attempt is abandoned when that is accepted, unless it made progress meanwhile; an endpoint that does not accept within 200 ms counts as unreachable. Nothing is sent before, so no run goes on at two endpoints.

An endpoint that accepts the connection and then refuses the request is still learnt of too late.

--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -173,6 +173,7 @@
     // Endpoints that failed may have recovered by then, and are avoided while
     // they are suspended.
     work_.excluded.clear();
+    discard_next_connection();
     state_ = state::waiting;
     if (!context_.wait_for_capacity(shared_from_this()) &&
         state_ == state::waiting)
@@ -235,9 +236,20 @@
          {"runs", std::to_string(history_.runs)},
          {"left_ms", milliseconds_text(deadline_ - now)}});
     bool const require_recent = !request_.route->repeatable();
-    connection_ = context_.pool().acquire(
-        record, require_recent, request_.metadata.id.value());
-    reused_connection_ = connection_->connected();
+    if (next_connection_ && next_connection_->endpoint == endpoint_ &&
+        next_connection_->connection->reusable())
+    {
+        connection_ = std::move(next_connection_->connection);
+        next_connection_.reset();
+        reused_connection_ = false;
+    }
+    else
+    {
+        discard_next_connection();
+        connection_ = context_.pool().acquire(
+            record, require_recent, request_.metadata.id.value());
+        reused_connection_ = connection_->connected();
+    }
     connection_->send(
         *address, build_forwarded_request(record, copy), *this,
         request_.message.head.method == "HEAD");
@@ -351,6 +363,7 @@
         wait_for_capacity();
         break;
     case attempt_decision::await_budget:
+        discard_next_connection();
         state_ = state::awaiting_budget;
         budget_wait_began_ = now;
         break;
@@ -402,37 +415,51 @@
                : received_part::resumable_events;
 }
 
-/// Whether an attempt at another endpoint could start now.
-bool relay_exchange::another_attempt_can_follow(steady_time now)
+/// The endpoint at which another attempt could start now, or null.
+endpoint_ptr relay_exchange::next_endpoint(steady_time now)
 {
     auto const& route = *request_.route;
     if (!attempt_policy::may_follow(received_by_caller()) ||
         !route.repeatable() || history_.runs + 1 >= route.max_attempts ||
         deadline_ - now <= min_time_left || quarantined() ||
         !context_.budget(request_.service).available(now))
-        return false;
-    if (standby_copies_->find_resume_point(stream_began_at_, now))
-        return true;
+        return nullptr;
+    if (auto const at =
+            standby_copies_->find_resume_point(stream_began_at_, now))
+        return at->standby;
     auto work = work_;
     work.resuming = response_begun_;
     work.excluded.insert(endpoint_->record().id.value());
     auto const next = context_.selection().choose(work, engine(), now);
-    return next && !next->suspended(now) && !next->leaving();
+    bool const in_order = next && !next->suspended(now) && !next->leaving();
+    return in_order ? next : nullptr;
 }
 
-/// Fails an attempt whose endpoint only appears to be lost, but not if nothing
-/// could follow it: its connection may still deliver the answer.
+/// Fails an attempt whose endpoint only appears to be lost, but not before
+/// another endpoint has accepted a connection: until then the first one may
+/// still deliver the answer.
 void relay_exchange::give_up_attempt(
     attempt_outcome outcome, char const* reason)
 {
     auto const now = context_.clock().now();
     if (now < next_suspicion_)
         return;
-    if (another_attempt_can_follow(now))
+    if (auto next = next_endpoint(now))
     {
-        on_attempt_failed(outcome, reason);
+        bool const chosen =
+            next_connection_ && next_connection_->endpoint == next;
+        if (chosen && next_connection_->connection->reusable())
+            on_attempt_failed(outcome, reason);
+        else if (!chosen)
+            connect_to_next(std::move(next), outcome, reason);
+        else if (now - next_connection_->began > connect_timeout)
+        {
+            discard_next_connection();
+            context_.report_outcome(next, attempt_outcome::unreachable);
+        }
         return;
     }
+    discard_next_connection();
     next_suspicion_ = now + suspicion_interval;
     if (std::exchange(suspicion_logged_, true))
         return;
@@ -447,6 +474,50 @@
           context_.budget(request_.service).available(now) ? "1" : "0"}});
 }
 
+void relay_exchange::connect_to_next(
+    endpoint_ptr next, attempt_outcome outcome, char const* reason)
+{
+    discard_next_connection();
+    auto const address = parse_address(next->record().address);
+    if (!address)
+    {
+        context_.report_outcome(next, attempt_outcome::unreachable);
+        return;
+    }
+    auto const pending = std::make_shared<next_connection>();
+    pending->endpoint = std::move(next);
+    pending->connection = context_.pool().create();
+    pending->began = context_.clock().now();
+    pending->last_progress = last_progress_;
+    next_connection_ = pending;
+    pending->connection->connect(
+        *address,
+        [weak = weak_from_this(), pending, outcome, reason](bool accepted)
+        {
+            auto const self = weak.lock();
+            if (!self || self->next_connection_ != pending)
+                return;
+            if (!accepted)
+            {
+                self->discard_next_connection();
+                self->context_.report_outcome(
+                    pending->endpoint, attempt_outcome::unreachable);
+            }
+            else if (
+                self->state_ != state::attempting ||
+                self->last_progress_ > pending->last_progress)
+                self->discard_next_connection();
+            else
+                self->give_up_attempt(outcome, reason);
+        });
+}
+
+void relay_exchange::discard_next_connection()
+{
+    if (auto const unused = std::exchange(next_connection_, nullptr))
+        unused->connection->abandon();
+}
+
 // Response from the endpoint -------------------------------------------------
 
 void relay_exchange::on_connected()
@@ -769,9 +840,6 @@
     }
     if (!connection_->connected())
     {
-        // A host without power or with a full accept queue drops SYN packets,
-        // and TCP sends the next one only after a second.
-        constexpr milliseconds connect_timeout{200};
         if (now - sent_at_ > connect_timeout)
             on_attempt_failed(attempt_outcome::unreachable, "connect_timeout");
         return;
@@ -968,6 +1036,7 @@
     state_ = state::done;
     session_->set_disconnect_handler(nullptr);
     release_attempt_resources();
+    discard_next_connection();
     standby_copies_->reset();
     context_.log().record(
         std::string_view(outcome) == "served" ? event_level::info
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -185,6 +185,10 @@
     // Interval of the search for another endpoint while one is suspected.
     static constexpr std::chrono::milliseconds suspicion_interval{100};
 
+    // A host without power or with a full accept queue drops SYN packets, and
+    // TCP sends the next one only after a second.
+    static constexpr std::chrono::milliseconds connect_timeout{200};
+
     // No retry with less time than this, as it would most likely not complete.
     static constexpr std::chrono::milliseconds min_time_left{5};
 
@@ -203,8 +207,11 @@
     bool may_repeat(attempt_outcome outcome);
     void await_budget(steady_time now);
     received_part received_by_caller() const;
-    bool another_attempt_can_follow(steady_time now);
+    endpoint_ptr next_endpoint(steady_time now);
     void give_up_attempt(attempt_outcome outcome, char const* reason);
+    void connect_to_next(
+        endpoint_ptr next, attempt_outcome outcome, char const* reason);
+    void discard_next_connection();
 
     /// Whether an idle connection was closed just as it was reused, which is no
     /// sign of a fault.
@@ -279,6 +286,16 @@
     std::uint64_t events_in_attempt_ = 0;
     bool attempt_is_stream_ = false;
 
+    /// Connection to the endpoint that is to take over from a suspected one.
+    struct next_connection
+    {
+        endpoint_ptr endpoint;
+        std::shared_ptr<http_connection> connection;
+        steady_time began{};
+        steady_time last_progress{}; // of the suspected attempt
+    };
+    std::shared_ptr<next_connection> next_connection_;
+
     // Response to the caller
     bool response_begun_ = false;
     bool passing_through_ = false; // too large to buffer
--- a/tests/platform/answer_delivery_test.cpp
+++ b/tests/platform/answer_delivery_test.cpp
@@ -1,6 +1,6 @@
 // Answers that their endpoints still write reach the caller whole, or are seen
 // to be incomplete. Index: callers and endpoints; large answers; small answers;
-// streams; callers that read slowly.
+// suspicion; streams; callers that read slowly.
 #include <catch2/catch.hpp>
 
 #include "relay_fixture.hpp"
@@ -95,6 +95,17 @@
     REQUIRE(fixture.run_until([&] { return sent; }));
 }
 
+/// Closes the listener and keeps its port, so that no other process gets it.
+void refuse_connections(relay_fixture& fixture, scripted_endpoint& endpoint)
+{
+    auto const address = endpoint.acceptor.local_endpoint();
+    endpoint.acceptor.close();
+    auto& port =
+        fixture.reserved_ports.emplace_back(fixture.io, asio::ip::tcp::v4());
+    port.set_option(asio::socket_base::reuse_address(true));
+    port.bind(address);
+}
+
 std::size_t request_count(relay_fixture const& fixture)
 {
     std::size_t n = 0;
@@ -186,7 +197,7 @@
     case trouble::slow:
         break;
     case trouble::check_fails:
-        endpoint.acceptor.close();
+        refuse_connections(fixture, endpoint);
         fixture.advance(milliseconds(1000));
         break;
     case trouble::withdrawn:
@@ -290,6 +301,54 @@
     REQUIRE(answer.body() == "mine");
 }
 
+// Suspicion ------------------------------------------------------------------
+
+// An attempt was given up for an endpoint that did not accept connections, and
+// its answer waited although the first endpoint went on.
+TEST_CASE("an answer stays until the next endpoint accepts", "[delivery]")
+{
+    struct row
+    {
+        char const* path;
+        std::size_t first;
+        std::vector<std::size_t> others;
+        bool check_fails;
+    };
+    auto const r = GENERATE(
+        row{"/llm/x", 2, {3, 4}, false}, row{"/llm/x", 2, {3, 4}, true},
+        row{"/safe/x", 0, {1}, false});
+    CAPTURE(r.path, r.check_fails);
+    relay_fixture fixture;
+    set_short_call_timeout(fixture);
+    fixture.set_engine_gap_target("1000");
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request(r.path));
+    received_answer answer(caller);
+    auto& endpoint = *fixture.endpoints[r.first];
+    REQUIRE(fixture.run_until([&] { return endpoint.request_count() == 1; }));
+    fixture.clock.stop();
+    auto const connection = endpoint.connections[0];
+    bool const stream = std::string(r.path) == "/llm/x";
+    connection->send(
+        stream ? stream_head() + chunk(event(1))
+               : head_of(framing::length, 8) + "part");
+    if (stream)
+        REQUIRE(fixture.run_until([&] { return caller->has("id: 1"); }));
+    fixture.run_ticks();
+    for (auto const i : r.others)
+        refuse_connections(fixture, *fixture.endpoints[i]);
+    if (r.check_fails)
+        refuse_connections(fixture, endpoint);
+    fixture.advance(milliseconds(1500));
+    REQUIRE_FALSE(connection->closed);
+    connection->send(stream ? chunk(event(2)) + "0\r\n\r\n" : "last");
+    REQUIRE(fixture.run_until([&] { return answer.ended(); }));
+    REQUIRE(answer.complete());
+    REQUIRE(answer.body() == (stream ? event(1) + event(2) : "partlast"));
+    for (auto const i : r.others)
+        REQUIRE(fixture.endpoints[i]->request_count() == 0);
+}
+
 // Streams --------------------------------------------------------------------
 
 // Events without an id cannot be resumed; they were sent again by the next
