Quarantine: let requests with parts that may be sound through in trials

Seen: if all requests of a service have the parts that are suspected together, or a part that was proven before is blamed for unexplained losses, requests with them are refused for five minutes although they crash nothing.

Cause: a proof ends a quarantine, but no request is let through that could give one.

Change: groups of parts that cannot be told apart and parts proven before are let through for 500 ms when 30, 60, 120 s and so on have passed since the last incident. A proof then ends the quarantine, a crash begins the interval anew. A part that was never proven and is suspected alone has no trial.

--- a/src/gateway/prompt_quarantine.cpp
+++ b/src/gateway/prompt_quarantine.cpp
@@ -96,7 +96,7 @@
     for (auto const& group : refused_)
     {
         bool const refused =
-            now < group.until &&
+            now < group.until && !in_trial(group, now) &&
             std::all_of(
                 group.keys.begin(), group.keys.end(),
                 [&](std::uint64_t key) {
@@ -109,6 +109,17 @@
     return rest;
 }
 
+bool prompt_quarantine::in_trial(refused_group const& group, steady_time now)
+{
+    if (!group.doubtful)
+        return false;
+    duration begin = first_trial;
+    while (group.last_incident + begin * 2 <= now)
+        begin *= 2;
+    auto const since = now - group.last_incident;
+    return since >= begin && since < begin + trial_duration;
+}
+
 std::size_t prompt_quarantine::quarantined_parts(steady_time now) const
 {
     std::size_t count = 0;
@@ -509,7 +520,7 @@
             continue;
         part.justified = part.incidents.empty();
         if (part.justified)
-            refused_.push_back({{key}, part.until, now, false});
+            refused_.push_back({{key}, part.until, now, false, false});
     }
 
     incident_set explained;
@@ -557,6 +568,8 @@
             for (auto const& i : part.incidents)
                 explained.insert(i.get());
         }
+        group.doubtful =
+            group.keys.size() > 1 || proofs_.count(group.keys.front()) > 0;
         refuse_one_suspect(group, now);
         refused_.push_back(std::move(group));
     }
@@ -601,7 +614,8 @@
         {{keys[turn % keys.size()]},
          group.last_incident + tentative_refusal * (turn + 1),
          group.last_incident,
-         true});
+         true,
+         false});
 }
 
 // Starts, renews or extends the part's quarantine.
--- a/src/gateway/prompt_quarantine.hpp
+++ b/src/gateway/prompt_quarantine.hpp
@@ -74,6 +74,13 @@
     // A crashed endpoint is back and a request has proven its parts.
     static constexpr std::chrono::seconds tentative_refusal{10};
 
+    // Parts that cannot be told apart or were proven before may be sound, and
+    // only requests with them can show it. These are let through for a moment
+    // after the first interval, and again each time that the time since the
+    // last incident has doubled.
+    static constexpr std::chrono::seconds first_trial{30};
+    static constexpr std::chrono::milliseconds trial_duration{500};
+
     static constexpr std::chrono::minutes first_quarantine{5};
     static constexpr std::chrono::minutes max_quarantine{60};
     static constexpr std::chrono::minutes renewal_memory{60};
@@ -164,10 +171,12 @@
         steady_time until{};
         steady_time last_incident{};
         bool tentative = false; // one of several suspects
+        bool doubtful = false;  // may be sound; has trials
     };
 
     struct rank;
 
+    static bool in_trial(refused_group const& group, steady_time now);
     static duration quarantine_length(std::uint32_t quarantines);
     static incident_list
     counting(part_state const& part, incident_set const& explained);
--- a/tests/gateway/prompt_quarantine_test.cpp
+++ b/tests/gateway/prompt_quarantine_test.cpp
@@ -316,6 +316,56 @@
     REQUIRE(refused(q, {bad}, 320000));
 }
 
+// All requests with the parts were refused for five minutes, so that nothing
+// could prove them.
+TEST_CASE("parts that may be sound have trials", "[quarantine]")
+{
+    struct row
+    {
+        char const* what;
+        prompt_part_keys parts;
+        bool proven_before;
+        bool has_trials;
+    };
+    auto const r = GENERATE(
+        row{"suspects that cannot be told apart", {base, tools}, false, true},
+        row{"a part that was proven", {tools}, true, true},
+        row{"a part that never was", {tools}, false, false});
+    CAPTURE(r.what);
+    prompt_quarantine q;
+    if (r.proven_before)
+        prove(q, r.parts, 0);
+    crash(q, r.parts, {2000, 4000, 6000});
+    auto const refused_at = [&](int since)
+    {
+        q.remove_expired(at(6000 + since));
+        return refused(q, r.parts, 6000 + since);
+    };
+    for (int const since : {0, 1000, 10000, 29999})
+        REQUIRE(refused_at(since));
+    for (int const trial : {30000, 60000, 120000, 240000})
+    {
+        REQUIRE(refused_at(trial - 1));
+        REQUIRE(refused_at(trial) != r.has_trials);
+        REQUIRE(refused_at(trial + 499) != r.has_trials);
+        REQUIRE(refused_at(trial + 500));
+    }
+    if (!r.has_trials)
+        return;
+    SECTION("a proof ends the quarantine")
+    {
+        prove(q, r.parts, 247000);
+        REQUIRE_FALSE(refused_at(242000));
+    }
+    SECTION("a crash prolongs it until the next trial")
+    {
+        crash(q, r.parts, {246200});
+        for (int const since : {240300, 241000, 270199})
+            REQUIRE(refused_at(since));
+        REQUIRE_FALSE(refused_at(270200));
+    }
+}
+
 // Quarantines ----------------------------------------------------------------
 
 TEST_CASE("quarantines expire and are renewed for longer", "[quarantine]")
