relay: answer requests behind another one in a planned stop

Callers saw: a request sent behind another one on a kept connection got no answer when the gateway was stopped.

Cause: send_head() announced the close of the connection because the gateway stopped, although input already waited, and write() then dropped that input. A read also took bytes from the socket before its handler ran, where nothing saw them. A request received in part at the end of the grace period ended with the process.

Change: the close is announced only if no input is buffered or readable. Sessions wait for input and read it in the handler, so bytes stay in the socket until they are handled. At the end of the grace period, requests received in part get 503. What follows a stream that was announced as the last answer is not read as a request; one begun without the announcement lets the next request follow.

--- a/src/relay/client_session.cpp
+++ b/src/relay/client_session.cpp
@@ -48,6 +48,7 @@
     if (!ignored)
         peer_ =
             remote.address().to_string() + ':' + std::to_string(remote.port());
+    socket_.non_blocking(true, ignored); // see read()
     limits_ = handler_.limits();
     parser_.set_max_head_bytes(limits_.max_header_bytes);
     accepted_ = last_progress_ = clock_.now();
@@ -62,13 +63,23 @@
         return;
     read_pending_ = true;
     auto self = shared_from_this();
-    socket_.async_read_some(
-        asio::buffer(buffer_),
-        [this, self](asio::error_code const& e, std::size_t n)
+    // Bytes stay in the socket until they are handled, so input_waiting() sees
+    // them. A read would take them before its handler runs.
+    socket_.async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [this, self](asio::error_code e)
         {
             read_pending_ = false;
             if (state_ == state::closed)
                 return;
+            std::size_t n = 0;
+            if (!e)
+                n = socket_.read_some(asio::buffer(buffer_), e);
+            if (e == asio::error::would_block)
+            {
+                read();
+                return;
+            }
             if (e)
             {
                 on_read_end();
@@ -247,7 +258,10 @@
     unsigned status, std::string_view reason, header_list const& headers,
     std::string_view framing)
 {
-    keep_alive_ = keep_alive_ && !handler_.close_after_response();
+    // What a caller sends after it was told of the close is no request; what
+    // it sent before is answered first.
+    if (handler_.close_after_response() && !input_waiting())
+        keep_alive_ = false;
     outgoing_ += "HTTP/1.1 " + std::to_string(status) + ' ';
     outgoing_ += reason;
     outgoing_ += "\r\n";
@@ -430,6 +444,18 @@
     close();
 }
 
+void client_session::end_for_shutdown()
+{
+    if (state_ == state::reading)
+        reject(503, "shutting_down");
+}
+
+bool client_session::input_waiting() const
+{
+    asio::error_code ignored; // the session ends if the socket failed
+    return !unparsed_.empty() || socket_.available(ignored) > 0;
+}
+
 void client_session::close()
 {
     if (state_ == state::closed)
--- a/src/relay/client_session.hpp
+++ b/src/relay/client_session.hpp
@@ -59,7 +59,8 @@
     virtual void on_closed(client_session& session) = 0;
     virtual caller_limits limits() const = 0;
 
-    /// Whether to close the connection after the next response.
+    /// Whether to close the connection after the next response, unless the
+    /// caller has sent another request by then.
     virtual bool close_after_response() const = 0;
 
     /// Reserves memory for body bytes; false if the limit is reached.
@@ -124,6 +125,10 @@
     /// that its first request is still on the way.
     void close_idle();
 
+    /// Refuses a request that was received in part. Called at the end of the
+    /// grace period of a planned stop.
+    void end_for_shutdown();
+
     std::string const& peer() const { return peer_; }
 
 private:
@@ -149,6 +154,7 @@
     static constexpr std::chrono::milliseconds first_request_wait{500};
 
     void read();
+    bool input_waiting() const;
     void on_bytes(std::string_view bytes);
     void parse_buffered();
     void reject(unsigned status, char const* why);
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -690,19 +690,29 @@
         else
             e->check_progress(now, paused);
     }
-    if (grace_over)
-        stop_accepting();
+    if (!grace_over)
+        return;
+    stop_accepting();
+    for (auto const& session : sessions())
+        session->end_for_shutdown();
 }
 
-void gateway::check_sessions(steady_time now)
+/// A copy, as a session may end while it is used.
+std::vector<std::shared_ptr<client_session>> gateway::sessions() const
 {
     std::vector<std::shared_ptr<client_session>> sessions;
+    sessions.reserve(sessions_.size());
     for (auto const& [raw, session] : sessions_)
         sessions.push_back(session);
+    return sessions;
+}
+
+void gateway::check_sessions(steady_time now)
+{
     bool const leaving =
         shutting_down_ &&
         now - shutdown_began_ > shutdown_policy::load_balancer_removal_time;
-    for (auto const& session : sessions)
+    for (auto const& session : sessions())
     {
         session->check_timeouts(now);
         if (leaving)
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -152,6 +152,7 @@
     void stop_accepting();
     void tick();
     void check_exchanges(steady_time now, bool paused);
+    std::vector<std::shared_ptr<client_session>> sessions() const;
     void check_sessions(steady_time now);
     void schedule_tick();
     void dispatch_queue(service_name const& service, request_queue& queue);
