relay: take nothing in a planned stop that may be cut and not repeated

Callers saw: a stream that may not be resumed was taken 2.48 s after SIGTERM, passed on to an endpoint, and cut 7.6 s after it.

Cause: shutdown_policy::accepts() took any stream whose usual duration fits. Requests in the queue, and those that an endpoint refused, were passed on during the stop without another look. A reload with a shorter grace period cut requests that had been taken for the longer one. A request that was slow to arrive was judged by its whole time limit.

Change: only resumable streams are taken by their usual duration. What may not be repeated is checked again before each pass to an endpoint and refused with 503 at once when the stop begins. The remaining time counts from the first byte, as the deadline does. The grace period does not shrink during a stop. The rows for streams in 'a stopping gateway accepts only what it can finish' meant resumable streams and now say so; no expectation changed.

--- a/src/gateway/shutdown_policy.hpp
+++ b/src/gateway/shutdown_policy.hpp
@@ -31,7 +31,7 @@
     static constexpr std::chrono::milliseconds final_write_time{100};
 
     /// @param elapsed       since the stop signal
-    /// @param max_duration  upper limit for the request
+    /// @param max_duration  upper limit for the rest of the request
     /// @param expected      duration of recent streams, if known
     static bool accepts(
         gateway_route const& route, duration elapsed,
@@ -41,7 +41,8 @@
         duration const left = grace - exit_margin - elapsed;
         if (max_duration < left)
             return true;
-        if (!route.event_stream)
+        // What is cut off and may not be repeated is lost to its caller.
+        if (!route.event_stream || !route.repeatable())
             return false;
         return elapsed < load_balancer_removal_time &&
                expected.value_or(route.first_byte_target) < left;
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -252,7 +252,11 @@
 {
     settings_.key_withdrawal_bound = settings.key_withdrawal_bound;
     settings_.drain_bound = settings.drain_bound;
-    settings_.shutdown_grace = settings.shutdown_grace;
+    // Requests were taken as they would end within the grace period in force.
+    settings_.shutdown_grace =
+        shutting_down_
+            ? std::max(settings_.shutdown_grace, settings.shutdown_grace)
+            : settings.shutdown_grace;
     settings_.retries = settings.retries;
     freshness_lease_.set_max_staleness(settings.key_withdrawal_bound);
     update_poll_wait();
@@ -406,7 +410,7 @@
         r.rank = organisation->rank.value_or(r.rank);
     }
     r.service = routing_table::select_target(*r.route, env_.random.next());
-    if (shutting_down_ && !accepts_during_shutdown(r))
+    if (shutting_down_ && !accepts_during_shutdown(r, message.received))
     {
         reject(*session, id, 503, "shutting_down", r.route->name);
         return;
@@ -443,7 +447,8 @@
         [e](endpoint_id const& cached_at) { e->start(cached_at); });
 }
 
-bool gateway::accepts_during_shutdown(admitted_request const& r) const
+bool gateway::accepts_during_shutdown(
+    admitted_request const& r, steady_time received) const
 {
     auto const found = stream_durations_.find(r.service);
     std::optional<duration> expected;
@@ -451,9 +456,21 @@
         expected = found->second;
     auto const longest = std::min(
         r.metadata.deadline.value_or(r.route->timeout), r.route->timeout);
+    auto const now = env_.clock.now();
+    return shutdown_policy::accepts(
+        *r.route, now - shutdown_began_, settings_.shutdown_grace,
+        received + longest - now, expected);
+}
+
+bool gateway::may_pass_on(relay_exchange const& e) const
+{
+    auto const& route = *e.request().route;
+    if (!shutting_down_ || route.repeatable())
+        return true;
+    auto const now = env_.clock.now();
     return shutdown_policy::accepts(
-        *r.route, env_.clock.now() - shutdown_began_, settings_.shutdown_grace,
-        longest, expected);
+        route, now - shutdown_began_, settings_.shutdown_grace,
+        e.deadline() - now, std::nullopt);
 }
 
 void gateway::record_stream_duration(service_name const& service, duration took)
@@ -674,16 +691,22 @@
     }
 }
 
-void gateway::check_exchanges(steady_time now, bool paused)
+/// A copy, as an exchange may end while it is used.
+std::vector<std::shared_ptr<relay_exchange>> gateway::exchanges() const
 {
     std::vector<std::shared_ptr<relay_exchange>> exchanges;
     exchanges.reserve(exchanges_.size());
     for (auto const& [number, e] : exchanges_)
         exchanges.push_back(e);
+    return exchanges;
+}
+
+void gateway::check_exchanges(steady_time now, bool paused)
+{
     bool const grace_over =
         shutting_down_ && shutdown_policy::grace_over(
                               now - shutdown_began_, settings_.shutdown_grace);
-    for (auto const& e : exchanges)
+    for (auto const& e : exchanges())
     {
         if (grace_over)
             e->end_for_shutdown();
@@ -740,6 +763,8 @@
         table_service_->stop();
     shutting_down_ = true;
     shutdown_began_ = env_.clock.now();
+    for (auto const& e : exchanges())
+        e->on_shutdown_began();
 }
 
 bool gateway::finished() const
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -136,6 +136,7 @@
     void
     record_stream_duration(service_name const& service, duration took) override;
     void on_load_changed() override;
+    bool may_pass_on(relay_exchange const& e) const override;
     bool wait_for_capacity(std::shared_ptr<relay_exchange> const& e) override;
     void on_capacity_freed(service_name const& service) override;
     void
@@ -151,6 +152,7 @@
     void add_session(asio::ip::tcp::socket socket);
     void stop_accepting();
     void tick();
+    std::vector<std::shared_ptr<relay_exchange>> exchanges() const;
     void check_exchanges(steady_time now, bool paused);
     std::vector<std::shared_ptr<client_session>> sessions() const;
     void check_sessions(steady_time now);
@@ -176,7 +178,8 @@
     bool reports_for_zone(endpoint_state const& endpoint) const;
     bool needs_report(endpoint_state const& endpoint, steady_time now) const;
     void on_report(endpoint_state& endpoint, endpoint_reply const& reply);
-    bool accepts_during_shutdown(admitted_request const& r) const;
+    bool accepts_during_shutdown(
+        admitted_request const& r, steady_time received) const;
 
     void reject(
         client_session& session, std::string const& id, unsigned status,
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -122,7 +122,8 @@
 
 bool relay_exchange::try_leave_queue()
 {
-    if (state_ != state::waiting || refuse_if_quarantined())
+    if (state_ != state::waiting || refuse_if_quarantined() ||
+        refuse_if_stopping())
         return true;
     auto endpoint =
         context_.selection().choose(work_, engine(), context_.clock().now());
@@ -136,7 +137,7 @@
 
 void relay_exchange::start_next_attempt()
 {
-    if (refuse_if_quarantined())
+    if (refuse_if_quarantined() || refuse_if_stopping())
         return;
     auto const now = context_.clock().now();
     // Resumes a run from the copy of its memory, if there is one.
@@ -902,6 +903,20 @@
     finish("refused", 503, reason);
 }
 
+bool relay_exchange::refuse_if_stopping()
+{
+    if (context_.may_pass_on(*this))
+        return false;
+    refuse("shutting_down", shutdown_retry_after);
+    return true;
+}
+
+void relay_exchange::on_shutdown_began()
+{
+    if (state_ == state::waiting)
+        refuse_if_stopping();
+}
+
 void relay_exchange::end_for_shutdown()
 {
     // A request that was sent to an endpoint may have run there.
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -76,6 +76,10 @@
     virtual void
     record_stream_duration(service_name const& service, duration took) = 0;
 
+    /// False if a planned stop could cut the request off after it was passed
+    /// on, and it may not be repeated.
+    virtual bool may_pass_on(relay_exchange const& e) const = 0;
+
     /// Queues the exchange until an endpoint has capacity.
     virtual bool
     wait_for_capacity(std::shared_ptr<relay_exchange> const& e) = 0;
@@ -145,6 +149,9 @@
         endpoint_state const& endpoint, endpoint_report const& report,
         steady_time checked);
 
+    /// Refuses the request if it waits and must not be passed on any more.
+    void on_shutdown_began();
+
     /// Ends the request with an error, as the grace period is over.
     void end_for_shutdown();
 
@@ -216,6 +223,7 @@
 
     /// Refuses the request if its prompt is quarantined.
     bool refuse_if_quarantined();
+    bool refuse_if_stopping();
 
     /// Reports that the endpoint was lost, unless the attempt had lasted.
     void report_crash();
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -334,6 +334,7 @@
         row{false, 4000, 4000, 0, false});
     gateway_route route;
     route.event_stream = r.stream;
+    route.resumable = r.stream;
     std::optional<duration> expected;
     if (r.expected > 0)
         expected = milliseconds(r.expected);
--- a/tests/platform/caller_connections_test.cpp
+++ b/tests/platform/caller_connections_test.cpp
@@ -1,5 +1,6 @@
 // Requests that were read and dropped when the connection of their caller
-// ended. Index: pipelined requests in a planned stop.
+// ended. Index: pipelined requests in a planned stop; requests that may outlast
+// a planned stop.
 
 #include <catch2/catch.hpp>
 
@@ -31,6 +32,27 @@
     return stream_head(id) + chunk(event(1)) + "0\r\n\r\n";
 }
 
+std::string with_deadline(std::string request, int ms)
+{
+    std::string const deadline = "Deadline-Ms: 9000";
+    return request.replace(
+        request.find(deadline), deadline.size(),
+        "Deadline-Ms: " + std::to_string(ms));
+}
+
+/// The route of /stream/ gets streams that cannot be resumed.
+void make_stream_unrepeatable(relay_fixture& fixture)
+{
+    fixture.settings.key_withdrawal_bound = std::chrono::minutes(1);
+    auto& text = fixture.configuration.rows[0].value;
+    std::string const resumable = R"("resumable":true,"gapTargetMs":5000)";
+    text.replace(
+        text.find(resumable), resumable.size(),
+        R"("resumable":false,"gapTargetMs":5000)");
+    std::string const target = R"("targetLatencyMs":9000)"; // of this route
+    text.replace(text.find(target), target.size(), R"("targetLatencyMs":1000)");
+}
+
 } // namespace
 
 // Pipelined requests in a planned stop ---------------------------------------
@@ -154,3 +176,169 @@
     REQUIRE(caller->has("Retry-After: "));
     REQUIRE(caller->has("Connection: close\r\n"));
 }
+
+// Requests that may outlast a planned stop -----------------------------------
+
+// A stream that may not be repeated was taken because streams usually end in
+// time, and was then cut off.
+TEST_CASE("what may not be repeated is taken only if it ends", "[shutdown]")
+{
+    struct kind
+    {
+        char const* name;
+        bool idempotent;
+        bool event_stream;
+        bool resumable;
+    };
+    auto const k = GENERATE(
+        kind{"idempotent", true, false, false},
+        kind{"at most once", false, false, false},
+        kind{"stream", false, true, false},
+        kind{"resumable stream", false, true, true});
+    auto const lateness = GENERATE(0, 1000, 2480, 2500, 5000, 7599, 7600);
+    auto const longest = GENERATE(0, 1, 500, 2599, 5119, 5120, 25000);
+    auto const grace = GENERATE(1000, 3000, 8000, 30000);
+    auto const expected = GENERATE(0, 100, 4000); // 0: unknown
+    CAPTURE(k.name, lateness, longest, grace, expected);
+    gateway_route route;
+    route.idempotent = k.idempotent;
+    route.event_stream = k.event_stream;
+    route.resumable = k.resumable;
+    std::optional<duration> usual;
+    if (expected > 0)
+        usual = milliseconds(expected);
+    bool const accepted = shutdown_policy::accepts(
+        route, milliseconds(lateness), milliseconds(grace),
+        milliseconds(longest), usual);
+    bool const ends_before_cut = !shutdown_policy::grace_over(
+        milliseconds(lateness + longest), milliseconds(grace));
+    if (!k.resumable)
+        REQUIRE_FALSE((accepted && !ends_before_cut));
+    if (lateness + longest < grace - 400)
+        REQUIRE(accepted);
+}
+
+// A request that may not be repeated was passed on to an endpoint in a planned
+// stop and cut off at its end.
+TEST_CASE("a stop cuts nothing that may not be repeated", "[unanswered]")
+{
+    struct row
+    {
+        char const* name;
+        std::string path;
+        int deadline_ms;
+        int lateness_ms; // of the last byte, after the stop signal
+        int early_ms;    // of the first byte, before the last one
+        bool taken;
+    };
+    auto const r = GENERATE(
+        row{"stream", "/stream/x", 9000, 2400, 0, false},
+        row{"short stream", "/stream/x", 5000, 2400, 0, true},
+        row{"call", "/unsafe/x", 9000, 3000, 0, false},
+        row{"call that ends just in time", "/unsafe/x", 9000, 2500, 0, true},
+        row{"call that was slow to arrive", "/unsafe/x", 9000, 4000, 3000,
+            true});
+    CAPTURE(r.name);
+    relay_fixture fixture;
+    make_stream_unrepeatable(fixture);
+    fixture.start();
+    auto const open = fixture.connect_caller("G"); // keeps the listener open
+    fixture.settle();
+    fixture.clock.stop();
+    fixture.subject->begin_shutdown();
+    fixture.advance(milliseconds(r.lateness_ms - r.early_ms));
+    auto const text = with_deadline(fixture.request(r.path), r.deadline_ms);
+    auto const caller = fixture.connect_caller(text.substr(0, 1));
+    fixture.settle();
+    fixture.advance(milliseconds(r.early_ms));
+    caller->send(text.substr(1));
+    auto& one = *fixture.endpoints[0];
+    REQUIRE(fixture.run_until(
+        [&] { return one.request_count() == 1 || caller->has("HTTP/1.1 "); }));
+    REQUIRE(one.request_count() == (r.taken ? 1 : 0));
+    if (!r.taken)
+    {
+        REQUIRE(caller->has("HTTP/1.1 503 "));
+        REQUIRE(caller->has("Retry-After: "));
+        return;
+    }
+    fixture.advance(milliseconds(8000 - r.lateness_ms));
+    REQUIRE(fixture.run_until([&] { return caller->closed; }));
+    REQUIRE(caller->has("HTTP/1.1 504 "));
+    REQUIRE_FALSE(fixture.logged("grace_over"));
+}
+
+// A request that had not been passed on when the stop began was passed on later
+// and cut off.
+TEST_CASE("a stop passes on nothing that it would cut", "[unanswered]")
+{
+    enum class state // of the request when the stop begins
+    {
+        queued,
+        passed_on // its endpoint refuses it afterwards
+    };
+    struct row
+    {
+        char const* name;
+        std::string path;
+        state at_stop;
+        int deadline_ms;
+        bool refused;
+    };
+    auto const r = GENERATE(
+        row{"queued call", "/unsafe/x", state::queued, 9000, true},
+        row{"queued short call", "/unsafe/x", state::queued, 2500, false},
+        row{"queued stream", "/stream/x", state::queued, 9000, true},
+        row{"refused call", "/unsafe/x", state::passed_on, 9000, true},
+        row{"refused short call", "/unsafe/x", state::passed_on, 2500, false},
+        row{"refused stream", "/stream/x", state::passed_on, 9000, true});
+    CAPTURE(r.name);
+    relay_fixture fixture;
+    make_stream_unrepeatable(fixture);
+    fixture.settings.shutdown_grace = milliseconds(3000);
+    auto const rows = fixture.table.rows;
+    if (r.at_stop == state::queued)
+        fixture.table.rows.erase(
+            fixture.table.rows.begin(), fixture.table.rows.begin() + 2);
+    fixture.start();
+    auto const caller = fixture.connect_caller(
+        with_deadline(fixture.request(r.path), r.deadline_ms));
+    auto& one = *fixture.endpoints[0];
+    auto& two = *fixture.endpoints[1];
+    if (r.at_stop == state::passed_on)
+        REQUIRE(fixture.run_until([&] { return one.request_count() == 1; }));
+    else
+        fixture.settle();
+    fixture.clock.stop();
+    fixture.subject->begin_shutdown();
+    if (r.at_stop == state::passed_on)
+        one.connections[0]->send(fixture.response(
+            "r1", "", "503 Service Unavailable",
+            "Not-Executed: 1\r\nRetry-After: 5\r\n"));
+    else
+        fixture.table.publish_change(rows[1]);
+    fixture.advance(milliseconds(300)); // the queue is checked
+    REQUIRE(fixture.run_until(
+        [&] { return two.request_count() == 1 || caller->has("HTTP/1.1 "); }));
+    REQUIRE(two.request_count() == (r.refused ? 0 : 1));
+    REQUIRE(caller->has("HTTP/1.1 503 ") == r.refused);
+}
+
+// A request that was taken for a long grace period was cut off when a reload
+// shortened it.
+TEST_CASE("a stop does not get shorter while it lasts", "[unanswered]")
+{
+    relay_fixture fixture;
+    fixture.start();
+    fixture.subject->begin_shutdown();
+    auto const caller = fixture.connect_caller(fixture.request("/unsafe/x"));
+    auto& one = *fixture.endpoints[0];
+    REQUIRE(fixture.run_until([&] { return one.request_count() == 1; }));
+    fixture.clock.stop();
+    fixture.settings.shutdown_grace = milliseconds(2000);
+    fixture.subject->reload(fixture.settings);
+    fixture.advance(milliseconds(3000));
+    one.connections[0]->send(fixture.response());
+    REQUIRE(fixture.run_until([&] { return caller->closed; }));
+    REQUIRE(caller->has("HTTP/1.1 200 "));
+}
