relay: leave input beyond 64 KiB in the socket instead of dropping it

Callers saw: requests behind another one got no answer if they exceeded 64 KiB together, and neither did one with a larger body.

Cause: on_bytes() discarded what exceeded the buffer, to go on reading so that a disconnect is noticed.

Evidence: 'much input behind a request is answered' failed in 3 of 3 rows.

Change: reading pauses at 64 KiB until the response has ended. A disconnect is then looked for in the state of the connection, and the receive buffer is raised to 256 KiB so that the close can arrive behind the input. A caller that leaves with more unread input is noticed only once its response ends.

--- a/src/relay/client_session.cpp
+++ b/src/relay/client_session.cpp
@@ -30,6 +30,30 @@
     return !length || *length > limit;
 }
 
+/// The close of a caller arrives only behind its input, for which the kernel
+/// may have no room left otherwise.
+void grow_receive_buffer(asio::ip::tcp::socket& socket)
+{
+    constexpr int bytes = 256 * 1024;
+    asio::error_code ignored; // the close is noticed later
+    asio::socket_base::receive_buffer_size current;
+    socket.get_option(current, ignored);
+    if (current.value() < bytes)
+        socket.set_option(
+            asio::socket_base::receive_buffer_size(bytes), ignored);
+}
+
+/// Whether the peer has closed its direction, even behind unread input.
+bool peer_has_closed(asio::ip::tcp::socket& socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    return ::getsockopt(
+               socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) ==
+               0 &&
+           info.tcpi_state != TCP_ESTABLISHED;
+}
+
 } // namespace
 
 client_session::client_session(
@@ -59,7 +83,7 @@
 
 void client_session::read()
 {
-    if (read_pending_ || state_ == state::closed)
+    if (read_pending_ || state_ == state::closed || input_full())
         return;
     read_pending_ = true;
     auto self = shared_from_this();
@@ -92,25 +116,25 @@
 
 void client_session::on_bytes(std::string_view bytes)
 {
-    if (state_ == state::closing || input_discarded_)
+    if (state_ == state::closing)
     {
         handler_.on_unanswered_input(*this, "last_response", bytes.size());
         return;
     }
     unparsed_.append(bytes);
     if (state_ != state::responding)
-    {
         parse_buffered();
-        return;
-    }
-    if (unparsed_.size() <= max_unparsed_bytes)
-        return;
-    // Without reading on, the disconnect of the caller would go unnoticed. The
-    // connection closes after the current response.
-    handler_.on_unanswered_input(*this, "pipelined", unparsed_.size());
-    unparsed_.clear();
-    input_discarded_ = true;
-    keep_alive_ = false;
+    else if (input_full())
+        grow_receive_buffer(socket_);
+}
+
+/// Whether reading pauses until the current response has ended. Meanwhile a
+/// disconnect of the caller is noticed late: by check_timeouts(), and not
+/// before its input fits into the receive buffer of the socket.
+bool client_session::input_full() const
+{
+    return state_ == state::responding &&
+           unparsed_.size() >= max_unparsed_bytes;
 }
 
 void client_session::parse_buffered()
@@ -425,6 +449,10 @@
             close();
         break;
     case state::responding:
+        // Reading pauses, so its end is not seen.
+        if (input_full() && !response_ended_ && peer_has_closed(socket_))
+            on_disconnect();
+        break;
     case state::closed:
         break;
     }
--- a/src/relay/client_session.hpp
+++ b/src/relay/client_session.hpp
@@ -1,6 +1,6 @@
 // Server side of one caller's HTTP/1.1 connection. Reads one request at a time
-// within the configured limits and keeps reading while the response is pending,
-// so that a disconnect is detected at once.
+// within the configured limits. While the response is pending it reads on, so
+// that a disconnect is detected at once, but only up to max_unparsed_bytes.
 #ifndef DOTTERELLOCK_RELAY_CLIENT_SESSION_HPP
 #define DOTTERELLOCK_RELAY_CLIENT_SESSION_HPP
 
@@ -142,7 +142,7 @@
     };
 
     // Pipelined input that is buffered while a request is being handled. More
-    // is discarded.
+    // stays in the socket.
     static constexpr std::size_t max_unparsed_bytes = 65536;
 
     // Time that the peer has to close after the last response. Closing at once
@@ -154,6 +154,7 @@
     static constexpr std::chrono::milliseconds first_request_wait{500};
 
     void read();
+    bool input_full() const;
     bool input_waiting() const;
     void on_bytes(std::string_view bytes);
     void parse_buffered();
@@ -197,7 +198,6 @@
     bool head_only_ = false; // the request is HEAD: no body in the response
     bool keep_alive_ = true;
     bool first_request_read_ = false;
-    bool input_discarded_ = false; // more than may be buffered was received
     steady_time accepted_{};
     steady_time last_progress_{}; // of a state change or body bytes
     std::array<char, 8192> buffer_;
--- a/tests/platform/caller_connections_test.cpp
+++ b/tests/platform/caller_connections_test.cpp
@@ -1,6 +1,6 @@
 // Requests that were read and dropped when the connection of their caller
 // ended. Index: pipelined requests in a planned stop; requests that may outlast
-// a planned stop.
+// a planned stop; back pressure.
 
 #include <catch2/catch.hpp>
 
@@ -53,6 +53,12 @@
     text.replace(text.find(target), target.size(), R"("targetLatencyMs":1000)");
 }
 
+/// Only the first endpoint serves "/safe/", so a test sees every request there.
+void keep_one_endpoint(relay_fixture& fixture)
+{
+    fixture.table.rows.erase(fixture.table.rows.begin() + 1);
+}
+
 } // namespace
 
 // Pipelined requests in a planned stop ---------------------------------------
@@ -342,3 +348,53 @@
     REQUIRE(fixture.run_until([&] { return caller->closed; }));
     REQUIRE(caller->has("HTTP/1.1 200 "));
 }
+
+// Back pressure --------------------------------------------------------------
+
+// More than 64 KiB of input behind a request was dropped.
+TEST_CASE("much input behind a request is answered", "[unanswered]")
+{
+    struct row
+    {
+        char const* name;
+        std::size_t requests;
+        std::size_t body;
+    };
+    auto const r = GENERATE(
+        row{"small requests", 150, 0}, row{"a large body", 1, 200000},
+        row{"large bodies", 3, 70000});
+    CAPTURE(r.name);
+    relay_fixture fixture;
+    keep_one_endpoint(fixture);
+    auto& text = fixture.configuration.rows[0].value;
+    std::string const limit = R"("maxBodyBytes":10000)";
+    text.replace(text.find(limit), limit.size(), R"("maxBodyBytes":300000)");
+    fixture.start();
+    std::string input = fixture.request("/safe/x", "r0");
+    for (std::size_t i = 1; i <= r.requests; ++i)
+        input += fixture.request(
+                     "/safe/x", "r" + std::to_string(i),
+                     "X: " + std::string(600, 'a') + "\r\nContent-Length: " +
+                         std::to_string(r.body) + "\r\n") +
+                 std::string(r.body, 'b');
+    auto const caller = fixture.connect_caller(input);
+    auto& one = *fixture.endpoints[0];
+    REQUIRE(fixture.run_until([&] { return one.request_count() == 1; }));
+    fixture.settle(); // the gateway reads ahead
+    for (std::size_t i = 0; i <= r.requests; ++i)
+    {
+        REQUIRE(
+            fixture.run_until([&] { return one.request_count() == i + 1; }));
+        if (i > 0 && r.body > 0)
+            REQUIRE(fixture.run_until(
+                [&] { return ends_with(one.connections[0]->received, "b"); }));
+        one.connections[0]->send(fixture.response("r" + std::to_string(i)));
+    }
+    REQUIRE(fixture.run_until(
+        [&] {
+            return count(caller->received, "HTTP/1.1 200 OK\r\n") ==
+                   r.requests + 1;
+        }));
+    REQUIRE(one.connections.size() == 1);
+    REQUIRE_FALSE(fixture.logged("unanswered_input"));
+}
