relay: answer callers above the limit of connections

Callers saw: their connection was closed without an answer while the gateway had as many callers as its descriptors allow.

Cause: add_session() dropped the accepted socket.

Change: the caller that was idle longest, for at least 0.5 s, is disconnected. If there is none, the request is answered with 503 and Retry-After and its connection closes. Such connections may take 5% of the descriptors; more wait in the listen backlog, and each tick tries again, also after an accept error, which was retried without a pause before.

--- a/src/relay/client_session.cpp
+++ b/src/relay/client_session.cpp
@@ -284,7 +284,7 @@
 {
     // What a caller sends after it was told of the close is no request; what
     // it sent before is answered first.
-    if (handler_.close_after_response() && !input_waiting())
+    if (handler_.close_after_response(*this) && !input_waiting())
         keep_alive_ = false;
     outgoing_ += "HTTP/1.1 " + std::to_string(status) + ' ';
     outgoing_ += reason;
--- a/src/relay/client_session.hpp
+++ b/src/relay/client_session.hpp
@@ -61,7 +61,7 @@
 
     /// Whether to close the connection after the next response, unless the
     /// caller has sent another request by then.
-    virtual bool close_after_response() const = 0;
+    virtual bool close_after_response(client_session const& session) const = 0;
 
     /// Reserves memory for body bytes; false if the limit is reached.
     virtual bool reserve_body(std::size_t bytes) = 0;
@@ -121,6 +121,9 @@
 
     bool idle() const { return state_ == state::idle; }
 
+    /// Since when idle() holds.
+    steady_time idle_since() const { return last_progress_; }
+
     /// Closes an idle connection, unless input was received or it is so new
     /// that its first request is still on the way.
     void close_idle();
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -43,6 +43,16 @@
 // Share of the descriptors for callers; the rest is for endpoints.
 constexpr std::size_t caller_descriptors_percent = 60;
 
+// Share of the descriptors for callers above their share. Their requests are
+// answered with 503; further connections wait in the listen backlog.
+constexpr std::size_t excess_descriptors_percent = 5;
+
+constexpr milliseconds excess_retry_after{1000};
+
+// An idle caller is disconnected for another one only after this time; its next
+// request may be on the way before.
+constexpr milliseconds min_replaceable_idle{500};
+
 // Share of an endpoint's connections for attempts; the rest is for idle
 // connections and checks.
 constexpr std::uint32_t attempt_connections_percent = 80;
@@ -192,39 +202,89 @@
 void gateway::accept_when_ready()
 {
     bool const known = table_ && endpoint_watch_.listed();
-    if (accepting_ ||
-        (!known && env_.clock.now() - started_ < max_startup_wait))
+    if (!accepting_ && !known && env_.clock.now() - started_ < max_startup_wait)
         return;
     accepting_ = true;
     accept();
 }
 
+/// Accepts until there is no room for another connection. The next tick tries
+/// again, also after an error such as a lack of descriptors.
 void gateway::accept()
 {
+    if (accept_pending_ || !acceptor_.is_open() ||
+        !make_room(max_connections_of_callers()))
+        return;
+    accept_pending_ = true;
     acceptor_.async_accept(
         [this](asio::error_code const& e, asio::ip::tcp::socket socket)
         {
-            if (e == asio::error::operation_aborted)
-                return;
-            accept();
+            accept_pending_ = false;
             if (!e)
+            {
                 add_session(std::move(socket));
-            else
-                env_.counters.counter("callers_turned_away_total").add();
+                accept();
+            }
+            else if (e != asio::error::operation_aborted)
+            {
+                env_.counters.counter("accept_errors_total").add();
+            }
         });
 }
 
-void gateway::add_session(asio::ip::tcp::socket socket)
+std::size_t gateway::max_callers() const
+{
+    return settings_.max_descriptors * caller_descriptors_percent / 100;
+}
+
+std::size_t gateway::max_connections_of_callers() const
+{
+    return max_callers() +
+           std::max<std::size_t>(
+               settings_.max_descriptors * excess_descriptors_percent / 100, 1);
+}
+
+/// Closes idle connections until there are fewer sessions than given.
+bool gateway::make_room(std::size_t max_sessions)
 {
-    auto const max_sessions =
-        settings_.max_descriptors * caller_descriptors_percent / 100;
-    if (sessions_.size() >= max_sessions)
+    while (sessions_.size() >= max_sessions)
+    {
+        if (!close_longest_idle())
+            return false;
+    }
+    return true;
+}
+
+bool gateway::close_longest_idle()
+{
+    auto const latest = env_.clock.now() - min_replaceable_idle;
+    std::vector<std::shared_ptr<client_session>> idle;
+    for (auto const& session : sessions())
     {
-        env_.counters.counter("callers_turned_away_total").add();
-        return; // closes the connection
+        if (session->idle() && session->idle_since() <= latest)
+            idle.push_back(session);
     }
+    std::sort(
+        idle.begin(), idle.end(),
+        [](auto const& a, auto const& b)
+        { return a->idle_since() < b->idle_since(); });
+    auto const before = sessions_.size();
+    for (auto const& session : idle)
+    {
+        session->close_idle(); // unless it has input
+        if (sessions_.size() < before)
+            return true;
+    }
+    return false;
+}
+
+void gateway::add_session(asio::ip::tcp::socket socket)
+{
+    bool const excess = !make_room(max_callers());
     auto session =
         std::make_shared<client_session>(std::move(socket), env_.clock, *this);
+    if (excess)
+        excess_sessions_.insert(session.get());
     sessions_.emplace(session.get(), session);
     session->start();
 }
@@ -237,7 +297,7 @@
         return;
     asio::error_code e; // would_block: no more connections
     acceptor_.non_blocking(true, e);
-    while (!e)
+    while (!e && make_room(max_connections_of_callers()))
     {
         asio::ip::tcp::socket socket(env_.io);
         acceptor_.accept(socket, e);
@@ -322,9 +382,32 @@
 
 void gateway::on_closed(client_session& session)
 {
+    excess_sessions_.erase(&session);
     sessions_.erase(&session);
 }
 
+bool gateway::close_after_response(client_session const& session) const
+{
+    return shutting_down_ || excess_sessions_.count(&session) > 0;
+}
+
+/// Refuses a request over a connection above the limit, if there is still no
+/// room for it.
+bool gateway::refuse_excess(client_session& session, std::string const& id)
+{
+    auto const found = excess_sessions_.find(&session);
+    if (found == excess_sessions_.end())
+        return false;
+    if (sessions_.size() <= max_callers())
+    {
+        excess_sessions_.erase(found);
+        return false;
+    }
+    env_.counters.counter("callers_turned_away_total").add();
+    reject(session, id, 503, "too_many_connections", {}, excess_retry_after);
+    return true;
+}
+
 void gateway::reject(
     client_session& session, std::string const& id, unsigned status,
     char const* reason, std::string const& detail, milliseconds retry_after)
@@ -371,6 +454,8 @@
         return;
     }
     auto const& id = r.metadata.id.value();
+    if (refuse_excess(*session, id))
+        return;
     if (!table_)
     {
         reject(*session, id, 503, "no_configuration", {});
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <asio/ip/tcp.hpp>
@@ -109,7 +110,7 @@
         std::size_t bytes) override;
     void on_closed(client_session& session) override;
     caller_limits limits() const override;
-    bool close_after_response() const override { return shutting_down_; }
+    bool close_after_response(client_session const& session) const override;
     bool reserve_body(std::size_t bytes) override;
     void release_body(std::size_t bytes) override;
 
@@ -150,6 +151,11 @@
     void accept_when_ready();
     void accept();
     void add_session(asio::ip::tcp::socket socket);
+    std::size_t max_callers() const;
+    std::size_t max_connections_of_callers() const;
+    bool make_room(std::size_t max_sessions);
+    bool close_longest_idle();
+    bool refuse_excess(client_session& session, std::string const& id);
     void stop_accepting();
     void tick();
     std::vector<std::shared_ptr<relay_exchange>> exchanges() const;
@@ -223,11 +229,13 @@
     asio::steady_timer tick_timer_;
     steady_time started_{};
     bool accepting_ = false;
+    bool accept_pending_ = false;
     steady_time last_tick_{};
     steady_time last_sweep_{};
 
     std::unordered_map<client_session*, std::shared_ptr<client_session>>
         sessions_;
+    std::unordered_set<client_session const*> excess_sessions_;
     std::unordered_map<std::uint64_t, std::shared_ptr<relay_exchange>>
         exchanges_;
     std::uint64_t last_exchange_number_ = 0;
--- a/src/relay/peer_tables.hpp
+++ b/src/relay/peer_tables.hpp
@@ -41,7 +41,10 @@
     void on_request(
         std::shared_ptr<client_session> session,
         client_request message) override;
-    bool close_after_response() const override { return stopped_; }
+    bool close_after_response(client_session const&) const override
+    {
+        return stopped_;
+    }
 
     peer_check const is_peer_;
     std::map<std::string, shared_table*> tables_;
--- a/src/relay/status_service.hpp
+++ b/src/relay/status_service.hpp
@@ -32,7 +32,10 @@
     void on_request(
         std::shared_ptr<client_session> session,
         client_request message) override;
-    bool close_after_response() const override { return source_.stopping(); }
+    bool close_after_response(client_session const&) const override
+    {
+        return source_.stopping();
+    }
 
     status_source const source_;
 };
--- a/tests/platform/caller_connections_test.cpp
+++ b/tests/platform/caller_connections_test.cpp
@@ -1,6 +1,6 @@
 // Requests that were read and dropped when the connection of their caller
 // ended. Index: pipelined requests in a planned stop; requests that may outlast
-// a planned stop; back pressure.
+// a planned stop; back pressure; limit of connections.
 
 #include <catch2/catch.hpp>
 
@@ -398,3 +398,101 @@
     REQUIRE(one.connections.size() == 1);
     REQUIRE_FALSE(fixture.logged("unanswered_input"));
 }
+
+// Limit of connections -------------------------------------------------------
+
+// A connection above the limit of descriptors was closed without an answer.
+TEST_CASE("a connection above the limit is answered", "[unanswered]")
+{
+    bool const idle = GENERATE(false, true); // one of the others
+    CAPTURE(idle);
+    relay_fixture fixture;
+    fixture.settings.key_withdrawal_bound = std::chrono::minutes(1);
+    keep_one_endpoint(fixture);
+    fixture.settings.max_descriptors = 5; // 3 of them for callers
+    fixture.start();
+    std::vector<std::shared_ptr<test_connection>> callers;
+    auto& one = *fixture.endpoints[0];
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        auto const id = "r" + std::to_string(i);
+        callers.push_back(
+            fixture.connect_caller(fixture.request("/safe/x", id)));
+        REQUIRE(
+            fixture.run_until([&] { return one.request_count() == i + 1; }));
+    }
+    if (idle)
+    {
+        for (std::size_t i : {1, 2})
+            one.connections[i]->send(fixture.response("r" + std::to_string(i)));
+        REQUIRE(fixture.run_until(
+            [&]
+            { return callers[1]->has("body") && callers[2]->has("body"); }));
+        fixture.clock.stop();
+        fixture.advance(milliseconds(1000));
+    }
+    auto const last =
+        fixture.connect_caller(fixture.request("/safe/x", "last"));
+    REQUIRE(fixture.run_until(
+        [&] { return last->closed || one.request_count() == 4; }));
+    REQUIRE_FALSE(callers[0]->closed);
+    if (!idle)
+    {
+        REQUIRE(last->has("HTTP/1.1 503 "));
+        REQUIRE(last->has("Retry-After: "));
+        REQUIRE(last->has("Connection: close\r\n"));
+        REQUIRE_FALSE(callers[1]->closed);
+        REQUIRE_FALSE(callers[2]->closed);
+        return;
+    }
+    REQUIRE(one.request_count() == 4);
+    REQUIRE(callers[1]->closed != callers[2]->closed);
+}
+
+// Connections beyond those that are answered with 503 were closed.
+TEST_CASE("connections far above the limit wait", "[unanswered]")
+{
+    relay_fixture fixture;
+    fixture.settings.key_withdrawal_bound = std::chrono::minutes(1);
+    keep_one_endpoint(fixture);
+    fixture.settings.max_descriptors = 5;
+    fixture.start();
+    auto& one = *fixture.endpoints[0];
+    std::vector<std::shared_ptr<test_connection>> callers;
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        callers.push_back(fixture.connect_caller(
+            fixture.request("/safe/x", "r" + std::to_string(i))));
+        REQUIRE(
+            fixture.run_until([&] { return one.request_count() == i + 1; }));
+    }
+    fixture.clock.stop();
+    auto const silent = fixture.connect_caller({});
+    std::vector<std::shared_ptr<test_connection>> waiting;
+    for (int i = 0; i < 5; ++i)
+        waiting.push_back(fixture.connect_caller(
+            fixture.request("/safe/x", "w" + std::to_string(i))));
+    fixture.settle();
+    for (auto const& w : waiting)
+    {
+        REQUIRE_FALSE(w->closed);
+        REQUIRE(w->received.empty());
+    }
+    callers[0]->close();
+    silent->close();
+    std::size_t refused = 0;
+    REQUIRE(fixture.run_until(
+        [&]
+        {
+            refused = 0;
+            for (auto const& w : waiting)
+            {
+                refused += w->has("HTTP/1.1 503 ") ? 1 : 0;
+                if (w->closed)
+                    w->close();
+            }
+            return refused + one.request_count() - 3 == waiting.size();
+        }));
+    REQUIRE(one.request_count() == 4);
+    REQUIRE(refused == 4);
+}
