relay: end a planned stop only after the last answer

Callers saw: at the end of a planned stop some requests ended without an answer.

Cause: finished() looked at the time only, so a process that was paused or late at the end of the grace period exited before it had ended the requests that it held. Connections that were established between the last accept and the close of the listener were reset by the close; an accept that had completed without its handler run was not counted as open.

Evidence: 'a stop ends after the last request is answered' failed in all 3 rows. 'a stopped listener establishes no connection' tests the new function and has no red run on the old code.

Change: a socket filter (no privilege needed) drops requests for new connections; the listener is closed 40 ms later, once it holds none. The process exits when no session owes an answer, at the latest 200 ms before the end of the grace period.

Result: both tests pass.

--- a/src/gateway/shutdown_policy.hpp
+++ b/src/gateway/shutdown_policy.hpp
@@ -30,6 +30,14 @@
     // Part of exit_margin reserved for writing the last answers.
     static constexpr std::chrono::milliseconds final_write_time{100};
 
+    // Part of exit_margin reserved for the process to end. Answers that are not
+    // written by then are lost.
+    static constexpr std::chrono::milliseconds process_end_time{200};
+
+    // Time from the last new connection to the close of the listener; exceeds
+    // the round trip to a caller.
+    static constexpr std::chrono::milliseconds handshake_time{40};
+
     /// @param elapsed       since the stop signal
     /// @param max_duration  upper limit for the rest of the request
     /// @param expected      duration of recent streams, if known
@@ -54,6 +62,12 @@
         return elapsed > grace - exit_margin;
     }
 
+    /// Whether to exit even if answers are owed.
+    static bool must_exit(duration elapsed, std::chrono::milliseconds grace)
+    {
+        return elapsed > grace - process_end_time;
+    }
+
     /// Whether the process may exit.
     static bool
     may_exit(duration elapsed, std::chrono::milliseconds grace, bool idle)
--- a/src/relay/client_session.cpp
+++ b/src/relay/client_session.cpp
@@ -460,18 +460,26 @@
 
 void client_session::close_idle()
 {
-    auto const now = clock_.now();
-    bool const awaits_first_request =
-        !first_request_read_ && now - accepted_ < first_request_wait;
-    asio::error_code ignored; // the session ends if the socket failed
-    if (state_ != state::idle || awaits_first_request ||
-        socket_.available(ignored) > 0)
+    if (state_ != state::idle || awaits_first_request() || input_waiting())
         return;
     // Closed for input as well: a request that is on its way is reset unread,
     // so its caller may send it again.
     close();
 }
 
+bool client_session::awaits_first_request() const
+{
+    return !first_request_read_ &&
+           clock_.now() - accepted_ < first_request_wait;
+}
+
+bool client_session::owes_answer() const
+{
+    if (state_ == state::idle)
+        return awaits_first_request() || input_waiting();
+    return state_ == state::reading || state_ == state::responding;
+}
+
 void client_session::end_for_shutdown()
 {
     if (state_ == state::reading)
--- a/src/relay/client_session.hpp
+++ b/src/relay/client_session.hpp
@@ -128,6 +128,10 @@
     /// that its first request is still on the way.
     void close_idle();
 
+    /// Whether the caller has a request that has no complete answer, or is
+    /// about to send its first one.
+    bool owes_answer() const;
+
     /// Refuses a request that was received in part. Called at the end of the
     /// grace period of a planned stop.
     void end_for_shutdown();
@@ -159,6 +163,7 @@
     void read();
     bool input_full() const;
     bool input_waiting() const;
+    bool awaits_first_request() const;
     void on_bytes(std::string_view bytes);
     void parse_buffered();
     void reject(unsigned status, char const* why);
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -289,12 +289,18 @@
     session->start();
 }
 
-/// Closes the listener. Connections that it has already established are taken
-/// first, as closing would cut them off without an answer.
+/// Closes the listener once it holds no connection, as closing would cut that
+/// off without an answer. Called on each tick until it is closed.
 void gateway::stop_accepting()
 {
     if (!acceptor_.is_open())
         return;
+    auto const now = env_.clock.now();
+    if (!listener_stopped_)
+    {
+        listener_stopped_ = now;
+        stop_new_connections(acceptor_);
+    }
     asio::error_code e; // would_block: no more connections
     acceptor_.non_blocking(true, e);
     while (!e && make_room(max_connections_of_callers()))
@@ -304,6 +310,9 @@
         if (!e)
             add_session(std::move(socket));
     }
+    if (e != asio::error::would_block ||
+        now - *listener_stopped_ < shutdown_policy::handshake_time)
+        return;
     asio::error_code ignored; // the listener is discarded either way
     acceptor_.close(ignored);
 }
@@ -753,6 +762,8 @@
             [](std::shared_ptr<endpoint_call> const& c) { return c->done(); }),
         endpoint_calls_.end());
     check_exchanges(now, paused);
+    if (listener_stopped_)
+        stop_accepting();
     bool const valid = table_ && freshness_lease_.valid(now);
     if (valid != configuration_was_fresh_)
     {
@@ -803,6 +814,8 @@
     stop_accepting();
     for (auto const& session : sessions())
         session->end_for_shutdown();
+    if (!requests_ended_)
+        requests_ended_ = now;
 }
 
 /// A copy, as a session may end while it is used.
@@ -856,9 +869,24 @@
 {
     if (!shutting_down_)
         return false;
-    return shutdown_policy::may_exit(
-        env_.clock.now() - shutdown_began_, settings_.shutdown_grace,
-        exchanges_.empty() && sessions_.empty() && !acceptor_.is_open());
+    auto const now = env_.clock.now();
+    auto const elapsed = now - shutdown_began_;
+    bool const idle = exchanges_.empty() && sessions_.empty() &&
+                      !acceptor_.is_open() && !accept_pending_;
+    if (!shutdown_policy::may_exit(elapsed, settings_.shutdown_grace, idle))
+        return false;
+    if (idle)
+        return true;
+    // After a pause of the process, open requests are ended first.
+    if (!requests_ended_ ||
+        now - *requests_ended_ <= shutdown_policy::final_write_time)
+        return false;
+    if (shutdown_policy::must_exit(elapsed, settings_.shutdown_grace))
+        return true;
+    return !acceptor_.is_open() && !accept_pending_ &&
+           std::none_of(
+               sessions_.begin(), sessions_.end(),
+               [](auto const& entry) { return entry.second->owes_answer(); });
 }
 
 } // namespace dotterellock
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -258,6 +259,8 @@
     bool shutting_down_ = false;
     bool configuration_was_fresh_ = false;
     steady_time shutdown_began_{};
+    std::optional<steady_time> listener_stopped_; // takes no new connections
+    std::optional<steady_time> requests_ended_;   // at the end of the grace
 };
 
 } // namespace dotterellock
--- a/tests/platform/caller_connections_test.cpp
+++ b/tests/platform/caller_connections_test.cpp
@@ -1,9 +1,12 @@
 // Requests that were read and dropped when the connection of their caller
 // ended. Index: pipelined requests in a planned stop; requests that may outlast
-// a planned stop; back pressure; limit of connections.
+// a planned stop; back pressure; limit of connections; end of a planned stop.
+
+#include <poll.h>
 
 #include <catch2/catch.hpp>
 
+#include "relay/session_listener.hpp"
 #include "relay_fixture.hpp"
 
 using namespace dotterellock;
@@ -496,3 +499,78 @@
     REQUIRE(one.request_count() == 4);
     REQUIRE(refused == 4);
 }
+
+// End of a planned stop ------------------------------------------------------
+
+// Connections that were established between the last accept and the close of
+// the listener were reset.
+TEST_CASE("a stopped listener establishes no connection", "[unanswered]")
+{
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(
+        io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    auto const connect = [&](asio::ip::tcp::socket& s)
+    {
+        s.non_blocking(true);
+        auto const to = acceptor.local_endpoint();
+        ::connect(s.native_handle(), to.data(), socklen_t(to.size()));
+        pollfd p{s.native_handle(), POLLOUT, 0};
+        return ::poll(&p, 1, 0) == 1;
+    };
+    asio::ip::tcp::socket before(io, asio::ip::tcp::v4());
+    asio::ip::tcp::socket after(io, asio::ip::tcp::v4());
+    REQUIRE(connect(before));
+    stop_new_connections(acceptor);
+    REQUIRE_FALSE(connect(after));
+    acceptor.non_blocking(true);
+    asio::error_code e;
+    auto const accepted = acceptor.accept(e);
+    REQUIRE_FALSE(e);
+    REQUIRE(accepted.remote_endpoint() == before.local_endpoint());
+    acceptor.accept(e);
+    REQUIRE(e == asio::error::would_block);
+}
+
+// A process that was paused at the end of its grace period exited without an
+// answer to the requests that it held or that its listener held.
+TEST_CASE("a stop ends after the last request is answered", "[unanswered]")
+{
+    enum class request
+    {
+        open,      // passed on
+        unread,    // on a kept connection
+        in_backlog // on a new connection
+    };
+    auto const kind =
+        GENERATE(request::open, request::unread, request::in_backlog);
+    CAPTURE(int(kind));
+    relay_fixture fixture;
+    fixture.start();
+    auto const text = fixture.request("/safe/x");
+    auto const caller =
+        fixture.connect_caller(kind == request::unread ? "G" : text);
+    auto& one = *fixture.endpoints[0];
+    if (kind == request::unread)
+        fixture.settle();
+    else
+        REQUIRE(fixture.run_until([&] { return one.request_count() == 1; }));
+    fixture.clock.stop();
+    fixture.subject->begin_shutdown();
+    fixture.clock.offset += milliseconds(7750);
+    std::vector<std::shared_ptr<test_connection>> callers{caller};
+    if (kind == request::unread)
+        caller->send(text.substr(1));
+    if (kind == request::in_backlog)
+    {
+        for (int i = 0; i < 8; ++i)
+            callers.push_back(fixture.connect_caller(text));
+    }
+    for (int i = 0; i < 100 && !fixture.subject->finished(); ++i)
+    {
+        fixture.run_ticks();
+        fixture.clock.offset += milliseconds(10);
+    }
+    REQUIRE(fixture.subject->finished());
+    for (auto const& c : callers)
+        REQUIRE((c->has("HTTP/1.1 502 ") || c->has("HTTP/1.1 503 ")));
+}
