relay: do not time out a request whose next bytes wait unread

Callers saw: after a pause of the gateway's process, a request that had arrived in full got 408.

Cause: check_timeouts() compared times only; the rest of the request was in the socket, not yet read.

Evidence: 'bytes in the socket stop the timeouts of a request' failed in both cases. 'a request that waits unread does not time out' runs the whole gateway; it passed before too, as reads come before the timer there.

Change: no timeout while input is buffered or readable.

--- a/src/relay/client_session.cpp
+++ b/src/relay/client_session.cpp
@@ -439,6 +439,8 @@
             close_idle();
         break;
     case state::reading:
+        if (input_waiting())
+            break; // read late, not sent late
         if (!parser_.head_complete() && waited > limits_.header_timeout)
             reject(408, "head_timeout");
         else if (parser_.head_complete() && waited > limits_.idle_timeout)
--- a/tests/platform/caller_connections_test.cpp
+++ b/tests/platform/caller_connections_test.cpp
@@ -1,6 +1,7 @@
 // Requests that were read and dropped when the connection of their caller
 // ended. Index: pipelined requests in a planned stop; requests that may outlast
-// a planned stop; back pressure; limit of connections; end of a planned stop.
+// a planned stop; back pressure; timeouts; limit of connections; end of a
+// planned stop.
 
 #include <poll.h>
 
@@ -402,6 +403,103 @@
     REQUIRE_FALSE(fixture.logged("unanswered_input"));
 }
 
+// Timeouts -------------------------------------------------------------------
+
+// After a pause of the process, a request whose rest was waiting in the socket
+// was rejected with 408.
+TEST_CASE("a request that waits unread does not time out", "[unanswered]")
+{
+    bool const in_body = GENERATE(false, true);
+    CAPTURE(in_body);
+    relay_fixture fixture;
+    auto& text = fixture.configuration.rows[0].value;
+    auto const limits = text.find(R"("limits":{)");
+    text.replace(
+        limits, text.find('}', limits) - limits,
+        R"("limits":{"maxHeaderBytes":40000,"maxBodyBytes":100000,
+"headerTimeoutMs":1000,"idleTimeoutMs":1000)");
+    fixture.start();
+    auto const request =
+        in_body
+            ? fixture.request("/safe/x", "r1", "Content-Length: 60000\r\n") +
+                  std::string(60000, 'b')
+            : fixture.request(
+                  "/safe/x", "r1", "X: " + std::string(30000, 'a') + "\r\n");
+    std::size_t const sent_first = in_body ? 2000 : 100;
+    auto const caller = fixture.connect_caller(request.substr(0, sent_first));
+    fixture.settle();
+    fixture.clock.stop();
+    fixture.clock.offset += milliseconds(3000);
+    caller->send(request.substr(sent_first));
+    auto& one = *fixture.endpoints[0];
+    REQUIRE(fixture.run_until(
+        [&] { return caller->has("HTTP/1.1 ") || one.request_count() == 1; }));
+    REQUIRE(one.request_count() == 1);
+    one.connections[0]->send(fixture.response());
+    REQUIRE(fixture.run_until([&] { return caller->has("HTTP/1.1 "); }));
+    REQUIRE(caller->has("HTTP/1.1 200 "));
+}
+
+// A request was rejected with 408 although its next bytes were in the socket.
+TEST_CASE("bytes in the socket stop the timeouts of a request", "[unanswered]")
+{
+    struct handler : session_handler
+    {
+        void
+        on_request(std::shared_ptr<client_session> s, client_request) override
+        {
+            s->respond(200, "OK", {}, "body");
+        }
+        void on_rejected(client_session const&, unsigned, char const*) override
+        {
+            ++rejected;
+        }
+        void on_unanswered_input(
+            client_session const&, char const*, std::size_t) override
+        {
+        }
+        void on_closed(client_session&) override {}
+        caller_limits limits() const override { return {}; }
+        bool close_after_response(client_session const&) const override
+        {
+            return false;
+        }
+        bool reserve_body(std::size_t) override { return true; }
+        void release_body(std::size_t) override {}
+
+        int rejected = 0;
+    } handler;
+    bool const in_body = GENERATE(false, true);
+    CAPTURE(in_body);
+    asio::io_context io;
+    offset_clock clock;
+    clock.stop();
+    asio::ip::tcp::acceptor acceptor(
+        io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    asio::ip::tcp::socket s(io);
+    s.connect(acceptor.local_endpoint());
+    auto const caller = std::make_shared<test_connection>(std::move(s));
+    auto const session =
+        std::make_shared<client_session>(acceptor.accept(), clock, handler);
+    session->start();
+    std::string const request = "POST /x HTTP/1.1\r\nHost: h\r\n"
+                                "Content-Length: 4\r\n\r\nabcd";
+    auto const part = in_body ? request.size() - 2 : std::size_t(10);
+    caller->send(request.substr(0, part));
+    while (session->idle())
+        io.run_one();
+    caller->send(request.substr(part));
+    clock.offset += std::chrono::minutes(1);
+    session->check_timeouts(clock.now());
+    caller->read();
+    while (caller->received.empty())
+        io.run_one();
+    REQUIRE(handler.rejected == 0);
+    REQUIRE(caller->has("HTTP/1.1 200 OK\r\n"));
+    caller->close();
+    io.run();
+}
+
 // Limit of connections -------------------------------------------------------
 
 // A connection above the limit of descriptors was closed without an answer.
