--- a/src/relay/client_session.cpp
+++ b/src/relay/client_session.cpp
@@ -30,6 +30,30 @@
     return !length || *length > limit;
 }
 
+/// The close of a caller arrives only behind its input, for which the kernel
+/// may have no room left otherwise.
+void grow_receive_buffer(asio::ip::tcp::socket& socket)
+{
+    constexpr int bytes = 256 * 1024;
+    asio::error_code ignored; // the close is noticed later
+    asio::socket_base::receive_buffer_size current;
+    socket.get_option(current, ignored);
+    if (current.value() < bytes)
+        socket.set_option(
+            asio::socket_base::receive_buffer_size(bytes), ignored);
+}
+
+/// Whether the peer has closed its direction, even behind unread input.
+bool peer_has_closed(asio::ip::tcp::socket& socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    return ::getsockopt(
+               socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) ==
+               0 &&
+           info.tcpi_state != TCP_ESTABLISHED;
+}
+
 } // namespace
 
 client_session::client_session(
@@ -48,6 +72,7 @@
     if (!ignored)
         peer_ =
             remote.address().to_string() + ':' + std::to_string(remote.port());
+    socket_.non_blocking(true, ignored); // see read()
     limits_ = handler_.limits();
     parser_.set_max_head_bytes(limits_.max_header_bytes);
     accepted_ = last_progress_ = clock_.now();
@@ -58,17 +83,27 @@
 
 void client_session::read()
 {
-    if (read_pending_ || state_ == state::closed)
+    if (read_pending_ || state_ == state::closed || input_full())
         return;
     read_pending_ = true;
     auto self = shared_from_this();
-    socket_.async_read_some(
-        asio::buffer(buffer_),
-        [this, self](asio::error_code const& e, std::size_t n)
+    // Bytes stay in the socket until they are handled, so input_waiting() sees
+    // them. A read would take them before its handler runs.
+    socket_.async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [this, self](asio::error_code e)
         {
             read_pending_ = false;
             if (state_ == state::closed)
                 return;
+            std::size_t n = 0;
+            if (!e)
+                n = socket_.read_some(asio::buffer(buffer_), e);
+            if (e == asio::error::would_block)
+            {
+                read();
+                return;
+            }
             if (e)
             {
                 on_read_end();
@@ -81,25 +116,25 @@
 
 void client_session::on_bytes(std::string_view bytes)
 {
-    if (state_ == state::closing || input_discarded_)
+    if (state_ == state::closing)
     {
         handler_.on_unanswered_input(*this, "last_response", bytes.size());
         return;
     }
     unparsed_.append(bytes);
     if (state_ != state::responding)
-    {
         parse_buffered();
-        return;
-    }
-    if (unparsed_.size() <= max_unparsed_bytes)
-        return;
-    // Without reading on, the disconnect of the caller would go unnoticed. The
-    // connection closes after the current response.
-    handler_.on_unanswered_input(*this, "pipelined", unparsed_.size());
-    unparsed_.clear();
-    input_discarded_ = true;
-    keep_alive_ = false;
+    else if (input_full())
+        grow_receive_buffer(socket_);
+}
+
+/// Whether reading pauses until the current response has ended. Meanwhile a
+/// disconnect of the caller is noticed late: by check_timeouts(), and not
+/// before its input fits into the receive buffer of the socket.
+bool client_session::input_full() const
+{
+    return state_ == state::responding &&
+           unparsed_.size() >= max_unparsed_bytes;
 }
 
 void client_session::parse_buffered()
@@ -247,7 +282,10 @@
     unsigned status, std::string_view reason, header_list const& headers,
     std::string_view framing)
 {
-    keep_alive_ = keep_alive_ && !handler_.close_after_response();
+    // What a caller sends after it was told of the close is no request; what
+    // it sent before is answered first.
+    if (handler_.close_after_response(*this) && !input_waiting())
+        keep_alive_ = false;
     outgoing_ += "HTTP/1.1 " + std::to_string(status) + ' ';
     outgoing_ += reason;
     outgoing_ += "\r\n";
@@ -401,6 +439,8 @@
             close_idle();
         break;
     case state::reading:
+        if (input_waiting())
+            break; // read late, not sent late
         if (!parser_.head_complete() && waited > limits_.header_timeout)
             reject(408, "head_timeout");
         else if (parser_.head_complete() && waited > limits_.idle_timeout)
@@ -411,6 +451,10 @@
             close();
         break;
     case state::responding:
+        // Reading pauses, so its end is not seen.
+        if (input_full() && !response_ended_ && peer_has_closed(socket_))
+            on_disconnect();
+        break;
     case state::closed:
         break;
     }
@@ -418,18 +462,38 @@
 
 void client_session::close_idle()
 {
-    auto const now = clock_.now();
-    bool const awaits_first_request =
-        !first_request_read_ && now - accepted_ < first_request_wait;
-    asio::error_code ignored; // the session ends if the socket failed
-    if (state_ != state::idle || awaits_first_request ||
-        socket_.available(ignored) > 0)
+    if (state_ != state::idle || awaits_first_request() || input_waiting())
         return;
     // Closed for input as well: a request that is on its way is reset unread,
     // so its caller may send it again.
     close();
 }
 
+bool client_session::awaits_first_request() const
+{
+    return !first_request_read_ &&
+           clock_.now() - accepted_ < first_request_wait;
+}
+
+bool client_session::owes_answer() const
+{
+    if (state_ == state::idle)
+        return awaits_first_request() || input_waiting();
+    return state_ == state::reading || state_ == state::responding;
+}
+
+void client_session::end_for_shutdown()
+{
+    if (state_ == state::reading)
+        reject(503, "shutting_down");
+}
+
+bool client_session::input_waiting() const
+{
+    asio::error_code ignored; // the session ends if the socket failed
+    return !unparsed_.empty() || socket_.available(ignored) > 0;
+}
+
 void client_session::close()
 {
     if (state_ == state::closed)
--- a/src/relay/client_session.hpp
+++ b/src/relay/client_session.hpp
@@ -1,6 +1,6 @@
 // Server side of one caller's HTTP/1.1 connection. Reads one request at a time
-// within the configured limits and keeps reading while the response is pending,
-// so that a disconnect is detected at once.
+// within the configured limits. While the response is pending it reads on, so
+// that a disconnect is detected at once, but only up to max_unparsed_bytes.
 #ifndef DOTTERELLOCK_RELAY_CLIENT_SESSION_HPP
 #define DOTTERELLOCK_RELAY_CLIENT_SESSION_HPP
 
@@ -59,8 +59,9 @@
     virtual void on_closed(client_session& session) = 0;
     virtual caller_limits limits() const = 0;
 
-    /// Whether to close the connection after the next response.
-    virtual bool close_after_response() const = 0;
+    /// Whether to close the connection after the next response, unless the
+    /// caller has sent another request by then.
+    virtual bool close_after_response(client_session const& session) const = 0;
 
     /// Reserves memory for body bytes; false if the limit is reached.
     virtual bool reserve_body(std::size_t bytes) = 0;
@@ -120,10 +121,21 @@
 
     bool idle() const { return state_ == state::idle; }
 
+    /// Since when idle() holds.
+    steady_time idle_since() const { return last_progress_; }
+
     /// Closes an idle connection, unless input was received or it is so new
     /// that its first request is still on the way.
     void close_idle();
 
+    /// Whether the caller has a request that has no complete answer, or is
+    /// about to send its first one.
+    bool owes_answer() const;
+
+    /// Refuses a request that was received in part. Called at the end of the
+    /// grace period of a planned stop.
+    void end_for_shutdown();
+
     std::string const& peer() const { return peer_; }
 
 private:
@@ -137,7 +149,7 @@
     };
 
     // Pipelined input that is buffered while a request is being handled. More
-    // is discarded.
+    // stays in the socket.
     static constexpr std::size_t max_unparsed_bytes = 65536;
 
     // Time that the peer has to close after the last response. Closing at once
@@ -149,6 +161,9 @@
     static constexpr std::chrono::milliseconds first_request_wait{500};
 
     void read();
+    bool input_full() const;
+    bool input_waiting() const;
+    bool awaits_first_request() const;
     void on_bytes(std::string_view bytes);
     void parse_buffered();
     void reject(unsigned status, char const* why);
@@ -191,7 +206,6 @@
     bool head_only_ = false; // the request is HEAD: no body in the response
     bool keep_alive_ = true;
     bool first_request_read_ = false;
-    bool input_discarded_ = false; // more than may be buffered was received
     steady_time accepted_{};
     steady_time last_progress_{}; // of a state change or body bytes
     std::array<char, 8192> buffer_;
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -44,6 +44,16 @@
 // Share of the descriptors for callers; the rest is for endpoints.
 constexpr std::size_t caller_descriptors_percent = 60;
 
+// Share of the descriptors for callers above their share. Their requests are
+// answered with 503; further connections wait in the listen backlog.
+constexpr std::size_t excess_descriptors_percent = 5;
+
+constexpr milliseconds excess_retry_after{1000};
+
+// An idle caller is disconnected for another one only after this time; its next
+// request may be on the way before.
+constexpr milliseconds min_replaceable_idle{500};
+
 // Share of an endpoint's connections for attempts; the rest is for idle
 // connections and checks.
 constexpr std::uint32_t attempt_connections_percent = 80;
@@ -193,58 +203,117 @@
 void gateway::accept_when_ready()
 {
     bool const known = table_ && endpoint_watch_.listed();
-    if (accepting_ ||
-        (!known && env_.clock.now() - started_ < max_startup_wait))
+    if (!accepting_ && !known && env_.clock.now() - started_ < max_startup_wait)
         return;
     accepting_ = true;
     accept();
 }
 
+/// Accepts until there is no room for another connection. The next tick tries
+/// again, also after an error such as a lack of descriptors.
 void gateway::accept()
 {
+    if (accept_pending_ || !acceptor_.is_open() ||
+        !make_room(max_connections_of_callers()))
+        return;
+    accept_pending_ = true;
     acceptor_.async_accept(
         [this](asio::error_code const& e, asio::ip::tcp::socket socket)
         {
-            if (e == asio::error::operation_aborted)
-                return;
-            accept();
+            accept_pending_ = false;
             if (!e)
+            {
                 add_session(std::move(socket));
-            else
-                env_.counters.counter("callers_turned_away_total").add();
+                accept();
+            }
+            else if (e != asio::error::operation_aborted)
+            {
+                env_.counters.counter("accept_errors_total").add();
+            }
         });
 }
 
-void gateway::add_session(asio::ip::tcp::socket socket)
+std::size_t gateway::max_callers() const
+{
+    return settings_.max_descriptors * caller_descriptors_percent / 100;
+}
+
+std::size_t gateway::max_connections_of_callers() const
+{
+    return max_callers() +
+           std::max<std::size_t>(
+               settings_.max_descriptors * excess_descriptors_percent / 100, 1);
+}
+
+/// Closes idle connections until there are fewer sessions than given.
+bool gateway::make_room(std::size_t max_sessions)
 {
-    auto const max_sessions =
-        settings_.max_descriptors * caller_descriptors_percent / 100;
-    if (sessions_.size() >= max_sessions)
+    while (sessions_.size() >= max_sessions)
     {
-        env_.counters.counter("callers_turned_away_total").add();
-        return; // closes the connection
+        if (!close_longest_idle())
+            return false;
     }
+    return true;
+}
+
+bool gateway::close_longest_idle()
+{
+    auto const latest = env_.clock.now() - min_replaceable_idle;
+    std::vector<std::shared_ptr<client_session>> idle;
+    for (auto const& session : sessions())
+    {
+        if (session->idle() && session->idle_since() <= latest)
+            idle.push_back(session);
+    }
+    std::sort(
+        idle.begin(), idle.end(),
+        [](auto const& a, auto const& b)
+        { return a->idle_since() < b->idle_since(); });
+    auto const before = sessions_.size();
+    for (auto const& session : idle)
+    {
+        session->close_idle(); // unless it has input
+        if (sessions_.size() < before)
+            return true;
+    }
+    return false;
+}
+
+void gateway::add_session(asio::ip::tcp::socket socket)
+{
+    bool const excess = !make_room(max_callers());
     auto session =
         std::make_shared<client_session>(std::move(socket), env_.clock, *this);
+    if (excess)
+        excess_sessions_.insert(session.get());
     sessions_.emplace(session.get(), session);
     session->start();
 }
 
-/// Closes the listener. Connections that it has already established are taken
-/// first, as closing would cut them off without an answer.
+/// Closes the listener once it holds no connection, as closing would cut that
+/// off without an answer. Called on each tick until it is closed.
 void gateway::stop_accepting()
 {
     if (!acceptor_.is_open())
         return;
+    auto const now = env_.clock.now();
+    if (!listener_stopped_)
+    {
+        listener_stopped_ = now;
+        stop_new_connections(acceptor_);
+    }
     asio::error_code e; // would_block: no more connections
     acceptor_.non_blocking(true, e);
-    while (!e)
+    while (!e && make_room(max_connections_of_callers()))
     {
         asio::ip::tcp::socket socket(env_.io);
         acceptor_.accept(socket, e);
         if (!e)
             add_session(std::move(socket));
     }
+    if (e != asio::error::would_block ||
+        now - *listener_stopped_ < shutdown_policy::handshake_time)
+        return;
     asio::error_code ignored; // the listener is discarded either way
     acceptor_.close(ignored);
 }
@@ -253,7 +322,11 @@
 {
     settings_.key_withdrawal_bound = settings.key_withdrawal_bound;
     settings_.drain_bound = settings.drain_bound;
-    settings_.shutdown_grace = settings.shutdown_grace;
+    // Requests were taken as they would end within the grace period in force.
+    settings_.shutdown_grace =
+        shutting_down_
+            ? std::max(settings_.shutdown_grace, settings.shutdown_grace)
+            : settings.shutdown_grace;
     settings_.retries = settings.retries;
     freshness_lease_.set_max_staleness(settings.key_withdrawal_bound);
     update_poll_wait();
@@ -319,9 +392,32 @@
 
 void gateway::on_closed(client_session& session)
 {
+    excess_sessions_.erase(&session);
     sessions_.erase(&session);
 }
 
+bool gateway::close_after_response(client_session const& session) const
+{
+    return shutting_down_ || excess_sessions_.count(&session) > 0;
+}
+
+/// Refuses a request over a connection above the limit, if there is still no
+/// room for it.
+bool gateway::refuse_excess(client_session& session, std::string const& id)
+{
+    auto const found = excess_sessions_.find(&session);
+    if (found == excess_sessions_.end())
+        return false;
+    if (sessions_.size() <= max_callers())
+    {
+        excess_sessions_.erase(found);
+        return false;
+    }
+    env_.counters.counter("callers_turned_away_total").add();
+    reject(session, id, 503, "too_many_connections", {}, excess_retry_after);
+    return true;
+}
+
 void gateway::reject(
     client_session& session, std::string const& id, unsigned status,
     char const* reason, std::string const& detail, milliseconds retry_after)
@@ -368,6 +464,8 @@
         return;
     }
     auto const& id = r.metadata.id.value();
+    if (refuse_excess(*session, id))
+        return;
     if (!table_)
     {
         reject(*session, id, 503, "no_configuration", {});
@@ -407,7 +505,7 @@
         r.rank = organisation->rank.value_or(r.rank);
     }
     r.service = routing_table::select_target(*r.route, env_.random.next());
-    if (shutting_down_ && !accepts_during_shutdown(r))
+    if (shutting_down_ && !accepts_during_shutdown(r, message.received))
     {
         reject(*session, id, 503, "shutting_down", r.route->name);
         return;
@@ -444,7 +542,8 @@
         [e](endpoint_id const& cached_at) { e->start(cached_at); });
 }
 
-bool gateway::accepts_during_shutdown(admitted_request const& r) const
+bool gateway::accepts_during_shutdown(
+    admitted_request const& r, steady_time received) const
 {
     auto const found = stream_durations_.find(r.service);
     std::optional<duration> expected;
@@ -452,9 +551,21 @@
         expected = found->second;
     auto const longest = std::min(
         r.metadata.deadline.value_or(r.route->timeout), r.route->timeout);
+    auto const now = env_.clock.now();
+    return shutdown_policy::accepts(
+        *r.route, now - shutdown_began_, settings_.shutdown_grace,
+        received + longest - now, expected);
+}
+
+bool gateway::may_pass_on(relay_exchange const& e) const
+{
+    auto const& route = *e.request().route;
+    if (!shutting_down_ || route.repeatable())
+        return true;
+    auto const now = env_.clock.now();
     return shutdown_policy::accepts(
-        *r.route, env_.clock.now() - shutdown_began_, settings_.shutdown_grace,
-        longest, expected);
+        route, now - shutdown_began_, settings_.shutdown_grace,
+        e.deadline() - now, std::nullopt);
 }
 
 void gateway::record_stream_duration(service_name const& service, duration took)
@@ -647,6 +758,8 @@
     check_endpoint_calls(now, paused);
     check_exchanges(now, paused);
     run_step("suspects", [&] { check_suspected_endpoints(now); });
+    if (listener_stopped_)
+        run_step("accept", [this] { stop_accepting(); });
     note_freshness(now);
     if (now - last_sweep_ < sweep_interval)
         return;
@@ -700,16 +813,22 @@
         valid ? "configuration_fresh" : "configuration_stale", {});
 }
 
-void gateway::check_exchanges(steady_time now, bool paused)
+/// A copy, as an exchange may end while it is used.
+std::vector<std::shared_ptr<relay_exchange>> gateway::exchanges() const
 {
     std::vector<std::shared_ptr<relay_exchange>> exchanges;
     exchanges.reserve(exchanges_.size());
     for (auto const& [number, e] : exchanges_)
         exchanges.push_back(e);
+    return exchanges;
+}
+
+void gateway::check_exchanges(steady_time now, bool paused)
+{
     bool const grace_over =
         shutting_down_ && shutdown_policy::grace_over(
                               now - shutdown_began_, settings_.shutdown_grace);
-    for (auto const& e : exchanges)
+    for (auto const& e : exchanges())
     {
         run_step(
             "request",
@@ -721,19 +840,31 @@
                     e->check_progress(now, paused);
             });
     }
-    if (grace_over)
-        stop_accepting();
+    if (!grace_over)
+        return;
+    run_step("accept", [this] { stop_accepting(); });
+    for (auto const& session : sessions())
+        run_step("session", [&] { session->end_for_shutdown(); });
+    if (!requests_ended_)
+        requests_ended_ = now;
 }
 
-void gateway::check_sessions(steady_time now)
+/// A copy, as a session may end while it is used.
+std::vector<std::shared_ptr<client_session>> gateway::sessions() const
 {
     std::vector<std::shared_ptr<client_session>> sessions;
+    sessions.reserve(sessions_.size());
     for (auto const& [raw, session] : sessions_)
         sessions.push_back(session);
+    return sessions;
+}
+
+void gateway::check_sessions(steady_time now)
+{
     bool const leaving =
         shutting_down_ &&
         now - shutdown_began_ > shutdown_policy::load_balancer_removal_time;
-    for (auto const& session : sessions)
+    for (auto const& session : sessions())
     {
         run_step(
             "session",
@@ -766,15 +897,32 @@
         table_service_->stop();
     shutting_down_ = true;
     shutdown_began_ = env_.clock.now();
+    for (auto const& e : exchanges())
+        e->on_shutdown_began();
 }
 
 bool gateway::finished() const
 {
     if (!shutting_down_)
         return false;
-    return shutdown_policy::may_exit(
-        env_.clock.now() - shutdown_began_, settings_.shutdown_grace,
-        exchanges_.empty() && sessions_.empty() && !acceptor_.is_open());
+    auto const now = env_.clock.now();
+    auto const elapsed = now - shutdown_began_;
+    bool const idle = exchanges_.empty() && sessions_.empty() &&
+                      !acceptor_.is_open() && !accept_pending_;
+    if (!shutdown_policy::may_exit(elapsed, settings_.shutdown_grace, idle))
+        return false;
+    if (idle)
+        return true;
+    // After a pause of the process, open requests are ended first.
+    if (!requests_ended_ ||
+        now - *requests_ended_ <= shutdown_policy::final_write_time)
+        return false;
+    if (shutdown_policy::must_exit(elapsed, settings_.shutdown_grace))
+        return true;
+    return !acceptor_.is_open() && !accept_pending_ &&
+           std::none_of(
+               sessions_.begin(), sessions_.end(),
+               [](auto const& entry) { return entry.second->owes_answer(); });
 }
 
 } // namespace dotterellock
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -7,9 +7,11 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <asio/ip/tcp.hpp>
@@ -118,7 +120,7 @@
         std::size_t bytes) override;
     void on_closed(client_session& session) override;
     caller_limits limits() const override;
-    bool close_after_response() const override { return shutting_down_; }
+    bool close_after_response(client_session const& session) const override;
     bool reserve_body(std::size_t bytes) override;
     void release_body(std::size_t bytes) override;
 
@@ -145,6 +147,7 @@
     void
     record_stream_duration(service_name const& service, duration took) override;
     void on_load_changed() override;
+    bool may_pass_on(relay_exchange const& e) const override;
     bool wait_for_capacity(std::shared_ptr<relay_exchange> const& e) override;
     void on_capacity_freed(service_name const& service) override;
     void
@@ -158,13 +161,20 @@
     void accept_when_ready();
     void accept();
     void add_session(asio::ip::tcp::socket socket);
+    std::size_t max_callers() const;
+    std::size_t max_connections_of_callers() const;
+    bool make_room(std::size_t max_sessions);
+    bool close_longest_idle();
+    bool refuse_excess(client_session& session, std::string const& id);
     void stop_accepting();
     void tick();
     template<typename Work>
     void run_step(char const* step, Work const& work);
     void check_endpoint_calls(steady_time now, bool paused);
     void note_freshness(steady_time now);
+    std::vector<std::shared_ptr<relay_exchange>> exchanges() const;
     void check_exchanges(steady_time now, bool paused);
+    std::vector<std::shared_ptr<client_session>> sessions() const;
     void check_sessions(steady_time now);
     void schedule_tick();
     void dispatch_queue(service_name const& service, request_queue& queue);
@@ -196,7 +206,8 @@
     bool reports_for_zone(endpoint_state const& endpoint) const;
     bool needs_report(endpoint_state const& endpoint, steady_time now) const;
     void on_report(endpoint_state& endpoint, endpoint_reply const& reply);
-    bool accepts_during_shutdown(admitted_request const& r) const;
+    bool accepts_during_shutdown(
+        admitted_request const& r, steady_time received) const;
 
     void reject(
         client_session& session, std::string const& id, unsigned status,
@@ -243,11 +254,13 @@
     asio::steady_timer tick_timer_;
     steady_time started_{};
     bool accepting_ = false;
+    bool accept_pending_ = false;
     steady_time last_tick_{};
     steady_time last_sweep_{};
 
     std::unordered_map<client_session*, std::shared_ptr<client_session>>
         sessions_;
+    std::unordered_set<client_session const*> excess_sessions_;
     std::unordered_map<std::uint64_t, std::shared_ptr<relay_exchange>>
         exchanges_;
     std::uint64_t last_exchange_number_ = 0;
@@ -270,6 +283,8 @@
     bool shutting_down_ = false;
     bool configuration_was_fresh_ = false;
     steady_time shutdown_began_{};
+    std::optional<steady_time> listener_stopped_; // takes no new connections
+    std::optional<steady_time> requests_ended_;   // at the end of the grace
 };
 
 } // namespace dotterellock
