soak: check that a request that was read is answered or refused

Callers record when the last byte was sent and which request is before it on the connection. The time of a request begins with its last byte and the end of the answer before it; requests that are never sent whole, and callers that read slowly, have no bound on their end.

--- a/tests/platform/soak/history.hpp
+++ b/tests/platform/soak/history.hpp
@@ -38,6 +38,9 @@
     steady_time sent{};
     milliseconds deadline{0};
     std::uint32_t max_attempts = 1;
+    std::optional<steady_time> whole; // when the last byte was sent
+    std::string behind; // id of the request before it on the connection
+    bool slow = false;  // the caller reads slowly
     std::optional<std::uint64_t> last_event; // received by an earlier attempt
 
     std::optional<steady_time> ended;
@@ -122,8 +125,10 @@
     milliseconds drain_bound{2500};
     milliseconds shutdown_grace{4000};
     milliseconds longest_link_delay{150};
+    double timeout_growth = 1; // most that a configuration raised timeouts by
     double retry_ratio = 0.1;
     double retry_allowance = 15;
+    std::size_t plain_services = 1; // each has a retry budget
     milliseconds retry_window{10000};
     std::map<std::string, milliseconds> route_timeouts; // by first path segment
     std::optional<steady_time> faults_over;
