soak: pausing endpoints, pipelining and slow callers, large messages, all fields

Ten more kinds of trouble: endpoints that are silent for 0.2 to 1.3 s, one or all at once, without a fault in the records; that answer 503 with Retry-After; that announce in answers that they leave. Configurations that change every field, split and rename routes and move endpoints to another service. Odd entries in the table of endpoints. at_one_moment begins all kinds of a plan together.

A configuration may raise timeouts by half; history tells the checker so, and how many services with a retry budget of their own there are.

--- a/tests/platform/soak/endpoint_standin.cpp
+++ b/tests/platform/soak/endpoint_standin.cpp
@@ -26,6 +26,8 @@
 // Share of responses with "Connection: close".
 constexpr double connection_close_share = 0.05;
 constexpr milliseconds copy_lifetime{4000};
+constexpr std::size_t part_bytes = 64u << 10; // of large answers
+constexpr milliseconds part_interval{15};
 
 } // namespace
 
@@ -33,8 +35,9 @@
     asio::io_context& io, random_source& random, clock_source const& clock,
     history& h, sent_requests const& sent, std::string service,
     std::string zone)
-    : io_(io), random_(random), clock_(clock), history_(h), sent_(sent),
-      service_(std::move(service)), zone_(std::move(zone)),
+    : listed_service(service), io_(io), random_(random), clock_(clock),
+      history_(h), sent_(sent), service_(std::move(service)),
+      zone_(std::move(zone)),
       server_(
           io,
           [this](auto const& c, raw_http_request const& r) { handle(c, r); })
@@ -74,7 +77,7 @@
 std::string endpoint_standin::row(bool draining) const
 {
     return json{
-        {"service", service_},
+        {"service", listed_service},
         {"address", address_},
         {"zone", zone_},
         {"version", "1"},
@@ -103,9 +106,21 @@
         handle_request(c, r);
 }
 
+milliseconds endpoint_standin::pause_left() const
+{
+    return std::max(
+        milliseconds(0), std::chrono::duration_cast<milliseconds>(
+                             pause_end_ - clock_.now() + milliseconds(1)));
+}
+
 void endpoint_standin::handle_control(
     std::shared_ptr<raw_http_connection> const& c, raw_http_request const& r)
 {
+    if (pause_left().count() > 0)
+    {
+        after(io_, pause_left(), [this, c, r] { handle_control(c, r); });
+        return;
+    }
     json out = json::object();
     unsigned status = 200;
     auto const path = r.path();
@@ -174,7 +189,7 @@
 
 void endpoint_standin::reject(
     std::shared_ptr<raw_http_connection> const& c, std::size_t record,
-    unsigned status)
+    unsigned status, std::string const& headers)
 {
     auto& entry = history_.runs[record];
     entry.ran = false;
@@ -183,7 +198,7 @@
     c->send(encode_response(
         status,
         std::string(header::request_id) + ": " + entry.id + "\r\n" +
-            header::not_executed + ": 1\r\n",
+            header::not_executed + ": 1\r\n" + headers,
         ""));
     c->finish_request();
 }
@@ -243,6 +258,11 @@
         reject(c, record, 503);
         return;
     }
+    if (random_.uniform() < faults.busy_share)
+    {
+        reject(c, record, 503, std::string(header::retry_after) + ": 1\r\n");
+        return;
+    }
     auto& run_entry = history_.runs[record];
     run_entry.ran = true;
     run_entry.seal = id_ + '.' + std::to_string(++last_seal_);
@@ -281,7 +301,9 @@
 {
     return std::string(header::request_id) + ": " + record.id + "\r\n" +
            header::response_seal + ": " + record.seal + "\r\n" +
-           header::keep_alive + ": timeout=5\r\n";
+           header::keep_alive + ": timeout=5\r\n" +
+           (faults.announces_leaving ? std::string(header::leaving) + ": 1\r\n"
+                                     : "");
 }
 
 void endpoint_standin::finish(run_ptr const& r, bool answered)
@@ -305,8 +327,50 @@
         after(io_, copy_lifetime, remove_copy);
 }
 
+void endpoint_standin::send_parts(
+    run_ptr const& r, std::string rest, bool chunked, bool closes)
+{
+    if (r->finished)
+        return;
+    auto const c = r->connection;
+    auto wait = pause_left();
+    if (wait.count() == 0)
+    {
+        auto const part = rest.substr(0, part_bytes);
+        rest.erase(0, part.size());
+        c->send(chunked ? encode_chunk(part) : part);
+        wait = part_interval * faults.delay_factor;
+    }
+    if (!rest.empty())
+    {
+        after(
+            io_, wait,
+            [this, r, rest = std::move(rest), chunked, closes]
+            { send_parts(r, rest, chunked, closes); });
+        return;
+    }
+    finish(r, true);
+    if (chunked)
+        c->send(encode_chunk(""));
+    if (closes)
+        c->end();
+    else
+        c->finish_request();
+}
+
 void endpoint_standin::answer_plain(run_ptr const& r)
 {
+    if (pause_left().count() > 0)
+    {
+        after(
+            io_, pause_left(),
+            [this, r]
+            {
+                if (!r->finished)
+                    answer_plain(r);
+            });
+        return;
+    }
     auto& entry = history_.runs[r->record];
     auto const& c = r->connection;
     if (random_.uniform() < faults.lost_response_share)
@@ -329,23 +393,33 @@
         c->end();
         return;
     }
-    bool const unframed = random_.uniform() < unframed_response_share;
+    bool const large = body.size() > part_bytes;
+    bool const chunked = large && random_.below(3) == 0;
+    bool const unframed =
+        !chunked && (random_.uniform() < unframed_response_share ||
+                     (large && random_.below(2) == 0));
     bool const closes = unframed || random_.uniform() < connection_close_share;
     if (closes)
         headers += "Connection: close\r\n";
-    finish(r, true);
+    if (chunked)
+        headers += "Transfer-Encoding: chunked\r\n";
+    else if (!unframed)
+        headers += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     c->send(
-        unframed ? "HTTP/1.1 " + std::to_string(entry.status) + " Answer\r\n" +
-                       headers + "\r\n" + body
-                 : encode_response(entry.status, headers, body));
-    if (closes)
-        c->end();
-    else
-        c->finish_request();
+        "HTTP/1.1 " + std::to_string(entry.status) + " Answer\r\n" + headers +
+        "\r\n");
+    send_parts(r, body, chunked, closes);
 }
 
 void endpoint_standin::begin_stream(run_ptr const& r)
 {
+    if (r->finished)
+        return;
+    if (pause_left().count() > 0)
+    {
+        after(io_, pause_left(), [this, r] { begin_stream(r); });
+        return;
+    }
     auto& entry = history_.runs[r->record];
     if (random_.uniform() < faults.error_share)
     {
@@ -370,7 +444,7 @@
     if (r->finished)
         return;
     auto const& c = r->connection;
-    if (faults.silent)
+    if (faults.silent || pause_left().count() > 0)
     {
         after(io_, event_interval, [this, r] { next_event(r); });
         return;
--- a/tests/platform/soak/endpoint_standin.hpp
+++ b/tests/platform/soak/endpoint_standin.hpp
@@ -40,6 +40,8 @@
     double error_share = 0;         // share of runs that return 500
     double damaged_share = 0;       // share of malformed responses
     double lost_response_share = 0; // share of runs whose connection is reset
+    double busy_share = 0;          // share of requests answered 503
+    bool announces_leaving = false; // in its answers
     unsigned delay_factor = 1;
 };
 
@@ -59,6 +61,9 @@
 
     /// Ends all runs and resets all connections, even in mid-response.
     void crash();
+
+    /// Sends nothing for a while, and then goes on.
+    void pause(milliseconds length) { pause_end_ = clock_.now() + length; }
     bool running() const { return running_; }
 
     std::string const& id() const { return id_; }
@@ -68,6 +73,7 @@
     std::string row(bool draining) const; // for the store
 
     endpoint_faults faults;
+    std::string listed_service; // in the store
 
 private:
     struct run
@@ -95,9 +101,12 @@
     std::string difference(raw_http_request const& r) const;
     void reject(
         std::shared_ptr<raw_http_connection> const& c, std::size_t record,
-        unsigned status);
+        unsigned status, std::string const& headers = {});
     bool consume_copy(raw_http_request const& r);
     void answer_plain(run_ptr const& r);
+    void
+    send_parts(run_ptr const& r, std::string rest, bool chunked, bool closes);
+    milliseconds pause_left() const;
     void begin_stream(run_ptr const& r);
     void next_event(run_ptr const& r);
     void finish(run_ptr const& r, bool answered);
@@ -117,6 +126,7 @@
     std::string id_;
     std::uint64_t start_time_ms_ = 0;
     bool running_ = true;
+    steady_time pause_end_{};
     std::set<run_ptr> runs_;
     std::set<std::string> copies_; // of runs at other endpoints
     std::uint64_t last_seal_ = 0;
--- a/tests/platform/soak/fault_plan.cpp
+++ b/tests/platform/soak/fault_plan.cpp
@@ -6,72 +6,72 @@
 {
 
 using std::chrono::milliseconds;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// Not a fault of its own: all kinds of the plan begin together.
+constexpr char at_one_moment[] = "at_one_moment";
+
+} // namespace
 
 std::vector<fault_kind> const& fault_kinds()
 {
     using t = fault_target;
     static std::vector<fault_kind> const kinds = {
-        {"gateway_kill", t::gateway, milliseconds(50), milliseconds(1500)},
-        {"gateway_stop", t::gateway, milliseconds(50), milliseconds(1000)},
-        {"gateway_pause", t::gateway, milliseconds(100), milliseconds(4500)},
-        {"gateway_reload", t::gateway, milliseconds(0), milliseconds(0)},
-        {"settings_change", t::gateway, milliseconds(0), milliseconds(0)},
-        {"settings_broken", t::gateway, milliseconds(1200), milliseconds(2500)},
-        {"all_gateways_kill", t::gateway, milliseconds(50), milliseconds(800)},
-        {"caller_delay", t::caller_link, milliseconds(300), milliseconds(3000)},
-        {"caller_reset", t::caller_link, milliseconds(0), milliseconds(0)},
-        {"caller_silence", t::caller_link, milliseconds(0), milliseconds(0)},
-        {"caller_cut_in", t::caller_link, milliseconds(200),
-         milliseconds(2500)},
-        {"caller_cut_out", t::caller_link, milliseconds(200),
-         milliseconds(2500)},
-        {"store_link_delay", t::store_link, milliseconds(300),
-         milliseconds(3000)},
-        {"store_link_reset", t::store_link, milliseconds(0), milliseconds(0)},
-        {"store_link_silence", t::store_link, milliseconds(0), milliseconds(0)},
-        {"store_link_cut_in", t::store_link, milliseconds(200),
-         milliseconds(6000)},
-        {"store_link_cut_out", t::store_link, milliseconds(200),
-         milliseconds(6000)},
-        {"store_down", t::store, milliseconds(200), milliseconds(6000)},
-        {"store_silent", t::store, milliseconds(200), milliseconds(6000)},
-        {"store_slow", t::store, milliseconds(500), milliseconds(5000)},
-        {"store_loses_answers", t::store, milliseconds(500),
-         milliseconds(5000)},
-        {"store_refuses_one", t::store, milliseconds(500), milliseconds(6000)},
-        {"store_forgets", t::store, milliseconds(0), milliseconds(0)},
-        {"store_entries_lapse", t::store, milliseconds(800),
-         milliseconds(4000)},
-        {"endpoint_crash", t::endpoint, milliseconds(300), milliseconds(3000)},
-        {"endpoint_same_id", t::endpoint, milliseconds(50), milliseconds(1000)},
-        {"endpoint_leaves", t::endpoint, milliseconds(3500),
-         milliseconds(5000)},
-        {"endpoint_unlisted", t::endpoint, milliseconds(3500),
-         milliseconds(5000)},
-        {"endpoint_mute", t::endpoint, milliseconds(300), milliseconds(4000)},
-        {"endpoint_failing", t::endpoint, milliseconds(500),
-         milliseconds(4000)},
-        {"endpoint_garbled", t::endpoint, milliseconds(500),
-         milliseconds(4000)},
-        {"endpoint_loses_answers", t::endpoint, milliseconds(500),
-         milliseconds(4000)},
-        {"endpoint_slow", t::endpoint, milliseconds(500), milliseconds(5000)},
-        {"endpoint_delay", t::endpoint_link, milliseconds(300),
-         milliseconds(3000)},
-        {"endpoint_reset", t::endpoint_link, milliseconds(0), milliseconds(0)},
-        {"endpoint_silence", t::endpoint_link, milliseconds(0),
-         milliseconds(0)},
-        {"endpoint_cut_in", t::endpoint_link, milliseconds(200),
-         milliseconds(3000)},
-        {"endpoint_cut_out", t::endpoint_link, milliseconds(200),
-         milliseconds(3000)},
-        {"configuration", t::operator_change, milliseconds(0), milliseconds(0)},
-        {"configuration_storm", t::operator_change, milliseconds(500),
-         milliseconds(2000)},
-        {"callers_burst", t::caller_load, milliseconds(500),
-         milliseconds(2000)},
-        {"callers_leave", t::caller_load, milliseconds(1000),
-         milliseconds(4000)}};
+        {"gateway_kill", t::gateway, 50ms, 1500ms},
+        {"gateway_stop", t::gateway, 50ms, 1000ms},
+        {"gateway_pause", t::gateway, 100ms, 4500ms},
+        {"gateway_reload", t::gateway, 0ms, 0ms},
+        {"settings_change", t::gateway, 0ms, 0ms},
+        {"settings_broken", t::gateway, 1200ms, 2500ms},
+        {"all_gateways_kill", t::gateway, 50ms, 800ms},
+        {"caller_delay", t::caller_link, 300ms, 3000ms},
+        {"caller_reset", t::caller_link, 0ms, 0ms},
+        {"caller_silence", t::caller_link, 0ms, 0ms},
+        {"caller_cut_in", t::caller_link, 200ms, 2500ms},
+        {"caller_cut_out", t::caller_link, 200ms, 2500ms},
+        {"store_link_delay", t::store_link, 300ms, 3000ms},
+        {"store_link_reset", t::store_link, 0ms, 0ms},
+        {"store_link_silence", t::store_link, 0ms, 0ms},
+        {"store_link_cut_in", t::store_link, 200ms, 6000ms},
+        {"store_link_cut_out", t::store_link, 200ms, 6000ms},
+        {"store_down", t::store, 200ms, 6000ms},
+        {"store_silent", t::store, 200ms, 6000ms},
+        {"store_slow", t::store, 500ms, 5000ms},
+        {"store_loses_answers", t::store, 500ms, 5000ms},
+        {"store_refuses_one", t::store, 500ms, 6000ms},
+        {"store_forgets", t::store, 0ms, 0ms},
+        {"store_entries_lapse", t::store, 800ms, 4000ms},
+        {"endpoint_crash", t::endpoint, 300ms, 3000ms},
+        {"endpoint_same_id", t::endpoint, 50ms, 1000ms},
+        {"endpoint_leaves", t::endpoint, 3500ms, 5000ms},
+        {"endpoint_unlisted", t::endpoint, 3500ms, 5000ms},
+        {"endpoint_mute", t::endpoint, 300ms, 4000ms},
+        {"endpoint_failing", t::endpoint, 500ms, 4000ms},
+        {"endpoint_garbled", t::endpoint, 500ms, 4000ms},
+        {"endpoint_loses_answers", t::endpoint, 500ms, 4000ms},
+        {"endpoint_slow", t::endpoint, 500ms, 5000ms},
+        {"endpoint_delay", t::endpoint_link, 300ms, 3000ms},
+        {"endpoint_reset", t::endpoint_link, 0ms, 0ms},
+        {"endpoint_silence", t::endpoint_link, 0ms, 0ms},
+        {"endpoint_cut_in", t::endpoint_link, 200ms, 3000ms},
+        {"endpoint_cut_out", t::endpoint_link, 200ms, 3000ms},
+        {"configuration", t::operator_change, 0ms, 0ms},
+        {"configuration_storm", t::operator_change, 500ms, 2000ms},
+        {"callers_burst", t::caller_load, 500ms, 2000ms},
+        {"callers_leave", t::caller_load, 1000ms, 4000ms},
+        {"endpoint_pauses", t::endpoint, 200ms, 1300ms},
+        {"endpoint_busy", t::endpoint, 500ms, 4000ms},
+        {"endpoint_announces", t::endpoint, 3500ms, 5000ms},
+        {"odd_entries", t::operator_change, 500ms, 4000ms},
+        {"configuration_fields", t::operator_change, 0ms, 0ms},
+        {"callers_pipeline", t::caller_load, 1000ms, 4000ms},
+        {"callers_send_in_pieces", t::caller_load, 1000ms, 4000ms},
+        {"callers_read_slowly", t::caller_load, 1000ms, 4000ms},
+        {"large_messages", t::caller_load, 1000ms, 4000ms},
+        {at_one_moment, t::caller_load, 0ms, 0ms}};
     return kinds;
 }
 
@@ -105,25 +105,29 @@
     while (at < total && !kinds.empty())
     {
         auto const* const kind = kinds[random.below(kinds.size())];
-        auto const count = 1 + random.below(max_series_length);
+        bool const together = kind->name == at_one_moment;
+        auto const count =
+            together ? kinds.size() : 1 + random.below(max_series_length);
         auto moment = at;
         for (std::uint64_t i = 0; i < count && moment < total; ++i)
         {
             planned_fault fault;
-            fault.kind = kind;
+            fault.kind = together ? kinds[i] : kind;
             fault.at = moment;
             fault.length =
-                kind->min_length +
+                fault.kind->min_length +
                 milliseconds(random.below(std::uint64_t(
-                    (kind->max_length - kind->min_length).count() + 1)));
+                    (fault.kind->max_length - fault.kind->min_length).count() +
+                    1)));
             fault.length = std::min(fault.length, total - moment);
             bool const of_endpoint =
-                kind->target == fault_target::endpoint ||
-                kind->target == fault_target::endpoint_link;
+                fault.kind->target == fault_target::endpoint ||
+                fault.kind->target == fault_target::endpoint_link;
             fault.target_index =
                 random.below(of_endpoint ? endpoints : gateways);
             plan.push_back(fault);
-            moment += milliseconds(random.below(max_offset_ms));
+            if (!together)
+                moment += milliseconds(random.below(max_offset_ms));
         }
         at += milliseconds(random.below(max_gap_ms));
     }
--- a/tests/platform/soak/soak_environment.cpp
+++ b/tests/platform/soak/soak_environment.cpp
@@ -3,6 +3,7 @@
 #include "soak_environment.hpp"
 
 #include <csignal>
+#include <utility>
 
 #include "platform/json_fields.hpp"
 #include "platform/protocol_names.hpp"
@@ -37,6 +38,14 @@
     return std::string(kind) + ':' + std::to_string(number);
 }
 
+/// Sets a field until the returned function is called.
+template<typename Field>
+std::function<void()> set(Field& field, Field value, Field usual = {})
+{
+    field = value;
+    return [&field, usual] { field = usual; };
+}
+
 } // namespace
 
 // Set-up --------------------------------------------------------------------
@@ -77,8 +86,11 @@
 
 // Operator --------------------------------------------------------------------
 
-void soak_environment::apply_configuration()
+void soak_environment::apply_configuration(bool vary_fields)
 {
+    using values = std::initializer_list<unsigned>;
+    auto const field = [this, vary_fields](values v) // the usual value first
+    { return v.begin()[vary_fields ? random_.below(v.size()) : 0]; };
     constexpr std::size_t rotating_keys = 2; // valid at a time
     ++version_;
     rotating_keys_.push_back("key-" + std::to_string(version_));
@@ -89,24 +101,56 @@
         rotating_keys_.pop_front();
     }
 
-    auto const route = [this](
-                           char const* name, char const* kind,
+    if (vary_fields)
+        history_.timeout_growth = 1.5;
+    bool const renamed = field({0, 1}) == 1;
+    auto const route = [&](char const* name, char const* kind,
                            char const* service, unsigned attempts)
     {
         return json{
-            {"name", name},
+            {"name", name + (renamed ? std::to_string(version_) : "")},
             {"host", "soak.example"},
             {"prefix", '/' + std::string(name) + '/'},
             {"routeType", kind},
             {"service", service},
-            {"timeoutMs", history_.route_timeouts.at(name).count()},
-            {"targetLatencyMs", 1000},
-            {"maxAttempts", attempts}};
+            {"timeoutMs",
+             history_.route_timeouts.at(name).count() * field({2, 2, 3}) / 2},
+            {"targetLatencyMs", field({1000, 300, 3000})},
+            {"priority", field({0, 1, 9})},
+            {"maxAttempts", field({attempts, 1, 2})}};
     };
     auto chat = route("chat", "streaming", "llm", 3);
     chat["resumable"] = true;
-    chat["sticky"] = true;
-    chat["gapTargetMs"] = 700;
+    chat["sticky"] = field({1, 0}) == 1;
+    chat["gapTargetMs"] = field({700, 400, 1500});
+    auto routes = json::array(
+        {route("lookup", "safe", "app", 2), route("book", "unsafe", "app", 2),
+         chat});
+    // Half of the plain endpoints may move to another service, with all or a
+    // part of the lookups.
+    bool const moved = field({0, 1}) == 1;
+    if (moved)
+    {
+        history_.plain_services = 2;
+        routes[0]["trafficSplit"] = {
+            {{"service", "app"}, {"weight", field({1, 0})}},
+            {{"service", "app-2"}, {"weight", 1}}};
+    }
+    if (field({0, 1}) == 1)
+    {
+        auto part = route("lookup", "safe", "app", 2);
+        part["name"] = "part";
+        part["prefix"] = "/lookup/1";
+        routes.push_back(part);
+    }
+    for (auto i = settings_.engines; i < endpoints_.size(); i += 2)
+    {
+        auto& e = *endpoints_[i];
+        std::string const service = moved ? "app-2" : "app";
+        if (std::exchange(e.listed_service, service) != service &&
+            e.running() && !departing_[i])
+            register_endpoint(i, false);
+    }
     auto const organisation =
         [this](std::string const& name, std::string const& key)
     {
@@ -125,25 +169,28 @@
         organisations.push_back(organisation("rotating-" + key, key));
         change.keys.insert(key);
     }
+    if (field({0, 1}) == 1)
+        organisations.push_back(organisation("guest", "key-guest"));
+    auto services = json::array(
+        {{{"name", "app"}, {"maxConns", field({100, 20, 300})}},
+         {{"name", "llm"},
+          {"maxConns", field({300, 100})},
+          {"engine",
+           {{"slots", field({48, 24, 96})},
+            {"kvCapacity", field({88000, 44000})},
+            {"backups", field({1, 0}) == 1},
+            {"handleS", field({4, 2})}}}}});
+    if (moved)
+        services.push_back({{"name", "app-2"}, {"maxConns", 100}});
     json const configuration = {
         {"version", version_},
-        {"routes",
-         {route("lookup", "safe", "app", 2), route("book", "unsafe", "app", 2),
-          chat}},
-        {"services",
-         {{{"name", "app"}, {"maxConns", 100}},
-          {{"name", "llm"},
-           {"maxConns", 300},
-           {"engine",
-            {{"slots", 48},
-             {"kvCapacity", 88000},
-             {"backups", true},
-             {"handleS", 4.0}}}}}},
+        {"routes", routes},
+        {"services", services},
         {"limits",
-         {{"maxHeaderBytes", 8192},
-          {"maxBodyBytes", 65536},
-          {"headerTimeoutMs", 3000},
-          {"idleTimeoutMs", 4000}}},
+         {{"maxHeaderBytes", field({8192, 2048, 32768})},
+          {"maxBodyBytes", field({256u << 10, 256u << 10, 64u << 10})},
+          {"headerTimeoutMs", field({3000, 1000, 9000})},
+          {"idleTimeoutMs", field({4000, 400, 9000})}}},
         {"tenants", organisations}};
     store_.put(
         wire::table::operators, wire::table::configuration_key,
@@ -155,6 +202,47 @@
         callers_.keys.push_back({key, "rotating-" + key});
 }
 
+soak_environment::undo soak_environment::list_odd_entries()
+{
+    auto const names = {"address", "service", "zone", "slots", "state", "born"};
+    auto const values = std::vector<json>{
+        "127.0.0.1:99999",
+        "127.0.0.1:0",
+        "127.0.0.1:-1",
+        "resting",
+        "unknown",
+        json::array({json::object({{"a", {1, 2}}})}),
+        json::object(),
+        nullptr,
+        1e300,
+        -1,
+        18446744073709551615u,
+        "",
+        std::string(70000, 'x')};
+    std::vector<std::string> keys;
+    for (auto const* name : names)
+    {
+        auto row = json::parse(
+            endpoints_[random_.below(endpoints_.size())]->row(false));
+        row["address"] = "127.0.0.1:1"; // accepts no connection
+        row["service"] = "unused";
+        row[name] = values[random_.below(values.size())];
+        keys.push_back("odd-" + std::string(name));
+        store_.put(wire::table::endpoints, keys.back(), row.dump());
+    }
+    auto const texts = std::vector<std::string>{
+        "", "null", "[1,2", "{}", std::string(5000, '['), "\"text\"", "\xff"};
+    keys.push_back("odd");
+    store_.put(
+        wire::table::endpoints, keys.back(),
+        texts[random_.below(texts.size())]);
+    return [this, keys]
+    {
+        for (auto const& key : keys)
+            store_.remove(wire::table::endpoints, key);
+    };
+}
+
 void soak_environment::when_store_available(std::function<void()> f)
 {
     if (store_.available())
@@ -221,7 +309,10 @@
     case fault_target::endpoint:
         return inject_endpoint_fault(i, f);
     case fault_target::operator_change:
-        when_store_available([this] { apply_configuration(); });
+        if (name == "odd_entries")
+            return store_.available() ? list_odd_entries() : nullptr;
+        when_store_available([this, vary = name == "configuration_fields"]
+                             { apply_configuration(vary); });
         if (name == "configuration_storm")
         {
             for (int n = 1; n < 6; ++n)
@@ -332,25 +423,13 @@
     auto& faults = store_.faults;
     record_fault("store", f.kind->name, f.length);
     if (fault == "store_down")
-    {
-        faults.down = true;
-        return [&faults] { faults.down = false; };
-    }
+        return set(faults.down, true);
     if (fault == "store_silent")
-    {
-        faults.silent = true;
-        return [&faults] { faults.silent = false; };
-    }
+        return set(faults.silent, true);
     if (fault == "store_slow")
-    {
-        faults.extra_delay = milliseconds(100 + random_.below(400));
-        return [&faults] { faults.extra_delay = milliseconds(0); };
-    }
+        return set(faults.extra_delay, milliseconds(100 + random_.below(400)));
     if (fault == "store_loses_answers")
-    {
-        faults.lost_response_share = 0.3;
-        return [&faults] { faults.lost_response_share = 0; };
-    }
+        return set(faults.lost_response_share, 0.3);
     if (fault == "store_refuses_one")
     {
         faults.refused_gateways.insert(f.target_index);
@@ -392,22 +471,25 @@
 }
 
 void soak_environment::start_departure(
-    std::size_t i, bool announced, milliseconds length)
+    std::size_t i, std::string const& kind, milliseconds length)
 {
     constexpr milliseconds after_bound{1000}; // of serving beyond the bound
     length = std::max(length, history_.drain_bound + after_bound);
     auto const id = endpoints_[i]->id();
     departing_[i] = true;
     when_store_available(
-        [this, i, id, announced, length]
+        [this, i, id, kind, length]
         {
             if (!endpoints_[i]->running() || endpoints_[i]->id() != id)
                 return;
-            if (announced)
+            if (kind == "endpoint_announces")
+                endpoints_[i]->faults.announces_leaving = true;
+            else if (kind == "endpoint_leaves")
                 register_endpoint(i, true);
             else
                 store_.remove(wire::table::endpoints, id);
-            history_.departures.push_back({id, clock_.now()});
+            if (kind != "endpoint_announces")
+                history_.departures.push_back({id, clock_.now()});
             after(
                 io_, length,
                 [this, i, id]
@@ -430,11 +512,25 @@
     auto const id = e.id();
     if (!e.running() || departing_[i])
         return nullptr;
-    if (fault == "endpoint_leaves" || fault == "endpoint_unlisted")
+    if (fault == "endpoint_leaves" || fault == "endpoint_unlisted" ||
+        fault == "endpoint_announces")
+    {
+        start_departure(i, fault, f.length);
+        return nullptr;
+    }
+    // The next two are part of sound endpoints' work, so no fault is recorded.
+    if (fault == "endpoint_pauses")
     {
-        start_departure(i, fault == "endpoint_leaves", f.length);
+        bool const all = random_.below(3) == 0;
+        for (auto const& other : endpoints_)
+        {
+            if (all || other.get() == &e)
+                other->pause(f.length);
+        }
         return nullptr;
     }
+    if (fault == "endpoint_busy")
+        return set(e.faults.busy_share, 0.5);
     record_fault("endpoint:" + id, f.kind->name, f.length + milliseconds(500));
     if (fault == "endpoint_crash")
     {
@@ -465,29 +561,33 @@
     }
     auto& faults = e.faults;
     if (fault == "endpoint_mute")
-        faults.silent = true;
-    else if (fault == "endpoint_failing")
-        faults.error_share = 0.5;
-    else if (fault == "endpoint_garbled")
-        faults.damaged_share = 0.5;
-    else if (fault == "endpoint_loses_answers")
-        faults.lost_response_share = 0.5;
-    else
-        faults.delay_factor = 2 + unsigned(random_.below(6));
-    return [&faults] { faults = {}; };
+        return set(faults.silent, true);
+    if (fault == "endpoint_failing")
+        return set(faults.error_share, 0.5);
+    if (fault == "endpoint_garbled")
+        return set(faults.damaged_share, 0.5);
+    if (fault == "endpoint_loses_answers")
+        return set(faults.lost_response_share, 0.5);
+    return set(faults.delay_factor, 2 + unsigned(random_.below(6)), 1u);
 }
 
 soak_environment::undo soak_environment::change_load(std::string const& fault)
 {
+    auto& c = callers_;
+    auto const rate = settings_.requests_per_second;
     if (fault == "callers_burst")
-    {
-        callers_.requests_per_second = settings_.requests_per_second * 4;
-        return [this]
-        { callers_.requests_per_second = settings_.requests_per_second; };
-    }
-    auto const before = callers_.cancel_share;
-    callers_.cancel_share = 0.5;
-    return [this, before] { callers_.cancel_share = before; };
+        return set(c.requests_per_second, rate * 4, rate);
+    if (fault == "callers_leave")
+        return set(c.cancel_share, 0.5, 0.03);
+    if (fault == "callers_pipeline")
+        return set(c.pipelined_share, 0.5);
+    if (fault == "callers_send_in_pieces")
+        return set(c.in_pieces_share, 0.5);
+    if (fault == "callers_read_slowly")
+        return set(c.slow_reading_share, 0.5);
+    if (fault == "large_messages")
+        return set(c.large_share, 0.5);
+    return nullptr;
 }
 
 // Running a plan ------------------------------------------------------------
@@ -556,6 +656,8 @@
             });
     }
     run_for(settings_.faults_for);
+    if (history_.timeout_growth != 1)
+        when_store_available([this] { apply_configuration(); });
 
     // Lets fault ends that are due now run. Departing endpoints may still leave
     // later, which is planned work and no fault.
--- a/tests/platform/soak/soak_environment.hpp
+++ b/tests/platform/soak/soak_environment.hpp
@@ -59,10 +59,12 @@
 
     void record_fault(
         std::string const& scope, char const* kind, milliseconds length);
-    void apply_configuration();
+    void apply_configuration(bool vary_fields = false);
+    undo list_odd_entries();
     void register_endpoint(std::size_t i, bool draining);
     void replace_endpoint(std::size_t i, bool same_id);
-    void start_departure(std::size_t i, bool announced, milliseconds length);
+    void start_departure(
+        std::size_t i, std::string const& kind, milliseconds length);
     void when_store_available(std::function<void()> f);
     void run_for(milliseconds time);
     bool run_until(std::function<bool()> const& done, milliseconds limit);
