--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -31,6 +31,8 @@
         return "/lookup/";
     case request_kind::at_most_once:
         return "/book/";
+    case request_kind::once_stream:
+        return "/talk/";
     default:
         return "/chat/";
     }
@@ -113,8 +115,7 @@
 
     void on_response_body(std::string_view bytes) override
     {
-        if (record_.status != 200 ||
-            record_.kind != request_kind::resumable_stream)
+        if (record_.status != 200 || !is_stream(record_.kind))
         {
             record_.body.append(bytes);
             return;
@@ -201,7 +202,9 @@
             auto const draw = random_.below(kinds);
             auto const kind = draw < 4   ? request_kind::idempotent
                               : draw < 8 ? request_kind::at_most_once
-                                         : request_kind::resumable_stream;
+                              : random_.uniform() < once_stream_share
+                                  ? request_kind::once_stream
+                                  : request_kind::resumable_stream;
             std::vector<std::shared_ptr<logical_request>> batch = {
                 make_request(kind)};
             bool const pipelined = kind == request_kind::idempotent &&
@@ -220,7 +223,7 @@
     constexpr std::uint64_t max_body = 256u << 10; // as configured
     constexpr std::uint64_t min_answer = 300000;
     constexpr std::uint64_t answer_spread = 1700000;
-    bool const stream = kind == request_kind::resumable_stream;
+    bool const stream = is_stream(kind);
     bool const large = !stream && random_.uniform() < large_share;
     auto w = std::make_shared<logical_request>();
     w->kind = kind;
@@ -373,7 +376,7 @@
     std::shared_ptr<logical_request> const& w, caller_attempt const& a,
     std::optional<milliseconds> retry_after_delay)
 {
-    if (!a.events.empty())
+    if (!a.events.empty() && a.kind == request_kind::resumable_stream)
         w->last_event = a.events.back();
     bool const not_run = a.status == 429 || a.status == 503;
     bool const repeatable = w->kind != request_kind::at_most_once;
--- a/tests/platform/soak/callers.hpp
+++ b/tests/platform/soak/callers.hpp
@@ -41,6 +41,7 @@
     double requests_per_second = 60;
     double cancel_share = 0.03;    // of requests, cancelled by the caller
     double pipelined_share = 0;    // of idempotent requests
+    double once_stream_share = 0;  // of streams
     double in_pieces_share = 0;    // of requests
     double slow_reading_share = 0; // of requests
     double large_share = 0;        // of requests: large bodies and answers
--- a/tests/platform/soak/fault_plan.cpp
+++ b/tests/platform/soak/fault_plan.cpp
@@ -68,6 +68,7 @@
         {"odd_entries", t::operator_change, 500ms, 4000ms},
         {"configuration_fields", t::operator_change, 0ms, 0ms},
         {"callers_pipeline", t::caller_load, 1000ms, 4000ms},
+        {"callers_stream_once", t::caller_load, 1000ms, 4000ms},
         {"callers_send_in_pieces", t::caller_load, 1000ms, 4000ms},
         {"callers_read_slowly", t::caller_load, 1000ms, 4000ms},
         {"large_messages", t::caller_load, 1000ms, 4000ms},
--- a/tests/platform/soak/history.hpp
+++ b/tests/platform/soak/history.hpp
@@ -23,9 +23,16 @@
 {
     idempotent,
     at_most_once,
-    resumable_stream
+    resumable_stream,
+    once_stream // cannot be resumed
 };
 
+inline bool is_stream(request_kind kind)
+{
+    return kind == request_kind::resumable_stream ||
+           kind == request_kind::once_stream;
+}
+
 /// One request sent by a caller. Each retry is a separate attempt.
 struct caller_attempt
 {
--- a/tests/platform/soak/promise_checker.cpp
+++ b/tests/platform/soak/promise_checker.cpp
@@ -25,7 +25,7 @@
 
 char const* service_of(request_kind kind)
 {
-    return kind == request_kind::resumable_stream ? "llm" : "app";
+    return is_stream(kind) ? "llm" : "app";
 }
 
 class history_checker
@@ -145,7 +145,7 @@
     {
         if (a.seal.empty())
             fail("answers are whole", a.id + ": success without a seal");
-        if (a.kind != request_kind::resumable_stream)
+        if (!is_stream(a.kind))
         {
             if (a.complete && a.body != expected_body(a.path, a.seal))
                 fail("answers are whole", a.id + ": different body");
@@ -217,7 +217,7 @@
         caller_attempt const& a, endpoint_run const& before,
         endpoint_run const& after)
     {
-        if (a.kind != request_kind::resumable_stream)
+        if (!is_stream(a.kind))
             return;
         auto const bound = after.arrived + overlap_bound;
         bool const overlaps = !before.ended || *before.ended > bound;
--- a/tests/platform/soak/promise_checker_test.cpp
+++ b/tests/platform/soak/promise_checker_test.cpp
@@ -208,6 +208,16 @@
               stream(h).ended = at(14000);
               h.processes[0].stop_requested = at(10000);
           }},
+         {"a request that was read is answered or refused",
+          [&](history& h) // cut by the grace, but it cannot be resumed
+          {
+              stream(h).kind = request_kind::once_stream;
+              stream(h).complete = false;
+              stream(h).deadline = milliseconds(9000);
+              stream(h).ended = at(14000);
+              h.runs[2].ended = at(14000);
+              h.processes[0].stop_requested = at(10000);
+          }},
          {"processes end only when asked",
           [](history& h) { h.processes[0].ended = at(9000); }},
          {"processes stop within their grace time",
--- a/tests/platform/soak/soak_environment.cpp
+++ b/tests/platform/soak/soak_environment.cpp
@@ -74,7 +74,8 @@
     history_.route_timeouts = {
         {"lookup", milliseconds(2000)},
         {"book", milliseconds(2000)},
-        {"chat", milliseconds(10000)}};
+        {"chat", milliseconds(10000)},
+        {"talk", milliseconds(10000)}};
     apply_configuration();
     callers_.requests_per_second = settings.requests_per_second;
 }
@@ -123,9 +124,11 @@
     chat["resumable"] = true;
     chat["sticky"] = field({1, 0}) == 1;
     chat["gapTargetMs"] = field({700, 400, 1500});
+    auto talk = route("talk", "streaming", "llm", 2);
+    talk["gapTargetMs"] = chat["gapTargetMs"];
     auto routes = json::array(
         {route("lookup", "safe", "app", 2), route("book", "unsafe", "app", 2),
-         chat});
+         chat, talk});
     // Half of the plain endpoints may move to another service, with all or a
     // part of the lookups.
     bool const moved = field({0, 1}) == 1;
@@ -172,7 +175,7 @@
     if (field({0, 1}) == 1)
         organisations.push_back(organisation("guest", "key-guest"));
     auto services = json::array(
-        {{{"name", "app"}, {"maxConns", field({100, 20, 300})}},
+        {{{"name", "app"}, {"maxConns", field({100, 3, 300})}},
          {{"name", "llm"},
           {"maxConns", field({300, 100})},
           {"engine",
@@ -581,6 +584,8 @@
         return set(c.cancel_share, 0.5, 0.03);
     if (fault == "callers_pipeline")
         return set(c.pipelined_share, 0.5);
+    if (fault == "callers_stream_once")
+        return set(c.once_stream_share, 0.5);
     if (fault == "callers_send_in_pieces")
         return set(c.in_pieces_share, 0.5);
     if (fault == "callers_read_slowly")
