--- a/tests/platform/soak/endpoint_standin.hpp
+++ b/tests/platform/soak/endpoint_standin.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -107,6 +108,7 @@
     void
     send_parts(run_ptr const& r, std::string rest, bool chunked, bool closes);
     milliseconds pause_left() const;
+    bool defer(std::function<void()> f); // if paused
     void begin_stream(run_ptr const& r);
     void next_event(run_ptr const& r);
     void finish(run_ptr const& r, bool answered);
