relay: close the listener of a stopping gateway without a packet filter

The filter dropped requests for new connections for 40 ms before the listener closed, so that their callers waited a second.

--- a/src/gateway/shutdown_policy.hpp
+++ b/src/gateway/shutdown_policy.hpp
@@ -34,10 +34,6 @@
     // written by then are lost.
     static constexpr std::chrono::milliseconds process_end_time{200};
 
-    // Time from the last new connection to the close of the listener; exceeds
-    // the round trip to a caller.
-    static constexpr std::chrono::milliseconds handshake_time{40};
-
     /// @param elapsed       since the stop signal
     /// @param max_duration  upper limit for the rest of the request
     /// @param expected      duration of recent streams, if known
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -296,12 +296,7 @@
 {
     if (!acceptor_.is_open())
         return;
-    auto const now = env_.clock.now();
-    if (!listener_stopped_)
-    {
-        listener_stopped_ = now;
-        stop_new_connections(acceptor_);
-    }
+    listener_closing_ = true;
     asio::error_code e; // would_block: no more connections
     acceptor_.non_blocking(true, e);
     while (!e && make_room(max_connections_of_callers()))
@@ -311,8 +306,7 @@
         if (!e)
             add_session(std::move(socket));
     }
-    if (e != asio::error::would_block ||
-        now - *listener_stopped_ < shutdown_policy::handshake_time)
+    if (e != asio::error::would_block)
         return;
     asio::error_code ignored; // the listener is discarded either way
     acceptor_.close(ignored);
@@ -758,7 +752,7 @@
     check_endpoint_calls(now, paused);
     check_exchanges(now, paused);
     run_step("suspects", [&] { check_suspected_endpoints(now); });
-    if (listener_stopped_)
+    if (listener_closing_)
         run_step("accept", [this] { stop_accepting(); });
     note_freshness(now);
     if (now - last_sweep_ < sweep_interval)
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -283,8 +283,8 @@
     bool shutting_down_ = false;
     bool configuration_was_fresh_ = false;
     steady_time shutdown_began_{};
-    std::optional<steady_time> listener_stopped_; // takes no new connections
-    std::optional<steady_time> requests_ended_;   // at the end of the grace
+    bool listener_closing_ = false;             // once it holds no connection
+    std::optional<steady_time> requests_ended_; // at the end of the grace
 };
 
 } // namespace dotterellock
--- a/src/relay/session_listener.cpp
+++ b/src/relay/session_listener.cpp
@@ -1,9 +1,5 @@
 #include "session_listener.hpp"
 
-#include <sys/socket.h>
-
-#include <linux/filter.h>
-
 #include <utility>
 
 #include <dotterellock/error.hpp>
@@ -35,23 +31,6 @@
     acceptor.listen(backlog);
 }
 
-void stop_new_connections(asio::ip::tcp::acceptor& acceptor)
-{
-    constexpr std::uint32_t flags_offset = 13; // in the TCP header
-    constexpr std::uint32_t syn = 0x02;
-    constexpr std::uint32_t whole_packet = 0xffffffff;
-    sock_filter code[] = {
-        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flags_offset),
-        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, syn, 0, 1),
-        BPF_STMT(BPF_RET | BPF_K, 0), // drops the packet
-        BPF_STMT(BPF_RET | BPF_K, whole_packet)};
-    sock_fprog const program{sizeof code / sizeof *code, code};
-    // Without the filter a few more callers are reset, as before.
-    ::setsockopt(
-        acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
-        sizeof program);
-}
-
 session_listener::session_listener(
     asio::io_context& io, clock_source const& clock, std::string const& address)
     : clock_(clock), acceptor_(io)
--- a/src/relay/session_listener.hpp
+++ b/src/relay/session_listener.hpp
@@ -19,11 +19,6 @@
 void open_listener(
     asio::ip::tcp::acceptor& acceptor, std::string const& address);
 
-/// Makes the kernel drop requests for new connections, which callers repeat
-/// after a second. Established connections can still be accepted. Without it,
-/// closing the listener resets those established since the last accept.
-void stop_new_connections(asio::ip::tcp::acceptor& acceptor);
-
 /// Derived classes implement session_handler::on_request().
 class session_listener : public session_handler
 {
