--- a/src/gateway/suspected_crashes.hpp
+++ b/src/gateway/suspected_crashes.hpp
@@ -52,8 +52,12 @@
     /// @return its suspicions, which are crashes
     crash_list confirm(endpoint_state const& endpoint)
     {
-        return take([&](suspected_crash const& s)
-                    { return s.endpoint.get() == &endpoint; });
+        return take(
+            [&](entry const& e)
+            {
+                return e.suspicion.endpoint.get() == &endpoint &&
+                       !e.seen_alive && !endpoint.leaving();
+            });
     }
 
     /// The endpoint accepted a connection. It may be another incarnation whose
@@ -71,8 +75,8 @@
     crash_list confirm_replaced(
         std::function<bool(endpoint_state const& endpoint)> const& replaced)
     {
-        return take([&](suspected_crash const& s)
-                    { return replaced(*s.endpoint); });
+        return take([&](entry const& e)
+                    { return replaced(*e.suspicion.endpoint); });
     }
 
     /// Endpoints that must be checked to decide a suspicion.
@@ -110,7 +114,7 @@
         crash_list taken;
         for (auto i = open_.begin(); i != open_.end();)
         {
-            if (!matches(i->suspicion))
+            if (!matches(*i))
             {
                 ++i;
                 continue;
