--- a/src/relay/gateway_tables.cpp
+++ b/src/relay/gateway_tables.cpp
@@ -209,6 +209,10 @@
             endpoint.revision);
         endpoint.logged = true;
     }
+    // What was known under this key has moved to the other service.
+    if (endpoints_.find(record.id) &&
+        endpoints_.remove(record.id, endpoint.changed_at))
+        log_leaving(record.id, "registration");
     auto const key = record.id.value();
     unnamed_endpoints_[key] = std::move(endpoint);
 }
