relay: keep two retries only for begun answers that may go on

Cause: two retries were asked for on every suspicion. Change: they are asked for only where the caller has part of the answer and the endpoint has been silent for less than 2 s. The reserve is released a second after the request was sent, as refusals come at once.

--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -412,7 +412,8 @@
     bool const goes_on =
         state_ == state::attempting || state_ == state::waiting;
     auto& budget = context_.budget(request_.service);
-    if (!goes_on || retry_reserved_ || !budget.available(now))
+    if (!goes_on || !response_begun_ || retry_reserved_ ||
+        !budget.available(now))
         return;
     budget.reserve();
     retry_reserved_ = true;
@@ -434,14 +435,17 @@
 }
 
 /// The endpoint at which another attempt could start now, or null.
-endpoint_ptr relay_exchange::next_endpoint(steady_time now)
+endpoint_ptr
+relay_exchange::next_endpoint(attempt_outcome suspicion, steady_time now)
 {
     auto const& route = *request_.route;
+    auto const needed = attempt_policy::retries_to_give_up(
+        received_by_caller(), suspicion, now - last_progress_);
+    std::size_t const held = retry_reserved_ ? 1 : 0;
     if (!attempt_policy::may_follow(received_by_caller()) ||
         !route.repeatable() || history_.runs + 1 >= route.max_attempts ||
         deadline_ - now <= min_time_left || quarantined() ||
-        !context_.budget(request_.service)
-             .available(now, attempt_policy::retries_to_give_up))
+        !context_.budget(request_.service).available(now, needed - held))
         return nullptr;
     if (auto const at =
             standby_copies_->find_resume_point(stream_began_at_, now))
@@ -463,7 +467,7 @@
     auto const now = context_.clock().now();
     if (now < next_suspicion_)
         return;
-    if (auto next = next_endpoint(now))
+    if (auto next = next_endpoint(outcome, now))
     {
         bool const chosen =
             next_connection_ && next_connection_->endpoint == next;
@@ -868,6 +872,8 @@
             on_attempt_failed(attempt_outcome::unreachable, "connect_timeout");
         return;
     }
+    if (now - sent_at_ > refusal_wait)
+        release_reserved_retry();
     if (stream_began_at_)
         standby_copies_->renew_if_needed(now);
     if (connection_->reading_paused())
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -196,6 +196,9 @@
     // TCP sends the next one only after a second.
     static constexpr std::chrono::milliseconds connect_timeout{200};
 
+    // An endpoint that refuses a request does so at once.
+    static constexpr std::chrono::milliseconds refusal_wait{1000};
+
     // No retry with less time than this, as it would most likely not complete.
     static constexpr std::chrono::milliseconds min_time_left{5};
 
@@ -216,7 +219,7 @@
     void reserve_retry(steady_time now);
     void release_reserved_retry();
     received_part received_by_caller() const;
-    endpoint_ptr next_endpoint(steady_time now);
+    endpoint_ptr next_endpoint(attempt_outcome suspicion, steady_time now);
     void give_up_attempt(attempt_outcome outcome, char const* reason);
     void connect_to_next(
         endpoint_ptr next, attempt_outcome outcome, char const* reason);
