--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -550,13 +550,15 @@
 {
     auto const now = context_.clock().now();
     endpoint_->record_activity(now);
-    if (endpoint_->accepts_requests(now))
+    bool const stopping = !context_.may_pass_on(*this);
+    if (endpoint_->accepts_requests(now) && !stopping)
         return;
-    // The endpoint left or asked for a pause while the connection was made.
-    // Nothing was sent.
+    // The endpoint left or asked for a pause, or a planned stop began, while
+    // the connection was made. Nothing was sent.
     auto const self = shared_from_this();
     release_attempt_resources();
-    start_next_attempt();
+    if (!stopping || !refuse_if_stopping())
+        start_next_attempt();
 }
 
 void relay_exchange::on_response_head(message_head head)
