tests: keep the ports of endpoints that do not accept

It closes three listeners and listens on one of the ports again; another process can get it meanwhile, and then accepts what the test expects to be refused. The ports stay bound now. The checks are unchanged.

--- a/tests/platform/relay_faults_test.cpp
+++ b/tests/platform/relay_faults_test.cpp
@@ -380,8 +380,17 @@
     m1.connections[0]->send(stream_head() + chunk(event(1)));
     REQUIRE(fixture.run_until([&] { return caller->has("id: 1"); }));
     auto const m2 = fixture.endpoints[3]->acceptor.local_endpoint();
-    for (auto const i : {2, 3, 4})
-        fixture.endpoints[std::size_t(i)]->acceptor.close();
+    for (std::size_t i : {2, 3, 4})
+    {
+        auto& acceptor = fixture.endpoints[i]->acceptor;
+        auto const address = acceptor.local_endpoint();
+        acceptor.close();
+        // Keeps the port, so that no other process listens there.
+        auto& port = fixture.reserved_ports.emplace_back(
+            fixture.io, asio::ip::tcp::v4());
+        port.set_option(asio::socket_base::reuse_address(true));
+        port.bind(address);
+    }
     m1.connections[0]->reset();
     fixture.advance(milliseconds(3000));
     REQUIRE_FALSE(caller->closed);
