--- a/tests/gateway/suspected_crashes_test.cpp
+++ b/tests/gateway/suspected_crashes_test.cpp
@@ -28,6 +28,7 @@
         dead_elsewhere, // another endpoint
         alive,
         alive_before, // a check that began before the connection ended
+        leaving,
         replaced
     };
     struct row
@@ -47,6 +48,8 @@
             {sight::alive_before, sight::dead},
             true,
             false},
+        row{"alive, then dead", {sight::alive, sight::dead}, false, false},
+        row{"leaving, then dead", {sight::leaving, sight::dead}, false, true},
         row{"another incarnation", {sight::replaced}, true, false},
         row{"back at once, registered later",
             {sight::alive, sight::replaced},
@@ -70,6 +73,8 @@
             suspicions.record_alive(*endpoint, at(1000));
         if (s == sight::alive_before)
             suspicions.record_alive(*endpoint, at(999));
+        if (s == sight::leaving)
+            endpoint->set_leaving(at(1500));
         if (s == sight::replaced)
             found = suspicions.confirm_replaced(
                 [&](endpoint_state const& x) { return &x == endpoint.get(); });
--- a/tests/platform/caller_connections_test.cpp
+++ b/tests/platform/caller_connections_test.cpp
@@ -276,6 +276,21 @@
     REQUIRE_FALSE(fixture.logged("grace_over"));
 }
 
+// A request whose connection was being made when the stop began was sent over
+// it, though it might outlast the grace period.
+TEST_CASE(
+    "a stop sends nothing over a connection made meanwhile", "[unanswered]")
+{
+    relay_fixture fixture;
+    make_stream_unrepeatable(fixture);
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request("/stream/x"));
+    REQUIRE(fixture.run_until([&] { return fixture.logged("dispatch"); }));
+    fixture.subject->begin_shutdown();
+    REQUIRE(fixture.run_until([&] { return caller->has("HTTP/1.1 503 "); }));
+    REQUIRE(fixture.endpoints[0]->request_count() == 0);
+}
+
 // A request that had not been passed on when the stop began was passed on later
 // and cut off.
 TEST_CASE("a stop passes on nothing that it would cut", "[unanswered]")
--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -435,6 +435,30 @@
     REQUIRE(fixture.endpoints[0]->request_count() == 8);
 }
 
+// An endpoint whose row moved to a service without configuration stayed in use
+// under its old service, also when it drained.
+TEST_CASE(
+    "an endpoint that moved away serves its old service no more", "[rows]")
+{
+    auto const state = GENERATE(as<std::string>{}, "ready", "draining");
+    CAPTURE(state);
+    odd_entries_fixture fixture;
+    fixture.table.rows.push_back(fixture.sound("two", 1));
+    fixture.start();
+    REQUIRE(fixture.run_until(
+        [&] { return fixture.logged("endpoint=two state=ready"); }));
+    auto moved = fixture.sound("one", 0);
+    moved.value = replaced(
+        replaced(moved.value, R"("app")", R"("later")"), R"("ready")",
+        '"' + state + '"');
+    fixture.publish({moved});
+    REQUIRE(fixture.run_until(
+        [&] { return fixture.logged("endpoint=one state=unreadable"); }));
+    fixture.serve_all();
+    REQUIRE(fixture.endpoints[0]->request_count() == 0);
+    REQUIRE(fixture.endpoints[1]->request_count() == 8);
+}
+
 // Failures of a row or a call ------------------------------------------------
 
 namespace
