--- a/tests/platform/answer_delivery_test.cpp
+++ b/tests/platform/answer_delivery_test.cpp
@@ -400,6 +400,56 @@
     REQUIRE(two.request_count() == (r.resumed ? 1u : 0u));
 }
 
+// Prompts waited behind a begun answer that found no room until its deadline.
+TEST_CASE("a begun answer without room lets others pass", "[delivery]")
+{
+    relay_fixture fixture;
+    fixture.set_engine_gap_target("1000");
+    fixture.table.rows.resize(4); // "one", "two", "m1" and "m2"
+    auto& text = fixture.configuration.rows[0].value;
+    std::string const copies = R"("backups":true)"; // would take memory
+    text.replace(text.find(copies), copies.size(), R"("backups":false)");
+    std::string const name = R"("name":"llm",)"; // less urgent than a begun answer
+    text.replace(text.find(name), name.size(), name + R"("priority":1,)");
+    fixture.start();
+    auto& m1 = *fixture.endpoints[2];
+    auto& m2 = *fixture.endpoints[3];
+    auto const send = [&](char const* id, char const* tokens)
+    {
+        return fixture.connect_caller(fixture.request(
+            "/llm/x", id, std::string("Token-Counts: ") + tokens + ",10\r\n"));
+    };
+    auto const first = send("r1", "40000");
+    REQUIRE(fixture.run_until([&] { return m1.request_count() == 1; }));
+    auto const begun = send("r2", "60000");
+    REQUIRE(fixture.run_until([&] { return m2.request_count() == 1; }));
+    fixture.clock.stop();
+    m2.connections[0]->send(stream_head("r2") + chunk(event(1)));
+    REQUIRE(fixture.run_until([&] { return begun->has("id: 1"); }));
+    REQUIRE(fixture.run_until(
+        [&] { return fixture.table.pending_changes != nullptr; }));
+    auto removed = fixture.table.rows[3];
+    removed.deleted = true;
+    fixture.table.publish_change(removed);
+    m2.connections[0]->reset();
+    fixture.settle();
+    auto const small = send("r3", "1000"); // waits for the prefill of r1
+    fixture.advance(milliseconds(1500));
+    REQUIRE_FALSE(m1.connections[0]->has("Request-Id: r3"));
+    m1.connections[0]->send(stream_head("r1") + chunk(event(1)));
+    auto const started = [&](char const* id)
+    {
+        return std::any_of(
+            m1.connections.begin(), m1.connections.end(),
+            [id](auto const& c)
+            { return c->has(std::string("Request-Id: ") + id); });
+    };
+    fixture.advance(milliseconds(600));
+    REQUIRE(started("r3"));
+    REQUIRE_FALSE(started("r2"));
+    REQUIRE_FALSE(begun->closed);
+}
+
 // Callers that read slowly ---------------------------------------------------
 
 namespace
