relay: take only events with data for content

Cause: since an event with any field and no id makes the position unknown, but an event without data delivers nothing to the caller. Such events also counted as progress of a stalled stream. Change: content is data.

--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -43,12 +43,14 @@
     return std::nullopt;
 }
 
-bool has_fields(std::string_view event)
+bool has_data(std::string_view event)
 {
+    constexpr std::string_view field = "data";
     while (!event.empty())
     {
         auto const line = line_at(event);
-        if (!line.empty() && line.front() != ':')
+        auto const name = line.substr(0, line.find(':'));
+        if (name == field)
             return true;
         auto const newline = event.find('\n');
         if (newline == std::string_view::npos)
@@ -93,7 +95,7 @@
             std::size_t const end = newline + 1 + blank;
             auto const bytes = text.substr(start_, end - start_);
             start_ = scan_ = end;
-            return stream_event{bytes, id_of(bytes), has_fields(bytes)};
+            return stream_event{bytes, id_of(bytes), has_data(bytes)};
         }
         if (newline + 2 >= text.size())
             break; // the next line is incomplete
--- a/src/gateway/event_splitter.hpp
+++ b/src/gateway/event_splitter.hpp
@@ -17,7 +17,7 @@
 {
     std::string_view bytes;
     std::optional<std::uint64_t> id;
-    bool has_content = false; // any field; false for comments only
+    bool has_content = false; // data; without it the caller gets no event
 };
 
 class event_splitter
--- a/tests/platform/answer_delivery_test.cpp
+++ b/tests/platform/answer_delivery_test.cpp
@@ -366,7 +366,8 @@
         row{"no ids", "data: a\n\n", false},
         row{"no id at last", event(1) + "data: a\n\n", false},
         row{"no id at first", "data: a\n\n" + event(1), true},
-        row{"comment at last", event(1) + ": wait\n\n", true});
+        row{"comment at last", event(1) + ": wait\n\n", true},
+        row{"event without data at last", event(1) + "retry: 500\n\n", true});
     auto const oversized = GENERATE(false, true);
     CAPTURE(r.name, oversized);
     relay_fixture fixture;
