relay: hold no retry back while a request waits for room

Seen by reading: the retry held back for a refusal stayed held while the answer waited in the request queue, at most until its deadline, so that others could not use it. Change: it is held only during an attempt. No test of its own.

--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -175,6 +175,7 @@
     // they are suspended.
     work_.excluded.clear();
     discard_next_connection();
+    release_reserved_retry();
     state_ = state::waiting;
     if (!context_.wait_for_capacity(shared_from_this()) &&
         state_ == state::waiting)
@@ -409,10 +410,8 @@
 /// Holds a retry back for the case that the next endpoint refuses the request.
 void relay_exchange::reserve_retry(steady_time now)
 {
-    bool const goes_on =
-        state_ == state::attempting || state_ == state::waiting;
     auto& budget = context_.budget(request_.service);
-    if (!goes_on || !response_begun_ || retry_reserved_ ||
+    if (state_ != state::attempting || !response_begun_ || retry_reserved_ ||
         !budget.available(now))
         return;
     budget.reserve();
