soak: count the time limit of a request sent in pieces from its first byte

The gateway's limit begins with the first byte, or with the end of the answer before it on the connection; an answer may end later only because the request was not whole before. Test: a new row of the checker's table (sent in pieces, answered 2.6 s after the first byte with a limit of 2 s) was not reported before.

--- a/tests/platform/soak/promise_checker.cpp
+++ b/tests/platform/soak/promise_checker.cpp
@@ -346,11 +346,14 @@
                     double(route->second.count()) * h_.timeout_growth)));
         }
         auto const* const before = request_before(a);
-        // Of a request that was never sent whole no answer can be expected.
-        auto begins = a.whole.value_or(a.sent);
+        // A time limit counts from the first byte, or from the end of the
+        // answer before it. Of a request that was never sent whole no answer
+        // can be expected.
+        auto begins = a.sent;
         if (before != nullptr && before->ended)
             begins = std::max(begins, *before->ended);
-        auto const bound = begins + longest + answer_slack;
+        auto const bound =
+            std::max(begins + longest, a.whole.value_or(a.sent)) + answer_slack;
         if (a.whole && !a.slow && (!a.ended || *a.ended > bound) &&
             gateway_fault_free(a.gateway, a.sent, bound))
             fail("every request ends in time", a.id);
--- a/tests/platform/soak/promise_checker_test.cpp
+++ b/tests/platform/soak/promise_checker_test.cpp
@@ -218,6 +218,12 @@
               h.runs[2].ended = at(14000);
               h.processes[0].stop_requested = at(10000);
           }},
+         {"every request ends in time",
+          [&](history& h) // sent in pieces
+          {
+              lookup(h).whole = lookup(h).sent + milliseconds(1500);
+              lookup(h).ended = lookup(h).sent + milliseconds(2600);
+          }},
          {"processes end only when asked",
           [](history& h) { h.processes[0].ended = at(9000); }},
          {"processes stop within their grace time",
