--- a/tests/platform/answer_delivery_test.cpp
+++ b/tests/platform/answer_delivery_test.cpp
@@ -410,7 +410,8 @@
     auto& text = fixture.configuration.rows[0].value;
     std::string const copies = R"("backups":true)"; // would take memory
     text.replace(text.find(copies), copies.size(), R"("backups":false)");
-    std::string const name = R"("name":"llm",)"; // less urgent than a begun answer
+    std::string const name =
+        R"("name":"llm",)"; // less urgent than a begun answer
     text.replace(text.find(name), name.size(), name + R"("priority":1,)");
     fixture.start();
     auto& m1 = *fixture.endpoints[2];
