--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -35,6 +35,53 @@
     REQUIRE(caller->has("Retry-After") == !r.configured);
 }
 
+// Such requests waited until their deadline.
+TEST_CASE("what no endpoint can serve is refused at once", "[relay]")
+{
+    struct row
+    {
+        char const* name;
+        char const* service; // of the route
+        bool endpoint;       // the list has one
+        bool refused;
+    };
+    auto const r = GENERATE(
+        row{"not configured", "gone", false, true},
+        row{"not configured, with an endpoint", "gone", true, false},
+        row{"configured, its endpoints may come back", "app", false, false});
+    CAPTURE(r.name);
+    relay_fixture fixture;
+    auto& text = fixture.configuration.rows[0].value;
+    std::string const from = R"("routeType":"safe","service":"app",)";
+    text.replace(
+        text.find(from), from.size(),
+        std::string(R"("routeType":"safe","service":")") + r.service + R"(",)");
+    fixture.table.rows.erase(
+        fixture.table.rows.begin(), fixture.table.rows.begin() + 2);
+    if (r.endpoint)
+        fixture.table.rows.push_back(fixture.row(
+            "one", R"({"service":"gone","address":")" +
+                       fixture.endpoints[0]->address() +
+                       R"(","zone":"near","state":"ready","slots":8})"));
+    fixture.start();
+    fixture.clock.stop();
+    auto const caller = fixture.connect_caller(fixture.request("/safe/x"));
+    auto const ended = [&]
+    {
+        return caller->has("\r\n\r\n") ||
+               fixture.endpoints[0]->request_count() > 0;
+    };
+    if (r.refused || r.endpoint)
+        REQUIRE(fixture.run_until(ended));
+    else
+        fixture.settle();
+    REQUIRE(
+        caller->received.rfind("HTTP/1.1 503 ", 0) ==
+        (r.refused ? 0 : std::string::npos));
+    REQUIRE(caller->has("Retry-After: ") == r.refused);
+    REQUIRE(fixture.logged("reason=unknown_service detail=safe") == r.refused);
+}
+
 // Guards against serving a withdrawn API key: a gateway that was disconnected
 // from the store or paused may not know of the withdrawal.
 TEST_CASE("requests with an API key need a fresh configuration", "[relay]")
