gateway: take the timer of its periodic work from outside

No change of behaviour; loop_timer_service implements the existing interface timer_service on the gateway's io_context.

--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -141,7 +141,7 @@
            endpoint_copy_policy::change_batch_delay(settings_.drain_bound)},
           endpoint_reader_, shared_endpoints_, env_.clock, env_.random,
           env_.log),
-      acceptor_(env_.io), tick_timer_(env_.io),
+      acceptor_(env_.io),
       cache_lookup_(
           selection_, env_.protocol, env_.clock, env_.log,
           [this](
@@ -163,7 +163,10 @@
             { prompt_crashes_.merge(peer, evidence, env_.clock.now()); });
 }
 
-gateway::~gateway() = default;
+gateway::~gateway()
+{
+    env_.timers.cancel(tick_timer_);
+}
 
 void gateway::start()
 {
@@ -733,13 +736,7 @@
 
 void gateway::schedule_tick()
 {
-    tick_timer_.expires_after(tick_interval);
-    tick_timer_.async_wait(
-        [this](asio::error_code const& e)
-        {
-            if (!e)
-                tick();
-        });
+    tick_timer_ = env_.timers.schedule(tick_interval, [this] { tick(); });
 }
 
 void gateway::tick()
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -15,7 +15,6 @@
 #include <vector>
 
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <dotterellock/observability.hpp>
 #include <dotterellock/policy.hpp>
@@ -58,6 +57,7 @@
 struct gateway_environment
 {
     asio::io_context& io;
+    timer_service& timers;
     clock_source const& clock; // counts suspension
     random_source& random;
     protocol_codec const& protocol;
@@ -168,6 +168,7 @@
     bool refuse_excess(client_session& session, std::string const& id);
     void stop_accepting();
     void tick();
+    void schedule_tick();
     template<typename Work>
     void run_step(char const* step, Work const& work);
     void check_endpoint_calls(steady_time now, bool paused);
@@ -176,7 +177,6 @@
     void check_exchanges(steady_time now, bool paused);
     std::vector<std::shared_ptr<client_session>> sessions() const;
     void check_sessions(steady_time now);
-    void schedule_tick();
     void dispatch_queue(service_name const& service, request_queue& queue);
     void dispatch_waiting();
     void refuse_waiting(
@@ -251,7 +251,7 @@
     std::vector<std::pair<steady_time, endpoint_id>> recent_failures_;
     std::unique_ptr<status_service> status_;
     std::unique_ptr<status_service> metrics_;
-    asio::steady_timer tick_timer_;
+    timer_id tick_timer_ = 0;
     steady_time started_{};
     bool accepting_ = false;
     bool accept_pending_ = false;
--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -546,10 +546,10 @@
     void start_failing()
     {
         subject = std::make_unique<gateway>(
-            settings,
-            gateway_environment{
-                io, clock, random, protocol, failing, configuration_calls,
-                endpoint_calls, peer_table, peer_writer, log, counters});
+            settings, gateway_environment{
+                          io, timers, clock, random, protocol, failing,
+                          configuration_calls, endpoint_calls, peer_table,
+                          peer_writer, log, counters});
         subject->start();
     }
 
--- a/tests/platform/relay_faults_test.cpp
+++ b/tests/platform/relay_faults_test.cpp
@@ -273,8 +273,8 @@
     std::ofstream(file) << "";
     gateway_process process(
         file, "", fixture.settings,
-        {fixture.io, fixture.clock, fixture.random, fixture.protocol,
-         fixture.codec, fixture.configuration, fixture.table,
+        {fixture.io, fixture.timers, fixture.clock, fixture.random,
+         fixture.protocol, fixture.codec, fixture.configuration, fixture.table,
          fixture.peer_table, fixture.peer_writer, fixture.log,
          fixture.counters});
     bool served = false;
@@ -304,10 +304,10 @@
     {
         gateway_process process(
             file, "", fixture.settings,
-            {fixture.io, fixture.clock, fixture.random, fixture.protocol,
-             fixture.codec, fixture.configuration, fixture.table,
-             fixture.peer_table, fixture.peer_writer, fixture.log,
-             fixture.counters});
+            {fixture.io, fixture.timers, fixture.clock, fixture.random,
+             fixture.protocol, fixture.codec, fixture.configuration,
+             fixture.table, fixture.peer_table, fixture.peer_writer,
+             fixture.log, fixture.counters});
         // Only a test that fails reaches the limit.
         asio::steady_timer limit(fixture.io, std::chrono::seconds(10));
         limit.async_wait([&](asio::error_code const&) { fixture.io.stop(); });
--- a/tests/platform/relay_fixture.hpp
+++ b/tests/platform/relay_fixture.hpp
@@ -17,6 +17,7 @@
 #include "platform/platform_protocol.hpp"
 #include "platform/platform_row_codec.hpp"
 #include "relay/gateway.hpp"
+#include "relay/loop_timer_service.hpp"
 
 namespace dotterellock::testing
 {
@@ -330,9 +331,10 @@
     void start()
     {
         subject = std::make_unique<gateway>(
-            settings, gateway_environment{
-                          io, clock, random, protocol, codec, configuration,
-                          table, peer_table, peer_writer, log, counters});
+            settings,
+            gateway_environment{
+                io, timers, clock, random, protocol, codec, configuration,
+                table, peer_table, peer_writer, log, counters});
         subject->start();
     }
 
@@ -433,6 +435,7 @@
     }
 
     asio::io_context io{1};
+    loop_timer_service timers{io};
     offset_clock clock;
     sequential_random random;
     recording_log log;
--- a/tests/platform/unanswered_requests_test.cpp
+++ b/tests/platform/unanswered_requests_test.cpp
@@ -366,9 +366,10 @@
     fixture.subject = std::make_unique<gateway>(
         fixture.settings,
         gateway_environment{
-            fixture.io, fixture.clock, fixture.random, faulty, fixture.codec,
-            fixture.configuration, fixture.table, fixture.peer_table,
-            fixture.peer_writer, fixture.log, fixture.counters});
+            fixture.io, fixture.timers, fixture.clock, fixture.random, faulty,
+            fixture.codec, fixture.configuration, fixture.table,
+            fixture.peer_table, fixture.peer_writer, fixture.log,
+            fixture.counters});
     fixture.subject->start();
     auto const caller = fixture.connect_caller(fixture.request("/safe/x"));
     REQUIRE_THROWS_AS(
