tests: stop the clock in the test of early answers

Cause: the gateway's clock ran in real time while 24 MiB were sent and the test waited, so that on a slow machine the gateway's limits for silence took part.

Change: the clock stands still after the start. The checks are unchanged.

--- a/tests/platform/faulty_answers_test.cpp
+++ b/tests/platform/faulty_answers_test.cpp
@@ -609,6 +609,7 @@
     };
     accept();
     fixture.start();
+    fixture.clock.stop();
     auto text = fixture.request(
         path, "r1", "Content-Length: " + std::to_string(body_size) + "\r\n");
     text.replace(0, 3, "POST");
