gateway: do not let smaller prompts take a begun answer's room

Cause: after the gap, others behind it were let through, and each took the room that had come free, so that there was never enough for the larger one. A prompt that waits is refused with a time to come back; a begun answer is broken off.

Change: a begun answer without room holds up those behind it again, until its deadline at most, as before. Its test 'a begun answer without room lets others pass' asked for the behaviour that starves and leaves with it; 'small prompts do not starve a begun answer' takes its place.

--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -47,7 +47,7 @@
     return queue_refusal{*evicted, retry_after(entry.rank)};
 }
 
-void request_queue::undo_pop(queued_request const& entry)
+void request_queue::requeue(queued_request const& entry, steady_time now)
 {
     // The request did not start: neither its rank nor the start rate is
     // charged.
@@ -56,10 +56,6 @@
     last_served_.reset();
     if (!start_times_.empty())
         start_times_.pop_back();
-}
-
-void request_queue::put_back(queued_request const& entry, steady_time now)
-{
     insert(entry, now);
 }
 
--- a/src/gateway/request_queue.hpp
+++ b/src/gateway/request_queue.hpp
@@ -37,13 +37,6 @@
     bool begun = false;
     bool overdue = false; // target_start passed while waiting
 
-    /// Whether those behind it may start if it finds no room. A begun answer is
-    /// first until its target start, as others would take the room it needs.
-    bool lets_others_pass(steady_time now) const
-    {
-        return begun && now >= target_start;
-    }
-
     /// Whether to refuse it as it cannot start before that time.
     bool too_late_at(steady_time earliest_start) const
     {
@@ -75,11 +68,9 @@
     /// waiting longer, and others may still meet theirs.
     std::optional<queued_request> pop(steady_time now);
 
-    /// Takes back what pop() charged for a request that found no capacity.
-    void undo_pop(queued_request const& entry);
-
-    /// Returns such a request to the queue with its original times.
-    void put_back(queued_request const& entry, steady_time now);
+    /// Returns a request that found no capacity to the queue with its original
+    /// times.
+    void requeue(queued_request const& entry, steady_time now);
 
     /// Removes a request that ended for another reason.
     void erase(queue_entry_id id);
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -708,27 +708,20 @@
     }
     for (auto const& refusal : queue.remove_expired(now))
         refuse_waiting(refusal);
-    std::vector<queued_request> without_room;
-    bool stuck = false;
-    for (std::size_t n = queue.size(); n > 0 && !stuck; --n)
+    for (std::size_t n = queue.size(); n > 0; --n)
     {
         auto const next = queue.pop(now);
         if (!next)
-            break;
+            return;
         auto const found = exchanges_.find(next->id);
         if (found == exchanges_.end())
             continue;
         auto const e = found->second;
-        if (e->try_leave_queue())
-            continue;
-        queue.undo_pop(*next);
-        without_room.push_back(*next);
-        stuck = !next->lets_others_pass(now);
-    }
-    for (auto const& entry : without_room)
-    {
-        if (exchanges_.count(entry.id) != 0)
-            queue.put_back(entry, now);
+        if (!e->try_leave_queue())
+        {
+            queue.requeue(*next, now);
+            return;
+        }
     }
 }
 
--- a/tests/gateway/request_queue_test.cpp
+++ b/tests/gateway/request_queue_test.cpp
@@ -202,8 +202,7 @@
     SECTION("a requeued request keeps its times")
     {
         auto const taken = queue.pop(at(100));
-        queue.undo_pop(*taken);
-        queue.put_back(*taken, at(100));
+        queue.requeue(*taken, at(100));
         REQUIRE(queue.pop(at(200))->id == 1);
     }
 }
--- a/tests/platform/answer_delivery_test.cpp
+++ b/tests/platform/answer_delivery_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "relay_fixture.hpp"
+#include <map>
 
 using namespace dotterellock;
 using namespace dotterellock::testing;
@@ -401,8 +402,9 @@
     REQUIRE(two.request_count() == (r.resumed ? 1u : 0u));
 }
 
-// Prompts waited behind a begun answer that found no room until its deadline.
-TEST_CASE("a begun answer without room lets others pass", "[delivery]")
+// A begun answer that needs more memory than the others never found room, as
+// each release was taken by smaller prompts behind it until its deadline.
+TEST_CASE("small prompts do not starve a begun answer", "[delivery]")
 {
     relay_fixture fixture;
     fixture.set_engine_gap_target("1000");
@@ -410,13 +412,14 @@
     auto& text = fixture.configuration.rows[0].value;
     std::string const copies = R"("backups":true)"; // would take memory
     text.replace(text.find(copies), copies.size(), R"("backups":false)");
-    std::string const name =
-        R"("name":"llm",)"; // less urgent than a begun answer
-    text.replace(text.find(name), name.size(), name + R"("priority":1,)");
+    std::string const name = R"("name":"llm",)";
+    text.replace(
+        text.find(name), name.size(),
+        name + R"("priority":1,"anonymous":true,)");
     fixture.start();
     auto& m1 = *fixture.endpoints[2];
     auto& m2 = *fixture.endpoints[3];
-    auto const send = [&](char const* id, char const* tokens)
+    auto const send = [&](std::string const& id, char const* tokens)
     {
         return fixture.connect_caller(fixture.request(
             "/llm/x", id, std::string("Token-Counts: ") + tokens + ",10\r\n"));
@@ -426,6 +429,7 @@
     auto const begun = send("r2", "60000");
     REQUIRE(fixture.run_until([&] { return m2.request_count() == 1; }));
     fixture.clock.stop();
+    m1.connections[0]->send(stream_head("r1") + chunk(event(1)));
     m2.connections[0]->send(stream_head("r2") + chunk(event(1)));
     REQUIRE(fixture.run_until([&] { return begun->has("id: 1"); }));
     REQUIRE(fixture.run_until(
@@ -435,21 +439,46 @@
     fixture.table.publish_change(removed);
     m2.connections[0]->reset();
     fixture.settle();
-    auto const small = send("r3", "1000"); // waits for the prefill of r1
-    fixture.advance(milliseconds(1500));
-    REQUIRE_FALSE(m1.connections[0]->has("Request-Id: r3"));
-    m1.connections[0]->send(stream_head("r1") + chunk(event(1)));
-    auto const started = [&](char const* id)
+
+    // Every second step a small prompt comes; each is answered in 0.8 s.
+    std::vector<std::shared_ptr<test_connection>> callers;
+    std::map<std::string, int> running; // by id: steps since the start
+    bool begun_started = false;
+    int served = 0;
+    auto const play = [&](int step)
     {
-        return std::any_of(
-            m1.connections.begin(), m1.connections.end(),
-            [id](auto const& c)
-            { return c->has(std::string("Request-Id: ") + id); });
+        if (step % 2 == 0)
+            callers.push_back(send("s" + std::to_string(100 + step), "20000"));
+        if (step == 15)
+            m1.connections[0]->send("0\r\n\r\n");
+        for (auto const& c : m1.connections)
+        {
+            auto const at = c->received.rfind("Request-Id: ");
+            if (at == std::string::npos ||
+                c->received.find("\r\n\r\n", at) == std::string::npos)
+                continue;
+            auto const id = c->received.substr(
+                at + 12, c->received.find('\r', at) - at - 12);
+            begun_started = begun_started || id == "r2";
+            if (id[0] != 's')
+                continue;
+            int const age = ++running[id];
+            if (age == 1)
+                c->send(stream_head(id) + chunk(event(1)));
+            if (age == 8)
+            {
+                c->send("0\r\n\r\n");
+                ++served;
+            }
+        }
     };
-    fixture.advance(milliseconds(600));
-    REQUIRE(started("r3"));
-    REQUIRE_FALSE(started("r2"));
-    REQUIRE_FALSE(begun->closed);
+    for (int step = 0; step < 85 && !begun_started; ++step)
+    {
+        fixture.advance(milliseconds(100));
+        play(step);
+    }
+    CAPTURE(served, begun->closed);
+    REQUIRE(begun_started);
 }
 
 // Callers that read slowly ---------------------------------------------------
