gateway: refuse no service before the list of endpoints is known

Cause: an unknown list looked like an empty one. Change: the service is unknown only once the list has been read. Test: 'an unknown list of endpoints refuses no service', red before.

--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -502,7 +502,7 @@
         r.rank = organisation->rank.value_or(r.rank);
     }
     r.service = routing_table::select_target(*r.route, env_.random.next());
-    if (table_->service(r.service) == nullptr &&
+    if (endpoint_watch_.listed() && table_->service(r.service) == nullptr &&
         endpoints_.of_service(r.service).empty())
     {
         reject(*session, id, 503, "unknown_service", r.route->name);
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -82,6 +82,37 @@
     REQUIRE(fixture.logged("reason=unknown_service detail=safe") == r.refused);
 }
 
+// A gateway that did not have the list of endpoints yet refused what one of
+// them serves.
+TEST_CASE("an unknown list of endpoints refuses no service", "[relay]")
+{
+    relay_fixture fixture;
+    auto& text = fixture.configuration.rows[0].value;
+    std::string const from = R"("routeType":"safe","service":"app",)";
+    text.replace(
+        text.find(from), from.size(),
+        R"("routeType":"safe","service":"extra",)");
+    auto& one = fixture.table.rows[0].value;
+    std::string const app = R"("service":"app")";
+    one.replace(one.find(app), app.size(), R"("service":"extra")");
+    fixture.table.available = false;
+    fixture.start();
+    fixture.clock.stop();
+    fixture.advance(milliseconds(800)); // accepts without a list
+    auto const caller = fixture.connect_caller(fixture.request("/safe/x"));
+    fixture.advance(milliseconds(200));
+    fixture.table.available = true;
+    auto const ended = [&]
+    {
+        return caller->has("\r\n\r\n") ||
+               fixture.endpoints[0]->request_count() > 0;
+    };
+    for (int i = 0; i < 30 && !ended(); ++i)
+        fixture.advance(milliseconds(100));
+    REQUIRE_FALSE(caller->has("unknown_service"));
+    REQUIRE(fixture.endpoints[0]->request_count() == 1);
+}
+
 // Guards against serving a withdrawn API key: a gateway that was disconnected
 // from the store or paused may not know of the withdrawal.
 TEST_CASE("requests with an API key need a fresh configuration", "[relay]")
