relay: take the position from an event without data too

Seen in the review of, by a test: a stream lost behind an event that has an id and no data was broken off instead of resumed, if the event with data before it had no id.

Cause: the position was known or not by the last event with data only, though every id gives it. Change: an id makes the position known, data without an id unknown. Test: row 'id without data at last' of 'a stream continues only from a known position', red in both its cases before.

--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -661,8 +661,10 @@
         out += event->bytes;
         ++events_sent_;
         ++events_in_attempt_;
-        if (event->has_content)
-            position_known_ = event->id.has_value();
+        if (event->id)
+            position_known_ = true;
+        else if (event->has_content)
+            position_known_ = false;
         progress = progress || event->has_content;
     }
     if (out.empty())
