gateway: read the first field of a stream behind a byte order mark

Cause: the mark was read as a part of the first field's name, so the event had neither data nor id. Change: a mark at the start of a stream belongs to no field. It is still passed on. Test: row 'byte order mark' of 'a stream continues only from a known position', red in both its cases before.

--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace dotterellock
 {
@@ -43,6 +44,14 @@
     return std::nullopt;
 }
 
+/// A stream may begin with a byte order mark, which belongs to no field.
+std::string_view without_mark(std::string_view stream)
+{
+    constexpr std::string_view mark = "\xEF\xBB\xBF";
+    return stream.substr(
+        stream.substr(0, mark.size()) == mark ? mark.size() : 0);
+}
+
 bool has_data(std::string_view event)
 {
     constexpr std::string_view field = "data";
@@ -95,7 +104,9 @@
             std::size_t const end = newline + 1 + blank;
             auto const bytes = text.substr(start_, end - start_);
             start_ = scan_ = end;
-            return stream_event{bytes, id_of(bytes), has_data(bytes)};
+            auto const fields =
+                std::exchange(first_, false) ? without_mark(bytes) : bytes;
+            return stream_event{bytes, id_of(fields), has_data(fields)};
         }
         if (newline + 2 >= text.size())
             break; // the next line is incomplete
--- a/src/gateway/event_splitter.hpp
+++ b/src/gateway/event_splitter.hpp
@@ -46,6 +46,7 @@
     std::string buffer_;
     std::size_t start_ = 0; // start of the first event not yet returned
     std::size_t scan_ = 0;  // no event end before this offset
+    bool first_ = true;     // nothing was returned yet
 };
 
 } // namespace dotterellock
--- a/tests/platform/answer_delivery_test.cpp
+++ b/tests/platform/answer_delivery_test.cpp
@@ -369,7 +369,11 @@
         row{"no id at first", "data: a\n\n" + event(1), true},
         row{"comment at last", event(1) + ": wait\n\n", true},
         row{"event without data at last", event(1) + "retry: 500\n\n", true},
-        row{"id without data at last", "data: a\n\nid: 2\n\n", true});
+        row{"id without data at last", "data: a\n\nid: 2\n\n", true},
+        row{"byte order mark",
+            "\xEF\xBB\xBF"
+            "data: a\n\n",
+            false});
     auto const oversized = GENERATE(false, true);
     CAPTURE(r.name, oversized);
     relay_fixture fixture;
