relay: keep two retries for a begun answer on every suspicion

What callers see: a begun answer of a sound endpoint is broken off. Shown in a review by someone who had not seen the work, by tests: with one retry left the answer was given up because a check failed (the listener was closed or its accept queue full, while the stream went on), or because events were late on a route that tolerates gaps of 3 s; the next endpoint refused and nothing was left.

Two retries were asked for only after silence, and only while it was shorter than 2 s, a time that did not follow from the route's gap: a suspicion of silence begins at 0.8 of it.

Change: any suspicion of a begun answer needs two retries until its endpoint has been silent for the tolerated gap and 2 s. At a gap of 1 s an answer with one retry left now waits 3 s instead of 2 for an endpoint that hangs.

Test: 'one retry moves no begun stream of a sound endpoint', red in three of four rows before. 'a hung endpoint loses its request with one retry' passes as before.

--- a/src/gateway/attempt_policy.hpp
+++ b/src/gateway/attempt_policy.hpp
@@ -51,18 +51,19 @@
     static constexpr std::uint32_t max_refusals = 4;
     static constexpr std::uint32_t max_failed_connections = 6;
 
-    // An endpoint that is in order may be silent for a second or so.
+    // An endpoint that is in order may be silent for a second or so, beyond the
+    // gaps that its route tolerates.
     static constexpr std::chrono::milliseconds longest_sound_silence{2000};
 
-    /// Retries that must be left before an attempt is given up on a suspicion.
-    /// The next endpoint may refuse a begun answer that its own endpoint would
-    /// have gone on with, so that one more is needed.
+    /// Retries that must be left before an attempt is given up on a suspicion,
+    /// also of a failed check. The next endpoint may refuse a begun answer that
+    /// its own endpoint would have gone on with, so that one more is needed.
     static std::size_t retries_to_give_up(
-        received_part received, attempt_outcome suspicion, duration silence)
+        received_part received, duration silence,
+        std::chrono::milliseconds gap_target)
     {
         bool const may_go_on = received != received_part::nothing &&
-                               suspicion == attempt_outcome::silent &&
-                               silence < longest_sound_silence;
+                               silence < gap_target + longest_sound_silence;
         return may_go_on ? 2 : 1;
     }
 
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -434,12 +434,11 @@
 }
 
 /// The endpoint at which another attempt could start now, or null.
-endpoint_ptr
-relay_exchange::next_endpoint(attempt_outcome suspicion, steady_time now)
+endpoint_ptr relay_exchange::next_endpoint(steady_time now)
 {
     auto const& route = *request_.route;
     auto const needed = attempt_policy::retries_to_give_up(
-        received_by_caller(), suspicion, now - last_progress_);
+        received_by_caller(), now - last_progress_, route.event_gap_target);
     std::size_t const held = retry_reserved_ ? 1 : 0;
     if (!attempt_policy::may_follow(received_by_caller()) ||
         !route.repeatable() || history_.runs + 1 >= route.max_attempts ||
@@ -466,7 +465,7 @@
     auto const now = context_.clock().now();
     if (now < next_suspicion_)
         return;
-    if (auto next = next_endpoint(outcome, now))
+    if (auto next = next_endpoint(now))
     {
         bool const chosen =
             next_connection_ && next_connection_->endpoint == next;
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -219,7 +219,7 @@
     void reserve_retry(steady_time now);
     void release_reserved_retry();
     received_part received_by_caller() const;
-    endpoint_ptr next_endpoint(attempt_outcome suspicion, steady_time now);
+    endpoint_ptr next_endpoint(steady_time now);
     void give_up_attempt(attempt_outcome outcome, char const* reason);
     void connect_to_next(
         endpoint_ptr next, attempt_outcome outcome, char const* reason);
--- a/tests/platform/unanswered_requests_test.cpp
+++ b/tests/platform/unanswered_requests_test.cpp
@@ -2,6 +2,7 @@
 // budget; connections of callers.
 #include <catch2/catch.hpp>
 
+#include <deque>
 #include <map>
 #include <set>
 
@@ -19,6 +20,27 @@
     fixture.settings.retries.allowance = 0;
 }
 
+/// A listener whose accept queue is full, so that it drops SYN packets.
+struct full_listener
+{
+    full_listener(relay_fixture& fixture, asio::ip::tcp::endpoint const& at)
+        : acceptor(fixture.io)
+    {
+        acceptor.open(at.protocol());
+        acceptor.set_option(asio::socket_base::reuse_address(true));
+        acceptor.bind(at);
+        acceptor.listen(0);
+        for (int i = 0; i < 4; ++i)
+        {
+            auto& s = waiting.emplace_back(fixture.io);
+            s.async_connect(at, [](asio::error_code const&) {});
+        }
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    std::deque<asio::ip::tcp::socket> waiting;
+};
+
 } // namespace
 
 // Suspicion ------------------------------------------------------------------
@@ -291,6 +313,71 @@
     REQUIRE(moved == 1);
 }
 
+// A begun stream of a sound endpoint was given up with one retry left, refused
+// by the next endpoint and ended at its deadline.
+TEST_CASE("one retry moves no begun stream of a sound endpoint", "[unanswered]")
+{
+    enum class listener
+    {
+        accepts,
+        closed,
+        full
+    };
+    struct row
+    {
+        char const* name;
+        listener state;
+        char const* gap_target_ms;
+        milliseconds silence;
+    };
+    auto const r = GENERATE(
+        row{"gap target of 1 s", listener::accepts, "1000", milliseconds(1500)},
+        row{"gap target of 3 s", listener::accepts, "3000", milliseconds(2800)},
+        row{"listener closed", listener::closed, "1000", milliseconds(1000)},
+        row{"accept queue full", listener::full, "1000", milliseconds(1000)});
+    CAPTURE(r.name);
+    relay_fixture fixture;
+    fixture.set_engine_gap_target(r.gap_target_ms);
+    fixture.settings.retries.ratio = 0;
+    fixture.settings.retries.allowance = 1;
+    fixture.settings.retries.fleet_size = 1;
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request("/llm/x"));
+    auto& m1 = *fixture.endpoints[2];
+    REQUIRE(fixture.run_until([&] { return m1.request_count() == 1; }));
+    fixture.clock.stop();
+    auto const stream = m1.connections[0];
+    stream->send(stream_head() + chunk(event(1)));
+    REQUIRE(fixture.run_until([&] { return caller->has("id: 1"); }));
+    std::optional<full_listener> full;
+    if (r.state != listener::accepts)
+    {
+        auto const at = m1.acceptor.local_endpoint();
+        m1.acceptor.close();
+        if (r.state == listener::full)
+            full.emplace(fixture, at);
+    }
+    std::set<test_connection*> refused;
+    auto const refuse = [&]
+    {
+        for (std::size_t i : {3, 4})
+        {
+            for (auto const& c : fixture.endpoints[i]->connections)
+            {
+                if (c->has("Request-Id: r1") && refused.insert(c.get()).second)
+                    c->send(relay_fixture::response(
+                        "r1", "", "503 Busy", "Not-Executed: 1\r\n"));
+            }
+        }
+    };
+    fixture.advance(r.silence, refuse);
+    stream->send(chunk(event(2)) + "0\r\n\r\n");
+    fixture.advance(milliseconds(8500), refuse);
+    CHECK(refused.empty());
+    REQUIRE(caller->has("id: 2"));
+    REQUIRE(caller->has("\r\n0\r\n\r\n"));
+}
+
 // Connections of callers -----------------------------------------------------
 
 // A rejection of a later request on a kept connection was never written.
