gateway: return what found no room to its place in the queue

Seen in a review, by a test: a request that was tried and found no room moved behind later requests of its organisation at each try, every 200 ms and whenever room came free; a begun answer too, though the design says that it keeps its place. Read besides: if the queue was full by then, a request evicted in its favour stayed listed as waiting and nothing answered it before its deadline.

Cause: it was added again like a new request. Change: fair_queue::put_back() returns it to the front of its organisation, and the organisation to the front of its rank. It evicts nothing, as its place was taken when it came. Test: 'what found no room stays before later ones', red in both rows before.

--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -14,6 +14,11 @@
     return all_ranks[std::min<std::size_t>(value, rank_count - 1)];
 }
 
+bool is_overdue(queued_request const& entry, steady_time now)
+{
+    return !entry.begun && now >= entry.target_start;
+}
+
 queue_entry to_queue_entry(queued_request const& entry)
 {
     queue_entry q;
@@ -56,7 +61,10 @@
     last_served_.reset();
     if (!start_times_.empty())
         start_times_.pop_back();
-    insert(entry, now);
+    auto waiting = entry;
+    waiting.overdue = is_overdue(entry, now);
+    if (queue_.put_back(to_queue_entry(waiting)))
+        waiting_[entry.id] = waiting;
 }
 
 /// @return the id of the request without a place: this one or an evicted one
@@ -64,7 +72,7 @@
 request_queue::insert(queued_request const& entry, steady_time now)
 {
     auto waiting = entry;
-    waiting.overdue = !entry.begun && now >= entry.target_start;
+    waiting.overdue = is_overdue(entry, now);
     auto const pushed = queue_.push(to_queue_entry(waiting));
     if (!pushed.accepted)
         return entry.id;
--- a/src/gateway/request_queue.hpp
+++ b/src/gateway/request_queue.hpp
@@ -68,7 +68,7 @@
     /// waiting longer, and others may still meet theirs.
     std::optional<queued_request> pop(steady_time now);
 
-    /// Returns a request that found no capacity to the queue with its original
+    /// Returns a request that found no capacity to its place, with its original
     /// times.
     void requeue(queued_request const& entry, steady_time now);
 
--- a/src/queueing/fair_queue.cpp
+++ b/src/queueing/fair_queue.cpp
@@ -53,22 +53,37 @@
         erase(*result.evicted);
     }
     result.accepted = true;
+    insert(entry, position::back);
+    return result;
+}
+
+bool fair_queue::put_back(queue_entry const& entry)
+{
+    if (locations_.count(entry.id) != 0)
+        return false;
+    insert(entry, position::front);
+    return true;
+}
+
+void fair_queue::insert(queue_entry const& entry, position at)
+{
+    bool const first = at == position::front;
     rank_queue& q = queue_of(entry.rank);
     auto const [found, added] = q.backlogs.try_emplace(entry.organisation);
     backlog& b = found->second;
     if (added)
     {
         b.deficit = -take_remaining_debt(q, entry.organisation);
-        b.round_robin_position =
-            q.round_robin.insert(q.round_robin.end(), entry.organisation);
+        b.round_robin_position = q.round_robin.insert(
+            first ? q.round_robin.begin() : q.round_robin.end(),
+            entry.organisation);
     }
-    b.entries.push_back(entry);
+    b.entries.insert(first ? b.entries.begin() : b.entries.end(), entry);
     ++q.entry_count;
     update_backlog_length(q, entry.organisation, b.entries.size() - 1);
     locations_.emplace(entry.id, std::pair{entry.rank, entry.organisation});
     waiting_tokens_ += entry.tokens;
     kept_places_ += entry.keeps_place ? 1 : 0;
-    return result;
 }
 
 std::optional<queue_entry_id>
--- a/src/queueing/fair_queue.hpp
+++ b/src/queueing/fair_queue.hpp
@@ -70,6 +70,12 @@
     /// the id is already in the queue.
     push_result push(queue_entry entry);
 
+    /// Returns an entry that was served but not used to the front of its
+    /// organisation's backlog, and the organisation to the front of its rank.
+    /// Its cost must have been corrected. Evicts nothing.
+    /// @return whether it was accepted: not if its id is in the queue again
+    bool put_back(queue_entry const& entry);
+
     /// Removes the next entry and charges its estimated cost. Within an
     /// organisation the oldest entry that is not overdue is served first, then
     /// the overdue ones.
@@ -92,6 +98,12 @@
     std::size_t tracked_organisations() const;
 
 private:
+    enum class position
+    {
+        front,
+        back
+    };
+
     struct backlog
     {
         std::deque<queue_entry> entries;
@@ -129,6 +141,7 @@
 
     std::optional<queue_entry_id>
     eviction_victim(queue_entry const& entry) const;
+    void insert(queue_entry const& entry, position at);
     std::optional<rank> rank_with_credit() const;
     std::int64_t quantum(organisation_id const& organisation) const;
     queue_entry dequeue(rank_queue& q, steady_time now);
--- a/tests/gateway/request_queue_test.cpp
+++ b/tests/gateway/request_queue_test.cpp
@@ -278,3 +278,30 @@
     }
     REQUIRE(started["small"] >= submitted["small"] * 9 / 10);
 }
+
+// What found no room lost its turn to later requests of its organisation.
+TEST_CASE("what found no room stays before later ones", "[request_queue]")
+{
+    bool const begun = GENERATE(false, true);
+    CAPTURE(begun);
+    fixed_policy const policy;
+    request_queue queue(policy);
+    auto const now = steady_time() + std::chrono::hours(1);
+    for (queue_entry_id id : {1, 2, 3})
+    {
+        queued_request entry;
+        entry.id = id;
+        entry.organisation = organisation_id("acme");
+        entry.target_start = now + std::chrono::seconds(1);
+        entry.start_deadline = now + std::chrono::seconds(9);
+        entry.begun = begun;
+        REQUIRE_FALSE(queue.enqueue(entry, now));
+    }
+    for (int round = 0; round < 3; ++round)
+    {
+        auto const next = queue.pop(now);
+        REQUIRE(next);
+        REQUIRE(next->id == 1);
+        queue.requeue(*next, now);
+    }
+}
