tests: settings of a review for the prompt quarantine

The seeded simulation covered few such settings: no reused connections, restarts of at most 4 s, 20 bad prompts in a thousand at least and endpoint counts of 1, 3, 12 and 40.

Change: a table of every combination of 2, 3, 4, 6 and 8 endpoints, 10, 20 and 50 bad prompts in a thousand and 2, 3 and 5 attempts, two seeds each.

Crashes less than a second apart count once, whatever their endpoints, so the crashes of one request at all endpoints are one incident. Requests wait until endpoints are back, and those with the part reach them before two further incidents are known.

--- a/tests/gateway/prompt_quarantine_test.cpp
+++ b/tests/gateway/prompt_quarantine_test.cpp
@@ -763,6 +763,34 @@
     return c;
 }
 
+// A running service with answers that mostly last, without other failures. The
+// seed chooses what a setting leaves open.
+fleet_case
+warm_case(std::uint32_t seed, int endpoints, int per_thousand, int attempts)
+{
+    std::mt19937 random(seed * 7919);
+    auto const one_of = [&](std::vector<double> const& values)
+    { return values[random() % values.size()]; };
+    fleet_case c;
+    c.seed = seed;
+    c.endpoints = endpoints;
+    c.bad_share = per_thousand / 1000.0;
+    c.attempts = attempts;
+    c.bad_from = 60;
+    c.gateways = int(one_of({1, 2, 3, 6}));
+    c.ring = random() % 3 == 0;
+    c.rate = one_of({1, 4, 20});
+    c.parts = 2 + int(random() % 4);
+    c.bad_position = int(random() % unsigned(c.parts));
+    c.variants = int(one_of({1, 2, 4}));
+    c.after_first_event = random() % 2 == 0;
+    c.reused_share = one_of({0, 0.5, 1});
+    c.quick_share = one_of({0, 0.5, 1});
+    c.restart_min = 1;
+    c.restart_max = one_of({3, 10});
+    return c;
+}
+
 void check_containment(fleet_case const& c)
 {
     INFO(c.describe());
@@ -802,3 +830,38 @@
     c.bad_share = 0.3;
     check_containment(c);
 }
+
+// Settings with which real gateways broke the bound in a review: few endpoints,
+// few bad prompts, crashes on reused connections.
+TEST_CASE(
+    "a bad part is contained with few endpoints and few bad prompts",
+    "[quarantine]")
+{
+    auto const endpoints = GENERATE(2, 3, 4, 6, 8);
+    auto const per_thousand = GENERATE(10, 20, 50);
+    auto const attempts = GENERATE(2, 3, 5);
+    auto const seed = std::uint32_t(GENERATE(range(1, 3)));
+    check_containment(warm_case(seed, endpoints, per_thousand, attempts));
+}
+
+// One request crashes most endpoints within a second, which counts once. The
+// requests that wait meanwhile reach the endpoints that are back.
+TEST_CASE(
+    "a part that crashes all endpoints within a second is contained",
+    "[quarantine]")
+{
+    struct row
+    {
+        std::uint32_t seed;
+        int endpoints;
+        int per_thousand;
+        int attempts;
+        bool warm;
+    };
+    auto const r = GENERATE(
+        row{7, 6, 50, 5, true}, row{7, 8, 50, 5, true},
+        row{14, 3, 20, 5, false}, row{14, 3, 50, 5, false});
+    auto c = warm_case(r.seed, r.endpoints, r.per_thousand, r.attempts);
+    c.bad_from = r.warm ? 60 : 0;
+    check_containment(c);
+}
