tests: what remains of crashing prompts, in the simulation

What callers would see: docs/incidents/crashing-prompts.md lists cases under "What remains" of which no test showed how far they break a rule.

Change: five simulated tests with the bounds of check_containment; no bound is taken from a run.

Few bad requests do not refuse sound ones.

--- a/tests/gateway/prompt_quarantine_test.cpp
+++ b/tests/gateway/prompt_quarantine_test.cpp
@@ -865,3 +865,62 @@
     c.bad_from = r.warm ? 60 : 0;
     check_containment(c);
 }
+
+// Incidents rest on the repetitions of a few requests; sound requests that were
+// lost at the same endpoints must not be refused for it.
+TEST_CASE("few bad requests do not refuse sound ones", "[quarantine]")
+{
+    auto const endpoints = GENERATE(2, 4, 8);
+    auto const requests = GENERATE(1, 2, 3);
+    auto const seed = std::uint32_t(GENERATE(range(1, 5)));
+    auto c = warm_case(seed, endpoints, 50, 5);
+    c.bad_requests = requests;
+    check_containment(c);
+}
+
+// All gateways let the part through until the next crash is exchanged.
+TEST_CASE("a bad part is contained when quarantines end", "[quarantine]")
+{
+    auto const endpoints = GENERATE(3, 8);
+    auto const attempts = GENERATE(3, 5);
+    auto const seed = std::uint32_t(GENERATE(range(1, 4)));
+    auto c = warm_case(seed, endpoints, 50, attempts);
+    c.observed = 1000; // quarantines of 5 and 10 minutes
+    check_containment(c);
+}
+
+// Proofs have no age limit, and requests with a part that was proven before are
+// let through in trials.
+TEST_CASE(
+    "a part that turns bad after it was proven is contained", "[quarantine]")
+{
+    auto const endpoints = GENERATE(3, 8);
+    auto const attempts = GENERATE(3, 5);
+    auto const seed = std::uint32_t(GENERATE(range(1, 4)));
+    auto c = warm_case(seed, endpoints, 50, attempts);
+    c.sound_before = true;
+    check_containment(c);
+}
+
+// A fleet that starts as a whole knows no quarantine.
+TEST_CASE(
+    "a bad part is contained after a loss of all gateways", "[quarantine]")
+{
+    auto const endpoints = GENERATE(3, 8);
+    auto const attempts = GENERATE(3, 5);
+    auto const seed = std::uint32_t(GENERATE(range(1, 4)));
+    auto c = warm_case(seed, endpoints, 50, attempts);
+    c.power_loss_after = 60;
+    check_containment(c);
+}
+
+// Ages omit the time that evidence waited in the socket of a paused gateway;
+// beyond the tolerance, one crash counts twice.
+TEST_CASE("evidence that waited refuses no sound requests", "[quarantine]")
+{
+    auto c = random_case(std::uint32_t(GENERATE(range(1, 61))));
+    c.bad_from = 60;
+    c.ring = false;
+    c.late_evidence_share = 0.02;
+    check_containment(c);
+}
