--- a/tests/gateway/prompt_quarantine_test.cpp
+++ b/tests/gateway/prompt_quarantine_test.cpp
@@ -863,7 +863,10 @@
         row{7, 6, 50, 5, true}, row{7, 8, 50, 5, true}, row{38, 3, 50, 3, true},
         row{56, 6, 50, 2, true}, row{56, 8, 50, 5, true},
         row{59, 6, 50, 5, false}, row{59, 8, 50, 5, false},
-        row{74, 8, 50, 2, false}, row{14, 3, 20, 5, false},
+        row{74, 8, 50, 2, false}, row{103, 6, 50, 5, true},
+        row{113, 6, 20, 3, true}, row{128, 6, 20, 5, true},
+        row{132, 6, 20, 5, true}, row{156, 8, 50, 3, true},
+        row{114, 8, 50, 5, false}, row{14, 3, 20, 5, false},
         row{14, 3, 50, 5, false});
     auto c = warm_case(r.seed, r.endpoints, r.per_thousand, r.attempts);
     c.bad_from = r.warm ? 60 : 0;
