--- a/tests/platform/soak/broken_gateway.cpp
+++ b/tests/platform/soak/broken_gateway.cpp
@@ -14,6 +14,7 @@
 #include "process/bounded_log.hpp"
 #include "process/system_runtime.hpp"
 #include "relay/gateway_process.hpp"
+#include "relay/loop_timer_service.hpp"
 
 namespace
 {
@@ -152,6 +153,7 @@
     broken_protocol const protocol(promise);
     broken_row_codec const codec(promise);
     asio::io_context io(1);
+    loop_timer_service timers(io);
     row_store_client configuration_store(io, clock, settings.store);
     change_dropping_reader configuration(
         configuration_store, promise == "revocation");
@@ -160,8 +162,8 @@
     row_store_client peer_writer(io, clock, settings.store);
     gateway_process process(
         file, text, settings,
-        {io, clock, random, protocol, codec, configuration, endpoints, peers,
-         peer_writer, log, counters});
+        {io, timers, clock, random, protocol, codec, configuration, endpoints,
+         peers, peer_writer, log, counters});
     if (promise == "stop")
         std::signal(SIGTERM, [](int) { ::_exit(0); }); // drops open requests
     process.run();
