--- a/tests/platform/explorer/schedule.cpp
+++ b/tests/platform/explorer/schedule.cpp
@@ -33,6 +33,14 @@
         // Each schedule draws from some kinds of trouble only, so that most
         // requests of some schedules get far.
         draw_weights();
+        draw_focus();
+        if (one_in(3)) // one endpoint of each service
+        {
+            s.steps.push_back(
+                {action::row, 1, std::uint32_t(row_form::removed)});
+            s.steps.push_back(
+                {action::row, 3, std::uint32_t(row_form::removed)});
+        }
         std::size_t const length = 10 + below(50);
         std::uint32_t requests = 0;
         while (s.steps.size() < length)
@@ -86,6 +94,22 @@
         sound_answers_ = one_in(3);
     }
 
+    /// Some schedules have requests of one or two routes only, and trouble at
+    /// the endpoints of one service.
+    void draw_focus()
+    {
+        routes_ = {below(route_count), below(route_count)};
+        if (one_in(2))
+            routes_ = {0, 1, 2, 3, 4, 5};
+        first_endpoint_ = one_in(2) ? 0 : 2 * below(2);
+        endpoints_ = first_endpoint_ == 0 && one_in(2) ? endpoint_count : 2;
+    }
+
+    std::uint32_t draw_endpoint()
+    {
+        return first_endpoint_ + below(endpoints_);
+    }
+
     action draw_action()
     {
         auto at = below(total_);
@@ -119,7 +143,8 @@
         {
         case action::request:
             s.who = below(caller_count);
-            s.form = below(route_count) + 8 * below(2);
+            s.form =
+                routes_[below(std::uint32_t(routes_.size()))] + 8 * below(2);
             s.size = below(4) + 4 * below(3);
             s.amount = whole_requests_ ? 0 : piece();
             break;
@@ -163,14 +188,14 @@
             break;
         case action::listen:
         case action::mute:
-            s.who = below(endpoint_count);
+            s.who = draw_endpoint();
             s.form = below(2);
             break;
         case action::reset_idle:
-            s.who = below(endpoint_count);
+            s.who = draw_endpoint();
             break;
         case action::row:
-            s.who = below(endpoint_count);
+            s.who = draw_endpoint();
             s.form = below(row_form_count);
             break;
         case action::configure:
@@ -197,6 +222,9 @@
     std::mt19937_64 engine_;
     std::vector<weighted_action> weights_;
     std::uint32_t total_ = 0;
+    std::vector<std::uint32_t> routes_;
+    std::uint32_t first_endpoint_ = 0;
+    std::uint32_t endpoints_ = endpoint_count;
     bool whole_requests_ = true;
     bool sound_answers_ = true;
 };
--- a/tests/platform/explorer/world.cpp
+++ b/tests/platform/explorer/world.cpp
@@ -922,7 +922,10 @@
         break;
     case action::read_some:
         if (auto* const c = usable_caller(s.who))
+        {
             c->socket->read_some(s.amount == 0 ? 65536 : s.amount);
+            read_answers(*c);
+        }
         break;
     case action::resume_reading:
         if (auto* const c = usable_caller(s.who))
@@ -988,7 +991,7 @@
     for (auto const& c : callers_)
     {
         c->socket->resume_reading();
-        if (seed_ % 2 == 0)
+        if (seed_ % 2 == 0 && !seen_.connections[c->connection].closed)
             c->socket->allow(0);
     }
     settle();
