--- a/tests/platform/explorer/checks.cpp
+++ b/tests/platform/explorer/checks.cpp
@@ -94,6 +94,13 @@
         return found == runs_.end() ? none : found->second;
     }
 
+    std::vector<key_change> const& changes_of(std::string const& key) const
+    {
+        static std::vector<key_change> const none;
+        auto const found = seen_.keys.find(key);
+        return found == seen_.keys.end() ? none : found->second;
+    }
+
     /// The time, put off by pauses of the process that reach into it.
     steady_time after_pauses(steady_time t) const
     {
@@ -196,9 +203,11 @@
         if (r.ended || !c.closed)
             return;
         auto const& runs = runs_of(r);
-        bool const faulty = std::any_of(
-            runs.begin(), runs.end(),
-            [](endpoint_run const* run) { return run->faulty; });
+        bool const faulty =
+            std::any_of(
+                runs.begin(), runs.end(),
+                [](endpoint_run const* run) { return run->faulty; }) &&
+            !refused_after_suspicion(runs);
         // The gateway may have written the answer before it long ago.
         auto const earliest = r.limited_by_reading ? began + limit_of(r) : due;
         bool const explained = r.begun && (faulty || *c.closed >= earliest);
@@ -212,6 +221,23 @@
                 r.id + ": closed " + text_of(*c.closed));
     }
 
+    /// Whether an attempt was abandoned for a silence of less than two seconds
+    /// and the next endpoint refused, once. A further retry is held back then.
+    bool refused_after_suspicion(run_list const& runs) const
+    {
+        constexpr milliseconds longest_sound_silence{2000};
+        constexpr milliseconds refusal_wait{1000};
+        if (runs.size() != 2 || seen_.refused_connections)
+            return false;
+        auto const& first = *runs[0];
+        auto const& second = *runs[1];
+        return !first.faulty && first.cut && first.last_byte &&
+               *first.cut - *first.last_byte < longest_sound_silence &&
+               running(first.began, *first.cut) && second.proves_not_run &&
+               second.sent && *second.sent - second.began < refusal_wait &&
+               running(second.began, *second.sent);
+    }
+
     // Contents of answers ---------------------------------------------------
 
     void check_answer(caller_request const& r)
@@ -350,8 +376,8 @@
             allowed = seen_.small_body_limit && r.body.size() > 1000;
             break;
         case 401:
-            allowed = r.key == "KEY1" && r.route != route_kind::open &&
-                      was_absent(seen_.keys, *r.begun);
+            allowed = r.route != route_kind::open &&
+                      was_absent(changes_of(r.key), *r.begun);
             break;
         case 404:
             allowed = r.route == route_kind::safe &&
@@ -448,14 +474,14 @@
             auto const request = std::find_if(
                 seen_.requests.begin(), seen_.requests.end(),
                 [&run](caller_request const& r) { return r.id == run.id; });
-            if (request == seen_.requests.end() || request->key != "KEY1" ||
+            if (request == seen_.requests.end() ||
                 request->route == route_kind::open || !request->whole)
                 continue;
             auto const sent = *request->whole;
             bool valid = true;
             steady_time since{};
             bool changed_later = false;
-            for (auto const& k : seen_.keys)
+            for (auto const& k : changes_of(request->key))
             {
                 if (k.at <= sent)
                 {
--- a/tests/platform/explorer/observations.hpp
+++ b/tests/platform/explorer/observations.hpp
@@ -5,8 +5,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -74,9 +74,10 @@
     bool ends_within_event = false;
     bool end_looks_whole = false; // it has no length, and was closed in order
     bool ended_in_order = false;  // its answer was sent whole
-    std::optional<steady_time> sent;    // when
-    std::optional<steady_time> dropped; // by the endpoint
-    std::optional<steady_time> cut;     // by the gateway, before `sent`
+    std::optional<steady_time> sent;      // when
+    std::optional<steady_time> dropped;   // by the endpoint
+    std::optional<steady_time> cut;       // by the gateway, before `sent`
+    std::optional<steady_time> last_byte; // sent
     bool faulty = false; // its answer, or its end, was not in order
 };
 
@@ -105,15 +106,16 @@
     std::vector<caller_connection> connections;
     std::vector<endpoint_run> runs;
 
-    std::vector<key_change> keys;        // of the key that is withdrawn
+    std::map<std::string, std::vector<key_change>> keys;
     std::vector<key_change> safe_routes; // whether it exists
     std::vector<row_change> rows;
     std::vector<interval> store_faults;
     std::vector<interval> jumps;
-    std::uint32_t max_attempts = 0; // of all versions
-    bool small_body_limit = false;  // in some version
-    bool short_idle_limit = false;  // in some version
-    bool service_removed = false;   // in some version
+    std::uint32_t max_attempts = 0;   // of all versions
+    bool refused_connections = false; // some endpoint did
+    bool small_body_limit = false;    // in some version
+    bool short_idle_limit = false;    // in some version
+    bool service_removed = false;     // in some version
 
     steady_time began{};
     std::optional<steady_time> stopped;
--- a/tests/platform/explorer/schedule.hpp
+++ b/tests/platform/explorer/schedule.hpp
@@ -85,15 +85,16 @@
 
 enum class configuration_form : std::uint8_t
 {
-    key,         // size: 0 withdraws it, 1 gives it back
-    body_limit,  // size: 0 small, 1 usual
-    safe_route,  // size: 0 removes it, 1 returns it
-    app_service, // as before
-    attempts,    // size: maxAttempts of the repeatable routes
-    idle_limit   // size: 0 short, 1 usual
+    key,          // size: 0 withdraws it, 1 gives it back
+    body_limit,   // size: 0 small, 1 usual
+    safe_route,   // size: 0 removes it, 1 returns it
+    app_service,  // as before
+    attempts,     // size: maxAttempts of the repeatable routes
+    idle_limit,   // size: 0 short, 1 usual
+    organisations // size: 0 empties their list, 1 returns them
 };
 constexpr std::uint32_t configuration_form_count =
-    std::uint32_t(configuration_form::idle_limit) + 1;
+    std::uint32_t(configuration_form::organisations) + 1;
 
 enum class route_kind : std::uint8_t
 {
--- a/tests/platform/explorer/world.cpp
+++ b/tests/platform/explorer/world.cpp
@@ -321,6 +321,7 @@
     if (!accepts)
     {
         e.acceptor.reset();
+        seen_.refused_connections = true;
         return;
     }
     if (e.acceptor)
@@ -408,9 +409,13 @@
 
 void world::note_answered(endpoint_connection& c)
 {
-    if (!c.run || !c.answer_complete || !c.socket->all_sent())
+    if (!c.run)
         return;
     auto& run = seen_.runs[*c.run];
+    if (std::exchange(c.sent, c.socket->sent()) != c.socket->sent())
+        run.last_byte = now();
+    if (!c.answer_complete || !c.socket->all_sent())
+        return;
     run.sent = now();
     run.ended_in_order = !run.ends_within_event;
     c.run.reset();
@@ -721,17 +726,26 @@
         std::string(app_service_ ? R"({"name":"app"},)" : "") +
         R"({"name":"llm","engine":{"slots":8,"kvCapacity":88000,
  "backups":true,"handleS":4.0}})";
+    std::string organisations;
+    if (organisations_)
+        organisations =
+            R"({"name":"acme","apiKeys":["KEY0")" +
+            (key_valid_ ? std::string(",\"") + withdrawn_key + '"' : "") + "]}";
     configuration_.commit(
-        "config",
-        R"({"version":)" + std::to_string(++version_) + R"(,"routes":[)" +
-            routes + R"(],"services":[)" + services +
-            R"(],"limits":{"maxHeaderBytes":4000,"maxBodyBytes":)" +
-            (small_body_limit_ ? "1000" : "100000") +
-            R"(,"headerTimeoutMs":3000,"idleTimeoutMs":)" +
-            (short_idle_limit_ ? "500" : "60000") +
-            R"(},"tenants":[{"name":"acme","apiKeys":["KEY0")" +
-            (key_valid_ ? std::string(",\"") + withdrawn_key + '"' : "") +
-            "]}]}");
+        "config", R"({"version":)" + std::to_string(++version_) +
+                      R"(,"routes":[)" + routes + R"(],"services":[)" +
+                      services +
+                      R"(],"limits":{"maxHeaderBytes":4000,"maxBodyBytes":)" +
+                      (small_body_limit_ ? "1000" : "100000") +
+                      R"(,"headerTimeoutMs":3000,"idleTimeoutMs":)" +
+                      (short_idle_limit_ ? "500" : "60000") +
+                      R"(},"tenants":[)" + organisations + "]}");
+}
+
+void world::note_keys()
+{
+    seen_.keys["KEY0"].push_back({now(), organisations_});
+    seen_.keys[withdrawn_key].push_back({now(), organisations_ && key_valid_});
 }
 
 void world::configure(step const& s)
@@ -741,7 +755,7 @@
     {
     case configuration_form::key:
         key_valid_ = on;
-        seen_.keys.push_back({now(), on});
+        note_keys();
         break;
     case configuration_form::body_limit:
         small_body_limit_ = !on;
@@ -759,6 +773,10 @@
         max_attempts_ = s.size;
         seen_.max_attempts = std::max(seen_.max_attempts, max_attempts_);
         break;
+    case configuration_form::organisations:
+        organisations_ = on;
+        note_keys();
+        break;
     case configuration_form::idle_limit:
         short_idle_limit_ = !on;
         seen_.short_idle_limit = seen_.short_idle_limit || !on;
@@ -1025,10 +1043,10 @@
         advance(milliseconds(100));
     if (!seen_.stopped)
     {
-        key_valid_ = safe_route_ = app_service_ = true;
+        key_valid_ = safe_route_ = app_service_ = organisations_ = true;
         small_body_limit_ = short_idle_limit_ = false;
         max_attempts_ = 3;
-        seen_.keys.push_back({now(), true});
+        note_keys();
         seen_.safe_routes.push_back({now(), true});
         commit_configuration();
         for (std::uint32_t i = 0; i < endpoint_count; ++i)
--- a/tests/platform/explorer/world.hpp
+++ b/tests/platform/explorer/world.hpp
@@ -94,6 +94,7 @@
         std::unique_ptr<peer_socket> socket;
         std::size_t parsed = 0;
         std::size_t looked_at = 0;
+        std::size_t sent = 0;
         std::optional<std::size_t> run; // that it works on
         bool ends_after_answer = false;
         bool ends_with_connection = false; // its answer has no length
@@ -144,6 +145,7 @@
     void put_row(std::uint32_t index, row_form form);
     void configure(step const& s);
     void commit_configuration();
+    void note_keys();
     void set_store(store_mode mode);
 
     // Time
@@ -183,6 +185,7 @@
     // The configuration in the store
     std::uint64_t version_ = 0;
     bool key_valid_ = true;
+    bool organisations_ = true;
     bool small_body_limit_ = false;
     bool safe_route_ = true;
     bool app_service_ = true;
