relay: close no connection whose answer is under way

Cause: 2.5 s into a stop idle connections are closed, as they are after the idle limit and after the 1 s that follow a last response. If the caller then sends another request, the closed socket answers with a reset, and the kernel drops what it had not delivered of the answer.

Evidence: the shrunk schedule, replayed: 198,151 bytes answered at 20 ms, connection closed at 2560 ms, request at 2580 ms, break seen at 2600 ms.

--- a/src/relay/client_session.cpp
+++ b/src/relay/client_session.cpp
@@ -447,7 +447,7 @@
             reject(408, "body_timeout");
         break;
     case state::closing:
-        if (waited > close_linger)
+        if (waited > close_linger && !has_unacknowledged_output(socket_))
             close();
         break;
     case state::responding:
@@ -462,10 +462,12 @@
 
 void client_session::close_idle()
 {
-    if (state_ != state::idle || awaits_first_request() || input_waiting())
-        return;
     // Closed for input as well: a request that is on its way is reset unread,
-    // so its caller may send it again.
+    // so its caller may send it again. The reset drops what the caller has not
+    // received of its answer.
+    if (state_ != state::idle || awaits_first_request() || input_waiting() ||
+        has_unacknowledged_output(socket_))
+        return;
     close();
 }
 
--- a/src/relay/socket_options.hpp
+++ b/src/relay/socket_options.hpp
@@ -2,6 +2,8 @@
 #ifndef DOTTERELLOCK_RELAY_SOCKET_OPTIONS_HPP
 #define DOTTERELLOCK_RELAY_SOCKET_OPTIONS_HPP
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <netinet/in.h>
@@ -42,6 +44,13 @@
         ::setsockopt(fd, IPPROTO_TCP, name, &value, sizeof value);
 }
 
+/// Whether the peer has not acknowledged all that was written.
+inline bool has_unacknowledged_output(asio::ip::tcp::socket& socket)
+{
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 } // namespace dotterellock
 
 #endif
--- a/tests/platform/explorer/explorer_test.cpp
+++ b/tests/platform/explorer/explorer_test.cpp
@@ -79,11 +79,11 @@
     }
 }
 
-// Fails: after a stop has closed the idle connection, the request of a caller
-// that still reads is reset, and what it has not read of its answer is lost.
+// After a stop had closed the idle connection, the request of a caller that
+// still read was reset, and what it had not read of its answer was lost.
 TEST_CASE(
     "an answer that its caller has not read outlasts its connection",
-    "[.explore-open]")
+    "[explorer]")
 {
     schedule const s{
         141894,
