tests: reserve the explorer's ports from parallel runs

Seen: 33 of 48 runs of [explorer] failed with 'Address already in use', 12 at a time beside the linter. Cause: addresses and ports follow from the seed; a process looked whether they were free and bound them later, so that two that play the same seed met. Change: a listener that is held for the life of a world reserves its ports.

--- a/tests/platform/explorer/world.cpp
+++ b/tests/platform/explorer/world.cpp
@@ -38,25 +38,22 @@
 
 constexpr unsigned short first_port = 18080;
 
-/// A port at which nothing of another process listens.
-unsigned short free_port(asio::io_context& io, std::uint64_t seed)
+/// Reserves three ports of the seed's addresses from other processes that play
+/// the same seed: `guard` listens at the last of them.
+/// @return the first
+unsigned short reserve_ports(asio::ip::tcp::acceptor& guard, std::uint64_t seed)
 {
     for (unsigned short port = first_port;; port += 10)
     {
-        bool free = true;
-        for (unsigned short p : {port, (unsigned short)(port + 1)})
-        {
-            asio::ip::tcp::acceptor a(io);
-            asio::error_code e;
-            a.open(asio::ip::tcp::v4());
-            a.set_option(asio::socket_base::reuse_address(true));
-            a.bind({address_of(seed, 0), p}, e);
-            if (!e)
-                a.listen(1, e);
-            free = free && !e;
-        }
-        if (free)
+        asio::error_code e;
+        guard.open(asio::ip::tcp::v4());
+        guard.set_option(asio::socket_base::reuse_address(true));
+        guard.bind({address_of(seed, 0), (unsigned short)(port + 2)}, e);
+        if (!e)
+            guard.listen(1, e);
+        if (!e)
             return port;
+        guard.close();
     }
 }
 
@@ -121,7 +118,7 @@
 {
     log_.clock = &scheduler_;
     store_.tells_time = seed % 2 == 0;
-    auto const port = free_port(io_, seed);
+    auto const port = reserve_ports(port_guard_, seed);
     struct place
     {
         char const* id;
--- a/tests/platform/explorer/world.hpp
+++ b/tests/platform/explorer/world.hpp
@@ -161,6 +161,7 @@
 
     std::uint64_t const seed_;
     asio::io_context io_{1};
+    asio::ip::tcp::acceptor port_guard_{io_};
     asio::executor_work_guard<asio::io_context::executor_type> work_{
         io_.get_executor()};
     manual_scheduler scheduler_;
