gateway: hold the retry budget in every window

Cause: a gateway compared the retries of its last window with the requests of the same window. When a burst ends while endpoints refuse, the retries that the burst's requests paid for lie in a later window that holds fewer requests.

Change: retries since any moment of the last window must be covered by a weighted mean of the three counts of requests that the bound may use. The mean is additive over gateways, so the sum holds whatever their loads are.

--- a/src/gateway/service_retry_budget.hpp
+++ b/src/gateway/service_retry_budget.hpp
@@ -1,13 +1,20 @@
 // Limits attempts at endpoints beyond the first of each request, per service,
 // so that a fault does not multiply the load. The budget of the fleet is a
-// ratio of its requests plus a fixed allowance. Each gateway spends a ratio of
-// its own requests plus a small share of the allowance, and so needs no
-// coordination.
+// ratio of its requests plus a fixed allowance, in every window, wherever it
+// begins; the requests may be those of the window itself, of the one before or
+// of the one half a window before. Each gateway spends a ratio of a weighted
+// mean of its own three counts plus a small share of the allowance. A mean of
+// counts is additive, so the sum over the gateways needs no coordination and
+// stays below the largest of the three sums, whatever the gateways' loads are.
+//
+// Designed for short calls to a full service, each refused several times, while
+// bursts begin and end.
 #ifndef DOTTERELLOCK_GATEWAY_SERVICE_RETRY_BUDGET_HPP
 #define DOTTERELLOCK_GATEWAY_SERVICE_RETRY_BUDGET_HPP
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 
 #include <dotterellock/runtime.hpp>
@@ -56,39 +63,33 @@
             fleet_sizes_.pop_front();
     }
 
-    void request_started(steady_time now) { requests_.push_back(now); }
+    void request_started(steady_time now);
 
     /// Whether so many more retries are within the budget.
-    bool available(steady_time now, std::size_t retries = 1)
-    {
-        remove_expired(requests_, now);
-        remove_expired(retries_, now);
-        double const allowance =
-            now < allowance_start_ ? 0 : settings_.allowance / fleet_size();
-        double const allowed =
-            local_ratio_fraction * settings_.ratio * double(requests_.size()) +
-            allowance;
-        return double(retries_.size() + reserved_ + retries) <= allowed;
-    }
+    bool available(steady_time now, std::size_t retries = 1);
 
     /// Holds one retry back for a request that may need it soon.
     void reserve() { ++reserved_; }
     void release_reserved() { --reserved_; }
 
     /// Counts one more retry and returns true, or returns false if over budget.
-    bool try_spend(steady_time now)
-    {
-        if (!available(now))
-            return false;
-        retries_.push_back(now);
-        return true;
-    }
+    bool try_spend(steady_time now);
 
 private:
-    // A request and its retries may fall into different windows of the fleet's
-    // count; the rest of the ratio covers that.
+    // Requests are counted where they start and retries where they are decided,
+    // a few tens of milliseconds before they arrive. The rest of the ratio
+    // covers the difference.
     static constexpr double local_ratio_fraction = 0.95;
 
+    // Weights of the requests in a window, half a window before it and one
+    // window before it. The last one matters most: retries are needed at once
+    // when endpoints fail, before the window has requests of its own.
+    static constexpr double own_weight = 0.25;
+    static constexpr double half_before_weight = 0.25;
+    static constexpr double before_weight = 0.5;
+
+    static constexpr int steps_per_window = 100;
+
     struct fleet_size_sample
     {
         std::size_t gateways = 0;
@@ -101,16 +102,28 @@
                                     : double(fleet_sizes_.front().gateways);
     }
 
-    void remove_expired(std::deque<steady_time>& times, steady_time now) const
+    /// Requests of one step of the window; steps without any are left out.
+    struct request_count
     {
-        while (!times.empty() && times.front() + settings_.window < now)
-            times.pop_front();
+        steady_time step{};      // its beginning
+        std::uint64_t total = 0; // up to its end, since the start
+    };
+
+    duration step_length() const
+    {
+        return duration(settings_.window) / steps_per_window;
     }
 
+    void remove_expired(steady_time now);
+    std::uint64_t requests_until(steady_time end) const;
+    std::uint64_t requests_between(steady_time begin, steady_time end) const;
+    double weighted_requests(steady_time window_begin, steady_time now) const;
+
     service_retry_budget_settings settings_;
     steady_time allowance_start_;
-    std::deque<steady_time> requests_;
-    std::deque<steady_time> retries_;
+    std::deque<request_count> requests_; // of two windows
+    std::uint64_t expired_requests_ = 0;
+    std::deque<steady_time> retries_; // of one window
     std::size_t reserved_ = 0;
     std::deque<fleet_size_sample> fleet_sizes_; // of one window, descending
 };
