--- /dev/null
+++ b/src/gateway/rollout_coordinator.hpp
@@ -0,0 +1,165 @@
+// Decides, for one gateway, which software version of a service an attempt
+// uses, judges candidates and determines what is written about an order.
+//
+// Designed for orders given while the service is under load, with gateways that
+// see a part of the traffic each and may be cut off from the store or from each
+// other: the exposure of a candidate is bounded by each gateway's own share.
+#ifndef DOTTERELLOCK_GATEWAY_ROLLOUT_COORDINATOR_HPP
+#define DOTTERELLOCK_GATEWAY_ROLLOUT_COORDINATOR_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "event_log.hpp"
+#include "rollout.hpp"
+#include "version_comparison.hpp"
+
+namespace dotterellock
+{
+
+/// Endpoints of one version of a service.
+struct version_endpoints
+{
+    std::size_t ready = 0;
+    std::uint32_t requests = 0; // of this gateway in progress there
+};
+
+using endpoints_by_version = std::map<std::string, version_endpoints>;
+
+/// Outcome of one attempt that reached an endpoint.
+struct version_answer
+{
+    std::string route;
+    std::string version;
+    bool failed = false; // an error answer of the endpoint
+    bool connection_lost = false;
+    duration latency{}; // to the first event, or of the whole call
+};
+
+/// What gateways tell each other about one order.
+struct rollout_evidence
+{
+    rollout_status status;
+    version_counts counts; // of the sending gateway, since the order began
+    std::uint32_t requests_in_progress_at_old = 0;
+};
+
+class rollout_coordinator
+{
+public:
+    rollout_coordinator(rollout_settings const& settings, event_log& log);
+
+    rollout_coordinator(rollout_coordinator const&) = delete;
+    rollout_coordinator& operator=(rollout_coordinator const&) = delete;
+
+    void set_settings(rollout_settings const& settings);
+    void set_fleet_size(std::size_t gateways);
+
+    // From the store ---------------------------------------------------------
+
+    /// A new or changed order.
+    void on_order(rollout_order const& order, steady_time now);
+
+    /// The order's row was removed, or cannot be read any more.
+    void on_order_withdrawn(service_name const& service, steady_time now);
+
+    /// The status row of a service as found in the store.
+    /// @param revision  of the row; 0: there is none
+    void on_status_row(
+        service_name const& service,
+        std::optional<rollout_status> const& status, std::uint64_t revision,
+        steady_time now);
+
+    // From requests ----------------------------------------------------------
+
+    /// Versions that a new attempt may use. Counts nothing.
+    version_choice choose(
+        service_name const& service, endpoints_by_version const& endpoints,
+        steady_time now) const;
+
+    /// Whether endpoints of this version may be used at all, for example for
+    /// the standby copy of a run.
+    bool allowed(
+        service_name const& service, std::string const& version,
+        endpoints_by_version const& endpoints, steady_time now) const;
+
+    void on_request(service_name const& service, steady_time now);
+
+    /// An attempt is sent to an endpoint of this version.
+    void on_attempt(
+        service_name const& service, std::string const& version,
+        steady_time now);
+
+    void on_answer(
+        service_name const& service, version_answer const& answer,
+        steady_time now);
+
+    // From peers -------------------------------------------------------------
+
+    void on_evidence(
+        host_id const& gateway, rollout_evidence const& evidence,
+        steady_time now);
+
+    /// What to send to peers; empty while no order runs.
+    std::vector<rollout_evidence> evidence(steady_time now) const;
+
+    /// Whether there is news, such as a verdict, that peers need at once.
+    /// Resets it.
+    bool take_urgent();
+
+    // To the store -----------------------------------------------------------
+
+    struct pending_write
+    {
+        rollout_status status;
+        std::uint64_t expected_revision = 0; // of the status row; 0: none
+    };
+
+    /// The status to write now, if this gateway is due to write one.
+    /// @param rank  position of this gateway in the order of those that may
+    ///              write for the service; 0 is first
+    std::optional<pending_write>
+    due_write(service_name const& service, std::size_t rank, steady_time now);
+
+    /// Services whose status row must be read before anything is written.
+    std::vector<service_name> unread_status() const;
+
+    /// Evaluates phases and verdicts; called several times a second.
+    /// @param endpoints  ready endpoints by service and version
+    void update(
+        std::map<service_name, endpoints_by_version> const& endpoints,
+        steady_time now);
+
+    /// Services with an order that has not ended.
+    std::vector<service_name> running() const;
+
+    // For metrics ------------------------------------------------------------
+
+    struct summary
+    {
+        service_name service;
+        std::string version;
+        std::uint64_t requests = 0;
+        std::uint64_t bad_answers = 0;
+    };
+
+    std::vector<summary> summaries() const;
+
+private:
+    struct order_progress;
+    std::map<service_name, std::unique_ptr<order_progress>> orders_;
+    rollout_settings settings_;
+    event_log& log_;
+    std::size_t fleet_size_ = 1;
+    bool urgent_ = false;
+};
+
+} // namespace dotterellock
+
+#endif
