gateway: spread choices that many gateways make at one moment

Callers of a fleet of 21 gateways waited up to 16 s without an event at endpoints with 34 runs, where memory holds 10, while other endpoints had one.

Cause: all gateways ranked the endpoints alike from loads that are up to 250 ms old.

Change: each gateway estimates the choices of the others that it cannot know yet, compares only a part of the endpoints that shrinks with it, and draws for room if there is less than is asked for. A begun answer goes where the fewest prompt tokens wait. While requests wait, one prompt behind another is allowed, and standby copies leave the room to runs. An endpoint that refused a call is left out for about one call, and then gets fewer at once; while all are full, calls wait in the gateway's queue, which is now tried on each tick.

--- a/src/gateway/endpoint_selector.cpp
+++ b/src/gateway/endpoint_selector.cpp
@@ -1,9 +1,11 @@
 #include "endpoint_selector.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 #include "choice/rendezvous.hpp"
+#include "choice_contention.hpp"
 
 namespace dotterellock
 {
@@ -16,8 +18,41 @@
 constexpr double run_memory_fraction = 0.85;
 
 // Runs take precedence over standby copies, which are made only while plenty of
-// memory is free.
+// memory is free. While requests wait for room, a copy takes the place of
+// another answer, so copies go only where runs leave most of the memory idle.
 constexpr double standby_memory_fraction = 0.6;
+constexpr double standby_memory_fraction_if_short = 0.25;
+
+constexpr double unreliable_failure_rate = 0.3;
+
+// Prompts that wait for their prefill are compared in steps of about half a
+// prompt, so that a few tokens more do not outweigh the number of streams.
+constexpr std::uint64_t prefill_step = 4000;
+
+// A request that did not get room is drawn anew after this time, in which the
+// choices of the others become known.
+constexpr std::chrono::milliseconds draw_interval =
+    choice_contention::unseen_time;
+
+/// Uniformly distributed in (0, 1).
+double unit_interval(std::uint64_t hash)
+{
+    return (double(hash >> 11) + 0.5) / double(std::uint64_t{1} << 53);
+}
+
+/// Whether a request is among those that get the room of all endpoints, if it
+/// is less than what all gateways ask for at this moment. The draw depends on
+/// the request and the time only, so it is the same for each call within an
+/// interval.
+/// @param share  room for each request
+bool wins_room(std::string const& key, double share, steady_time now)
+{
+    if (share >= 1)
+        return true;
+    auto const interval = now.time_since_epoch() / draw_interval;
+    return unit_interval(rendezvous_weight(key, std::to_string(interval))) <
+           share;
+}
 
 } // namespace
 
@@ -77,16 +112,56 @@
 }
 
 bool endpoint_selector::has_capacity(
-    endpoint_state const& endpoint, endpoint_requirements const& work,
-    engine_spec const& engine, double memory_fraction, steady_time now) const
+    endpoint_state::workload const& load, endpoint_requirements const& work,
+    engine_spec const& engine, double memory_fraction)
 {
-    auto const load = total_load(endpoint, now);
     auto const memory = load.memory_tokens + work.memory_tokens();
     return load.requests < engine.slots &&
            (engine.memory_tokens == 0 || load.memory_tokens == 0 ||
             double(memory) <= memory_fraction * double(engine.memory_tokens));
 }
 
+/// Requests like this one that fit beside the load; at least one.
+double endpoint_selector::room_for(
+    endpoint_state::workload const& load, endpoint_requirements const& work,
+    engine_spec const& engine)
+{
+    double room = double(engine.slots) - double(load.requests);
+    if (engine.memory_tokens > 0 && work.memory_tokens() > 0)
+    {
+        double const free = run_memory_fraction * double(engine.memory_tokens) -
+                            double(load.memory_tokens);
+        room = std::min(room, free / double(work.memory_tokens()));
+    }
+    return std::max(room, 1.0);
+}
+
+/// Keeps so many options that gateways which choose at the same moment compare
+/// different ones. Options with more room are kept more often, in the order of
+/// a weighted rendezvous hash: another gateway keeps the same ones for the same
+/// prompt.
+void endpoint_selector::keep_subset(
+    std::vector<option>& options, double choosers)
+{
+    constexpr std::size_t min_options = 2; // two choices even out the load
+    auto const count = std::max(
+        min_options, std::size_t(std::ceil(double(options.size()) / choosers)));
+    if (count >= options.size())
+        return;
+    auto const rank = [](option const& o)
+    {
+        double const nearness =
+            o.distance == topology::distance::other_region ? 0.5 : 1.0;
+        return -std::log(unit_interval(o.endpoint->weight)) /
+               (o.room * nearness);
+    };
+    std::partial_sort(
+        options.begin(), options.begin() + std::ptrdiff_t(count), options.end(),
+        [&rank](option const& a, option const& b)
+        { return rank(a) < rank(b); });
+    options.resize(count);
+}
+
 endpoint_ptr endpoint_selector::choose(
     endpoint_requirements const& work, engine_spec const* engine,
     steady_time now) const
@@ -95,52 +170,90 @@
     if (candidates.empty())
         return nullptr;
     return engine != nullptr ? choose_for_prompt(candidates, work, *engine, now)
-                             : choose_for_call(candidates);
+                             : choose_for_call(candidates, now);
 }
 
-endpoint_ptr endpoint_selector::choose_for_prompt(
+/// @param max_backlog  prompt tokens that may wait for their prefill there
+std::vector<endpoint_selector::option> endpoint_selector::options_for_prompt(
     std::vector<candidate> const& candidates, endpoint_requirements const& work,
-    engine_spec const& engine, steady_time now) const
+    engine_spec const& engine, std::uint64_t max_backlog, steady_time now) const
 {
-    // Prefill of a prompt slows every running stream of the endpoint to a
-    // fraction and waits for other prefills, so the endpoint with the least of
-    // both is preferred. Another zone weighs as much as one slowed stream.
-    auto const order = [this, &engine, now](candidate const& c)
-    {
-        auto const load = total_load(*c.endpoint, now);
-        bool const unreliable = c.endpoint->failure_rate() > 0.3;
-        bool const full = load.requests * 2 > engine.slots;
-        auto const distance = location_.distance_to(c.endpoint->record().zone);
-        auto const interference =
-            load.requests +
-            (distance == topology::distance::same_zone ? 0u : 1u);
-        return std::make_tuple(
-            unreliable, full, interference, distance, ~c.weight);
-    };
-    candidate const* best = nullptr;
+    std::vector<option> options;
     for (auto const& c : candidates)
     {
-        if (!has_capacity(*c.endpoint, work, engine, run_memory_fraction, now))
+        auto const load = total_load(*c.endpoint, now);
+        if (!has_capacity(load, work, engine, run_memory_fraction))
             continue;
-        // A cached prompt needs almost no prefill.
-        if (!work.cached_endpoint.empty() &&
-            c.endpoint->record().id == work.cached_endpoint)
-            return c.endpoint;
         // One prefill at a time: a second one would delay both, and can wait in
         // the gateway's queue in the order of its rank instead. A resumed
         // answer does not wait.
-        bool const reading = total_load(*c.endpoint, now).prefill_tokens > 0 ||
+        bool const reading = load.prefill_tokens > max_backlog ||
                              c.endpoint->reported_waiting(now) > 0;
-        if (reading && !work.resuming)
+        bool const cached = !work.cached_endpoint.empty() &&
+                            c.endpoint->record().id == work.cached_endpoint;
+        if (reading && !work.resuming && !cached)
             continue;
-        if (best == nullptr || order(c) < order(*best))
-            best = &c;
+        option o;
+        o.endpoint = &c;
+        o.load = load;
+        o.room = work.resuming ? room_for(load, work, engine) : 1;
+        o.distance = location_.distance_to(c.endpoint->record().zone);
+        options.push_back(o);
     }
-    return best == nullptr ? nullptr : best->endpoint;
+    return options;
+}
+
+endpoint_ptr endpoint_selector::choose_for_prompt(
+    std::vector<candidate> const& candidates, endpoint_requirements const& work,
+    engine_spec const& engine, steady_time now) const
+{
+    auto options = options_for_prompt(candidates, work, engine, 0, now);
+    // While requests wait, one prompt behind another keeps the endpoint busy
+    // until the end of the prefill is known here.
+    if (options.empty() && work.capacity_short)
+        options = options_for_prompt(
+            candidates, work, engine, work.prompt_tokens, now);
+    if (options.empty())
+        return nullptr;
+    // A cached prompt needs almost no prefill.
+    for (auto const& o : options)
+    {
+        if (!work.cached_endpoint.empty() &&
+            o.endpoint->endpoint->record().id == work.cached_endpoint)
+            return o.endpoint->endpoint;
+    }
+    double room = 0;
+    for (auto const& o : options)
+        room += o.room;
+    double const asked = 1 + work.unseen_choices;
+    if (!wins_room(work.affinity_key, room / asked, now))
+        return nullptr;
+    keep_subset(options, asked);
+
+    // Prefill of a prompt slows every running stream of the endpoint to a
+    // fraction and waits for other prefills, so the endpoint with the least of
+    // both is preferred. Another zone weighs as much as one slowed stream.
+    auto const order = [&engine](option const& o)
+    {
+        bool const unreliable =
+            o.endpoint->endpoint->failure_rate() > unreliable_failure_rate;
+        bool const full = o.load.requests * 2 > engine.slots;
+        auto const interference =
+            o.load.requests +
+            (o.distance == topology::distance::same_zone ? 0u : 1u);
+        return std::make_tuple(
+            unreliable, full, o.load.prefill_tokens / prefill_step,
+            interference, o.distance, ~o.endpoint->weight);
+    };
+    return std::min_element(
+               options.begin(), options.end(),
+               [&order](option const& a, option const& b)
+               { return order(a) < order(b); })
+        ->endpoint->endpoint;
 }
 
 endpoint_ptr endpoint_selector::choose_for_call(
-    std::vector<candidate> const& candidates) const
+    std::vector<candidate> const& candidates, steady_time now) const
 {
     auto const cost = [this](endpoint_state const& e)
     {
@@ -163,11 +276,14 @@
         }
         return us;
     };
-    return std::min_element(
-               candidates.begin(), candidates.end(),
-               [&cost](candidate const& a, candidate const& b)
-               { return cost(*a.endpoint) < cost(*b.endpoint); })
-        ->endpoint;
+    endpoint_ptr best;
+    for (auto const& c : candidates)
+    {
+        bool const better = !best || cost(*c.endpoint) < cost(*best);
+        if (better && !c.endpoint->full(now))
+            best = c.endpoint;
+    }
+    return best;
 }
 
 std::vector<endpoint_ptr> endpoint_selector::likely_caches(
@@ -233,7 +349,9 @@
         if (c.endpoint->record().zone == zone || c.endpoint->leaving() ||
             c.endpoint->suspended(now) || zones_.is_suspect(*c.endpoint, now) ||
             !has_capacity(
-                *c.endpoint, work, engine, standby_memory_fraction, now))
+                total_load(*c.endpoint, now), work, engine,
+                work.capacity_short ? standby_memory_fraction_if_short
+                                    : standby_memory_fraction))
             continue;
         if (best == nullptr || order(c) < order(*best))
             best = &c;
--- a/src/gateway/endpoint_selector.hpp
+++ b/src/gateway/endpoint_selector.hpp
@@ -8,8 +8,11 @@
 //   a hash of the last part of the prompt, so that any gateway of the zone
 //   finds the endpoint that still caches it;
 // - loss of an availability zone: the standby copy is in another zone;
+// - many gateways that choose at one moment from the same, slightly old loads:
+//   each compares only some endpoints, which differ by request, and waits a
+//   moment if all endpoints together have less room than is asked for;
 // - short calls to few endpoints: the lowest expected latency wins, with
-//   failures counted as lost time.
+//   failures counted as lost time. Those that just refused are left out.
 #ifndef DOTTERELLOCK_GATEWAY_ENDPOINT_SELECTOR_HPP
 #define DOTTERELLOCK_GATEWAY_ENDPOINT_SELECTOR_HPP
 
@@ -57,6 +60,10 @@
     std::uint32_t connection_limit = 0; // of this gateway per endpoint; 0: any
     std::set<std::string> excluded;     // endpoints whose attempts failed
 
+    // Choices that other gateways are expected to make at the same moment.
+    double unseen_choices = 0;
+    bool capacity_short = false; // requests wait for room at an endpoint
+
     std::uint64_t memory_tokens() const
     {
         return prompt_tokens + output_tokens;
@@ -124,17 +131,32 @@
 
     std::vector<candidate>
     usable_candidates(endpoint_requirements const& work, steady_time now) const;
-    bool has_capacity(
-        endpoint_state const& endpoint, endpoint_requirements const& work,
-        engine_spec const& engine, double memory_fraction,
-        steady_time now) const;
+    /// An endpoint that can take the request.
+    struct option
+    {
+        candidate const* endpoint = nullptr;
+        endpoint_state::workload load;
+        double room = 1; // requests of this size
+        topology::distance distance = topology::distance::same_zone;
+    };
 
+    static bool has_capacity(
+        endpoint_state::workload const& load, endpoint_requirements const& work,
+        engine_spec const& engine, double memory_fraction);
+    static double room_for(
+        endpoint_state::workload const& load, endpoint_requirements const& work,
+        engine_spec const& engine);
+    static void keep_subset(std::vector<option>& options, double choosers);
+    std::vector<option> options_for_prompt(
+        std::vector<candidate> const& candidates,
+        endpoint_requirements const& work, engine_spec const& engine,
+        std::uint64_t max_backlog, steady_time now) const;
     endpoint_ptr choose_for_prompt(
         std::vector<candidate> const& candidates,
         endpoint_requirements const& work, engine_spec const& engine,
         steady_time now) const;
-    endpoint_ptr
-    choose_for_call(std::vector<candidate> const& candidates) const;
+    endpoint_ptr choose_for_call(
+        std::vector<candidate> const& candidates, steady_time now) const;
 
     endpoint_table const& endpoints_;
     zone_failure_detector const& zones_;
--- a/src/gateway/endpoint_state.cpp
+++ b/src/gateway/endpoint_state.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 namespace dotterellock
 {
 
@@ -18,10 +20,11 @@
         error_rate_ += rate_smoothing * ((error ? 1.0 : 0.0) - error_rate_);
         next_suspension_ = initial_suspension;
         last_activity_ = now;
+        next_full_time_ = {};
+        call_limit_ += 1 / std::max(call_limit_, 1.0);
     }
     if (outcome == attempt_outcome::refused)
-        suspended_until_ =
-            std::max(suspended_until_, now + initial_suspension / 2);
+        record_refusal(now);
     if (outcome == attempt_outcome::misdirected)
         set_leaving(now); // until a registration names another incarnation
     if (!failed)
@@ -33,6 +36,25 @@
     next_suspension_ = std::min(next_suspension_ * 2, max_suspension);
 }
 
+/// Halves the calls that run there at once; each call that is served adds a
+/// part of one. The time without calls differs between gateways, which would
+/// come back together otherwise.
+void endpoint_state::record_refusal(steady_time now)
+{
+    suspended_until_ = std::max(suspended_until_, now + initial_suspension / 2);
+    call_limit_ =
+        std::max(std::min(call_limit_, double(load.requests)) / 2, 1.0);
+    next_full_time_ = std::clamp<duration>(
+        std::max<duration>(next_full_time_ * 2, latency_), min_full_time,
+        max_full_time);
+    auto const seed = XXH3_64bits_withSeed(
+        record_.id.value().data(), record_.id.value().size(),
+        std::uint64_t(now.time_since_epoch().count()));
+    constexpr int parts = 1000;
+    auto const part = int(seed % parts) + parts / 2; // half to one and a half
+    full_until_ = std::max(full_until_, now + next_full_time_ * part / parts);
+}
+
 void endpoint_state::record_latency(std::chrono::microseconds latency)
 {
     if (!has_latency())
--- a/src/gateway/endpoint_state.hpp
+++ b/src/gateway/endpoint_state.hpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -160,6 +161,13 @@
     std::chrono::microseconds latency() const { return latency_; }
     bool has_latency() const { return latency_.count() > 0; }
 
+    /// Whether the endpoint has no room for another call of this gateway: it
+    /// refused one a moment ago, or as many run as it took before it refused.
+    bool full(steady_time now) const
+    {
+        return now < full_until_ || double(load.requests) >= call_limit_;
+    }
+
     // Work of other gateways -------------------------------------------------
 
     /// Records the endpoint's load report, which includes the work of other
@@ -230,6 +238,13 @@
     static constexpr std::chrono::milliseconds initial_suspension{400};
     static constexpr std::chrono::milliseconds max_suspension{3000};
 
+    void record_refusal(steady_time now);
+
+    // Nothing is sent for about one call after a refusal, as one of those that
+    // run has ended by then; twice as long after each further refusal.
+    static constexpr std::chrono::milliseconds min_full_time{20};
+    static constexpr std::chrono::milliseconds max_full_time{160};
+
     // Weight of one attempt in the moving averages.
     static constexpr double rate_smoothing = 0.15;
 
@@ -242,6 +257,9 @@
     steady_time last_failure_{};
     steady_time last_activity_{};
     std::chrono::milliseconds next_suspension_ = initial_suspension;
+    steady_time full_until_{};
+    duration next_full_time_{};
+    double call_limit_ = std::numeric_limits<double>::infinity();
     double failure_rate_ = 0;
     double error_rate_ = 0;
     std::chrono::microseconds latency_{0};
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -627,6 +627,29 @@
 
 // Request queues -------------------------------------------------------------
 
+double gateway::unseen_choices(service_name const& service, bool resuming)
+{
+    return contention_[service].unseen_choices(
+        fleet_size() - 1, requests_waiting(service), resuming,
+        env_.clock.now());
+}
+
+bool gateway::requests_waiting(service_name const& service) const
+{
+    auto const queue = request_queues_.find(service);
+    return queue != request_queues_.end() && queue->second->size() > 0;
+}
+
+void gateway::on_prompt_started(service_name const& service)
+{
+    contention_[service].record_start(env_.clock.now());
+}
+
+void gateway::on_answer_lost(service_name const& service)
+{
+    contention_[service].record_loss(env_.clock.now());
+}
+
 bool gateway::wait_for_capacity(std::shared_ptr<relay_exchange> const& e)
 {
     auto const& r = e->request();
@@ -757,6 +780,7 @@
     check_endpoint_calls(now, paused);
     check_exchanges(now, paused);
     run_step("suspects", [&] { check_suspected_endpoints(now); });
+    run_step("queues", [this] { dispatch_waiting(); });
     if (listener_closing_)
         run_step("accept", [this] { stop_accepting(); });
     note_freshness(now);
@@ -767,7 +791,6 @@
     run_step("prompts", [&] { prompt_crashes_.remove_expired(now); });
     run_step("sweep", [&] { sweep_endpoints(now); });
     run_step("sources", [&] { update_table_sources(now); });
-    run_step("queues", [this] { dispatch_waiting(); });
     run_step("status", [&] { status_->check_timeouts(now); });
     if (metrics_)
         run_step("metrics", [&] { metrics_->check_timeouts(now); });
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -19,6 +19,7 @@
 #include <dotterellock/observability.hpp>
 #include <dotterellock/policy.hpp>
 
+#include "gateway/choice_contention.hpp"
 #include "gateway/freshness_lease.hpp"
 #include "gateway/memory_budget.hpp"
 #include "gateway/request_queue.hpp"
@@ -149,6 +150,10 @@
     record_stream_duration(service_name const& service, duration took) override;
     void on_load_changed() override;
     bool may_pass_on(relay_exchange const& e) const override;
+    double unseen_choices(service_name const& service, bool resuming) override;
+    bool requests_waiting(service_name const& service) const override;
+    void on_prompt_started(service_name const& service) override;
+    void on_answer_lost(service_name const& service) override;
     bool wait_for_capacity(std::shared_ptr<relay_exchange> const& e) override;
     void on_capacity_freed(service_name const& service) override;
     void
@@ -268,6 +273,7 @@
     std::uint64_t last_exchange_number_ = 0;
     std::map<service_name, service_retry_budget> budgets_;
     std::map<service_name, first_event_estimate> estimates_;
+    std::map<service_name, choice_contention> contention_;
     struct fixed_policy : policy_source
     {
         policy_settings settings;
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -128,8 +128,7 @@
     if (state_ != state::waiting || refuse_if_quarantined() ||
         refuse_if_stopping())
         return true;
-    auto endpoint =
-        context_.selection().choose(work_, engine(), context_.clock().now());
+    auto endpoint = choose_endpoint(context_.clock().now());
     if (!endpoint)
         return false;
     start_attempt(std::move(endpoint), std::nullopt);
@@ -154,7 +153,7 @@
     work_.resuming = response_begun_;
     if (auto const* const spec = request_.table->service(request_.service))
         work_.connection_limit = context_.connection_share(*spec);
-    if (auto endpoint = context_.selection().choose(work_, engine(), now))
+    if (auto endpoint = choose_endpoint(now))
     {
         start_attempt(std::move(endpoint), std::nullopt);
         return;
@@ -163,7 +162,7 @@
     {
         // No other endpoint is left; one that failed may have recovered.
         work_.excluded.clear();
-        if (auto endpoint = context_.selection().choose(work_, engine(), now))
+        if (auto endpoint = choose_endpoint(now))
         {
             start_attempt(std::move(endpoint), std::nullopt);
             return;
@@ -172,6 +171,14 @@
     wait_for_capacity();
 }
 
+endpoint_ptr relay_exchange::choose_endpoint(steady_time now)
+{
+    work_.unseen_choices =
+        context_.unseen_choices(request_.service, work_.resuming);
+    work_.capacity_short = context_.requests_waiting(request_.service);
+    return context_.selection().choose(work_, engine(), now);
+}
+
 void relay_exchange::wait_for_capacity()
 {
     // Endpoints that failed may have recovered by then, and are avoided while
@@ -202,7 +209,10 @@
     standby_copies_->begin(endpoint_, work_, copies ? spec : nullptr, now);
     auto const standby = standby_copies_->standby();
     if (spec != nullptr)
+    {
+        context_.on_prompt_started(request_.service);
         context_.on_load_changed();
+    }
     sent_at_ = last_progress_ = now;
     next_suspicion_ = now;
     suspicion_logged_ = false;
@@ -339,6 +349,8 @@
          {"carried", std::to_string(attempt_connection_.carried)},
          {"copy", resumed_from_copy_ ? "1" : "0"}});
     context_.count_failed_attempt(reason);
+    if (response_begun_)
+        context_.on_answer_lost(request_.service);
     bool const stale =
         outcome == attempt_outcome::lost && closed_while_reused(now);
     bool const no_copy =
@@ -464,6 +476,7 @@
         return at->standby;
     auto work = work_;
     work.resuming = response_begun_;
+    work.unseen_choices = 0; // it may wait for room once it has left
     work.excluded.insert(endpoint_->record().id.value());
     auto const next = context_.selection().choose(work, engine(), now);
     bool const in_order = next && !next->suspended(now) && !next->leaving();
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -82,6 +82,17 @@
     /// on, and it may not be repeated.
     virtual bool may_pass_on(relay_exchange const& e) const = 0;
 
+    /// Expected choices of other gateways at this moment, for the selector.
+    virtual double
+    unseen_choices(service_name const& service, bool resuming) = 0;
+
+    /// Whether requests of the service wait for capacity.
+    virtual bool requests_waiting(service_name const& service) const = 0;
+
+    /// A prompt was sent to an endpoint, or a begun answer lost its endpoint.
+    virtual void on_prompt_started(service_name const& service) = 0;
+    virtual void on_answer_lost(service_name const& service) = 0;
+
     /// Queues the exchange until an endpoint has capacity.
     virtual bool
     wait_for_capacity(std::shared_ptr<relay_exchange> const& e) = 0;
@@ -208,6 +219,7 @@
     bool streaming() const { return request_.route->event_stream; }
 
     void start_next_attempt();
+    endpoint_ptr choose_endpoint(steady_time now);
     void wait_for_capacity();
     void start_attempt(
         endpoint_ptr endpoint, std::optional<memory_copy> const& copy);
--- a/src/relay/standby_copies.cpp
+++ b/src/relay/standby_copies.cpp
@@ -60,6 +60,7 @@
 standby_copies::choose_standby(steady_time now) const
 {
     auto work = work_;
+    work.capacity_short = context_.requests_waiting(work_.service);
     if (copy_)
         work.excluded.insert(copy_->standby->record().id.value());
     auto standby =
