gateway: refuse waiting requests that cannot start in time

Cause: a request waited until its deadline less the average of whole answers, while its caller gives up without a first event much earlier. The wait was estimated from the gateway's start intervals alone, without the shares of other ranks and organisations. Retry-After had no jitter and could exceed what callers honour. Overdue requests were demoted by a rank, so urgent ones waited behind less urgent ones. A new request took the room that had become free before those that waited.

Change: start_prediction calculates the latest start from what the route and the caller allow, and the wait from the work ahead and the measured pace. request_queue refuses on arrival and while a request waits; Retry-After is random within the expected wait and a third of the caller's remaining time. Overdue requests keep their rank, behind those of their rank and organisation that are in time. New requests wait behind those that wait. Freed prefill starts the next request at once. Log event wait_refused, metrics queue_wait_seconds and queue_refusals_total.

Tests: "an overdue request is demoted by one rank" checked the fault and is replaced by "an overdue request keeps its rank". The test of refusals on arrival expects five starts instead of three, and bounds the predicted wait and the retry time instead of one value without jitter.

--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -1,6 +1,7 @@
 #include "request_queue.hpp"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace dotterellock
@@ -14,9 +15,10 @@
     return all_ranks[std::min<std::size_t>(value, rank_count - 1)];
 }
 
-bool is_overdue(queued_request const& entry, steady_time now)
+std::uint64_t cost_of(queued_request const& entry)
 {
-    return !entry.begun && now >= entry.target_start;
+    return std::clamp<std::uint64_t>(
+        entry.tokens, 1, std::numeric_limits<std::uint32_t>::max());
 }
 
 queue_entry to_queue_entry(queued_request const& entry)
@@ -24,9 +26,8 @@
     queue_entry q;
     q.id = entry.id;
     q.organisation = entry.organisation;
-    q.rank = rank_of(entry.overdue ? entry.rank + 1 : entry.rank);
-    q.tokens = std::uint32_t(std::clamp<std::uint64_t>(
-        entry.tokens, 1, std::numeric_limits<std::uint32_t>::max()));
+    q.rank = rank_of(entry.rank);
+    q.tokens = std::uint32_t(cost_of(entry));
     q.latest_start = entry.begun ? steady_time::max() : entry.target_start;
     q.keeps_place = entry.begun;
     return q;
@@ -34,55 +35,204 @@
 
 } // namespace
 
+char const* to_string(refusal_reason reason)
+{
+    switch (reason)
+    {
+    case refusal_reason::late_start:
+        return "late_start";
+    case refusal_reason::not_started:
+        return "not_started";
+    case refusal_reason::queue_full:
+        return "queue_full";
+    }
+    return "unknown";
+}
+
+/// The waiting work by rank and organisation, in the order in which it starts.
+class request_queue::snapshot
+{
+public:
+    snapshot(
+        request_queue const& queue, start_pace::measurement const& pace,
+        steady_time now)
+        : policy_(queue.policy_.current()), pace_(pace), now_(now)
+    {
+        for (auto const& [id, entry] : queue.waiting_)
+        {
+            auto& r = ranks_[index_of(rank_of(entry.rank))];
+            auto& work = r.organisations[entry.organisation];
+            work.weight = policy_.of(entry.organisation).weight;
+            add(entry, 1);
+        }
+    }
+
+    void remove(queued_request const& entry) { add(entry, -1); }
+
+    duration wait_of(queued_request const& entry) const
+    {
+        auto const before = older(entry);
+        if (!in_time(entry, now_))
+            return wait_behind(
+                entry, before.in_time + before.late + newer_in_time(entry));
+        auto const wait = wait_behind(entry, before.in_time);
+        // By then those before it are late as well.
+        return in_time(entry, now_ + wait)
+                   ? wait
+                   : wait_behind(entry, before.in_time + before.late);
+    }
+
+private:
+    struct work_of_organisation
+    {
+        double weight = 1;
+        double tokens = 0;
+        std::map<queue_entry_id, double> in_time; // start first
+        std::map<queue_entry_id, double> late;
+    };
+
+    struct work_of_rank
+    {
+        double tokens = 0;
+        std::map<organisation_id, work_of_organisation> organisations;
+    };
+
+    struct older_work
+    {
+        double in_time = 0;
+        double late = 0;
+    };
+
+    static bool in_time(queued_request const& entry, steady_time start)
+    {
+        return entry.begun || entry.target_start > start;
+    }
+
+    void add(queued_request const& entry, int sign)
+    {
+        auto& r = ranks_[index_of(rank_of(entry.rank))];
+        auto& work = r.organisations[entry.organisation];
+        auto const tokens = sign * double(cost_of(entry));
+        r.tokens += tokens;
+        work.tokens += tokens;
+        auto& entries = in_time(entry, now_) ? work.in_time : work.late;
+        if (sign > 0)
+            entries[entry.id] = tokens;
+        else
+            entries.erase(entry.id);
+    }
+
+    work_of_organisation const* own_work(queued_request const& entry) const
+    {
+        auto const& organisations =
+            ranks_[index_of(rank_of(entry.rank))].organisations;
+        auto const found = organisations.find(entry.organisation);
+        return found == organisations.end() ? nullptr : &found->second;
+    }
+
+    older_work older(queued_request const& entry) const
+    {
+        older_work sum;
+        auto const* const work = own_work(entry);
+        if (work == nullptr)
+            return sum;
+        for (auto const& [id, tokens] : work->in_time)
+            sum.in_time += id < entry.id ? tokens : 0;
+        for (auto const& [id, tokens] : work->late)
+            sum.late += id < entry.id ? tokens : 0;
+        return sum;
+    }
+
+    double newer_in_time(queued_request const& entry) const
+    {
+        double sum = 0;
+        if (auto const* const work = own_work(entry))
+        {
+            for (auto const& [id, tokens] : work->in_time)
+                sum += id > entry.id ? tokens : 0;
+        }
+        return sum;
+    }
+
+    /// While an organisation's work up to this request starts, each other one
+    /// starts as much per weight, if it has that much.
+    /// @param own  work of the request's organisation that starts before it
+    duration wait_behind(queued_request const& entry, double own) const
+    {
+        auto const own_rank = rank_of(entry.rank);
+        auto const& settings = policy_.ranks;
+        work_ahead ahead;
+        ahead.share_of_own_rank = settings[index_of(own_rank)].floor_share;
+        for (auto const r : all_ranks)
+        {
+            auto const& work = ranks_[index_of(r)];
+            if (r < own_rank)
+                ahead.of_urgent_ranks += work.tokens;
+            else if (r > own_rank && work.tokens > 0)
+                ahead.share_of_lower_ranks += settings[index_of(r)].floor_share;
+        }
+        double const weight = policy_.of(entry.organisation).weight;
+        double const turn = own + double(cost_of(entry));
+        ahead.of_own_rank = own;
+        for (auto const& [name, work] :
+             ranks_[index_of(own_rank)].organisations)
+        {
+            if (name != entry.organisation)
+                ahead.of_own_rank +=
+                    std::min(work.tokens, turn * work.weight / weight);
+        }
+        return predict_wait(ahead, own_rank, pace_);
+    }
+
+    policy_settings const& policy_;
+    start_pace::measurement const pace_;
+    steady_time const now_;
+    std::array<work_of_rank, rank_count> ranks_;
+};
+
+std::optional<duration> request_queue::predicted_wait(
+    queued_request const& entry, steady_time now) const
+{
+    auto const pace = pace_.measure(now);
+    if (!pace)
+        return std::nullopt;
+    return snapshot(*this, *pace, now).wait_of(entry);
+}
+
 std::optional<queue_refusal>
 request_queue::enqueue(queued_request const& entry, steady_time now)
 {
-    // Start times from before the queue became empty do not show its current
-    // rate.
     if (waiting_.empty())
-        start_times_.clear();
-    prune_start_times(now);
-    auto const wait = expected_wait(entry.rank);
-    if (wait && !entry.begun && now + *wait > entry.start_deadline)
-        return queue_refusal{entry.id, retry_after(entry.rank)};
-    auto const evicted = insert(entry, now);
-    if (!evicted)
+        pace_.begin_waiting(now);
+    auto const wait = predicted_wait(entry, now);
+    if (wait && entry.too_late_at(now + *wait))
+        return refuse(entry, refusal_reason::late_start, wait, now);
+    auto const pushed = queue_.push(to_queue_entry(entry));
+    if (!pushed.accepted)
+        return refuse(entry, refusal_reason::queue_full, wait, now);
+    waiting_[entry.id] = entry;
+    pace_.record_arrival(rank_of(entry.rank), cost_of(entry), now);
+    if (!pushed.evicted)
         return std::nullopt;
-    waiting_.erase(*evicted);
-    return queue_refusal{*evicted, retry_after(entry.rank)};
+    auto const evicted = waiting_.find(*pushed.evicted)->second;
+    waiting_.erase(evicted.id);
+    return refuse(
+        evicted, refusal_reason::queue_full, predicted_wait(evicted, now), now);
 }
 
-void request_queue::requeue(queued_request const& entry, steady_time now)
+void request_queue::requeue(queued_request const& entry)
 {
-    // The request did not start: neither its rank nor the start rate is
-    // charged.
+    // The request did not start: neither its rank nor the pace is charged.
     if (last_served_ && last_served_->entry.id == entry.id)
         queue_.correct_cost(*last_served_, 0);
     last_served_.reset();
-    if (!start_times_.empty())
-        start_times_.pop_back();
-    auto waiting = entry;
-    waiting.overdue = is_overdue(entry, now);
-    if (queue_.put_back(to_queue_entry(waiting)))
-        waiting_[entry.id] = waiting;
-}
-
-/// @return the id of the request without a place: this one or an evicted one
-std::optional<queue_entry_id>
-request_queue::insert(queued_request const& entry, steady_time now)
-{
-    auto waiting = entry;
-    waiting.overdue = is_overdue(entry, now);
-    auto const pushed = queue_.push(to_queue_entry(waiting));
-    if (!pushed.accepted)
-        return entry.id;
-    waiting_[entry.id] = waiting;
-    return pushed.evicted;
+    pace_.cancel_last_start();
+    if (queue_.put_back(to_queue_entry(entry)))
+        waiting_[entry.id] = entry;
 }
 
 std::optional<queued_request> request_queue::pop(steady_time now)
 {
-    demote_overdue(now);
     auto const served = queue_.pop(now);
     if (!served)
         return std::nullopt;
@@ -90,29 +240,10 @@
     auto const found = waiting_.find(served->entry.id);
     queued_request const entry = found->second;
     waiting_.erase(found);
-    start_times_.push_back(now);
-    prune_start_times(now);
+    pace_.record_start(cost_of(entry), now);
     return entry;
 }
 
-void request_queue::demote_overdue(steady_time now)
-{
-    for (auto& [id, entry] : waiting_)
-    {
-        if (entry.begun || entry.overdue || now < entry.target_start)
-            continue;
-        entry.overdue = true;
-        queue_.erase(id);
-        queue_.push(to_queue_entry(entry)); // keeps its position
-    }
-}
-
-void request_queue::prune_start_times(steady_time now)
-{
-    while (!start_times_.empty() && start_times_.front() + rate_window < now)
-        start_times_.pop_front();
-}
-
 void request_queue::erase(queue_entry_id id)
 {
     queue_.erase(id);
@@ -126,34 +257,62 @@
     for (auto const& [id, entry] : waiting_)
     {
         if (entry.too_late_at(earliest_start))
-            expired.push_back({id, retry_after(entry.rank)});
+            expired.push_back(refuse(
+                entry, refusal_reason::not_started,
+                predicted_wait(entry, earliest_start), earliest_start));
     }
     for (auto const& refusal : expired)
         erase(refusal.id);
     return expired;
 }
 
-std::optional<duration> request_queue::expected_wait(std::uint32_t rank) const
+std::vector<queue_refusal> request_queue::remove_unservable(steady_time now)
 {
-    if (start_times_.size() < min_rate_samples)
-        return std::nullopt;
-    auto const interval = (start_times_.back() - start_times_.front()) /
-                          int(start_times_.size() - 1);
-    std::size_t ahead = 0;
-    for (auto const r : all_ranks)
+    std::vector<queue_refusal> refused;
+    if (now - last_check_ < check_interval)
+        return refused;
+    last_check_ = now;
+    auto const pace = pace_.measure(now);
+    if (!pace)
+        return refused;
+    // In the order of their starts: each refusal shortens the wait of those
+    // behind it.
+    snapshot work(*this, *pace, now);
+    std::vector<std::pair<duration, queued_request const*>> order;
+    for (auto const& [id, entry] : waiting_)
+        order.emplace_back(work.wait_of(entry), &entry);
+    std::sort(order.begin(), order.end());
+    for (auto const& [first_wait, entry] : order)
     {
-        if (r <= rank_of(rank))
-            ahead += queue_.waiting(r);
+        if (!entry->too_late_at(now + first_wait))
+            continue;
+        auto const wait = work.wait_of(*entry);
+        if (!entry->too_late_at(now + wait))
+            continue;
+        work.remove(*entry);
+        refused.push_back(
+            refuse(*entry, refusal_reason::late_start, wait, now));
     }
-    return interval * int(ahead + 1);
+    for (auto const& refusal : refused)
+        erase(refusal.id);
+    return refused;
 }
 
-std::chrono::milliseconds request_queue::retry_after(std::uint32_t rank) const
+queue_refusal request_queue::refuse(
+    queued_request const& entry, refusal_reason reason,
+    std::optional<duration> wait, steady_time now)
 {
-    auto const wait = expected_wait(rank).value_or(min_retry_after);
-    return std::clamp(
-        std::chrono::duration_cast<std::chrono::milliseconds>(wait),
-        min_retry_after, max_retry_after);
+    // The request that its caller may send later has as much time again.
+    auto returning = entry;
+    returning.id = std::numeric_limits<queue_entry_id>::max();
+    returning.target_start += now - entry.received;
+    auto const max_wait = entry.start_deadline - entry.received;
+    return {
+        entry.id,
+        retry_delay(
+            predicted_wait(returning, now), max_wait, entry.deadline - now,
+            random_),
+        reason, wait};
 }
 
 } // namespace dotterellock
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -573,12 +573,18 @@
         e.deadline() - now, std::nullopt);
 }
 
-void gateway::record_stream_duration(service_name const& service, duration took)
+void gateway::record_stream_duration(
+    service_name const& service, duration took, duration since_first_event)
 {
-    // Moving average over about the last 20 streams.
-    constexpr int samples = 20;
-    auto const found = stream_durations_.try_emplace(service, took).first;
-    found->second += (took - found->second) / samples;
+    // Moving averages over about the last 20 streams.
+    static constexpr int samples = 20;
+    auto const record = [&service](auto& averages, duration d)
+    {
+        auto& average = averages.try_emplace(service, d).first->second;
+        average += (d - average) / samples;
+    };
+    record(stream_durations_, took);
+    record(generation_durations_, since_first_event);
 }
 
 // Exchanges ------------------------------------------------------------------
@@ -627,33 +633,59 @@
 
 // Request queues -------------------------------------------------------------
 
+answer_duration gateway::expected_answer(relay_exchange const& e)
+{
+    auto const& service = e.request().service;
+    auto const first = estimate(service).expected(e.work().prompt_tokens);
+    auto const found = generation_durations_.find(service);
+    return {
+        first, found != generation_durations_.end() ? found->second : first};
+}
+
+request_queue& gateway::queue_of(service_name const& service)
+{
+    auto& queue = request_queues_[service];
+    if (!queue)
+        queue = std::make_unique<request_queue>(queue_policy_, env_.random);
+    return *queue;
+}
+
+bool gateway::others_wait(service_name const& service) const
+{
+    auto const found = request_queues_.find(service);
+    return found != request_queues_.end() && found->second->size() > 0;
+}
+
 bool gateway::wait_for_capacity(std::shared_ptr<relay_exchange> const& e)
 {
     auto const& r = e->request();
-    auto& queue = request_queues_[r.service];
-    if (!queue)
-        queue = std::make_unique<request_queue>(queue_policy_);
+    auto& queue = queue_of(r.service);
     auto const now = env_.clock.now();
-    auto const first = estimate(r.service).expected(e->work().prompt_tokens);
-    auto const found = stream_durations_.find(r.service);
-    duration const whole =
-        found != stream_durations_.end() ? found->second : 2 * first;
+    auto const answer = expected_answer(*e);
+    answer_limits const limits{
+        e->received(), e->deadline(), r.route->first_byte_target,
+        r.route->event_gap_target, r.route->event_stream};
     queued_request entry;
     entry.id = e->number();
     entry.organisation = r.organisation;
     entry.rank = e->work().resuming ? 0 : r.rank;
     entry.tokens = e->work().prompt_tokens;
-    entry.target_start =
-        e->work().resuming ? now + r.route->event_gap_target
-                           : e->received() + r.route->first_byte_target - first;
-    entry.start_deadline =
-        e->work().resuming ? e->deadline() : e->deadline() - whole;
+    entry.received = e->received();
+    entry.deadline = e->deadline();
     entry.begun = e->work().resuming;
+    entry.target_start = entry.begun ? now + r.route->event_gap_target
+                                     : target_start(limits, answer);
+    entry.start_deadline =
+        entry.begun ? e->deadline() : latest_start(limits, answer);
+    bool const others_waited = queue.size() > 0;
     auto const pause_end = selection_.earliest_pause_end(r.service, now);
     if (pause_end && entry.too_late_at(*pause_end))
-        refuse_paused({entry.id, {}}, *pause_end);
-    else if (auto const refusal = queue->enqueue(entry, now))
-        refuse_waiting(*refusal);
+        refuse_paused(entry.id, *pause_end);
+    else if (auto const refusal = queue.enqueue(entry, now))
+        refuse_waiting(*refusal, to_string(refusal->reason));
+    // It was not offered to any endpoint before those that waited.
+    if (others_waited)
+        on_capacity_freed(r.service);
     return true;
 }
 
@@ -663,14 +695,38 @@
     if (found == exchanges_.end())
         return;
     auto const e = found->second;
+    auto const text = [](duration d) {
+        return std::to_string(
+            std::chrono::duration_cast<milliseconds>(d).count());
+    };
+    auto const& r = e->request();
+    env_.counters
+        .counter(
+            "queue_refusals_total",
+            "rank=\"" + std::to_string(r.rank) + "\",reason=\"" + reason + '"')
+        .add();
+    env_.log.record(
+        event_level::warn, "wait_refused",
+        {{"request", r.metadata.id.value()},
+         {"organisation", r.organisation.value()},
+         {"rank", std::to_string(r.rank)},
+         {"reason", reason},
+         {"waited_ms", text(env_.clock.now() - e->received())},
+         {"predicted_wait_ms",
+          refusal.predicted_wait ? text(*refusal.predicted_wait) : "-"},
+         {"retry_after_ms", text(refusal.retry_after)},
+         {"waiting", std::to_string(queue_of(r.service).size())}});
     e->refuse(reason, refusal.retry_after);
 }
 
 /// Refuses a request that cannot start before all endpoints end their pauses.
-void gateway::refuse_paused(queue_refusal refusal, steady_time until)
+void gateway::refuse_paused(queue_entry_id id, steady_time until)
 {
+    queue_refusal refusal;
+    refusal.id = id;
+    refusal.predicted_wait = until - env_.clock.now();
     refusal.retry_after =
-        std::chrono::ceil<milliseconds>(until - env_.clock.now());
+        std::chrono::ceil<milliseconds>(*refusal.predicted_wait);
     refuse_waiting(refusal, "endpoints_paused");
 }
 
@@ -705,11 +761,19 @@
     if (auto const pause_end = selection_.earliest_pause_end(service, now))
     {
         for (auto const& refusal : queue.remove_expired(*pause_end))
-            refuse_paused(refusal, *pause_end);
+            refuse_paused(refusal.id, *pause_end);
         return; // no endpoint takes any of the others before
     }
     for (auto const& refusal : queue.remove_expired(now))
-        refuse_waiting(refusal);
+        refuse_waiting(refusal, to_string(refusal.reason));
+    start_waiting(queue, now);
+    for (auto const& refusal : queue.remove_unservable(now))
+        refuse_waiting(refusal, to_string(refusal.reason));
+}
+
+/// Starts requests in their order until there is no capacity for the next one.
+void gateway::start_waiting(request_queue& queue, steady_time now)
+{
     for (std::size_t n = queue.size(); n > 0; --n)
     {
         auto const next = queue.pop(now);
@@ -721,9 +785,15 @@
         auto const e = found->second;
         if (!e->try_leave_queue())
         {
-            queue.requeue(*next, now);
+            queue.requeue(*next);
             return;
         }
+        env_.counters
+            .histogram(
+                "queue_wait_seconds",
+                "rank=\"" + std::to_string(next->rank) + '"')
+            .record(std::chrono::duration_cast<std::chrono::microseconds>(
+                now - next->received));
     }
 }
 
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -145,10 +145,12 @@
     void call(
         endpoint_ptr const& endpoint, std::chrono::milliseconds timeout,
         std::string request, bool probe, endpoint_call::handler done) override;
-    void
-    record_stream_duration(service_name const& service, duration took) override;
+    void record_stream_duration(
+        service_name const& service, duration took,
+        duration since_first_event) override;
     void on_load_changed() override;
     bool may_pass_on(relay_exchange const& e) const override;
+    bool others_wait(service_name const& service) const override;
     bool wait_for_capacity(std::shared_ptr<relay_exchange> const& e) override;
     void on_capacity_freed(service_name const& service) override;
     void
@@ -181,9 +183,11 @@
     void check_sessions(steady_time now);
     void dispatch_queue(service_name const& service, request_queue& queue);
     void dispatch_waiting();
-    void refuse_waiting(
-        queue_refusal const& refusal, char const* reason = "no_room");
-    void refuse_paused(queue_refusal refusal, steady_time until);
+    void start_waiting(request_queue& queue, steady_time now);
+    answer_duration expected_answer(relay_exchange const& e);
+    request_queue& queue_of(service_name const& service);
+    void refuse_waiting(queue_refusal const& refusal, char const* reason);
+    void refuse_paused(queue_entry_id id, steady_time until);
     void log_leaving(endpoint_id const& endpoint, char const* source);
     void log_endpoint(
         std::string const& key, char const* state, std::string const& detail,
@@ -280,6 +284,9 @@
     std::set<service_name> engine_services_;            // that had requests
     std::map<service_name, duration> stream_durations_; // moving averages
 
+    // From the first event to the end; moving averages.
+    std::map<service_name, duration> generation_durations_;
+
     prompt_cache_lookup cache_lookup_;
     bool shutting_down_ = false;
     bool configuration_was_fresh_ = false;
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -154,6 +154,11 @@
     work_.resuming = response_begun_;
     if (auto const* const spec = request_.table->service(request_.service))
         work_.connection_limit = context_.connection_share(*spec);
+    if (behind_others())
+    {
+        wait_for_capacity();
+        return;
+    }
     if (auto endpoint = context_.selection().choose(work_, engine(), now))
     {
         start_attempt(std::move(endpoint), std::nullopt);
@@ -172,6 +177,17 @@
     wait_for_capacity();
 }
 
+/// A new request would overtake those that wait, whatever its rank. One that
+/// was sent to an endpoint had its turn, and a cached prompt takes next to no
+/// capacity.
+bool relay_exchange::behind_others() const
+{
+    bool const tried =
+        history_.runs + history_.refusals + history_.failed_connections > 0;
+    return !tried && !work_.resuming && work_.cached_endpoint.empty() &&
+           context_.others_wait(request_.service);
+}
+
 void relay_exchange::wait_for_capacity()
 {
     // Endpoints that failed may have recovered by then, and are avoided while
@@ -720,6 +736,7 @@
     {
         stream_began_at_ = now;
         context_.on_load_changed();
+        context_.on_capacity_freed(request_.service); // its prefill has ended
     }
     if (!response_begun_)
     {
@@ -935,8 +952,10 @@
     context_.report_outcome(endpoint_, attempt_outcome::served);
     if (first_content_at_)
         report_proof();
+    auto const now = context_.clock().now();
     context_.record_stream_duration(
-        request_.service, context_.clock().now() - request_.message.received);
+        request_.service, now - request_.message.received,
+        now - first_byte_at_.value_or(now));
     if (!response_begun_)
         begin_response();
     session_->end_stream();
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -75,13 +75,17 @@
         std::string request, bool probe, endpoint_call::handler done) = 0;
 
     /// Records the duration of a complete stream.
-    virtual void
-    record_stream_duration(service_name const& service, duration took) = 0;
+    virtual void record_stream_duration(
+        service_name const& service, duration took,
+        duration since_first_event) = 0;
 
     /// False if a planned stop could cut the request off after it was passed
     /// on, and it may not be repeated.
     virtual bool may_pass_on(relay_exchange const& e) const = 0;
 
+    /// Whether requests for the service wait for capacity.
+    virtual bool others_wait(service_name const& service) const = 0;
+
     /// Queues the exchange until an endpoint has capacity.
     virtual bool
     wait_for_capacity(std::shared_ptr<relay_exchange> const& e) = 0;
@@ -208,6 +212,7 @@
     bool streaming() const { return request_.route->event_stream; }
 
     void start_next_attempt();
+    bool behind_others() const;
     void wait_for_capacity();
     void start_attempt(
         endpoint_ptr endpoint, std::optional<memory_copy> const& copy);
