--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -75,8 +75,9 @@
         std::string request, bool probe, endpoint_call::handler done) = 0;
 
     /// Records the duration of a complete stream.
-    virtual void
-    record_stream_duration(service_name const& service, duration took) = 0;
+    virtual void record_stream_duration(
+        service_name const& service, duration took,
+        duration since_first_event) = 0;
 
     /// False if a planned stop could cut the request off after it was passed
     /// on, and it may not be repeated.
@@ -220,6 +221,7 @@
 
     void start_next_attempt();
     endpoint_ptr choose_endpoint(steady_time now);
+    bool behind_others() const;
     void wait_for_capacity();
     void start_attempt(
         endpoint_ptr endpoint, std::optional<memory_copy> const& copy);
