gateway: measure the pace up to the fifth last start

Cause: with fewer than five starts in 3 s the pace was measured over 10 s, so it rose while nothing started. Requests whose answers could not come in time even if they started at once waited for the next look at the queue. The check of waiting requests ordered equal waits by address, so its result differed between builds.

Change: the interval reaches back to the fifth last start, at most 10 s. Such requests are refused on arrival. Equal waits are ordered by arrival.

--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -204,6 +204,9 @@
 {
     if (waiting_.empty())
         pace_.begin_waiting(now);
+    // The answer would come too late even if the request started at once.
+    if (entry.too_late_at(now))
+        return refuse(entry, refusal_reason::late_start, duration(0), now);
     auto const wait = predicted_wait(entry, now);
     if (wait && entry.too_late_at(now + *wait))
         return refuse(entry, refusal_reason::late_start, wait, now);
@@ -281,7 +284,9 @@
     std::vector<std::pair<duration, queued_request const*>> order;
     for (auto const& [id, entry] : waiting_)
         order.emplace_back(work.wait_of(entry), &entry);
-    std::sort(order.begin(), order.end());
+    std::stable_sort(
+        order.begin(), order.end(),
+        [](auto const& a, auto const& b) { return a.first < b.first; });
     for (auto const& [first_wait, entry] : order)
     {
         if (!entry->too_late_at(now + first_wait))
--- a/src/gateway/start_prediction.cpp
+++ b/src/gateway/start_prediction.cpp
@@ -84,19 +84,15 @@
 std::optional<start_pace::measurement>
 start_pace::measure(steady_time now) const
 {
-    auto begin = std::max(waiting_since_, now - window);
-    auto const after = [&begin](sample const& s) { return s.at >= begin; };
-    auto const enough = [this, &after]
-    {
-        return std::size_t(std::count_if(
-                   starts_.begin(), starts_.end(), after)) >= min_starts;
-    };
-    if (!enough())
-    {
-        begin = std::max(waiting_since_, now - long_window);
-        if (!enough())
-            return std::nullopt;
-    }
+    if (starts_.size() < min_starts)
+        return std::nullopt;
+    auto const earliest = starts_[starts_.size() - min_starts].at;
+    if (earliest + long_window < now)
+        return std::nullopt;
+    auto const begin =
+        std::min(std::max(waiting_since_, now - window), earliest);
+    // A start at its beginning is no part of the interval.
+    auto const after = [begin](sample const& s) { return s.at > begin; };
     double const observed = seconds(now - begin);
     if (observed <= 0)
         return std::nullopt;
--- a/src/gateway/start_prediction.hpp
+++ b/src/gateway/start_prediction.hpp
@@ -59,8 +59,9 @@
     // may wait.
     static constexpr std::chrono::milliseconds window{3000};
 
-    // Used if there are fewer starts in the shorter one: a gateway with a small
-    // share of the load starts one prompt in one or two seconds.
+    // With fewer starts than needed, the window is longer, up to this: a
+    // gateway with a small share of the load starts one prompt in one or two
+    // seconds.
     static constexpr std::chrono::milliseconds long_window{10000};
 
     // The standard deviation of a count of five is less than half of it.
