settings: bounds of rollouts

Cause: the decisions about rollouts need the deployment's bounds, and must stay off where a deployment has none.

Change: `rollouts: {exposure_share, exposure_slack, rollback_bound_ms}` enables rollouts; without the key the effective settings are as before.

--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -58,6 +58,17 @@
         retries->optional("fleet_size", s.retries.fleet_size, 1.0, 1e6);
         retries->finish();
     }
+    if (auto rollouts = root.child("rollouts"))
+    {
+        s.rollouts.enabled = true;
+        rollouts->optional(
+            "exposure_share", s.rollouts.exposure_share, 0.0, 1.0);
+        rollouts->optional(
+            "exposure_slack", s.rollouts.exposure_slack, 0.0, 1e9);
+        read_duration(
+            *rollouts, "rollback_bound_ms", s.rollouts.rollback_bound, 1, 100);
+        rollouts->finish();
+    }
     root.optional(
         "memory_mb", s.memory_mb, std::size_t{16}, std::size_t{1048576});
     root.optional(
@@ -98,6 +109,17 @@
     out << YAML::Key << "allowance" << YAML::Value << s.retries.allowance;
     out << YAML::Key << "fleet_size" << YAML::Value << s.retries.fleet_size;
     out << YAML::EndMap;
+    if (s.rollouts.enabled)
+    {
+        out << YAML::Key << "rollouts" << YAML::Value << YAML::BeginMap;
+        out << YAML::Key << "exposure_share" << YAML::Value
+            << s.rollouts.exposure_share;
+        out << YAML::Key << "exposure_slack" << YAML::Value
+            << s.rollouts.exposure_slack;
+        out << YAML::Key << "rollback_bound_ms" << YAML::Value
+            << s.rollouts.rollback_bound.count();
+        out << YAML::EndMap;
+    }
     out << YAML::Key << "memory_mb" << YAML::Value << s.memory_mb;
     out << YAML::Key << "max_descriptors" << YAML::Value << s.max_descriptors;
     out << YAML::Key << "log_lines_per_second" << YAML::Value
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 
+#include "gateway/rollout.hpp"
 #include "gateway/service_retry_budget.hpp"
 
 namespace dotterellock
@@ -36,6 +37,7 @@
     bool first_start = false;
 
     service_retry_budget_settings retries;
+    rollout_settings rollouts;   // disabled unless the key is present
     std::size_t memory_mb = 256; // memory limit of the process
 
     /// Half of the limit, in bytes; the other half is for the program, its
--- a/tests/settings/gateway_settings_test.cpp
+++ b/tests/settings/gateway_settings_test.cpp
@@ -45,7 +45,11 @@
          {required + "shutdown_grace_s: long\n", "shutdown_grace_s"},
          {required + "memory_mb: 0\n", "memory_mb"},
          {required + "unknown: 1\n", "unknown"},
-         {required + "retries: {ratio: -1}\n", "ratio"}}));
+         {required + "retries: {ratio: -1}\n", "ratio"},
+         {required + "rollouts: {exposure_share: 1.5}\n", "exposure_share"},
+         {required + "rollouts: {exposure_slack: -1}\n", "exposure_slack"},
+         {required + "rollouts: {rollback_bound_ms: 0}\n", "rollback_bound_ms"},
+         {required + "rollouts: {share: 0.1}\n", "share"}}));
     try
     {
         read_gateway_settings(r.text, "f");
@@ -57,3 +61,24 @@
         REQUIRE(e.detail().find(r.names) != std::string::npos);
     }
 }
+
+// Guards against rollouts in a deployment that has no bounds for them, and
+// against bounds that are not used.
+TEST_CASE("rollouts are enabled by their key", "[settings][rollout]")
+{
+    REQUIRE_FALSE(read_gateway_settings(required, "f").rollouts.enabled);
+    REQUIRE(
+        effective_text(read_gateway_settings(required, "f")).find("rollouts") ==
+        std::string::npos);
+    auto const s = read_gateway_settings(
+        required + "rollouts: {exposure_share: 0.2, exposure_slack: 30, "
+                   "rollback_bound_ms: 4000}\n",
+        "f");
+    REQUIRE(s.rollouts.enabled);
+    REQUIRE(s.rollouts.exposure_share == 0.2);
+    REQUIRE(s.rollouts.exposure_slack == 30);
+    REQUIRE(s.rollouts.rollback_bound == std::chrono::milliseconds(4000));
+    auto const again = read_gateway_settings(effective_text(s), "f");
+    REQUIRE(again.rollouts.enabled);
+    REQUIRE(effective_text(again) == effective_text(s));
+}
