gateway: choose endpoints by the version of their software

Cause: a rollout sends a request to the current version, to the candidate, or to the candidate if it has room, and some versions must get nothing.

Change: the requirements of a request name its version choice and the versions that are barred. usable_candidates() and likely_caches() leave out the others, so standby endpoints follow them too. Canary traffic keeps to the first endpoints in rendezvous order, which are the same at all gateways. Without a choice nothing changes: the order of the candidates is not touched.

--- a/src/gateway/endpoint_selector.cpp
+++ b/src/gateway/endpoint_selector.cpp
@@ -19,8 +19,44 @@
 // memory is free.
 constexpr double standby_memory_fraction = 0.6;
 
+/// Applies a preferred version, and the limit on endpoints of a candidate: all
+/// gateways keep the same ones, so that these see load.
+template<typename Candidates>
+void apply_version_choice(Candidates& candidates, version_choice const& choice)
+{
+    if (choice.kind == version_choice::rule::any)
+        return;
+    auto const of_version = std::stable_partition(
+        candidates.begin(), candidates.end(),
+        [&choice](auto const& c)
+        { return c.endpoint->record().version == choice.version; });
+    if (of_version == candidates.begin())
+        return;
+    if (choice.kind == version_choice::rule::prefer)
+        candidates.erase(of_version, candidates.end());
+    if (choice.max_endpoints == 0 || candidates.size() <= choice.max_endpoints)
+        return;
+    auto const last = candidates.begin() + std::ptrdiff_t(choice.max_endpoints);
+    auto const rank = [&choice](auto const& c)
+    { return rendezvous_weight(choice.version, c.endpoint->record().address); };
+    std::partial_sort(
+        candidates.begin(), last, candidates.end(),
+        [&rank](auto const& a, auto const& b) { return rank(a) > rank(b); });
+    candidates.erase(last, candidates.end());
+}
+
 } // namespace
 
+bool endpoint_requirements::allows(endpoint_record const& endpoint) const
+{
+    if (barred_versions.count(endpoint.version) != 0)
+        return false;
+    if (versions.kind != version_choice::rule::only)
+        return true;
+    return endpoint.version == versions.version ||
+           (endpoint.version.empty() && !versions.candidate);
+}
+
 topology::distance topology::distance_to(zone_id const& other) const
 {
     if (other == zone)
@@ -41,7 +77,8 @@
     for (auto const& endpoint : endpoints_.of_service(work.service))
     {
         if (!endpoint->accepts_requests(now) ||
-            work.excluded.count(endpoint->record().id.value()) != 0)
+            work.excluded.count(endpoint->record().id.value()) != 0 ||
+            !work.allows(endpoint->record()))
             continue;
         // An endpoint resets connections above a limit that all gateways share.
         if (work.connection_limit > 0 &&
@@ -57,9 +94,11 @@
         else
             healthy.push_back(c);
     }
-    if (!healthy.empty())
-        return healthy;
-    return suspect.empty() ? leaving : suspect;
+    auto& usable = !healthy.empty()  ? healthy
+                   : suspect.empty() ? leaving
+                                     : suspect;
+    apply_version_choice(usable, work.versions);
+    return std::move(usable);
 }
 
 endpoint_state::workload endpoint_selector::total_load(
@@ -181,7 +220,7 @@
     {
         auto const& record = endpoint->record();
         if (!endpoint->leaving() && !endpoint->suspended(now) &&
-            !endpoint->paused(now))
+            !endpoint->paused(now) && work.allows(record))
             ranked.push_back(
                 {{location_.distance_to(record.zone),
                   ~rendezvous_weight(work.affinity_key, record.address)},
--- a/src/gateway/endpoint_selector.hpp
+++ b/src/gateway/endpoint_selector.hpp
@@ -23,6 +23,7 @@
 
 #include "endpoint_table.hpp"
 #include "peer_loads.hpp"
+#include "rollout.hpp"
 #include "routing_table.hpp"
 #include "zone_failure_detector.hpp"
 
@@ -56,11 +57,17 @@
     bool resuming = false; // the caller already has part of the answer
     std::uint32_t connection_limit = 0; // of this gateway per endpoint; 0: any
     std::set<std::string> excluded;     // endpoints whose attempts failed
+    version_choice versions;            // of the endpoint's software
+    std::set<std::string> barred_versions; // get nothing at all
 
     std::uint64_t memory_tokens() const
     {
         return prompt_tokens + output_tokens;
     }
+
+    /// Whether the endpoint's version may serve. Endpoints of an unknown
+    /// version belong to the current one.
+    bool allows(endpoint_record const& endpoint) const;
 };
 
 class endpoint_selector
--- a/src/gateway/endpoint_state.hpp
+++ b/src/gateway/endpoint_state.hpp
@@ -28,6 +28,7 @@
     zone_id zone;
     std::uint64_t incarnation_start = 0; // 0: unknown
     std::uint32_t slots = 1;
+    std::string version; // of the software; empty: not known
     bool draining = false;
 };
 
