gateway: keep the current version before the first update of an order

Cause: an order found at the start of a gateway, or before its endpoints were listed, counted the current version as gone until the next update, so all requests went to the candidate: 12 of the first 12 in a gateway on loopback, although the status row said `rolled_back`.

Change: as long as no current version is noted, the one that requests use counts as listed.

--- a/src/gateway/rollout_order_progress.cpp
+++ b/src/gateway/rollout_order_progress.cpp
@@ -127,8 +127,13 @@
 bool rollout_coordinator::order_progress::current_listed(
     endpoints_by_version const& endpoints) const
 {
-    return (current && endpoints.count(*current) > 0) ||
-           endpoints.count("") > 0;
+    if (endpoints.count("") > 0)
+        return true;
+    if (current)
+        return endpoints.count(*current) > 0;
+    // A gateway that just started chooses endpoints before the first update.
+    auto const found = current_version(endpoints);
+    return found != status.to && endpoints.count(found) > 0;
 }
 
 void rollout_coordinator::order_progress::watch_endpoints(
