relay: carry out rollouts

Cause: the decisions about rollouts need orders, status rows, endpoint versions, requests and the counts of other gateways, and a way to act on them.

Change: rollout_control connects the coordinator with a gateway that has rollouts enabled. Each attempt, also from the queue, asks for the versions that may serve; standby copies follow the version that takes new requests. Error answers, latencies and lost connections are reported apart. Latencies leave out the connect time and a usual round trip, as the few endpoints of a candidate are farther away; those of cached prompts and of copies are not reported. Silence counts as slowness only while the endpoint shows signs of life. The status row is written on the condition of its revision, by a client of its own, and only for services with an order.

Without rollouts, or without an order, the store of status rows gets no call and peers no datagram.

--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -151,6 +151,14 @@
                   std::move(done));
           })
 {
+    if (settings_.rollouts.enabled)
+        make_rollout_control();
+    peer_load_sync::rollout_exchange rollouts;
+    if (rollouts_)
+        rollouts = {
+            [this] { return rollouts_->evidence(); },
+            [this](host_id const& peer, rollout_evidence const& evidence)
+            { rollouts_->on_evidence(peer, evidence); }};
     if (!settings_.peer_listen.empty())
         peer_load_sync_ = std::make_unique<peer_load_sync>(
             env_.io, settings_.host, settings_.peer_listen, peer_reader_,
@@ -159,7 +167,8 @@
             [this](load_share const& share) { on_load_share(share); },
             [this] { return prompt_crashes_.evidence(env_.clock.now()); },
             [this](host_id const& peer, crash_evidence const& evidence)
-            { prompt_crashes_.merge(peer, evidence, env_.clock.now()); });
+            { prompt_crashes_.merge(peer, evidence, env_.clock.now()); },
+            std::move(rollouts));
 }
 
 gateway::~gateway()
@@ -348,6 +357,8 @@
         budget.set_settings(settings.retries);
     endpoints_.set_last_resort_period(
         endpoint_copy_policy::last_resort_period(settings.drain_bound));
+    if (rollouts_ && settings.rollouts.enabled)
+        rollouts_->set_settings(settings.rollouts);
 }
 
 // Admission ------------------------------------------------------------------
@@ -542,8 +553,11 @@
         e->start({});
         return;
     }
+    auto work = e->work();
+    if (rollouts_)
+        rollouts_->choose_standby_versions(work, env_.clock.now());
     cache_lookup_.find(
-        e->work(), fleet_size(),
+        work, fleet_size(),
         [e](endpoint_id const& cached_at) { e->start(cached_at); });
 }
 
@@ -753,6 +767,8 @@
         run_step("peers", [this] { peer_load_sync_->poll(); });
     if (table_service_)
         run_step("tables", [&] { table_service_->poll(now); });
+    if (rollouts_)
+        run_step("rollouts", [&] { rollouts_->poll(now); });
     peers_.expire(now);
     check_endpoint_calls(now, paused);
     check_exchanges(now, paused);
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -30,6 +30,7 @@
 #include "peer_tables.hpp"
 #include "prompt_cache_lookup.hpp"
 #include "relay_exchange.hpp"
+#include "rollout_control.hpp"
 #include "settings/gateway_settings.hpp"
 #include "status_service.hpp"
 
@@ -50,8 +51,24 @@
     /// Throws error(protocol_error) for a row that describes no endpoint.
     virtual endpoint_record read_endpoint(store_row const& row) const = 0;
 
-    virtual std::string configuration_table() const = 0;
+    /// The service whose rollout a row is about, by the row's key; no value for
+    /// other rows.
+    virtual std::optional<service_name>
+    rollout_service(store_row const& row) const = 0;
+
+    /// Throws error(protocol_error) for a malformed order. Its time is not set.
+    virtual rollout_order read_rollout_order(store_row const& row) const = 0;
+
+    /// Throws error(protocol_error) for a malformed status.
+    virtual rollout_status read_rollout_status(store_row const& row) const = 0;
+    virtual std::string
+    rollout_status_text(rollout_status const& status) const = 0;
+    virtual std::string
+    rollout_status_key(service_name const& service) const = 0;
+
+    virtual std::string configuration_table() const = 0; // and of orders
     virtual std::string endpoint_table() const = 0;
+    virtual std::string status_table() const = 0;
 };
 
 /// Dependencies of a gateway; owned by the process and outlive the gateway.
@@ -67,6 +84,7 @@
     row_reader& endpoint_reader;
     row_reader& peer_reader;
     row_writer& peer_writer;
+    row_writer& status_store; // not used without rollouts
     event_log& log;
     counter_registry& counters;
     memory_budget& memory;
@@ -134,6 +152,9 @@
     service_retry_budget& budget(service_name const& service) override;
     first_event_estimate& estimate(service_name const& service) override;
     prompt_crash_monitor& prompt_crashes() override { return prompt_crashes_; }
+    rollout_control* rollouts() override { return rollouts_.get(); }
+    void
+    report_answer(endpoint_ptr const& endpoint, version_answer answer) override;
     std::size_t fleet_size() const;
     std::uint32_t connection_share(service_spec const& service) override;
     void report_outcome(
@@ -200,6 +221,7 @@
     void on_load_share(load_share const& share);
     void check_suspected_endpoints(steady_time now);
     void sweep_endpoints(steady_time now);
+    void make_rollout_control();
     std::unique_ptr<table_listener> make_configuration_sink();
     std::unique_ptr<table_listener> make_endpoint_sink();
     void update_table_sources(steady_time now);
@@ -249,6 +271,7 @@
     std::unique_ptr<peer_table_service> table_service_; // null: no peers
 
     asio::ip::tcp::acceptor acceptor_;
+    std::unique_ptr<rollout_control> rollouts_;      // null: disabled
     std::unique_ptr<peer_load_sync> peer_load_sync_; // null: no peers
     std::vector<std::pair<steady_time, endpoint_id>> recent_failures_;
     std::unique_ptr<status_service> status_;
--- a/src/relay/gateway_metrics.cpp
+++ b/src/relay/gateway_metrics.cpp
@@ -60,6 +60,16 @@
         c.counter("evidence_datagrams_unreadable_total")
             .set(evidence.unreadable);
     }
+    if (rollouts_)
+        rollouts_->publish(c);
+    if (rollouts_ && peer_load_sync_)
+    {
+        auto const& evidence = peer_load_sync_->rollout_datagrams();
+        c.counter("rollout_datagrams_sent_total").set(evidence.sent);
+        c.counter("rollout_datagrams_received_total").set(evidence.received);
+        c.counter("rollout_datagrams_unreadable_total")
+            .set(evidence.unreadable);
+    }
     c.counter("connections_opened").set(pool_.connections_created());
     c.counter("store_calls")
         .set(
--- a/src/relay/gateway_tables.cpp
+++ b/src/relay/gateway_tables.cpp
@@ -1,7 +1,8 @@
 // How a gateway follows the tables of the platform's store. Index: sinks;
-// configuration in force; endpoints; sources.
+// configuration in force; endpoints; rollouts; sources.
 #include "gateway.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "gateway/isolated_work.hpp"
@@ -9,6 +10,25 @@
 namespace dotterellock
 {
 
+namespace
+{
+
+std::chrono::microseconds expected_round_trip(topology::distance distance)
+{
+    switch (distance)
+    {
+    case topology::distance::same_zone:
+        break;
+    case topology::distance::same_region:
+        return endpoint_selector::same_region_cost;
+    case topology::distance::other_region:
+        return endpoint_selector::other_region_cost;
+    }
+    return {};
+}
+
+} // namespace
+
 // Sinks ----------------------------------------------------------------------
 
 class gateway::configuration_sink : public table_listener
@@ -21,10 +41,26 @@
         change_period const& period) override
     {
         for (auto const& row : rows)
-            on_change(row, period);
+            apply(row);
+        if (owner_.rollouts_)
+            owner_.rollouts_->on_order_listing(rows, period.not_before);
+    }
+
+    void on_change(store_row const& row, change_period const& period) override
+    {
+        apply(row);
+        if (owner_.rollouts_)
+            owner_.rollouts_->on_order_row(row, period.not_before);
+    }
+
+    void on_current(copy_state const& state) override
+    {
+        owner_.freshness_lease_.renew(state.proven);
+        owner_.accept_when_ready();
     }
 
-    void on_change(store_row const& row, change_period const&) override
+private:
+    void apply(store_row const& row)
     {
         if (row.deleted)
             return; // the last version remains in force
@@ -44,13 +80,6 @@
             });
     }
 
-    void on_current(copy_state const& state) override
-    {
-        owner_.freshness_lease_.renew(state.proven);
-        owner_.accept_when_ready();
-    }
-
-private:
     gateway& owner_;
 };
 
@@ -102,7 +131,12 @@
             });
     }
 
-    void on_current(copy_state const&) override { owner_.accept_when_ready(); }
+    void on_current(copy_state const&) override
+    {
+        if (owner_.rollouts_)
+            owner_.rollouts_->on_endpoints_changed();
+        owner_.accept_when_ready();
+    }
 
 private:
     steady_time removed_at(change_period const& period) const
@@ -150,6 +184,8 @@
     table_revision_ = revision;
     env_.counters.counter("configuration_version").set(version);
     put_named_endpoints();
+    if (rollouts_)
+        rollouts_->on_configuration();
 }
 
 // Endpoints ------------------------------------------------------------------
@@ -231,6 +267,44 @@
             });
 }
 
+// Rollouts -------------------------------------------------------------------
+
+void gateway::make_rollout_control()
+{
+    rollout_control::surroundings surroundings;
+    surroundings.names_service = [this](service_name const& service)
+    { return table_ && table_->names(service); };
+    surroundings.fleet_size = [this] { return fleet_size(); };
+    surroundings.rank = [this](service_name const& service)
+    {
+        return peer_load_sync_ ? peer_load_sync_->rank_for(service.value())
+                               : std::size_t(0);
+    };
+    surroundings.on_news = [this]
+    {
+        if (peer_load_sync_)
+            peer_load_sync_->request_rollout_send();
+        on_capacity_freed({});
+    };
+    rollouts_ = std::make_unique<rollout_control>(
+        settings_.rollouts, env_.codec, env_.status_store, endpoints_,
+        env_.clock, env_.log, std::move(surroundings));
+}
+
+/// Losses in a zone that fails say nothing about a version, nor does the
+/// distance of the few endpoints that serve the first requests.
+void gateway::report_answer(endpoint_ptr const& endpoint, version_answer answer)
+{
+    auto const now = env_.clock.now();
+    if (!rollouts_ ||
+        (answer.connection_lost && zones_.is_suspect(*endpoint, now)))
+        return;
+    auto const round_trip = expected_round_trip(
+        selection_.location().distance_to(endpoint->record().zone));
+    answer.latency -= std::min<duration>(round_trip, answer.latency);
+    rollouts_->on_answer(endpoint->record(), answer, now);
+}
+
 // Sources --------------------------------------------------------------------
 
 void gateway::update_table_sources(steady_time now)
--- a/src/relay/peer_load_sync.cpp
+++ b/src/relay/peer_load_sync.cpp
@@ -5,11 +5,13 @@
 
 #include <dotterellock/error.hpp>
 
+#include "choice/rendezvous.hpp"
 #include "connection_pool.hpp"
 #include "crash_evidence_codec.hpp"
 #include "gateway/isolated_work.hpp"
 #include "gateway/peer_group.hpp"
 #include "load_share_codec.hpp"
+#include "rollout_evidence_codec.hpp"
 
 namespace dotterellock
 {
@@ -54,11 +56,11 @@
     row_reader& reader, row_writer& writer, clock_source const& clock,
     random_source& random, event_log& log, share_source source,
     share_handler handler, evidence_source evidence,
-    evidence_handler on_evidence)
+    evidence_handler on_evidence, rollout_exchange rollouts)
     : host_(std::move(host)), address_(std::move(address)), writer_(writer),
       clock_(clock), log_(log), share_source_(std::move(source)),
       share_handler_(std::move(handler)), evidence_source_(std::move(evidence)),
-      evidence_handler_(std::move(on_evidence)),
+      evidence_handler_(std::move(on_evidence)), rollouts_(std::move(rollouts)),
       gateway_table_(*this, clock, max_shared_age),
       peer_watch_(
           table_name, peer_watch_settings, reader, gateway_table_, clock,
@@ -100,6 +102,13 @@
         evidence_sent_ = now;
         send_evidence(std::exchange(evidence_requested_, false));
     }
+    if (rollouts_.source &&
+        (rollout_requested_ || now - rollout_sent_ >= max_send_interval))
+    {
+        rollout_requested_ = false;
+        rollout_sent_ = now;
+        send_rollout_evidence();
+    }
 }
 
 void peer_load_sync::register_self()
@@ -133,6 +142,15 @@
     return peer_watch_.listed() ? peers_.size() + 1 : 0;
 }
 
+std::size_t peer_load_sync::rank_for(std::string const& key) const
+{
+    auto const own = rendezvous_weight(key, host_);
+    return std::size_t(std::count_if(
+        peers_.begin(), peers_.end(),
+        [&](auto const& known)
+        { return rendezvous_weight(key, known.first) > own; }));
+}
+
 std::vector<peer_load_sync::table_holder>
 peer_load_sync::table_holders(steady_time now) const
 {
@@ -256,6 +274,17 @@
         changed ? send_to_group(bytes) : send_to_next(bytes);
 }
 
+/// Cumulative counts, so each datagram supersedes the one before.
+void peer_load_sync::send_rollout_evidence()
+{
+    if (peers_.empty())
+        return;
+    auto const evidence = rollouts_.source();
+    if (!evidence.empty())
+        rollout_counts_.sent +=
+            send_to_group(encode_rollout_evidence(host_id(host_), evidence));
+}
+
 /// Sends to the peers in turn.
 /// @return number of peers
 std::size_t peer_load_sync::send_to_next(std::string const& bytes)
@@ -319,6 +348,11 @@
         on_evidence_datagram(bytes, sender);
         return;
     }
+    if (is_rollout_evidence(bytes))
+    {
+        on_rollout_datagram(bytes, sender);
+        return;
+    }
     try
     {
         auto const share = decode_load_share(bytes);
@@ -345,8 +379,7 @@
     try
     {
         auto const shared = decode_crash_evidence(bytes);
-        auto const known = peers_.find(shared.gateway.value());
-        if (known == peers_.end() || known->second.address != sender)
+        if (!known_sender(shared.gateway, sender))
             return;
         ++evidence_counts_.received;
         evidence_handler_(shared.gateway, shared.evidence);
@@ -361,4 +394,36 @@
     }
 }
 
+void peer_load_sync::on_rollout_datagram(
+    std::string const& bytes, asio::ip::udp::endpoint const& sender)
+{
+    if (!rollouts_.handler)
+        return;
+    try
+    {
+        auto const shared = decode_rollout_evidence(bytes);
+        if (!known_sender(shared.gateway, sender))
+            return;
+        ++rollout_counts_.received;
+        for (auto const& evidence : shared.evidence)
+            rollouts_.handler(shared.gateway, evidence);
+    }
+    catch (error const& problem)
+    {
+        ++rollout_counts_.unreadable;
+        log_.record(
+            event_level::warn, "rollout_evidence_unreadable",
+            {{"from", sender.address().to_string()},
+             {"detail", problem.detail()}});
+    }
+}
+
+/// Evidence is accepted only from a registered gateway's own address.
+bool peer_load_sync::known_sender(
+    host_id const& gateway, asio::ip::udp::endpoint const& sender) const
+{
+    auto const known = peers_.find(gateway.value());
+    return known != peers_.end() && known->second.address == sender;
+}
+
 } // namespace dotterellock
--- a/src/relay/peer_load_sync.hpp
+++ b/src/relay/peer_load_sync.hpp
@@ -1,5 +1,5 @@
 // Sends this gateway's load share to its peers over UDP and receives theirs; so
-// too its evidence about crashes, in datagrams of their own.
+// too its evidence about crashes and about rollouts, in datagrams of their own.
 // Gateways discover each other through a table of the platform's store, where
 // each writes its address at startup and removes it at shutdown. Each datagram
 // supersedes the previous one, so a lost one is not sent again.
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,7 @@
 #include "gateway/event_log.hpp"
 #include "gateway/peer_loads.hpp"
 #include "gateway/prompt_quarantine.hpp"
+#include "gateway/rollout_coordinator.hpp"
 #include "gateway/shared_table.hpp"
 #include "gateway/table_watcher.hpp"
 
@@ -31,12 +33,49 @@
 public:
     using handler = std::function<void(bool done)>;
 
+    enum class condition
+    {
+        met,    // the row was written
+        failed, // it has another revision
+        unknown // no answer; the row may have been written
+    };
+
+    struct conditional_result
+    {
+        condition outcome = condition::unknown;
+        std::optional<store_row> row; // that failed the condition
+        std::uint64_t revision = 0;   // of the row as written; 0: not known
+        std::string detail;           // reason of an unknown outcome
+    };
+
+    struct found_row
+    {
+        bool read = false;            // the call succeeded
+        std::optional<store_row> row; // empty: there is none
+        std::string detail;           // reason of a failure
+    };
+
+    using conditional_handler = std::function<void(conditional_result)>;
+    using find_handler = std::function<void(found_row)>;
+
     virtual ~row_writer() = default;
     virtual void
     put(std::string const& table, std::string const& key,
         std::string const& value, handler done) = 0;
     virtual void
     remove(std::string const& table, std::string const& key, handler done) = 0;
+
+    /// Writes a row if its revision is the expected one.
+    /// @param expected_revision  0: the row must not exist
+    virtual void put_if(
+        std::string const& table, std::string const& key,
+        std::string const& value, std::uint64_t expected_revision,
+        conditional_handler done) = 0;
+
+    /// Reads one row.
+    virtual void find(
+        std::string const& table, std::string const& key,
+        find_handler done) = 0;
 };
 
 class peer_load_sync : private table_listener
@@ -50,6 +89,15 @@
     using evidence_handler = std::function<void(
         host_id const& gateway, crash_evidence const& evidence)>;
 
+    /// Null without rollouts.
+    struct rollout_exchange
+    {
+        std::function<std::vector<rollout_evidence>()> source;
+        std::function<void(
+            host_id const& gateway, rollout_evidence const& evidence)>
+            handler;
+    };
+
     /// Datagrams with evidence.
     struct evidence_counts
     {
@@ -65,7 +113,7 @@
         row_reader& reader, row_writer& writer, clock_source const& clock,
         random_source& random, event_log& log, share_source source,
         share_handler handler, evidence_source evidence,
-        evidence_handler on_evidence);
+        evidence_handler on_evidence, rollout_exchange rollouts);
 
     peer_load_sync(peer_load_sync const&) = delete;
     peer_load_sync& operator=(peer_load_sync const&) = delete;
@@ -83,17 +131,26 @@
     /// Sends the evidence as soon as the minimum interval allows.
     void request_evidence_send() { evidence_requested_ = true; }
 
+    /// Sends the evidence about rollouts at once.
+    void request_rollout_send() { rollout_requested_ = true; }
+
     evidence_counts const& evidence_datagrams() const
     {
         return evidence_counts_;
     }
 
+    evidence_counts const& rollout_datagrams() const { return rollout_counts_; }
+
     /// Removes this gateway's row from the table.
     void unregister();
 
     /// Number of gateways including this one; 0 until the table was listed.
     std::size_t fleet_size() const;
 
+    /// Position of this gateway among the known ones, in rendezvous order for a
+    /// key; 0 is first.
+    std::size_t rank_for(std::string const& key) const;
+
     /// Another gateway that offers current copies of the tables.
     struct table_holder
     {
@@ -135,8 +192,13 @@
         std::string const& bytes, asio::ip::udp::endpoint const& sender);
     void on_evidence_datagram(
         std::string const& bytes, asio::ip::udp::endpoint const& sender);
+    void on_rollout_datagram(
+        std::string const& bytes, asio::ip::udp::endpoint const& sender);
+    bool known_sender(
+        host_id const& gateway, asio::ip::udp::endpoint const& sender) const;
     void send();
     void send_evidence(bool changed);
+    void send_rollout_evidence();
     std::size_t send_to_group(std::string const& bytes);
     std::size_t send_to_next(std::string const& bytes);
     void send_datagram(std::string const& bytes, peer const& to);
@@ -151,6 +213,7 @@
     share_handler const share_handler_;
     evidence_source const evidence_source_;
     evidence_handler const evidence_handler_;
+    rollout_exchange const rollouts_;
     shared_table gateway_table_;
     table_watcher peer_watch_;
     asio::ip::udp::socket socket_;
@@ -169,6 +232,9 @@
     steady_time evidence_sent_{}; // or was found to be empty
     std::string last_evidence_peer_;
     evidence_counts evidence_counts_;
+    bool rollout_requested_ = false;
+    steady_time rollout_sent_{}; // or there was nothing to send
+    evidence_counts rollout_counts_;
 };
 
 } // namespace dotterellock
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -1,5 +1,6 @@
 // Index: construction and dispatch; attempts; response from the endpoint;
-// response to the caller; timeouts; prompts that crash endpoints; completion.
+// response to the caller; timeouts; prompts that crash endpoints; versions;
+// completion.
 #include "relay_exchange.hpp"
 
 #include <algorithm>
@@ -120,6 +121,8 @@
         return; // its caller disconnected during the cache lookup
     work_.cached_endpoint = cached_at;
     context_.budget(request_.service).request_started(context_.clock().now());
+    if (auto* const rollouts = context_.rollouts())
+        rollouts->on_request(request_.service, context_.clock().now());
     start_next_attempt();
 }
 
@@ -128,8 +131,7 @@
     if (state_ != state::waiting || refuse_if_quarantined() ||
         refuse_if_stopping())
         return true;
-    auto endpoint =
-        context_.selection().choose(work_, engine(), context_.clock().now());
+    auto endpoint = choose_endpoint(work_, context_.clock().now());
     if (!endpoint)
         return false;
     start_attempt(std::move(endpoint), std::nullopt);
@@ -138,6 +140,20 @@
 
 // Attempts -------------------------------------------------------------------
 
+/// Asks for the versions that may serve now, as they change during a rollout.
+endpoint_ptr relay_exchange::choose_endpoint(
+    endpoint_requirements& work, steady_time now) const
+{
+    auto const* const rollouts = context_.rollouts();
+    if (rollouts == nullptr)
+        return context_.selection().choose(work, engine(), now);
+    rollouts->choose_versions(work, now);
+    auto endpoint = context_.selection().choose(work, engine(), now);
+    if (!endpoint && rollouts->choose_other_versions(work, now))
+        endpoint = context_.selection().choose(work, engine(), now);
+    return endpoint;
+}
+
 void relay_exchange::start_next_attempt()
 {
     if (refuse_if_quarantined() || refuse_if_stopping())
@@ -154,7 +170,7 @@
     work_.resuming = response_begun_;
     if (auto const* const spec = request_.table->service(request_.service))
         work_.connection_limit = context_.connection_share(*spec);
-    if (auto endpoint = context_.selection().choose(work_, engine(), now))
+    if (auto endpoint = choose_endpoint(work_, now))
     {
         start_attempt(std::move(endpoint), std::nullopt);
         return;
@@ -163,7 +179,7 @@
     {
         // No other endpoint is left; one that failed may have recovered.
         work_.excluded.clear();
-        if (auto endpoint = context_.selection().choose(work_, engine(), now))
+        if (auto endpoint = choose_endpoint(work_, now))
         {
             start_attempt(std::move(endpoint), std::nullopt);
             return;
@@ -203,12 +219,13 @@
     auto const standby = standby_copies_->standby();
     if (spec != nullptr)
         context_.on_load_changed();
-    sent_at_ = last_progress_ = now;
+    sent_at_ = connected_at_ = last_progress_ = now;
     next_suspicion_ = now;
     suspicion_logged_ = false;
     stream_began_at_.reset();
     first_content_at_.reset();
     proof_reported_ = false;
+    answer_reported_ = false;
     crash_reported_ = false;
     confirmed_at_.reset();
     response_head_.reset();
@@ -229,21 +246,26 @@
         on_attempt_failed(attempt_outcome::unreachable, "bad_address");
         return;
     }
-    context_.log().record(
-        event_level::info, "dispatch",
-        {{"request", request_.metadata.id.value()},
-         {"service", record.service.value()},
-         {"endpoint", record.id.value()},
-         {"zone", record.zone.value()},
-         {"load", std::to_string(endpoint_->load.requests)},
-         {"prefill", std::to_string(endpoint_->load.prefill_tokens)},
-         {"standby", standby ? standby->record().id.value() : "-"},
-         {"copy", resumed_from_copy_ ? "1" : "0"},
-         {"prompt", std::to_string(work_.prompt_tokens)},
-         {"after_event",
-          last_event_id_ ? std::to_string(*last_event_id_) : "-"},
-         {"runs", std::to_string(history_.runs)},
-         {"left_ms", milliseconds_text(deadline_ - now)}});
+    std::vector<event_field> fields{
+        {"request", request_.metadata.id.value()},
+        {"service", record.service.value()},
+        {"endpoint", record.id.value()},
+        {"zone", record.zone.value()},
+        {"load", std::to_string(endpoint_->load.requests)},
+        {"prefill", std::to_string(endpoint_->load.prefill_tokens)},
+        {"standby", standby ? standby->record().id.value() : "-"},
+        {"copy", resumed_from_copy_ ? "1" : "0"},
+        {"prompt", std::to_string(work_.prompt_tokens)},
+        {"after_event", last_event_id_ ? std::to_string(*last_event_id_) : "-"},
+        {"runs", std::to_string(history_.runs)},
+        {"left_ms", milliseconds_text(deadline_ - now)}};
+    if (auto* const rollouts = context_.rollouts())
+    {
+        fields.emplace_back(
+            "version", record.version.empty() ? "-" : record.version);
+        rollouts->on_attempt(record, now);
+    }
+    context_.log().record(event_level::info, "dispatch", fields);
     auto const& id = request_.metadata.id.value();
     bool const head_only = request_.message.head.method == "HEAD";
     if (next_connection_ && next_connection_->endpoint == endpoint_ &&
@@ -344,7 +366,10 @@
     bool const no_copy =
         resumed_from_copy_ && outcome == attempt_outcome::refused;
     if (!stale && !no_copy)
+    {
         context_.report_outcome(failed, outcome);
+        report_version_failure(outcome);
+    }
     if (state_ == state::done)
         return; // report_outcome() ended this request as well
     if (!no_copy && !stale)
@@ -465,7 +490,7 @@
     auto work = work_;
     work.resuming = response_begun_;
     work.excluded.insert(endpoint_->record().id.value());
-    auto const next = context_.selection().choose(work, engine(), now);
+    auto const next = choose_endpoint(work, now);
     bool const in_order = next && !next->suspended(now) && !next->leaving();
     return in_order ? next : nullptr;
 }
@@ -562,6 +587,7 @@
 {
     auto const now = context_.clock().now();
     endpoint_->record_activity(now);
+    connected_at_ = now;
     attempt_connection_.port = connection_->local_port();
     bool const stopping = !context_.may_pass_on(*this);
     if (endpoint_->accepts_requests(now) && !stopping)
@@ -719,6 +745,7 @@
     if (!stream_began_at_)
     {
         stream_began_at_ = now;
+        report_version_answer(false);
         context_.on_load_changed();
     }
     if (!response_begun_)
@@ -772,6 +799,7 @@
     {
         if (status < 400)
             report_proof();
+        report_version_answer(status >= 500);
         context_.report_outcome(endpoint_, attempt_outcome::served);
         session_->end_stream();
         finish("served", status, {});
@@ -800,6 +828,7 @@
     }
     endpoint_->record_latency(
         std::chrono::duration_cast<std::chrono::microseconds>(now - sent_at_));
+    report_version_answer(false);
     context_.report_outcome(endpoint_, attempt_outcome::served);
     if (success)
         report_proof();
@@ -869,6 +898,7 @@
         report_crash(stale);
     if (passing_through_)
     {
+        report_version_loss();
         context_.report_outcome(endpoint_, outcome);
         session_->abort();
         finish("broken", 0, dotterellock::to_string(failure));
@@ -933,6 +963,7 @@
         return;
     }
     context_.report_outcome(endpoint_, attempt_outcome::served);
+    report_version_answer(false);
     if (first_content_at_)
         report_proof();
     context_.record_stream_duration(
@@ -956,7 +987,11 @@
         if (state_ == state::waiting && history_.runs == 0)
             refuse("deadline", milliseconds(1000));
         else
+        {
+            if (state_ == state::attempting)
+                report_version_silence(now);
             fail(504, route_timeout_first_ ? "route_timeout" : "deadline");
+        }
         return;
     }
     bool const queued =
@@ -1115,6 +1150,80 @@
         request_.shared_parts, first_content_at_.value_or(now), now);
 }
 
+// Versions -------------------------------------------------------------------
+
+version_answer relay_exchange::make_version_answer() const
+{
+    version_answer answer;
+    answer.route = request_.route->name;
+    answer.latency = context_.clock().now() - connected_at_;
+    return answer;
+}
+
+/// Reports an answer once an attempt: a stream's with its first event.
+void relay_exchange::report_version_answer(bool failed)
+{
+    if (context_.rollouts() == nullptr || std::exchange(answer_reported_, true))
+        return;
+    // A run that resumes from a copy, or whose prompt is cached, answers early
+    // whatever its version.
+    bool const cached = endpoint_->record().id == work_.cached_endpoint;
+    if ((resumed_from_copy_ || cached) && !failed)
+        return;
+    auto answer = make_version_answer();
+    answer.failed = failed;
+    context_.report_answer(endpoint_, answer);
+}
+
+void relay_exchange::report_version_loss()
+{
+    if (context_.rollouts() == nullptr)
+        return;
+    auto answer = make_version_answer();
+    answer.connection_lost = true;
+    context_.report_answer(endpoint_, answer);
+}
+
+/// Silence is slowness only if the endpoint showed signs of life in the second
+/// half of the attempt; otherwise it may have been lost.
+void relay_exchange::report_version_silence(steady_time now)
+{
+    if (answer_reported_)
+        return;
+    bool const alive =
+        endpoint_->last_activity() > sent_at_ + (now - sent_at_) / 2;
+    // Most of the attempts that a deadline cuts short say nothing.
+    bool const long_enough =
+        now - sent_at_ >= (deadline_ - request_.message.received) / 2;
+    if (now >= deadline_ && !long_enough)
+        return;
+    if (alive)
+        report_version_answer(false);
+    else
+        report_version_loss();
+}
+
+void relay_exchange::report_version_failure(attempt_outcome outcome)
+{
+    switch (outcome)
+    {
+    case attempt_outcome::failed_answer:
+        report_version_answer(true);
+        break;
+    case attempt_outcome::silent:
+        report_version_silence(context_.clock().now());
+        break;
+    case attempt_outcome::unreachable:
+    case attempt_outcome::lost:
+        report_version_loss();
+        break;
+    case attempt_outcome::served:
+    case attempt_outcome::refused:
+    case attempt_outcome::misdirected:
+        break; // nothing ran, or it was reported
+    }
+}
+
 // Completion -----------------------------------------------------------------
 
 void relay_exchange::refuse(char const* reason, milliseconds retry_after)
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -21,6 +21,7 @@
 #include "http_connection.hpp"
 #include "prompt_crash_monitor.hpp"
 #include "protocol_codec.hpp"
+#include "rollout_control.hpp"
 #include "standby_copies.hpp"
 
 namespace dotterellock
@@ -53,6 +54,14 @@
     virtual first_event_estimate& estimate(service_name const& service) = 0;
     virtual prompt_crash_monitor& prompt_crashes() = 0;
 
+    /// Null if rollouts are disabled.
+    virtual rollout_control* rollouts() = 0;
+
+    /// Records an attempt's answer for the comparison of versions. Its latency
+    /// includes a round trip to the endpoint.
+    virtual void
+    report_answer(endpoint_ptr const& endpoint, version_answer answer) = 0;
+
     /// Number of connections that this gateway may open to one endpoint.
     virtual std::uint32_t connection_share(service_spec const& service) = 0;
 
@@ -207,6 +216,8 @@
     engine_spec const* engine() const;
     bool streaming() const { return request_.route->event_stream; }
 
+    endpoint_ptr
+    choose_endpoint(endpoint_requirements& work, steady_time now) const;
     void start_next_attempt();
     void wait_for_capacity();
     void start_attempt(
@@ -227,6 +238,12 @@
         endpoint_ptr next, attempt_outcome outcome, char const* reason);
     void discard_next_connection();
 
+    version_answer make_version_answer() const;
+    void report_version_answer(bool failed);
+    void report_version_loss();
+    void report_version_silence(steady_time now);
+    void report_version_failure(attempt_outcome outcome);
+
     /// Whether the connection may have been closed while idle, just as it was
     /// reused. A crash at once looks the same, so this must not decide whether
     /// the endpoint was lost.
@@ -300,12 +317,14 @@
     connection_use attempt_connection_; // for the log
     bool sole_prefill_ = false; // no other prefill of this gateway there
     steady_time sent_at_{};
+    steady_time connected_at_{}; // or sent_at_ on a reused connection
     steady_time last_progress_{};
     steady_time next_suspicion_{}; // earliest time to act on a suspicion
     bool suspicion_logged_ = false;
     std::optional<steady_time> stream_began_at_;  // in this attempt
     std::optional<steady_time> first_content_at_; // in this attempt
     bool proof_reported_ = false;
+    bool answer_reported_ = false; // for the comparison of versions
     bool crash_reported_ = false;
     std::optional<steady_time> confirmed_at_;   // by an endpoint report
     std::optional<message_head> response_head_; // from the endpoint
--- a/src/relay/standby_copies.cpp
+++ b/src/relay/standby_copies.cpp
@@ -45,7 +45,9 @@
     std::optional<steady_time> stream_began, steady_time now) const
 {
     bool const copied = stream_began && now - *stream_began > first_copy_delay;
-    if (!copy_ || !copied || copy_->lost(now))
+    auto const* const rollouts = context_.rollouts();
+    if (!copy_ || !copied || copy_->lost(now) ||
+        (rollouts && !rollouts->may_resume_at(copy_->standby->record(), now)))
         return std::nullopt;
     // A copy made on demand is identified by its name at the endpoint that
     // made it.
@@ -56,12 +58,24 @@
             : memory_copy{copy_->standby->record().address, run_.value()}};
 }
 
+/// A copy at an endpoint whose version gets no new work any more is replaced.
+bool standby_copies::well_placed(
+    memory_replica const& copy, steady_time now) const
+{
+    auto const* const rollouts = context_.rollouts();
+    return !copy.lost(now) &&
+           (rollouts == nullptr ||
+            rollouts->may_hold_copy(copy.standby->record(), now));
+}
+
 std::optional<standby_copies::memory_replica>
 standby_copies::choose_standby(steady_time now) const
 {
     auto work = work_;
     if (copy_)
         work.excluded.insert(copy_->standby->record().id.value());
+    if (auto const* const rollouts = context_.rollouts())
+        rollouts->choose_standby_versions(work, now);
     auto standby =
         context_.selection().choose_standby(work, *engine_, *source_, now);
     if (!standby)
@@ -80,7 +94,7 @@
         !source_->accepts_requests(now))
         return;
     bool const needed =
-        !copy_ || copy_->lost(now) ||
+        !copy_ || !well_placed(*copy_, now) ||
         (copy_->name &&
          now - copy_->began > engine_->copy_lifetime - renewal_margin);
     if (!needed)
--- a/src/relay/standby_copies.hpp
+++ b/src/relay/standby_copies.hpp
@@ -76,6 +76,7 @@
         }
     };
 
+    bool well_placed(memory_replica const& copy, steady_time now) const;
     std::optional<memory_replica> choose_standby(steady_time now) const;
     void
     on_copy_made(endpoint_state const& source, endpoint_reply const& reply);
--- a/tests/platform/explorer/world.cpp
+++ b/tests/platform/explorer/world.cpp
@@ -164,8 +164,8 @@
     subject_ = std::make_unique<gateway>(
         settings, gateway_environment{
                       io_, scheduler_, scheduler_, random_, protocol_, codec_,
-                      configuration_, endpoint_rows_, gateways_, writer_, log_,
-                      counters_, memory_});
+                      configuration_, endpoint_rows_, gateways_, writer_,
+                      writer_, log_, counters_, memory_});
     subject_->start();
     settle();
     advance(tick);
--- a/tests/platform/explorer/world.hpp
+++ b/tests/platform/explorer/world.hpp
@@ -76,6 +76,17 @@
         {
             done(true);
         }
+        void put_if(
+            std::string const&, std::string const&, std::string const&,
+            std::uint64_t, conditional_handler done) override
+        {
+            done({});
+        }
+        void
+        find(std::string const&, std::string const&, find_handler done) override
+        {
+            done({});
+        }
     };
 
     struct caller
--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -549,7 +549,7 @@
             settings, gateway_environment{
                           io, timers, clock, random, protocol, failing,
                           configuration_calls, endpoint_calls, peer_table,
-                          peer_writer, log, counters, memory});
+                          peer_writer, status_store, log, counters, memory});
         subject->start();
     }
 
--- a/tests/platform/relay_faults_test.cpp
+++ b/tests/platform/relay_faults_test.cpp
@@ -275,8 +275,8 @@
         file, "", fixture.settings,
         {fixture.io, fixture.timers, fixture.clock, fixture.random,
          fixture.protocol, fixture.codec, fixture.configuration, fixture.table,
-         fixture.peer_table, fixture.peer_writer, fixture.log, fixture.counters,
-         fixture.memory});
+         fixture.peer_table, fixture.peer_writer, fixture.status_store,
+         fixture.log, fixture.counters, fixture.memory});
     bool served = false;
     asio::post(fixture.io, [] { throw std::runtime_error("malformed"); });
     asio::post(
@@ -307,7 +307,8 @@
             {fixture.io, fixture.timers, fixture.clock, fixture.random,
              fixture.protocol, fixture.codec, fixture.configuration,
              fixture.table, fixture.peer_table, fixture.peer_writer,
-             fixture.log, fixture.counters, fixture.memory});
+             fixture.status_store, fixture.log, fixture.counters,
+             fixture.memory});
         // Only a test that fails reaches the limit.
         asio::steady_timer limit(fixture.io, std::chrono::seconds(10));
         limit.async_wait([&](asio::error_code const&) { fixture.io.stop(); });
--- a/tests/platform/relay_fixture.hpp
+++ b/tests/platform/relay_fixture.hpp
@@ -127,6 +127,76 @@
     {
         done(true);
     }
+    void put_if(
+        std::string const&, std::string const&, std::string const&,
+        std::uint64_t, conditional_handler done) override
+    {
+        done({});
+    }
+    void
+    find(std::string const&, std::string const&, find_handler done) override
+    {
+        done({});
+    }
+};
+
+/// Rows with conditional writes. Calls are answered at once, and counted.
+struct in_memory_rows : null_row_writer
+{
+    void put_if(
+        std::string const&, std::string const& key, std::string const& value,
+        std::uint64_t expected, conditional_handler done) override
+    {
+        ++calls;
+        if (!available)
+        {
+            done({});
+            return;
+        }
+        auto const found = rows.find(key);
+        bool const exists = found != rows.end();
+        conditional_result result;
+        if (expected != (exists ? found->second.revision : 0))
+        {
+            result.outcome = condition::failed;
+            if (exists)
+                result.row = found->second;
+            done(result);
+            return;
+        }
+        put_row(key, value);
+        result.outcome = condition::met;
+        result.revision = revision;
+        if (std::exchange(lose_answers, lose_answers - 1) > 0)
+            result = {};
+        lose_answers = std::max(lose_answers, 0);
+        done(result);
+    }
+
+    void
+    find(std::string const&, std::string const& key, find_handler done) override
+    {
+        ++calls;
+        found_row result;
+        result.read = available;
+        auto const found = rows.find(key);
+        if (available && found != rows.end())
+            result.row = found->second;
+        done(result);
+    }
+
+    void put_row(std::string const& key, std::string const& value)
+    {
+        rows[key] = {key, value, ++revision, false};
+        history.push_back(value);
+    }
+
+    std::map<std::string, store_row> rows;
+    std::vector<std::string> history; // of written values
+    std::uint64_t revision = 100;
+    std::size_t calls = 0;
+    bool available = true; // false: calls fail
+    int lose_answers = 0;  // writes executed without an answer
 };
 
 /// One end of a connection. Collects the bytes received; the test sends.
@@ -333,10 +403,10 @@
     void start()
     {
         subject = std::make_unique<gateway>(
-            settings,
-            gateway_environment{
-                io, timers, clock, random, protocol, codec, configuration,
-                table, peer_table, peer_writer, log, counters, memory});
+            settings, gateway_environment{
+                          io, timers, clock, random, protocol, codec,
+                          configuration, table, peer_table, peer_writer,
+                          status_store, log, counters, memory});
         subject->start();
     }
 
@@ -473,6 +543,7 @@
     in_memory_table table{io};
     in_memory_table peer_table{io};
     null_row_writer peer_writer;
+    in_memory_rows status_store;
     std::vector<std::unique_ptr<scripted_endpoint>> endpoints;
     std::deque<asio::ip::tcp::socket> reserved_ports;
     gateway_settings settings;
--- a/tests/platform/soak/broken_gateway.cpp
+++ b/tests/platform/soak/broken_gateway.cpp
@@ -161,10 +161,11 @@
     row_store_client endpoints(io, clock, memory, settings.store);
     row_store_client peers(io, clock, memory, settings.store);
     row_store_client peer_writer(io, clock, memory, settings.store);
+    row_store_client status_store(io, clock, memory, settings.store);
     gateway_process process(
         file, text, settings,
         {io, timers, clock, random, protocol, codec, configuration, endpoints,
-         peers, peer_writer, log, counters, memory});
+         peers, peer_writer, status_store, log, counters, memory});
     if (promise == "stop")
         std::signal(SIGTERM, [](int) { ::_exit(0); }); // drops open requests
     process.run();
--- a/tests/platform/unanswered_requests_test.cpp
+++ b/tests/platform/unanswered_requests_test.cpp
@@ -455,8 +455,8 @@
         gateway_environment{
             fixture.io, fixture.timers, fixture.clock, fixture.random, faulty,
             fixture.codec, fixture.configuration, fixture.table,
-            fixture.peer_table, fixture.peer_writer, fixture.log,
-            fixture.counters, fixture.memory});
+            fixture.peer_table, fixture.peer_writer, fixture.status_store,
+            fixture.log, fixture.counters, fixture.memory});
     fixture.subject->start();
     auto const caller = fixture.connect_caller(fixture.request("/safe/x"));
     REQUIRE_THROWS_AS(
