gateway: find versions that turn bad late; count lost connections by crash

Cause: good answers of the first part of an order hid the failures of a version that turned bad later. One prompt that crashes an endpoint ended all its streams, which looked like a version that loses most of its connections. A gateway that completed an order unheard, with old endpoints stopped, could exclude the only endpoints left by a verdict of its own.

Change: five windows that begin during the order are judged as well, by a fifth of the false alarm rate each. Losses within a second count once per gateway. No verdict excludes the candidate once the old endpoints are gone in the shift or the order was completed. Status rows with lower revisions are taken after 2 s, as a store may lose its history.

--- a/src/gateway/rollout_coordinator.cpp
+++ b/src/gateway/rollout_coordinator.cpp
@@ -25,6 +25,9 @@
 // After it, a gateway that still reports an ended order as running is answered.
 constexpr milliseconds reminder_time{1000};
 
+// Calls to the store time out earlier.
+constexpr milliseconds max_overtaking{2000};
+
 // Of a gateway whose endpoints are all excluded.
 constexpr milliseconds row_poll_interval{1000};
 
@@ -142,8 +145,10 @@
     if (!settings_.enabled)
         return;
     auto& p = progress_of(service);
-    if (revision < p.row.revision())
-        return; // a response that was overtaken
+    // A response that was overtaken. Lower revisions after some time come from
+    // a store that lost its history.
+    if (revision < p.row.revision() && p.row.read_since(now - max_overtaking))
+        return;
     p.row.on_read(status, revision, now);
     p.poll_row = false;
     p.confirmed = true;
@@ -245,12 +250,12 @@
 }
 
 void rollout_coordinator::on_answer(
-    service_name const& service, version_answer const& answer, steady_time)
+    service_name const& service, version_answer const& answer, steady_time now)
 {
     auto const found = orders_.find(service);
     if (found == orders_.end() || !found->second->active())
         return;
-    found->second->record_answer(answer);
+    found->second->record_answer(answer, now);
 }
 
 // Peers ----------------------------------------------------------------------
@@ -268,6 +273,9 @@
         p.announce_until =
             std::max(p.announce_until.value_or(now), now + reminder_time);
     }
+    if (evidence.status.order_revision == p.status.order_revision &&
+        evidence.status.state == rollout_state::completed)
+        p.was_completed = true;
     merge(p, evidence.status, "peer " + gateway.value(), now);
     if (!p.order || evidence.status.order_revision != p.order->revision)
         return;
@@ -380,8 +388,12 @@
             event_level::warn, "rollout_without_endpoints", p.status,
             endpoints.empty() ? "unknown service" : "unknown version");
     }
+    // Old endpoints that are gone by now were stopped by a completion that this
+    // gateway has not heard of; a verdict would leave no endpoint.
+    bool const only_candidate =
+        p.elapsed(now) >= p.phases.shift && !p.current_listed(endpoints);
     std::string reason;
-    if (compare_versions(p.all_counts(), &reason) == version_verdict::bad)
+    if (!only_candidate && p.judge(&reason, now) == version_verdict::bad)
     {
         end(p, rollout_state::rolled_back, reason, now);
         return;
--- a/src/gateway/rollout_coordinator.hpp
+++ b/src/gateway/rollout_coordinator.hpp
@@ -44,6 +44,11 @@
     duration latency{}; // to the first event, or of the whole call
 };
 
+// A loss of connections in a zone outage, and a refusal for lack of room, are
+// not to be reported as answers. Latencies of both versions must mean the same:
+// a prompt's processing that a cache saves the current version, or the way to
+// another region, makes a good candidate look slow.
+
 /// What gateways tell each other about one order.
 struct rollout_evidence
 {
@@ -65,6 +70,9 @@
     rollout_coordinator& operator=(rollout_coordinator const&) = delete;
 
     void set_settings(rollout_settings const& settings);
+
+    /// To be set before the first order: a gateway that takes itself for the
+    /// whole fleet spends all of the slack and waits for no peer.
     void set_fleet_size(std::size_t gateways);
 
     // From the store ---------------------------------------------------------
--- a/src/gateway/rollout_order_progress.cpp
+++ b/src/gateway/rollout_order_progress.cpp
@@ -15,6 +15,13 @@
 // before its deadline; long enough for a bad version to show under load.
 constexpr int unknown_rest_divisor = 8;
 
+// Windows that begin during the order. Answers before a version turned bad
+// would hide its failures for long.
+constexpr int windows = 5;
+
+// Connections of one crash end within it.
+constexpr milliseconds loss_interval{1000};
+
 // Endpoints that crashed are back within this time. Before it, the candidate
 // does not replace a current version without endpoints.
 constexpr milliseconds absence_grace{5000};
@@ -46,7 +53,8 @@
     return c;
 }
 
-version_choice candidate_choice(version_choice::rule kind, std::string version)
+version_choice
+candidate_choice(version_choice::rule kind, std::string const& version)
 {
     auto c = choice_of(kind, version);
     c.candidate = true;
@@ -69,8 +77,11 @@
     current_seen = false;
     current_absent_since.reset();
     own_counts = {};
+    last_loss.clear();
     peers = {};
     old_idle_since.reset();
+    earlier_counts.clear();
+    next_window = 0;
     completing = false;
     was_completed =
         status_is_of_order() && status.state == rollout_state::completed;
@@ -168,6 +179,24 @@
     return sum;
 }
 
+version_verdict
+rollout_coordinator::order_progress::judge(std::string* reason, steady_time now)
+{
+    auto const counts = all_counts();
+    auto const interval = order->length / (windows + 1);
+    auto const begun = int(earlier_counts.size());
+    if (begun < windows && elapsed(now) >= (begun + 1) * interval)
+        earlier_counts.push_back(counts);
+    if (compare_versions(counts, reason) == version_verdict::bad)
+        return version_verdict::bad;
+    if (earlier_counts.empty())
+        return version_verdict::undecided;
+    // One window per call, as each costs as much as the whole order.
+    next_window = (next_window + 1) % earlier_counts.size();
+    auto const recent = counts.since(earlier_counts[next_window]);
+    return compare_versions(recent, reason, 1.0 / windows);
+}
+
 bool rollout_coordinator::order_progress::connected(
     std::size_t fleet_size, steady_time now) const
 {
@@ -251,7 +280,7 @@
 }
 
 void rollout_coordinator::order_progress::record_answer(
-    version_answer const& answer)
+    version_answer const& answer, steady_time now)
 {
     bool const candidate = answer.version == status.to;
     if (!candidate && !answer.version.empty() && answer.version != current)
@@ -260,6 +289,10 @@
     auto& counts = of_version[answer.route];
     if (answer.connection_lost)
     {
+        auto const [last, first] = last_loss.emplace(answer.version, now);
+        if (!first && now < last->second + loss_interval)
+            return;
+        last->second = now;
         ++counts.lost;
         return;
     }
--- a/src/gateway/rollout_order_progress.hpp
+++ b/src/gateway/rollout_order_progress.hpp
@@ -6,8 +6,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "canary_traffic.hpp"
 #include "rollout_coordinator.hpp"
@@ -78,7 +80,12 @@
         endpoints_by_version const& endpoints, std::size_t fleet_size,
         steady_time now);
 
-    void record_answer(version_answer const& answer);
+    /// Counts an answer. Connections that are lost together count once, as one
+    /// prompt may crash an endpoint with all its requests.
+    void record_answer(version_answer const& answer, steady_time now);
+
+    /// Compares the versions by the answers since the order and by later ones.
+    version_verdict judge(std::string* reason, steady_time now);
 
     /// Counts of this gateway and its peers.
     version_counts all_counts() const;
@@ -99,10 +106,14 @@
 
     canary_traffic canary;
     version_counts own_counts;
+    std::map<std::string, steady_time> last_loss; // by version
     rollout_peers peers;
     std::uint32_t own_requests_at_old = 0;
     std::optional<steady_time> old_idle_since;
 
+    std::vector<version_counts> earlier_counts; // at the begin of each window
+    std::size_t next_window = 0;
+
     // The order is completed once the row shows it; until then a verdict may
     // still end it.
     bool completing = false;
--- a/src/gateway/version_comparison.cpp
+++ b/src/gateway/version_comparison.cpp
@@ -21,8 +21,9 @@
 constexpr double steps_per_octave = 2;
 
 // Bounds of the false alarm rate of one measure in sum, and of one measure on
-// all routes together: 2% per order. Measured rates are far lower; half of
-// these missed more of the bad versions at low traffic.
+// all routes together: 2% per order, and as much for all windows that begin
+// later. Measured rates are far lower; half of these missed more of the bad
+// versions at low traffic.
 constexpr double failure_alpha = 0.005;
 constexpr double latency_alpha = 0.0025;
 
@@ -46,7 +47,7 @@
 
 // A version crashes if it loses most connections while the current one, which
 // a fault of the network hits as well, does not.
-constexpr std::uint64_t min_lost = 20;
+constexpr std::uint64_t min_lost = 30; // more than one per gateway of a crash
 constexpr double crashing_share = 0.6;
 constexpr double usual_lost_share = 0.2;
 
@@ -233,6 +234,15 @@
         latencies[i] += other.latencies[i];
 }
 
+void answer_counts::subtract(answer_counts const& other)
+{
+    answers -= std::min(answers, other.answers);
+    failed -= std::min(failed, other.failed);
+    lost -= std::min(lost, other.lost);
+    for (std::size_t i = 0; i < latencies.size(); ++i)
+        latencies[i] -= std::min(latencies[i], other.latencies[i]);
+}
+
 void answer_counts::add_latency(duration latency)
 {
     double const ms =
@@ -258,6 +268,16 @@
     add_all(candidate, other.candidate);
 }
 
+version_counts version_counts::since(version_counts const& earlier) const
+{
+    auto result = *this;
+    for (auto const& [route, counts] : earlier.current)
+        result.current[route].subtract(counts);
+    for (auto const& [route, counts] : earlier.candidate)
+        result.candidate[route].subtract(counts);
+    return result;
+}
+
 std::uint64_t version_counts::total() const
 {
     std::uint64_t sum = 0;
@@ -272,8 +292,8 @@
     mark_slow(counts, slow_factors.front());
 }
 
-version_verdict
-compare_versions(version_counts const& counts, std::string* reason)
+version_verdict compare_versions(
+    version_counts const& counts, std::string* reason, double alpha_share)
 {
     auto const bad = [&](char const* measure, std::string const& where)
     {
@@ -295,7 +315,8 @@
         compared.candidate[route] = candidate;
         compared.current[route] = found->second;
     }
-    if (auto const where = worse_where(compared, fails_more, failure_alpha))
+    if (auto const where =
+            worse_where(compared, fails_more, failure_alpha * alpha_share))
         return bad("failures", *where);
 
     for (auto& [route, current] : compared.current)
@@ -307,7 +328,8 @@
     for (auto const factor : slow_factors)
     {
         mark_slow(compared, factor);
-        if (auto const where = worse_where(compared, is_slower, latency_alpha))
+        if (auto const where =
+                worse_where(compared, is_slower, latency_alpha * alpha_share))
             return bad("latency", *where);
     }
     return version_verdict::undecided;
--- a/src/gateway/version_comparison.hpp
+++ b/src/gateway/version_comparison.hpp
@@ -31,6 +31,7 @@
     std::array<std::uint32_t, latency_steps> latencies{}; // of good answers
 
     void add(answer_counts const& other);
+    void subtract(answer_counts const& other);
     void add_latency(duration latency);
     std::uint64_t timed() const; // number of latencies
 };
@@ -43,6 +44,9 @@
 
     void add(version_counts const& other);
 
+    /// What was counted after `earlier`.
+    version_counts since(version_counts const& earlier) const;
+
     /// All answers and lost connections.
     std::uint64_t total() const;
 };
@@ -57,9 +61,10 @@
     bad
 };
 
-/// @param reason  receives which route and measure decided
-version_verdict
-compare_versions(version_counts const& counts, std::string* reason);
+/// @param reason       receives which route and measure decided
+/// @param alpha_share  of the false alarm rate, for one of several tests
+version_verdict compare_versions(
+    version_counts const& counts, std::string* reason, double alpha_share = 1);
 
 } // namespace dotterellock
 
