--- a/src/gateway/routing_table.hpp
+++ b/src/gateway/routing_table.hpp
@@ -120,6 +120,10 @@
     organisation_spec const* organisation(std::string const& key) const;
 
     service_spec const* service(service_name const& name) const;
+    std::vector<service_spec> const& services() const
+    {
+        return configuration_.services;
+    }
 
     /// Whether the configuration has this service, itself or as a target.
     bool names(service_name const& service) const;
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -184,6 +184,7 @@
     void
     count_request(relay_exchange const& e, request_result const& r) override;
 
+    void publish_endpoint_loads();
     std::unique_ptr<status_service>
     make_status_service(std::string const& address);
     void accept_when_ready();
--- a/src/relay/gateway_metrics.cpp
+++ b/src/relay/gateway_metrics.cpp
@@ -1,5 +1,8 @@
 #include "gateway.hpp"
 
+#include <algorithm>
+#include <vector>
+
 namespace dotterellock
 {
 
@@ -34,6 +37,36 @@
         .record(duration_cast<microseconds>(r.took));
 }
 
+/// How even the load is, as far as this gateway knows: the most requests at an
+/// endpoint and the median, and endpoints that are left out as full.
+void gateway::publish_endpoint_loads()
+{
+    if (!table_)
+        return;
+    auto const now = env_.clock.now();
+    for (auto const& service : table_->services())
+    {
+        std::vector<std::uint32_t> requests;
+        std::size_t full = 0;
+        for (auto const& endpoint : endpoints_.of_service(service.name))
+        {
+            requests.push_back(selection_.total_load(*endpoint, now).requests);
+            full += endpoint->full(now) ? 1 : 0;
+        }
+        if (requests.empty())
+            continue;
+        std::sort(requests.begin(), requests.end());
+        auto const label = "service=\"" + service.name.value() + '"';
+        auto& c = env_.counters;
+        c.counter("endpoint_requests_most", label).set(requests.back());
+        c.counter("endpoint_requests_median", label)
+            .set(requests[requests.size() / 2]);
+        c.counter("endpoints_full", label).set(full);
+        c.counter("unseen_choices", label)
+            .set(std::uint64_t(unseen_choices(service.name, false)));
+    }
+}
+
 std::string gateway::metrics()
 {
     auto& c = env_.counters;
@@ -41,6 +74,7 @@
     for (auto const& [service, queue] : request_queues_)
         waiting += queue->size();
     auto const age = freshness_lease_.age(env_.clock.now());
+    publish_endpoint_loads();
     c.counter("waiting_requests").set(waiting);
     c.counter("open_requests").set(exchanges_.size());
     c.counter("callers").set(sessions_.size());
