soak: order rollouts of good and bad versions

Cause: rollouts were only played at one gateway with stand-ins that follow a script, not by processes beside other faults.

Change: rollout_good and rollout_bad start endpoints of another version beside those of a service and order to move there; a bad version fails half or all of its answers or is six times slower. The store stand-in checks expected revisions. The checker holds the exposure bound, the bound after the 50th bad answer and the end of the order against what the endpoints saw. A bad version may be completed only if no process lived throughout its order.

--- a/tests/platform/soak/endpoint_standin.cpp
+++ b/tests/platform/soak/endpoint_standin.cpp
@@ -80,7 +80,7 @@
         {"service", listed_service},
         {"address", address_},
         {"zone", zone_},
-        {"version", "1"},
+        {"version", version},
         {"slots", is_engine() ? engine_slots : plain_slots},
         {"state", draining ? "draining" : "ready"},
         {"coldLeftMs", 0},
@@ -235,6 +235,7 @@
     entry.id = r.header(header::request_id);
     entry.endpoint = id_;
     entry.service = service_;
+    entry.software = version;
     entry.arrived = clock_.now();
     entry.difference = difference(r);
     auto const organisation = r.header(header::organisation);
@@ -289,7 +290,7 @@
     work->last_event = stream ? event_count(work->path) : 0;
     work->next_event = run_entry.last_event.value_or(0) + 1;
     auto const delay =
-        (stream ? first_event_delay : plain_run_duration) * faults.delay_factor;
+        (stream ? first_event_delay : plain_run_duration) * delay_factor();
     after(
         io_, delay,
         [this, work, stream]
@@ -343,7 +344,7 @@
         auto const part = rest.substr(0, part_bytes);
         rest.erase(0, part.size());
         c->send(chunked ? encode_chunk(part) : part);
-        wait = part_interval * faults.delay_factor;
+        wait = part_interval * delay_factor();
     }
     if (!rest.empty())
     {
@@ -374,7 +375,7 @@
         c->reset();
         return;
     }
-    entry.status = random_.uniform() < faults.error_share ? 500 : 200;
+    entry.status = fails() ? 500 : 200;
     auto headers = answer_headers(entry);
     auto const body =
         entry.status == 200 ? expected_body(r->path, entry.seal) : "failed";
@@ -411,7 +412,7 @@
     if (r->finished || defer([this, r] { begin_stream(r); }))
         return;
     auto& entry = history_.runs[r->record];
-    if (random_.uniform() < faults.error_share)
+    if (fails())
     {
         entry.status = 500;
         r->connection->send(
@@ -459,9 +460,7 @@
         return;
     }
     c->send(encode_chunk(text));
-    after(
-        io_, event_interval * faults.delay_factor,
-        [this, r] { next_event(r); });
+    after(io_, event_interval * delay_factor(), [this, r] { next_event(r); });
 }
 
 } // namespace dotterellock::soak
--- a/tests/platform/soak/endpoint_standin.hpp
+++ b/tests/platform/soak/endpoint_standin.hpp
@@ -4,6 +4,7 @@
 #ifndef DOTTERELLOCK_TESTS_SOAK_ENDPOINT_STANDIN_HPP
 #define DOTTERELLOCK_TESTS_SOAK_ENDPOINT_STANDIN_HPP
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -76,6 +77,11 @@
     endpoint_faults faults;
     std::string listed_service; // in the store
 
+    // Properties of the software, which a restart keeps.
+    std::string version = "1";
+    double version_error_share = 0; // as faults.error_share
+    unsigned version_delay_factor = 1;
+
 private:
     struct run
     {
@@ -90,6 +96,15 @@
     using run_ptr = std::shared_ptr<run>;
 
     bool is_engine() const { return service_ == "llm"; }
+    bool fails()
+    {
+        return random_.uniform() <
+               std::max(faults.error_share, version_error_share);
+    }
+    unsigned delay_factor() const
+    {
+        return faults.delay_factor * version_delay_factor;
+    }
     void handle(
         std::shared_ptr<raw_http_connection> const& c,
         raw_http_request const& r);
--- a/tests/platform/soak/fault_plan.cpp
+++ b/tests/platform/soak/fault_plan.cpp
@@ -72,6 +72,8 @@
         {"callers_send_in_pieces", t::caller_load, 1000ms, 4000ms},
         {"callers_read_slowly", t::caller_load, 1000ms, 4000ms},
         {"large_messages", t::caller_load, 1000ms, 4000ms},
+        {"rollout_good", t::operator_change, 4000ms, 9000ms},
+        {"rollout_bad", t::operator_change, 4000ms, 9000ms},
         {at_one_moment, t::caller_load, 0ms, 0ms}};
     return kinds;
 }
--- a/tests/platform/soak/gateway_fleet.cpp
+++ b/tests/platform/soak/gateway_fleet.cpp
@@ -173,6 +173,9 @@
         << "\nretries:\n  ratio: " << history_.retry_ratio
         << "\n  window_s: " << double(history_.retry_window.count()) / 1000
         << "\n  allowance: " << history_.retry_allowance
+        << "\nrollouts:\n  exposure_share: " << history_.exposure_share
+        << "\n  exposure_slack: " << history_.exposure_slack
+        << "\n  rollback_bound_ms: " << history_.rollback_bound.count()
         << "\nlog_lines_per_second: " << 400 + m.settings++ << '\n';
     return out.str();
 }
--- a/tests/platform/soak/history.hpp
+++ b/tests/platform/soak/history.hpp
@@ -66,6 +66,7 @@
     std::string id; // of the caller's attempt
     std::string endpoint;
     std::string service;
+    std::string software; // version of the endpoint
     steady_time arrived{};
     std::optional<steady_time> ended;
     bool ran = false;          // false: rejected before execution
@@ -103,6 +104,19 @@
     std::set<std::string> keys;
 };
 
+/// An order to move a service to another version of its software.
+struct rollout_record
+{
+    std::string service;
+    std::string to;
+    bool bad = false;      // fails answers, or is slow
+    bool slow = false;     // all answers count as bad
+    steady_time ordered{}; // just before the store had the row
+    milliseconds length{0};
+    std::string state; // in the store at last; empty: no row
+    std::optional<steady_time> ended;
+};
+
 /// The lifetime of one gateway process.
 struct process_record
 {
@@ -122,6 +136,7 @@
     std::vector<fault_interval> fault_intervals;
     std::vector<endpoint_departure> departures;
     std::vector<configuration_change> configurations;
+    std::vector<rollout_record> rollouts;
     std::vector<process_record> processes;
 
     // Bounds configured in the gateways and assumed by the checker --------
@@ -135,7 +150,10 @@
     double timeout_growth = 1; // most that a configuration raised timeouts by
     double retry_ratio = 0.1;
     double retry_allowance = 15;
-    std::size_t plain_services = 1; // each has a retry budget
+    double exposure_share = 0.1;       // of requests, to a bad version
+    double exposure_slack = 50;        // requests beyond that share
+    milliseconds rollback_bound{5000}; // after the 50th bad answer
+    std::size_t plain_services = 1;    // each has a retry budget
     milliseconds retry_window{10000};
     std::map<std::string, milliseconds> route_timeouts; // by first path segment
     std::optional<steady_time> faults_over;
--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -89,6 +89,16 @@
     }
 }
 
+/// The end of each order, with "!" if its version was bad.
+std::string rollouts_text(history const& h)
+{
+    std::string text;
+    for (auto const& r : h.rollouts)
+        text += (text.empty() ? "" : ",") + r.service + ':' +
+                (r.bad ? "!" : "") + (r.state.empty() ? "-" : r.state);
+    return text.empty() ? "-" : text;
+}
+
 void print_outcome(
     std::uint64_t seed, soak_environment const& environment,
     std::vector<planned_fault> const& plan,
@@ -109,6 +119,7 @@
               << " requests=" << h.attempts.size() << " served=" << served
               << " refused=" << refused << " left=" << left
               << " stalls=" << environment.stalls()
+              << " rollouts=" << rollouts_text(h)
               << " broken_promises=" << violations.size() << '\n';
     constexpr std::size_t max_shown = 5; // of one promise
     std::map<std::string, std::size_t> shown;
--- a/tests/platform/soak/promise_checker.cpp
+++ b/tests/platform/soak/promise_checker.cpp
@@ -1,5 +1,5 @@
 // Index: helpers - responses - runs - configuration and keys - endpoints -
-// stopping and timeouts - retry budget - recovery
+// rollouts - stopping and timeouts - retry budget - recovery
 #include "promise_checker.hpp"
 
 #include <algorithm>
@@ -50,6 +50,7 @@
         check_forwarded_requests();
         check_versions();
         check_departures();
+        check_rollouts();
         check_processes();
         check_budget();
         check_recovery();
@@ -510,6 +511,92 @@
             fail("all is served after the last fault", "no request was served");
     }
 
+    // Rollouts --------------------------------------------------------------
+
+    void check_rollouts()
+    {
+        for (auto const& r : h_.rollouts)
+        {
+            if (r.bad)
+                check_exposure(r);
+            else
+                check_good_version(r);
+        }
+    }
+
+    void check_exposure(rollout_record const& r)
+    {
+        constexpr std::size_t bad_answers_allowed = 50;
+        std::size_t all = 0;
+        std::size_t exposed = 0;
+        std::vector<steady_time> bad_answers;
+        for (auto const& run : h_.runs)
+        {
+            if (run.service != r.service || run.arrived < r.ordered)
+                continue;
+            bool const in_time = run.arrived <= r.ordered + r.length;
+            all += in_time ? 1 : 0;
+            if (run.software != r.to)
+                continue;
+            exposed += in_time ? 1 : 0;
+            if (run.ended && run.answered && (r.slow || run.status >= 500))
+                bad_answers.push_back(*run.ended);
+        }
+        if (double(exposed) >
+            h_.exposure_share * double(all) + h_.exposure_slack)
+            fail(
+                "a bad version gets its share at most",
+                r.to + ": " + std::to_string(exposed) + " of " +
+                    std::to_string(all));
+        if (bad_answers.size() < bad_answers_allowed)
+            return;
+        if (r.state == "completed")
+        {
+            if (witnessed(r))
+                fail("a bad version is not completed", r.to);
+            return;
+        }
+        std::sort(bad_answers.begin(), bad_answers.end());
+        auto const bound = bad_answers[bad_answers_allowed - 1] +
+                           h_.rollback_bound + request_transit_slack;
+        for (auto const& run : h_.runs)
+        {
+            if (run.service == r.service && run.software == r.to &&
+                run.arrived > bound)
+                fail("a bad version is left in time", run.id + ": " + r.to);
+        }
+    }
+
+    /// Whether some process lived throughout the order: the counts of answers
+    /// are lost with the last one that has them.
+    bool witnessed(rollout_record const& r) const
+    {
+        auto const deadline = r.ordered + r.length;
+        return std::any_of(
+            h_.processes.begin(), h_.processes.end(),
+            [&](process_record const& p)
+            {
+                return p.started <= r.ordered &&
+                       (!p.killed || *p.killed > deadline) &&
+                       (!p.stop_requested || *p.stop_requested > deadline);
+            });
+    }
+
+    void check_good_version(rollout_record const& r)
+    {
+        auto const deadline = r.ordered + r.length;
+        for (std::size_t g = 0; g < h_.processes.size(); ++g)
+        {
+            if (!gateway_fault_free(
+                    h_.processes[g].gateway, r.ordered, deadline))
+                return;
+        }
+        if (r.state != "completed" || !r.ended || *r.ended > deadline)
+            fail(
+                "a good version is completed in time",
+                r.to + ": " + (r.state.empty() ? "no state" : r.state));
+    }
+
     history const& h_;
     std::unordered_map<std::string, caller_attempt const*> attempts_;
     std::unordered_map<std::string, run_list> runs_;
--- a/tests/platform/soak/promise_checker_test.cpp
+++ b/tests/platform/soak/promise_checker_test.cpp
@@ -82,6 +82,28 @@
     return h;
 }
 
+/// A rollout with `bad` answers of the version, the last of them at 12,000 ms.
+void add_rollout(history& h, bool is_bad, int bad, std::string const& state)
+{
+    rollout_record r;
+    r.service = "app";
+    r.to = "v2";
+    r.bad = is_bad;
+    r.ordered = at(11000);
+    r.length = milliseconds(4000);
+    r.state = state;
+    r.ended = at(14900);
+    h.rollouts.push_back(r);
+    for (int i = 0; i < bad; ++i)
+    {
+        auto failed = run("lookup", "e7", 11990);
+        failed.software = "v2";
+        failed.status = 500;
+        failed.ended = at(12000);
+        h.runs.push_back(failed);
+    }
+}
+
 struct broken_promise
 {
     char const* promise;
@@ -94,7 +116,10 @@
 // every soak result worthless, as does one that misses broken promises (below).
 TEST_CASE("a valid history passes the checker", "[soak]")
 {
-    REQUIRE(check_promises(valid_history()).empty());
+    auto h = valid_history();
+    add_rollout(h, false, 0, "completed");
+    add_rollout(h, true, 0, "rolled_back");
+    REQUIRE(check_promises(h).empty());
 }
 
 TEST_CASE("the checker reports each broken promise", "[soak]")
@@ -238,6 +263,25 @@
               for (int i = 0; i < 20; ++i)
                   h.runs.push_back(run("lookup", "e1", 10300 + i));
           }},
+         {"a bad version gets its share at most",
+          [](history& h) { add_rollout(h, true, 60, "rolled_back"); }},
+         {"a bad version is not completed",
+          [](history& h) { add_rollout(h, true, 50, "completed"); }},
+         {"a bad version is left in time",
+          [](history& h)
+          {
+              add_rollout(h, true, 50, "rolled_back");
+              h.runs.push_back(run("lookup", "e7", 17300));
+              h.runs.back().software = "v2";
+          }},
+         {"a good version is completed in time",
+          [](history& h) { add_rollout(h, false, 0, "rolled_back"); }},
+         {"a good version is completed in time",
+          [](history& h)
+          {
+              add_rollout(h, false, 0, "completed");
+              h.rollouts[0].ended = at(15001);
+          }},
          {"all is served after the last fault", [&](history& h)
           {
               h.faults_over = at(1000);
--- a/tests/platform/soak/soak_environment.cpp
+++ b/tests/platform/soak/soak_environment.cpp
@@ -1,5 +1,5 @@
-// Index: set-up - operator - faults of gateways, links, store, endpoints and
-// callers - running a plan
+// Index: set-up - operator - rollouts - faults of gateways, links, store,
+// endpoints and callers - running a plan
 #include "soak_environment.hpp"
 
 #include <csignal>
@@ -268,6 +268,112 @@
         });
 }
 
+// Rollouts --------------------------------------------------------------------
+
+void soak_environment::order_rollout(bool bad, milliseconds length)
+{
+    // Too short an order shows nothing; the end of the faults may cut it.
+    constexpr milliseconds min_length{4000};
+    if (rollout_running_ || !store_.available() || length < min_length)
+        return;
+    rollout_running_ = true;
+    rollout_record order;
+    order.service = random_.below(2) == 0 ? "app" : "llm";
+    order.to = std::to_string(++last_software_);
+    order.bad = bad;
+    order.slow = bad && random_.below(3) == 0;
+    order.length = length;
+    double const error_share = random_.below(2) == 0 ? 1 : 0.5;
+    for (std::size_t i = 0; i < endpoints_.size(); ++i)
+    {
+        if (endpoints_[i]->service() != order.service)
+            continue;
+        auto e = std::make_unique<endpoint_standin>(
+            io_, random_, clock_, history_, sent_, order.service,
+            "z" + std::to_string(i % 3));
+        e->set_directory(&directory_);
+        directory_[e->address()] = e.get();
+        e->version = order.to;
+        e->version_error_share = bad && !order.slow ? error_share : 0;
+        e->version_delay_factor = order.slow ? 6 : 1;
+        e->listed_service = endpoints_[i]->listed_service;
+        e->start(
+            "e" + std::to_string(++last_endpoint_),
+            first_start_time_ms + random_.below(100000));
+        store_.put(wire::table::endpoints, e->id(), e->row(false));
+        candidates_.push_back({i, std::move(e)});
+    }
+    order.ordered = clock_.now();
+    history_.rollouts.push_back(order);
+    auto const key = wire::table::rollout_prefix + order.service;
+    store_.put(
+        wire::table::operators, key,
+        json{
+            {"service", order.service},
+            {"to", order.to},
+            {"durationS", double(length.count()) / 1000}}
+            .dump());
+    watch_rollout();
+}
+
+/// Follows the order as the platform does: the old endpoints stop when it is
+/// completed, the new ones some time after it was rolled back.
+void soak_environment::watch_rollout()
+{
+    constexpr milliseconds give_up{5000}; // after the deadline
+    constexpr milliseconds drain_delay{2000};
+    auto& order = history_.rollouts.back();
+    auto const text = store_.value(
+        wire::table::status, wire::table::rollout_prefix + order.service);
+    auto const status = text.empty() ? json::object() : json::parse(text);
+    if (status.value("to", "") == order.to)
+        order.state = status.value("state", "");
+    bool const late = clock_.now() > order.ordered + order.length + give_up;
+    if (order.state == "completed")
+    {
+        order.ended = clock_.now();
+        complete_rollout();
+    }
+    else if (order.state == "rolled_back" || late)
+    {
+        order.ended = clock_.now();
+        after(io_, drain_delay, [this] { withdraw_candidates(); });
+    }
+    else
+        after(io_, poll_interval, [this] { watch_rollout(); });
+}
+
+void soak_environment::complete_rollout()
+{
+    for (auto& c : candidates_)
+    {
+        auto& e = endpoints_[c.index];
+        record_fault("endpoint:" + e->id(), "stopped", milliseconds(1000));
+        e->crash();
+        store_.remove(wire::table::endpoints, e->id());
+        departing_[c.index] = false;
+        retired_.push_back(std::exchange(e, std::move(c.endpoint)));
+        // A bad version that was not found is mended by its operator.
+        e->version_error_share = 0;
+        e->version_delay_factor = 1;
+    }
+    candidates_.clear();
+    rollout_running_ = false;
+}
+
+void soak_environment::withdraw_candidates()
+{
+    for (auto& c : candidates_)
+    {
+        record_fault("endpoint:" + c.endpoint->id(), "gone", milliseconds(500));
+        store_.remove(wire::table::endpoints, c.endpoint->id());
+        c.endpoint->crash();
+        retired_.push_back(std::move(c.endpoint));
+    }
+    candidates_.clear();
+    rollout_running_ = false;
+}
+
 // Faults ----------------------------------------------------------------------
 
 void soak_environment::record_fault(
@@ -304,6 +410,11 @@
     case fault_target::operator_change:
         if (name == "odd_entries")
             return store_.available() ? list_odd_entries() : nullptr;
+        if (name == "rollout_good" || name == "rollout_bad")
+        {
+            order_rollout(name == "rollout_bad", f.length);
+            return nullptr;
+        }
         when_store_available([this, vary = name == "configuration_fields"]
                              { apply_configuration(vary); });
         if (name == "configuration_storm")
--- a/tests/platform/soak/soak_environment.hpp
+++ b/tests/platform/soak/soak_environment.hpp
@@ -61,6 +61,10 @@
         std::string const& scope, char const* kind, milliseconds length);
     void apply_configuration(bool vary_fields = false);
     undo list_odd_entries();
+    void order_rollout(bool bad, milliseconds length);
+    void watch_rollout();
+    void complete_rollout();
+    void withdraw_candidates();
     void register_endpoint(std::size_t i, bool draining);
     void replace_endpoint(std::size_t i, bool same_id);
     void start_departure(
@@ -81,6 +85,17 @@
     endpoint_standin::directory directory_;
     std::vector<std::unique_ptr<endpoint_standin>> endpoints_;
     std::vector<bool> departing_;
+
+    /// Endpoints of the ordered version, each beside the one that it replaces.
+    struct candidate
+    {
+        std::size_t index = 0; // of the endpoint
+        std::unique_ptr<endpoint_standin> endpoint;
+    };
+    std::vector<candidate> candidates_; // of the running order
+    std::vector<std::unique_ptr<endpoint_standin>> retired_;
+    bool rollout_running_ = false;
+    std::uint64_t last_software_ = 1;
     gateway_fleet gateways_;
     callers callers_;
     std::uint64_t version_ = 0;
--- a/tests/platform/soak/store_standin.cpp
+++ b/tests/platform/soak/store_standin.cpp
@@ -189,10 +189,33 @@
     }
 }
 
+store_standin::row
+store_standin::find(std::string const& table, std::string const& key) const
+{
+    auto const rows = tables_.find(table);
+    if (rows == tables_.end() || rows->second.count(key) == 0)
+        return {"", 0, true};
+    return rows->second.at(key);
+}
+
 void store_standin::handle_write(
     std::shared_ptr<raw_http_connection> const& c, raw_http_request const& r)
 {
     auto const body = json::parse(r.body);
+    json found = json::array();
+    bool met = true;
+    for (auto const& row : body.value("expectedRev", json::array()))
+    {
+        auto const known = find(row.at("table"), row.at("key"));
+        met = met && row.at("ver") == (known.deleted ? 0 : known.version);
+        if (known.version != 0)
+            found.push_back(encoded(row.at("table"), row.at("key"), known));
+    }
+    if (!met)
+    {
+        answer(c, 412, json{{"rows", found}, {"ver", version_}}.dump());
+        return;
+    }
     for (auto const& row : body.value("writes", json::array()))
     {
         auto const value =
--- a/tests/platform/soak/store_standin.hpp
+++ b/tests/platform/soak/store_standin.hpp
@@ -42,6 +42,12 @@
         std::string const& value);
     void remove(std::string const& table, std::string const& key);
 
+    /// Value of a row; empty if there is none.
+    std::string value(std::string const& table, std::string const& key) const
+    {
+        return find(table, key).value;
+    }
+
     /// Discards the change history: polls from older versions are answered 410.
     void forget_history() { history_from_ = version_; }
 
@@ -80,6 +86,7 @@
     void handle_write(
         std::shared_ptr<raw_http_connection> const& c,
         raw_http_request const& r);
+    row find(std::string const& table, std::string const& key) const;
     bool serves(std::size_t gateway) const
     {
         return available() && faults.refused_gateways.count(gateway) == 0;
