gateway: const views of the selection and the queue

Cause: what excludes an endpoint and what a queue would do with a request are known only to the code that acts on it, so they can't be explained.

Result: no change of behaviour intended.

--- a/src/gateway/endpoint_selector.cpp
+++ b/src/gateway/endpoint_selector.cpp
@@ -40,22 +40,16 @@
     std::vector<candidate> leaving;
     for (auto const& endpoint : endpoints_.of_service(work.service))
     {
-        if (!endpoint->accepts_requests(now) ||
-            work.excluded.count(endpoint->record().id.value()) != 0)
-            continue;
-        // An endpoint resets connections above a limit that all gateways share.
-        if (work.connection_limit > 0 &&
-            endpoint->load.requests >= work.connection_limit)
+        if (unusable_because(*endpoint, work, now) != endpoint_exclusion::none)
             continue;
         candidate const c{
             endpoint,
             rendezvous_weight(work.affinity_key, endpoint->record().address)};
-        if (endpoint->leaving())
-            leaving.push_back(c);
-        else if (endpoint->suspended(now) || zones_.is_suspect(*endpoint, now))
-            suspect.push_back(c);
-        else
-            healthy.push_back(c);
+        auto const level = usability_of(*endpoint, now);
+        auto& same_level = level == usability::leaving   ? leaving
+                           : level == usability::suspect ? suspect
+                                                         : healthy;
+        same_level.push_back(c);
     }
     if (!healthy.empty())
         return healthy;
@@ -129,9 +123,8 @@
         // One prefill at a time: a second one would delay both, and can wait in
         // the gateway's queue in the order of its rank instead. A resumed
         // answer does not wait.
-        bool const reading = total_load(*c.endpoint, now).prefill_tokens > 0 ||
-                             c.endpoint->reported_waiting(now) > 0;
-        if (reading && !work.resuming)
+        if (!work.resuming &&
+            busy_because(*c.endpoint, now) != endpoint_exclusion::none)
             continue;
         if (best == nullptr || order(c) < order(*best))
             best = &c;
@@ -214,6 +207,97 @@
     return earliest;
 }
 
+std::vector<examined_endpoint> endpoint_selector::examine(
+    endpoint_requirements const& work, engine_spec const* engine,
+    steady_time now) const
+{
+    std::vector<examined_endpoint> examined;
+    auto best = usability::leaving;
+    for (auto const& endpoint : endpoints_.of_service(work.service))
+    {
+        examined_endpoint e;
+        e.endpoint = endpoint;
+        e.excluded_by = unusable_because(*endpoint, work, now);
+        e.load = total_load(*endpoint, now);
+        e.distance = location_.distance_to(endpoint->record().zone);
+        if (e.excluded_by == endpoint_exclusion::none)
+            best = std::min(best, usability_of(*endpoint, now));
+        examined.push_back(std::move(e));
+    }
+    for (auto& e : examined)
+    {
+        auto const& endpoint = *e.endpoint;
+        if (e.excluded_by == endpoint_exclusion::none)
+            e.excluded_by = avoided_because(endpoint, best, now);
+        if (e.excluded_by == endpoint_exclusion::none && engine != nullptr)
+            e.excluded_by = delayed_because(endpoint, work, *engine, now);
+    }
+    return examined;
+}
+
+endpoint_exclusion endpoint_selector::unusable_because(
+    endpoint_state const& endpoint, endpoint_requirements const& work,
+    steady_time now)
+{
+    if (!endpoint.accepts_requests(now))
+        return endpoint.has_left(now) ? endpoint_exclusion::left
+                                      : endpoint_exclusion::paused;
+    if (work.excluded.count(endpoint.record().id.value()) != 0)
+        return endpoint_exclusion::attempt_failed;
+    // An endpoint resets connections above a limit that all gateways share.
+    if (work.connection_limit > 0 &&
+        endpoint.load.requests >= work.connection_limit)
+        return endpoint_exclusion::connections;
+    return endpoint_exclusion::none;
+}
+
+endpoint_selector::usability endpoint_selector::usability_of(
+    endpoint_state const& endpoint, steady_time now) const
+{
+    if (endpoint.leaving())
+        return usability::leaving;
+    return endpoint.suspended(now) || zones_.is_suspect(endpoint, now)
+               ? usability::suspect
+               : usability::healthy;
+}
+
+/// @param best  level of the best usable endpoint of the service
+endpoint_exclusion endpoint_selector::avoided_because(
+    endpoint_state const& endpoint, usability best, steady_time now) const
+{
+    auto const level = usability_of(endpoint, now);
+    if (level == best)
+        return endpoint_exclusion::none;
+    if (level == usability::leaving)
+        return endpoint_exclusion::leaving;
+    return endpoint.suspended(now) ? endpoint_exclusion::suspended
+                                   : endpoint_exclusion::zone_suspect;
+}
+
+/// What a prompt would wait for at the endpoint.
+endpoint_exclusion endpoint_selector::delayed_because(
+    endpoint_state const& endpoint, endpoint_requirements const& work,
+    engine_spec const& engine, steady_time now) const
+{
+    if (!has_capacity(endpoint, work, engine, run_memory_fraction, now))
+        return total_load(endpoint, now).requests >= engine.slots
+                   ? endpoint_exclusion::slots
+                   : endpoint_exclusion::memory;
+    bool const cached = !work.cached_endpoint.empty() &&
+                        endpoint.record().id == work.cached_endpoint;
+    return cached || work.resuming ? endpoint_exclusion::none
+                                   : busy_because(endpoint, now);
+}
+
+endpoint_exclusion endpoint_selector::busy_because(
+    endpoint_state const& endpoint, steady_time now) const
+{
+    if (total_load(endpoint, now).prefill_tokens > 0)
+        return endpoint_exclusion::prefill;
+    return endpoint.reported_waiting(now) > 0 ? endpoint_exclusion::waiting
+                                              : endpoint_exclusion::none;
+}
+
 endpoint_ptr endpoint_selector::choose_standby(
     endpoint_requirements const& work, engine_spec const& engine,
     endpoint_state const& primary, steady_time now) const
--- a/src/gateway/endpoint_selector.hpp
+++ b/src/gateway/endpoint_selector.hpp
@@ -19,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "endpoint_table.hpp"
@@ -63,6 +64,32 @@
     }
 };
 
+/// What keeps a request from an endpoint now.
+enum class endpoint_exclusion
+{
+    none,
+    left,           // passed the drain bound
+    paused,         // asked for a pause
+    attempt_failed, // an attempt of this request failed there
+    connections,    // this gateway's share of its connections is in use
+    suspended,      // failed recently, and others are available
+    zone_suspect,   // its zone fails, and others are available
+    leaving,        // drains, and others are available
+    slots,          // all slots are in use
+    memory,         // the request does not fit into its memory
+    prefill,        // it processes another prompt
+    waiting         // requests wait there, by its report
+};
+
+/// An endpoint as the selector sees it for one request.
+struct examined_endpoint
+{
+    endpoint_ptr endpoint;
+    endpoint_exclusion excluded_by = endpoint_exclusion::none;
+    endpoint_state::workload load; // of all gateways, estimated
+    topology::distance distance = topology::distance::same_zone;
+};
+
 class endpoint_selector
 {
 public:
@@ -113,9 +140,43 @@
     endpoint_state::workload
     total_load(endpoint_state const& endpoint, steady_time now) const;
 
+    /// Returns all endpoints of the service, with what excludes each. choose()
+    /// takes one that nothing excludes, if there is one.
+    /// @param engine  null for a service without a model engine
+    std::vector<examined_endpoint> examine(
+        endpoint_requirements const& work, engine_spec const* engine,
+        steady_time now) const;
+
+    /// See peer_loads::oldest_shares().
+    std::unordered_map<std::string, steady_time> oldest_peer_shares() const
+    {
+        return peers_.oldest_shares();
+    }
+
     topology const& location() const { return location_; }
 
 private:
+    // Endpoints of a worse level get requests only if there is no better one.
+    enum class usability
+    {
+        healthy,
+        suspect, // suspended or in a suspect zone
+        leaving
+    };
+
+    static endpoint_exclusion unusable_because(
+        endpoint_state const& endpoint, endpoint_requirements const& work,
+        steady_time now);
+    usability
+    usability_of(endpoint_state const& endpoint, steady_time now) const;
+    endpoint_exclusion avoided_because(
+        endpoint_state const& endpoint, usability best, steady_time now) const;
+    endpoint_exclusion delayed_because(
+        endpoint_state const& endpoint, endpoint_requirements const& work,
+        engine_spec const& engine, steady_time now) const;
+    endpoint_exclusion
+    busy_because(endpoint_state const& endpoint, steady_time now) const;
+
     struct candidate
     {
         endpoint_ptr endpoint;
--- a/src/gateway/peer_loads.cpp
+++ b/src/gateway/peer_loads.cpp
@@ -1,5 +1,7 @@
 #include "peer_loads.hpp"
 
+#include <algorithm>
+
 namespace dotterellock
 {
 
@@ -42,6 +44,21 @@
     return found == sums_.end() ? endpoint_state::workload{} : found->second;
 }
 
+std::unordered_map<std::string, steady_time> peer_loads::oldest_shares() const
+{
+    std::unordered_map<std::string, steady_time> oldest;
+    for (auto const& [gateway, known] : shares_)
+    {
+        for (auto const& load : known.share.loads)
+        {
+            auto& at = oldest.try_emplace(load.endpoint.value(), known.received)
+                           .first->second;
+            at = std::min(at, known.received);
+        }
+    }
+    return oldest;
+}
+
 void peer_loads::add(load_share const& share)
 {
     for (auto const& [endpoint, load] : share.loads)
--- a/src/gateway/peer_loads.hpp
+++ b/src/gateway/peer_loads.hpp
@@ -59,6 +59,10 @@
 
     endpoint_state::workload load_at(endpoint_id const& endpoint) const;
 
+    /// When the oldest share that counts at each endpoint was received, by
+    /// endpoint.
+    std::unordered_map<std::string, steady_time> oldest_shares() const;
+
     std::size_t gateway_count() const { return shares_.size(); }
 
 private:
--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -32,6 +32,20 @@
     return q;
 }
 
+bool waits_too_long(
+    queued_request const& entry, std::optional<duration> wait, steady_time now)
+{
+    return wait && !entry.begun && now + *wait > entry.start_deadline;
+}
+
+std::chrono::milliseconds retry_after_wait(std::optional<duration> wait)
+{
+    return std::clamp(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            wait.value_or(request_queue::min_retry_after)),
+        request_queue::min_retry_after, request_queue::max_retry_after);
+}
+
 } // namespace
 
 std::optional<queue_refusal>
@@ -43,7 +57,7 @@
         start_times_.clear();
     prune_start_times(now);
     auto const wait = expected_wait(entry.rank);
-    if (wait && !entry.begun && now + *wait > entry.start_deadline)
+    if (waits_too_long(entry, wait, now))
         return queue_refusal{entry.id, retry_after(entry.rank)};
     auto const evicted = insert(entry, now);
     if (!evicted)
@@ -133,27 +147,59 @@
     return expired;
 }
 
+queue_forecast
+request_queue::forecast(queued_request const& entry, steady_time now) const
+{
+    // As enqueue(), which forgets the start times that do not count.
+    auto const first_start =
+        waiting_.empty()
+            ? start_times_.end()
+            : std::find_if(
+                  start_times_.begin(), start_times_.end(),
+                  [now](steady_time at) { return at + rate_window >= now; });
+    queue_forecast f;
+    f.waiting = waiting_.size();
+    f.ahead = waiting_up_to(entry.rank);
+    f.wait = expected_wait(entry.rank, first_start);
+    auto waiting = entry;
+    waiting.overdue = is_overdue(entry, now);
+    if (waits_too_long(entry, f.wait, now) ||
+        !queue_.accepts(to_queue_entry(waiting)))
+        f.refused = retry_after_wait(f.wait);
+    return f;
+}
+
 std::optional<duration> request_queue::expected_wait(std::uint32_t rank) const
 {
-    if (start_times_.size() < min_rate_samples)
+    return expected_wait(rank, start_times_.begin());
+}
+
+std::optional<duration> request_queue::expected_wait(
+    std::uint32_t rank,
+    std::deque<steady_time>::const_iterator first_start) const
+{
+    auto const samples = std::size_t(start_times_.end() - first_start);
+    if (samples < min_rate_samples)
         return std::nullopt;
-    auto const interval = (start_times_.back() - start_times_.front()) /
-                          int(start_times_.size() - 1);
+    auto const interval =
+        (start_times_.back() - *first_start) / int(samples - 1);
+    return interval * int(waiting_up_to(rank) + 1);
+}
+
+std::size_t request_queue::waiting_up_to(std::uint32_t rank) const
+{
     std::size_t ahead = 0;
     for (auto const r : all_ranks)
     {
         if (r <= rank_of(rank))
             ahead += queue_.waiting(r);
     }
-    return interval * int(ahead + 1);
+    return ahead;
 }
 
 std::chrono::milliseconds request_queue::retry_after(std::uint32_t rank) const
 {
-    auto const wait = expected_wait(rank).value_or(min_retry_after);
-    return std::clamp(
-        std::chrono::duration_cast<std::chrono::milliseconds>(wait),
-        min_retry_after, max_retry_after);
+    return retry_after_wait(expected_wait(rank));
 }
 
 } // namespace dotterellock
--- a/src/gateway/request_queue.hpp
+++ b/src/gateway/request_queue.hpp
@@ -50,6 +50,15 @@
     std::chrono::milliseconds retry_after{0};
 };
 
+/// What a request would find if it were enqueued.
+struct queue_forecast
+{
+    std::size_t waiting = 0;      // of all ranks
+    std::size_t ahead = 0;        // of the same or a more urgent rank
+    std::optional<duration> wait; // expected; empty: unknown
+    std::optional<std::chrono::milliseconds> refused; // with this Retry-After
+};
+
 class request_queue
 {
 public:
@@ -78,6 +87,9 @@
     /// Removes and returns the requests that cannot start in time.
     std::vector<queue_refusal> remove_expired(steady_time earliest_start);
 
+    /// What enqueue() would do with a request of an unused id.
+    queue_forecast forecast(queued_request const& entry, steady_time now) const;
+
     std::size_t size() const { return waiting_.size(); }
 
     /// Expected wait of a request of that rank; empty if unknown.
@@ -91,6 +103,10 @@
 
     std::optional<queue_entry_id>
     insert(queued_request const& entry, steady_time now);
+    std::size_t waiting_up_to(std::uint32_t rank) const;
+    std::optional<duration> expected_wait(
+        std::uint32_t rank,
+        std::deque<steady_time>::const_iterator first_start) const;
     std::chrono::milliseconds retry_after(std::uint32_t rank) const;
     void prune_start_times(steady_time now);
     void demote_overdue(steady_time now);
--- a/src/gateway/routing_table.cpp
+++ b/src/gateway/routing_table.cpp
@@ -50,6 +50,30 @@
                                                                : found->second;
 }
 
+organisation_spec const*
+routing_table::organisation_named(organisation_id const& name) const
+{
+    if (!configuration_.organisations)
+        return nullptr;
+    auto const& all = *configuration_.organisations;
+    auto const found = std::find_if(
+        all.begin(), all.end(),
+        [&name](organisation_spec const& o) { return o.name == name; });
+    return found == all.end() ? nullptr : &*found;
+}
+
+std::vector<gateway_route const*>
+routing_table::routes_named(std::string_view name) const
+{
+    std::vector<gateway_route const*> found;
+    for (auto const& route : configuration_.routes)
+    {
+        if (route.name == name)
+            found.push_back(&route);
+    }
+    return found;
+}
+
 service_spec const* routing_table::service(service_name const& name) const
 {
     auto const found = services_by_name_.find(name.value());
--- a/src/gateway/routing_table.hpp
+++ b/src/gateway/routing_table.hpp
@@ -119,6 +119,13 @@
     /// Organisation that owns the key, or null; null for an empty key.
     organisation_spec const* organisation(std::string const& key) const;
 
+    /// Organisation of that name, or null.
+    organisation_spec const*
+    organisation_named(organisation_id const& name) const;
+
+    /// Routes of that name. Names need not be unique, as only logs use them.
+    std::vector<gateway_route const*> routes_named(std::string_view name) const;
+
     service_spec const* service(service_name const& name) const;
 
     /// Whether the configuration has this service, itself or as a target.
--- a/src/queueing/fair_queue.cpp
+++ b/src/queueing/fair_queue.cpp
@@ -57,6 +57,15 @@
     return result;
 }
 
+bool fair_queue::accepts(queue_entry const& entry) const
+{
+    if (locations_.count(entry.id) != 0)
+        return false;
+    return entry.keeps_place ||
+           size() - kept_places_ < policy_.current().queue.max_reservations ||
+           eviction_victim(entry).has_value();
+}
+
 bool fair_queue::put_back(queue_entry const& entry)
 {
     if (locations_.count(entry.id) != 0)
--- a/src/queueing/fair_queue.hpp
+++ b/src/queueing/fair_queue.hpp
@@ -70,6 +70,9 @@
     /// the id is already in the queue.
     push_result push(queue_entry entry);
 
+    /// Whether push() would accept the entry.
+    bool accepts(queue_entry const& entry) const;
+
     /// Returns an entry that was served but not used to the front of its
     /// organisation's backlog, and the organisation to the front of its rank.
     /// Its cost must have been corrected. Evicts nothing.
