gateway: explain a placement decision on the status address

Cause: an operator can't see why a request goes to an endpoint, waits or is refused. A dispatch line has the load of the chosen endpoint only, and nothing tells why the others were not chosen.

Change: GET /where on status_listen says where a request would be placed now: the choice and the next attempts, or the queue and the expected start, or the refusal, and the 32 best candidates with load, age and exclusion. The explanation is a pure function of const references that asks the code that admits, queues and places requests. At most 5 answers a second, 32 KiB each; malformed, unknown and repeated parameters get 400. No parameter takes a key.

Not measured: processor time of an answer.

--- a/src/http/reason_phrase.hpp
+++ b/src/http/reason_phrase.hpp
@@ -17,6 +17,8 @@
         return "Unauthorized";
     case 404:
         return "Not Found";
+    case 405:
+        return "Method Not Allowed";
     case 408:
         return "Request Timeout";
     case 409:
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -11,6 +11,7 @@
 
 #include "gateway/endpoint_copy_policy.hpp"
 #include "gateway/isolated_work.hpp"
+#include "gateway/request_admission.hpp"
 #include "http/reason_phrase.hpp"
 
 namespace dotterellock
@@ -30,10 +31,6 @@
 // Interval of the cleanup of connections, request queues and tables.
 constexpr milliseconds sweep_interval{200};
 
-// An unknown key or route is answered with 401 or 404 only if the configuration
-// is newer than this, which exceeds the lag of versions; otherwise with 503.
-constexpr milliseconds max_refusal_age{3200};
-
 // Callers whose gateway failed reconnect within a few seconds.
 constexpr milliseconds caller_return_window{4000};
 
@@ -170,9 +167,9 @@
 void gateway::start()
 {
     open_listener(acceptor_, settings_.listen);
-    status_ = make_status_service(settings_.status_listen);
+    status_ = make_status_service(settings_.status_listen, true);
     if (!settings_.metrics_listen.empty())
-        metrics_ = make_status_service(settings_.metrics_listen);
+        metrics_ = make_status_service(settings_.metrics_listen, false);
     last_tick_ = last_sweep_ = started_ = env_.clock.now();
     configuration_watch_.poll();
     endpoint_watch_.poll();
@@ -193,13 +190,16 @@
 }
 
 std::unique_ptr<status_service>
-gateway::make_status_service(std::string const& address)
-{
+gateway::make_status_service(std::string const& address, bool explains)
+{
+    status_source source{
+        [this] { return ready(); }, [this] { return metrics(); },
+        [this] { return shutting_down_; }, nullptr};
+    if (explains)
+        source.explain = [this](std::string_view target)
+        { return explain_placement(target); };
     return std::make_unique<status_service>(
-        env_.io, env_.clock, env_.memory, address,
-        status_source{
-            [this] { return ready(); }, [this] { return metrics(); },
-            [this] { return shutting_down_; }});
+        env_.io, env_.clock, env_.memory, address, std::move(source));
 }
 
 void gateway::accept_when_ready()
@@ -357,12 +357,6 @@
     return table_ ? table_->limits() : caller_limits{};
 }
 
-bool gateway::configuration_newer_than(milliseconds age) const
-{
-    auto const proven = freshness_lease_.age(env_.clock.now());
-    return proven && *proven < age;
-}
-
 void gateway::on_rejected(
     client_session const& session, unsigned status, char const* why)
 {
@@ -473,31 +467,24 @@
     auto const path = request_path(message.head.target);
     r.table = table_;
     r.route = table_->match(request_host(message.head), path);
-    if (r.route == nullptr)
+    auto const now = env_.clock.now();
+    if (auto const refusal =
+            request_admission::check_route(r.route, freshness_lease_, now))
     {
-        bool const up_to_date = configuration_newer_than(max_refusal_age);
         reject(
-            *session, id, up_to_date ? 404 : 503,
-            up_to_date ? "no_route" : "stale_configuration", std::string(path));
+            *session, id, refusal->status, refusal->reason, std::string(path));
         return;
     }
     r.rank = r.route->rank;
-    if (table_->requires_api_key() && !r.route->anonymous)
+    if (request_admission::needs_organisation(*table_, *r.route))
     {
-        if (!freshness_lease_.valid(env_.clock.now()))
-        {
-            reject(*session, id, 503, "stale_configuration", r.route->name);
-            return;
-        }
         auto const* const organisation =
             table_->organisation(r.metadata.api_key);
-        if (organisation == nullptr)
+        if (auto const refusal = request_admission::check_organisation(
+                organisation, freshness_lease_, now))
         {
-            bool const up_to_date = configuration_newer_than(max_refusal_age);
             reject(
-                *session, id, up_to_date ? 401 : 503,
-                up_to_date ? "unknown_key" : "stale_configuration",
-                r.route->name);
+                *session, id, refusal->status, refusal->reason, r.route->name);
             return;
         }
         r.organisation = organisation->name;
@@ -532,12 +519,8 @@
         ++last_exchange_number_, std::move(session), std::move(r), *this);
     exchanges_.emplace(e->number(), e);
     e->watch_caller();
-    bool const may_be_cached =
-        e->request().route->engine_prompt &&
-        (e->request().metadata.last_event_id ||
-         (!settings_.first_start &&
-          env_.clock.now() - started_ < caller_return_window));
-    if (!may_be_cached)
+    if (!may_be_cached(
+            *e->request().route, e->request().metadata.last_event_id))
     {
         e->start({});
         return;
@@ -547,6 +530,16 @@
         [e](endpoint_id const& cached_at) { e->start(cached_at); });
 }
 
+bool gateway::may_be_cached(
+    gateway_route const& route,
+    std::optional<std::uint64_t> const& last_event_id) const
+{
+    bool const just_started =
+        !settings_.first_start &&
+        env_.clock.now() - started_ < caller_return_window;
+    return route.engine_prompt && (last_event_id || just_started);
+}
+
 bool gateway::accepts_during_shutdown(
     admitted_request const& r, steady_time received) const
 {
@@ -585,16 +578,24 @@
 
 service_retry_budget& gateway::budget(service_name const& service)
 {
-    auto& budget =
-        budgets_
-            .try_emplace(
-                service, settings_.retries,
-                settings_.first_start ? started_
-                                      : started_ + settings_.retries.window)
-            .first->second;
+    auto found = budgets_.find(service);
+    if (found == budgets_.end())
+        found = budgets_.emplace(service, new_budget()).first;
+    update_fleet_size(found->second);
+    return found->second;
+}
+
+service_retry_budget gateway::new_budget() const
+{
+    return service_retry_budget(
+        settings_.retries,
+        settings_.first_start ? started_ : started_ + settings_.retries.window);
+}
+
+void gateway::update_fleet_size(service_retry_budget& budget) const
+{
     if (peer_load_sync_ && peer_load_sync_->fleet_size() > 0)
         budget.set_fleet_size(peer_load_sync_->fleet_size(), env_.clock.now());
-    return budget;
 }
 
 std::size_t gateway::fleet_size() const
@@ -603,7 +604,7 @@
     return known > 0 ? known : std::size_t(settings_.retries.fleet_size);
 }
 
-std::uint32_t gateway::connection_share(service_spec const& service)
+std::uint32_t gateway::connection_share(service_spec const& service) const
 {
     auto const gateways = fleet_size();
     auto const usable = std::uint64_t(service.max_connections) *
@@ -634,21 +635,15 @@
     if (!queue)
         queue = std::make_unique<request_queue>(queue_policy_);
     auto const now = env_.clock.now();
-    auto const first = estimate(r.service).expected(e->work().prompt_tokens);
     auto const found = stream_durations_.find(r.service);
-    duration const whole =
-        found != stream_durations_.end() ? found->second : 2 * first;
-    queued_request entry;
+    std::optional<duration> whole;
+    if (found != stream_durations_.end())
+        whole = found->second;
+    auto entry = make_queued_request(
+        *r.route, e->work(), r.rank, e->received(), e->deadline(),
+        estimate(r.service), whole, now);
     entry.id = e->number();
     entry.organisation = r.organisation;
-    entry.rank = e->work().resuming ? 0 : r.rank;
-    entry.tokens = e->work().prompt_tokens;
-    entry.target_start =
-        e->work().resuming ? now + r.route->event_gap_target
-                           : e->received() + r.route->first_byte_target - first;
-    entry.start_deadline =
-        e->work().resuming ? e->deadline() : e->deadline() - whole;
-    entry.begun = e->work().resuming;
     auto const pause_end = selection_.earliest_pause_end(r.service, now);
     if (pause_end && entry.too_late_at(*pause_end))
         refuse_paused({entry.id, {}}, *pause_end);
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -21,7 +22,9 @@
 
 #include "gateway/freshness_lease.hpp"
 #include "gateway/memory_budget.hpp"
+#include "gateway/placement_explanation.hpp"
 #include "gateway/request_queue.hpp"
+#include "gateway/request_rate_limit.hpp"
 #include "gateway/shared_table.hpp"
 #include "gateway/shutdown_policy.hpp"
 #include "gateway/table_source_selector.hpp"
@@ -107,6 +110,10 @@
     // Time in which a process without a configuration should receive one.
     static constexpr std::chrono::milliseconds unconfigured_retry_after{1000};
 
+    // An operator asks a few times; each answer takes as long as some requests.
+    static constexpr std::size_t max_explanations = 5;
+    static constexpr std::chrono::milliseconds explanation_period{1000};
+
     class configuration_sink;
     class endpoint_sink;
 
@@ -134,8 +141,10 @@
     service_retry_budget& budget(service_name const& service) override;
     first_event_estimate& estimate(service_name const& service) override;
     prompt_crash_monitor& prompt_crashes() override { return prompt_crashes_; }
+    service_retry_budget new_budget() const;
+    void update_fleet_size(service_retry_budget& budget) const;
     std::size_t fleet_size() const;
-    std::uint32_t connection_share(service_spec const& service) override;
+    std::uint32_t connection_share(service_spec const& service) const override;
     void report_outcome(
         endpoint_ptr const& endpoint, attempt_outcome outcome) override;
     void check_endpoint(endpoint_ptr const& endpoint) override;
@@ -158,7 +167,11 @@
     count_request(relay_exchange const& e, request_result const& r) override;
 
     std::unique_ptr<status_service>
-    make_status_service(std::string const& address);
+    make_status_service(std::string const& address, bool explains);
+    status_page explain_placement(std::string_view target);
+    placement_state explained_state(steady_time now) const;
+    service_view
+    explained_service(service_name const& service, steady_time now) const;
     void accept_when_ready();
     void accept();
     void accept_waiting();
@@ -215,7 +228,9 @@
         client_session& session, std::string const& id, unsigned status,
         char const* reason, std::string const& detail,
         std::chrono::milliseconds retry_after = unconfigured_retry_after);
-    bool configuration_newer_than(std::chrono::milliseconds age) const;
+    bool may_be_cached(
+        gateway_route const& route,
+        std::optional<std::uint64_t> const& last_event_id) const;
     void apply_configuration(
         gateway_configuration configuration, std::uint64_t revision);
 
@@ -253,6 +268,7 @@
     std::vector<std::pair<steady_time, endpoint_id>> recent_failures_;
     std::unique_ptr<status_service> status_;
     std::unique_ptr<status_service> metrics_;
+    request_rate_limit explanation_limit_{max_explanations, explanation_period};
     timer_id tick_timer_ = 0;
     steady_time started_{};
     bool accepting_ = false;
--- a/src/relay/prompt_cache_lookup.cpp
+++ b/src/relay/prompt_cache_lookup.cpp
@@ -11,7 +11,7 @@
     endpoint_requirements const& work, std::size_t fleet_size, handler done)
 {
     auto const now = clock_.now();
-    auto const known = index_.best_endpoint(work.affinity_key, now);
+    auto const known = known_endpoint(work, now);
     if (!known.empty())
     {
         done(known);
--- a/src/relay/prompt_cache_lookup.hpp
+++ b/src/relay/prompt_cache_lookup.hpp
@@ -70,6 +70,13 @@
         endpoint_requirements const& work, std::size_t fleet_size,
         handler done);
 
+    /// The endpoint that find() would return without asking any; may be empty.
+    endpoint_id
+    known_endpoint(endpoint_requirements const& work, steady_time now) const
+    {
+        return index_.best_endpoint(work.affinity_key, now);
+    }
+
     void remove_expired(steady_time now);
 
 private:
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -54,7 +54,8 @@
     virtual prompt_crash_monitor& prompt_crashes() = 0;
 
     /// Number of connections that this gateway may open to one endpoint.
-    virtual std::uint32_t connection_share(service_spec const& service) = 0;
+    virtual std::uint32_t
+    connection_share(service_spec const& service) const = 0;
 
     /// Updates the health of an endpoint and its zone after an attempt.
     virtual void
--- a/src/relay/status_service.cpp
+++ b/src/relay/status_service.cpp
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include "http/reason_phrase.hpp"
+#include "placement_query_codec.hpp"
+
 namespace dotterellock
 {
 
@@ -16,7 +19,13 @@
     std::shared_ptr<client_session> session, client_request message)
 {
     std::string_view const target = message.head.target;
-    if (target.substr(0, target.find('?')) == "/metrics")
+    auto const path = target.substr(0, target.find('?'));
+    if (path == placement_query_path)
+    {
+        explain(*session, message.head);
+        return;
+    }
+    if (path == "/metrics")
     {
         session->respond(
             200, "OK", {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -29,4 +38,21 @@
         {{"Content-Type", "text/plain"}}, ready ? "ready\n" : "not ready\n");
 }
 
+void status_service::explain(client_session& session, message_head const& head)
+{
+    status_page page{404, {{"Content-Type", "application/json"}}, {}};
+    if (!source_.explain)
+        page.body = "{\"error\":\"not_found\"}\n";
+    else if (head.method != "GET")
+    {
+        page.status = 405;
+        page.headers.emplace_back("Allow", "GET");
+        page.body = "{\"error\":\"method_not_allowed\"}\n";
+    }
+    else
+        page = source_.explain(head.target);
+    session.respond(
+        page.status, reason_phrase(page.status), page.headers, page.body);
+}
+
 } // namespace dotterellock
--- a/src/relay/status_service.hpp
+++ b/src/relay/status_service.hpp
@@ -1,10 +1,12 @@
-// HTTP service for the load balancer's readiness check and for metrics.
+// HTTP service for the load balancer's readiness check, for metrics and for
+// questions about the placement of requests.
 #ifndef DOTTERELLOCK_RELAY_STATUS_SERVICE_HPP
 #define DOTTERELLOCK_RELAY_STATUS_SERVICE_HPP
 
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <asio/io_context.hpp>
 
@@ -13,12 +15,23 @@
 namespace dotterellock
 {
 
+struct status_page
+{
+    unsigned status = 200;
+    header_list headers;
+    std::string body;
+};
+
 /// Supplies the values that the service reports.
 struct status_source
 {
     std::function<bool()> ready;
     std::function<std::string()> metrics;
     std::function<bool()> stopping;
+
+    /// Explains a placement, by the target of the request. Null: the service
+    /// does not.
+    std::function<status_page(std::string_view target)> explain;
 };
 
 class status_service : public session_listener
@@ -37,6 +50,8 @@
         return source_.stopping();
     }
 
+    void explain(client_session& session, message_head const& head);
+
     status_source const source_;
 };
 
