ctl: where a gateway would place a request

Cause: the gateway's explanation is JSON behind a URL with escapes.

Exit codes are those of the other commands. The gateway checks the values, so there is one place that knows what is allowed.

Result: the tests in tests/platform ask a real gateway on loopback.

--- a/apps/ctl.cpp
+++ b/apps/ctl.cpp
@@ -9,6 +9,7 @@
 
 #include "clients/http_stores.hpp"
 #include "ctl/commands.hpp"
+#include "ctl/placement_command.hpp"
 #include "process/asio_timer_service.hpp"
 #include "process/shard_executor.hpp"
 #include "process/system_runtime.hpp"
@@ -24,6 +25,39 @@
         throw usage_error(std::string("--") + option + " is required");
 }
 
+/// Runs the event loop until `done`. Throws what a callback threw.
+void run_loop(
+    asio::io_context& io, std::optional<std::string> const& callback_error,
+    std::function<bool()> const& done)
+{
+    while (!done())
+    {
+        io.run_one();
+        if (callback_error)
+            throw std::runtime_error(*callback_error);
+    }
+}
+
+ctl_exit ask_gateway(ctl_options const& options)
+{
+    require_url(options.placement.gateway_url, "gateway");
+    asio::io_context io;
+    auto const work = asio::make_work_guard(io);
+    std::optional<std::string> callback_error;
+    shard_executor executor(
+        io, [&callback_error](std::exception const& e)
+        { callback_error = e.what(); });
+    counter_registry counters;
+    curl_executor curl(counters);
+    http_status_reader gateway(
+        options.placement.gateway_url, curl, executor.poster());
+    return run_gateway_command(
+        options, gateway,
+        [&](std::function<bool()> const& done)
+        { run_loop(io, callback_error, done); },
+        std::cout, std::cerr);
+}
+
 ctl_exit run_with_store(ctl_options const& options)
 {
     bool const is_endpoint_command = options.command == "endpoint";
@@ -49,14 +83,7 @@
     http_fleet_view fleet(options.fleet_url, curl, executor.poster());
     auto const run_until =
         [&io, &callback_error](std::function<bool()> const& done)
-    {
-        while (!done())
-        {
-            io.run_one();
-            if (callback_error)
-                throw std::runtime_error(*callback_error);
-        }
-    };
+    { run_loop(io, callback_error, done); };
     ctl_environment environment{clock, timers,    random,    table,    objects,
                                 fleet, run_until, std::cout, std::cerr};
     return run_store_command(options, environment);
@@ -71,6 +98,8 @@
         std::cout << "dotterellock-ctl " DOTTERELLOCK_VERSION "\n";
     else if (is_file_command(options))
         return run_file_command(options, std::cout, std::cerr);
+    else if (is_gateway_command(options))
+        return ask_gateway(options);
     else
         return run_with_store(options);
     return ctl_exit::ok;
--- a/src/clients/http_stores.cpp
+++ b/src/clients/http_stores.cpp
@@ -1,10 +1,11 @@
 #include "http_stores.hpp"
 
-#include <cctype>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "percent_encoding.hpp"
+
 namespace dotterellock
 {
 
@@ -172,25 +173,6 @@
     return handlers;
 }
 
-std::string percent_encode(std::string const& text)
-{
-    constexpr char const* digits = "0123456789ABCDEF";
-    std::string encoded;
-    for (char const c : text)
-    {
-        auto const byte = static_cast<unsigned char>(c);
-        if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.')
-        {
-            encoded += c;
-            continue;
-        }
-        encoded += '%';
-        encoded += digits[byte >> 4];
-        encoded += digits[byte & 15];
-    }
-    return encoded;
-}
-
 } // namespace
 
 // ---- table service --------------------------------------------------------
--- a/src/ctl/commands.hpp
+++ b/src/ctl/commands.hpp
@@ -15,8 +15,8 @@
 namespace dotterellock
 {
 
-/// Dependencies of the commands that access the store: all but `validate` and
-/// `explain`.
+/// Dependencies of the commands that access the store: all but `validate`,
+/// `explain` and `where`.
 struct ctl_environment
 {
     clock_source& clock;
--- a/src/ctl/options.cpp
+++ b/src/ctl/options.cpp
@@ -1,5 +1,6 @@
 #include "ctl/options.hpp"
 
+#include <array>
 #include <map>
 
 #include <cxxopts.hpp>
@@ -19,13 +20,35 @@
 
 constexpr std::size_t max_arguments = 1000;
 
+/// An option of `where` and the parameter that it becomes. The gateway checks
+/// the values, which depend on its configuration.
+struct placement_parameter
+{
+    char const* option;
+    char const* name;
+    char const* description;
+};
+
+constexpr std::array<placement_parameter, 10> placement_parameters{{
+    {"route", "route", "name of the request's route, or host and path"},
+    {"host", "host", "host of the request"},
+    {"path", "path", "path of the request"},
+    {"service", "service", "target of the route; default: the heaviest"},
+    {"organisation", "organisation", "name of the caller's organisation"},
+    {"prompt-tokens", "prompt_tokens", "tokens of the prompt"},
+    {"output-tokens", "output_tokens", "upper limit of the answer's tokens"},
+    {"last-part", "last_part", "id of the prompt's last part"},
+    {"shared-parts", "shared_parts", "ids of the parts before it, A,B,..."},
+    {"deadline-ms", "deadline_ms", "how long the caller waits"},
+}};
+
 std::map<std::string, argument_count_range> const& commands()
 {
     static std::map<std::string, argument_count_range> const known = {
         {"validate", {1, 1}}, {"diff", {1, 1}},
         {"apply", {1, 1}},    {"status", {0, 0}},
         {"history", {0, 1}},  {"explain", {2, max_arguments}},
-        {"endpoint", {2, 2}}};
+        {"endpoint", {2, 2}}, {"where", {0, 0}}};
     return known;
 }
 
@@ -44,9 +67,13 @@
         "  history [VERSION]        list versions, or print one\n"
         "  explain REQUEST_ID FILE...  what was decided about a request, from\n"
         "                           logs; - reads standard input\n"
-        "  endpoint drain|return|status ID\n\n"
+        "  endpoint drain|return|status ID\n"
+        "  where                    where a gateway would place a request now\n"
+        "                           and why; needs --gateway and --route, or\n"
+        "                           --host and --path\n\n"
         "Exit codes: 0 ok, 1 internal error, 2 usage or invalid document,\n"
-        "  3 conflict, 4 store unavailable, 5 not in force everywhere,\n"
+        "  3 conflict, 4 store or gateway unavailable, 5 not in force "
+        "everywhere,\n"
         "  6 outcome unknown, 7 not found");
     options.add_options()("h,help", "show this text")(
         "version", "show the version of the program")(
@@ -69,7 +96,15 @@
         cxxopts::value<unsigned>()->default_value("90"))(
         "limit", "number of versions that history lists",
         cxxopts::value<std::size_t>()->default_value("20"))(
+        "gateway",
+        "URL of a gateway's status address; also DOTTERELLOCK_GATEWAY",
+        cxxopts::value<std::string>())(
+        "json", "print the answer of `where` as JSON")(
         "words", "", cxxopts::value<std::vector<std::string>>());
+    for (auto const& p : placement_parameters)
+        options.add_options()(
+            p.option, std::string("of `where`: ") + p.description,
+            cxxopts::value<std::string>());
     options.parse_positional({"words"});
     return options;
 }
@@ -119,6 +154,15 @@
     o.wait = parsed.count("no-wait") == 0;
     o.time_limit = std::chrono::seconds(parsed["time-limit"].as<unsigned>());
     o.limit = parsed["limit"].as<std::size_t>();
+    o.placement.gateway_url =
+        option_or_environment(parsed, "gateway", "DOTTERELLOCK_GATEWAY");
+    o.placement.json = parsed.count("json") != 0;
+    for (auto const& p : placement_parameters)
+    {
+        if (parsed.count(p.option) != 0)
+            o.placement.parameters.emplace_back(
+                p.name, parsed[p.option].as<std::string>());
+    }
     if (parsed.count("words") != 0)
         o.arguments = parsed["words"].as<std::vector<std::string>>();
     if (!o.arguments.empty())
--- a/src/ctl/options.hpp
+++ b/src/ctl/options.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <dotterellock/configuration.hpp>
@@ -20,12 +21,20 @@
     internal = 1,
     usage = 2,        // invalid command line or document
     conflict = 3,     // another operator's change came first
-    unavailable = 4,  // the store did not answer; nothing changed
+    unavailable = 4,  // the store or gateway did not answer; nothing changed
     not_in_force = 5, // recorded, but not in force everywhere in time
     unknown = 6,      // may or may not have been recorded
     not_found = 7
 };
 
+/// The question of `where`.
+struct placement_options
+{
+    std::string gateway_url;
+    std::vector<std::pair<std::string, std::string>> parameters; // as given
+    bool json = false;
+};
+
 struct ctl_options
 {
     bool help = false;
@@ -39,6 +48,7 @@
     bool wait = true;
     std::chrono::seconds time_limit{90};
     std::size_t limit = 20;
+    placement_options placement;
     std::string command;
     std::vector<std::string> arguments;
 };
--- a/tests/platform/placement_query_test.cpp
+++ b/tests/platform/placement_query_test.cpp
@@ -1,8 +1,11 @@
 // Questions about placements, asked of a real gateway on loopback.
+#include <sstream>
+
 #include <catch2/catch.hpp>
 
 #include <nlohmann/json.hpp>
 
+#include "ctl/placement_command.hpp"
 #include "relay/placement_query_codec.hpp"
 #include "relay_fixture.hpp"
 
@@ -135,6 +138,41 @@
         (fixture.settings.first_start ? "none" : "would_ask"));
 }
 
+// Guards against a command and a gateway that do not understand each other.
+TEST_CASE("where asks a gateway and prints its answer", "[relay][placement]")
+{
+    placement_fixture fixture;
+    fixture.start_ready();
+    counter_registry counters;
+    curl_executor curl(counters);
+    http_status_reader reader(
+        "http://" + fixture.settings.status_listen, curl,
+        [&](std::function<void()> f) { asio::post(fixture.io, std::move(f)); });
+    std::ostringstream out;
+    std::ostringstream err;
+    auto const where = [&](std::vector<std::string> const& options)
+    {
+        return run_gateway_command(
+            parse_ctl_options(options), reader,
+            [&](std::function<bool()> const& done)
+            { REQUIRE(fixture.run_until(done)); },
+            out, err);
+    };
+    REQUIRE(
+        where(
+            {"where", "--host", "h", "--path", "/llm/x", "--organisation",
+             "acme", "--prompt-tokens", "8000", "--last-part", "p"}) ==
+        ctl_exit::ok);
+    INFO(out.str());
+    REQUIRE(out.str().find("placed at m1; further attempts: m") == 0);
+    REQUIRE(out.str().find("3 listed, 0 left out; 3 can") != std::string::npos);
+    REQUIRE(
+        where(
+            {"where", "--route", "llm", "--organisation", "acme",
+             "--prompt-tokens", "many"}) == ctl_exit::usage);
+    REQUIRE(err.str().find("prompt_tokens is no whole number") == 0);
+}
+
 // Guards against questions that take the processor from requests.
 TEST_CASE("a gateway answers five questions a second", "[relay][placement]")
 {
