gateway: select once per explanation; lint

Cause: the explanation made its four selections twice, and clang-tidy refused a rounding and a parameter passed by value.

Change: the selections are made once.

--- a/src/gateway/placement_explanation.cpp
+++ b/src/gateway/placement_explanation.cpp
@@ -89,9 +89,10 @@
         if (route_ == nullptr)
             return std::move(result_);
         describe_service();
-        describe_candidates();
+        auto choices = choose();
+        describe_candidates(choices);
         if (!result_.refusal)
-            decide();
+            decide(std::move(choices));
         return std::move(result_);
     }
 
@@ -113,9 +114,8 @@
 
     void describe_admission();
     void describe_service();
-    void describe_candidates();
-    void decide();
-    void place(std::vector<endpoint_id> choices);
+    void describe_candidates(std::vector<endpoint_id> const& choices);
+    void decide(std::vector<endpoint_id> choices);
     void queue();
     std::vector<endpoint_id> choose() const;
     steady_time deadline() const
@@ -231,17 +231,13 @@
 }
 
 /// As relay_exchange::start_next_attempt().
-void explainer::decide()
+void explainer::decide(std::vector<endpoint_id> choices)
 {
-    auto choices = choose();
     if (choices.empty())
+    {
         queue();
-    else
-        place(std::move(choices));
-}
-
-void explainer::place(std::vector<endpoint_id> choices)
-{
+        return;
+    }
     result_.outcome = placement_outcome::placed;
     result_.choices = std::move(choices);
     result_.expected_start = duration::zero();
@@ -335,12 +331,11 @@
 }
 
 /// Lists the choices first, then what is closest to being one.
-void explainer::describe_candidates()
+void explainer::describe_candidates(std::vector<endpoint_id> const& choices)
 {
     auto examined = state_.selection.examine(work_, engine_, now_);
     for (auto const& e : examined)
         ++result_.counts[e.excluded_by];
-    auto const choices = choose();
     auto const order = [&choices](examined_endpoint const& e)
     {
         auto const& id = e.endpoint->record().id;
--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -176,7 +176,7 @@
 
 std::optional<duration> request_queue::expected_wait(
     std::uint32_t rank,
-    std::deque<steady_time>::const_iterator first_start) const
+    std::deque<steady_time>::const_iterator const& first_start) const
 {
     auto const samples = std::size_t(start_times_.end() - first_start);
     if (samples < min_rate_samples)
--- a/src/gateway/request_queue.hpp
+++ b/src/gateway/request_queue.hpp
@@ -106,7 +106,7 @@
     std::size_t waiting_up_to(std::uint32_t rank) const;
     std::optional<duration> expected_wait(
         std::uint32_t rank,
-        std::deque<steady_time>::const_iterator first_start) const;
+        std::deque<steady_time>::const_iterator const& first_start) const;
     std::chrono::milliseconds retry_after(std::uint32_t rank) const;
     void prune_start_times(steady_time now);
     void demote_overdue(steady_time now);
--- a/src/relay/placement_query_codec.cpp
+++ b/src/relay/placement_query_codec.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cmath>
 #include <optional>
 #include <set>
 #include <utility>
@@ -317,7 +318,7 @@
 json to_json(explained_candidate const& c)
 {
     auto const rounded = [](double rate)
-    { return double(int(rate * 1000 + 0.5)) / 1000; };
+    { return double(std::lround(rate * 1000)) / 1000; };
     json j = {
         {"endpoint", clip(c.endpoint.value())},
         {"zone", clip(c.zone.value())},
--- a/src/relay/placement_query_codec.hpp
+++ b/src/relay/placement_query_codec.hpp
@@ -28,7 +28,8 @@
 // The longest time that the configuration may give a request.
 constexpr std::uint64_t max_query_deadline_ms = 86400000;
 
-// A response in full has about 16 KiB. Longer names leave out candidates.
+// A response with short names has about 12 KiB. Longer names leave out
+// candidates.
 constexpr std::size_t max_explanation_bytes = 32u << 10;
 
 /// @param target  of the request, with its query
