--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -324,21 +324,57 @@
     return refused;
 }
 
-queue_refusal request_queue::refuse(
-    queued_request const& entry, refusal_reason reason,
-    std::optional<duration> wait, steady_time now)
+queue_forecast
+request_queue::forecast(queued_request const& entry, steady_time now) const
+{
+    auto waiting = entry;
+    waiting.overdue = is_overdue(entry, now);
+    queue_forecast f;
+    f.waiting = waiting_.size();
+    for (auto const r : all_ranks)
+    {
+        if (r <= rank_of(waiting))
+            f.ahead += queue_.waiting(r);
+    }
+    // As enqueue(): what started before the first one waits does not count.
+    if (!waiting_.empty())
+        f.wait = predicted_wait(entry, now);
+    if (f.wait && entry.too_late_at(now + *f.wait))
+        f.refused = refusal_reason::late_start;
+    else if (!queue_.accepts(to_queue_entry(waiting)))
+        f.refused = refusal_reason::queue_full;
+    else if (entry.too_late_at(now))
+        f.refused = refusal_reason::not_started;
+    if (f.refused)
+        f.retry_after = waiting_.empty()
+                            ? retry_range_after(entry, std::nullopt, now)
+                            : retry_range_of(entry, now);
+    return f;
+}
+
+retry_range request_queue::retry_range_after(
+    queued_request const& entry, std::optional<duration> wait, steady_time now)
+{
+    auto const max_wait = entry.start_deadline - entry.received;
+    return retry_delay_range(wait, max_wait, entry.deadline - now);
+}
+
+retry_range request_queue::retry_range_of(
+    queued_request const& entry, steady_time now) const
 {
     // The request that its caller may send later has as much time again.
     auto returning = entry;
     returning.id = std::numeric_limits<queue_entry_id>::max();
     returning.target_start += now - entry.received;
-    auto const max_wait = entry.start_deadline - entry.received;
-    return {
-        entry.id,
-        retry_delay(
-            predicted_wait(returning, now), max_wait, entry.deadline - now,
-            random_),
-        reason, wait};
+    return retry_range_after(entry, predicted_wait(returning, now), now);
+}
+
+queue_refusal request_queue::refuse(
+    queued_request const& entry, refusal_reason reason,
+    std::optional<duration> wait, steady_time now)
+{
+    auto const range = retry_range_of(entry, now);
+    return {entry.id, draw_retry_delay(range, random_), reason, wait};
 }
 
 } // namespace dotterellock
--- a/src/gateway/start_prediction.hpp
+++ b/src/gateway/start_prediction.hpp
@@ -120,12 +120,25 @@
 duration predict_wait(
     work_ahead const& ahead, rank r, start_pace::measurement const& pace);
 
-/// Time after which the caller of a refused request may come back. Drawn from
-/// the range between the time when the queue is short enough again and the
-/// whole wait, within what callers honour.
+struct retry_range
+{
+    duration first{};
+    duration last{};
+};
+
+/// Times after which the caller of a refused request may come back: from the
+/// time when the queue is short enough again to the whole wait, within what
+/// callers honour.
 /// @param wait       predicted; empty if unknown
 /// @param max_wait   with which the request would not have been refused
 /// @param remaining  time that its caller has left
+retry_range retry_delay_range(
+    std::optional<duration> wait, duration max_wait, duration remaining);
+
+std::chrono::milliseconds
+draw_retry_delay(retry_range const& range, random_source& random);
+
+/// Draws from retry_delay_range().
 std::chrono::milliseconds retry_delay(
     std::optional<duration> wait, duration max_wait, duration remaining,
     random_source& random);
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -185,13 +185,12 @@
 }
 
 /// A new request would overtake those that wait, whatever its rank. One that
-/// was sent to an endpoint had its turn, and a cached prompt takes next to no
-/// capacity.
+/// was sent to an endpoint had its turn.
 bool relay_exchange::behind_others() const
 {
     bool const tried =
         history_.runs + history_.refusals + history_.failed_connections > 0;
-    return !tried && !work_.resuming && work_.cached_endpoint.empty() &&
+    return !tried && work_.waits_its_turn() &&
            context_.requests_waiting(request_.service);
 }
 
