--- a/src/gateway/endpoint_selector.cpp
+++ b/src/gateway/endpoint_selector.cpp
@@ -111,23 +111,16 @@
     std::vector<candidate> leaving;
     for (auto const& endpoint : endpoints_.of_service(work.service))
     {
-        if (!endpoint->accepts_requests(now) ||
-            work.excluded.count(endpoint->record().id.value()) != 0 ||
-            !work.allows(endpoint->record()))
-            continue;
-        // An endpoint resets connections above a limit that all gateways share.
-        if (work.connection_limit > 0 &&
-            endpoint->load.requests >= work.connection_limit)
+        if (unusable_because(*endpoint, work, now) != endpoint_exclusion::none)
             continue;
         candidate const c{
             endpoint,
             rendezvous_weight(work.affinity_key, endpoint->record().address)};
-        if (endpoint->leaving())
-            leaving.push_back(c);
-        else if (endpoint->suspended(now) || zones_.is_suspect(*endpoint, now))
-            suspect.push_back(c);
-        else
-            healthy.push_back(c);
+        auto const level = usability_of(*endpoint, now);
+        auto& same_level = level == usability::leaving   ? leaving
+                           : level == usability::suspect ? suspect
+                                                         : healthy;
+        same_level.push_back(c);
     }
     auto& usable = !healthy.empty()  ? healthy
                    : suspect.empty() ? leaving
@@ -204,12 +197,20 @@
 endpoint_ptr endpoint_selector::choose(
     endpoint_requirements const& work, engine_spec const* engine,
     steady_time now) const
+{
+    return select(work, engine, now).endpoint;
+}
+
+endpoint_choice endpoint_selector::select(
+    endpoint_requirements const& work, engine_spec const* engine,
+    steady_time now) const
 {
     auto const candidates = usable_candidates(work, now);
     if (candidates.empty())
-        return nullptr;
-    return engine != nullptr ? choose_for_prompt(candidates, work, *engine, now)
-                             : choose_for_call(candidates, now);
+        return {};
+    if (engine == nullptr)
+        return {choose_for_call(candidates, now), false};
+    return choose_for_prompt(candidates, work, *engine, now);
 }
 
 /// @param max_backlog  prompt tokens that may wait for their prefill there
@@ -221,16 +222,9 @@
     for (auto const& c : candidates)
     {
         auto const load = total_load(*c.endpoint, now);
-        if (!has_capacity(load, work, engine, run_memory_fraction))
-            continue;
-        // One prefill at a time: a second one would delay both, and can wait in
-        // the gateway's queue in the order of its rank instead. A resumed
-        // answer does not wait.
-        bool const reading = load.prefill_tokens > max_backlog ||
-                             c.endpoint->reported_waiting(now) > 0;
-        bool const cached = !work.cached_endpoint.empty() &&
-                            c.endpoint->record().id == work.cached_endpoint;
-        if (reading && !work.resuming && !cached)
+        auto const delay =
+            delayed_because(*c.endpoint, load, work, engine, max_backlog, now);
+        if (delay != endpoint_exclusion::none)
             continue;
         option o;
         o.endpoint = &c;
@@ -242,7 +236,7 @@
     return options;
 }
 
-endpoint_ptr endpoint_selector::choose_for_prompt(
+endpoint_choice endpoint_selector::choose_for_prompt(
     std::vector<candidate> const& candidates, endpoint_requirements const& work,
     engine_spec const& engine, steady_time now) const
 {
@@ -253,20 +247,20 @@
         options = options_for_prompt(
             candidates, work, engine, work.prompt_tokens, now);
     if (options.empty())
-        return nullptr;
+        return {};
     // A cached prompt needs almost no prefill.
     for (auto const& o : options)
     {
         if (!work.cached_endpoint.empty() &&
             o.endpoint->endpoint->record().id == work.cached_endpoint)
-            return o.endpoint->endpoint;
+            return {o.endpoint->endpoint, false};
     }
     double room = 0;
     for (auto const& o : options)
         room += o.room;
     double const asked = 1 + work.unseen_choices;
     if (!wins_room(work.affinity_key, room / asked, now))
-        return nullptr;
+        return {nullptr, true};
     keep_subset(options, asked);
 
     // Prefill of a prompt slows every running stream of the endpoint to a
@@ -284,11 +278,11 @@
             unreliable, full, o.load.prefill_tokens / prefill_step,
             interference, o.distance, ~o.endpoint->weight);
     };
-    return std::min_element(
-               options.begin(), options.end(),
-               [&order](option const& a, option const& b)
-               { return order(a) < order(b); })
-        ->endpoint->endpoint;
+    auto const best = std::min_element(
+        options.begin(), options.end(),
+        [&order](option const& a, option const& b)
+        { return order(a) < order(b); });
+    return {best->endpoint->endpoint, false};
 }
 
 endpoint_ptr endpoint_selector::choose_for_call(
@@ -369,6 +363,137 @@
     return earliest;
 }
 
+std::vector<examined_endpoint> endpoint_selector::examine(
+    endpoint_requirements const& work, engine_spec const* engine,
+    steady_time now) const
+{
+    std::vector<examined_endpoint> examined;
+    auto best = usability::leaving;
+    for (auto const& endpoint : endpoints_.of_service(work.service))
+    {
+        examined_endpoint e;
+        e.endpoint = endpoint;
+        e.excluded_by = unusable_because(*endpoint, work, now);
+        e.load = total_load(*endpoint, now);
+        e.distance = location_.distance_to(endpoint->record().zone);
+        if (e.excluded_by == endpoint_exclusion::none)
+            best = std::min(best, usability_of(*endpoint, now));
+        examined.push_back(std::move(e));
+    }
+    for (auto& e : examined)
+    {
+        if (e.excluded_by == endpoint_exclusion::none)
+            e.excluded_by = avoided_because(*e.endpoint, best, now);
+    }
+    if (engine != nullptr)
+    {
+        exclude_delayed(examined, work, *engine, now);
+        return examined;
+    }
+    for (auto& e : examined)
+    {
+        if (e.excluded_by == endpoint_exclusion::none && e.endpoint->full(now))
+            e.excluded_by = endpoint_exclusion::full;
+    }
+    return examined;
+}
+
+/// As choose_for_prompt(): with a backlog only if no endpoint is without one.
+void endpoint_selector::exclude_delayed(
+    std::vector<examined_endpoint>& examined, endpoint_requirements const& work,
+    engine_spec const& engine, steady_time now) const
+{
+    auto const delay = [&](examined_endpoint const& e, std::uint64_t backlog) {
+        return delayed_because(*e.endpoint, e.load, work, engine, backlog, now);
+    };
+    bool const any = std::any_of(
+        examined.begin(), examined.end(),
+        [&delay](examined_endpoint const& e)
+        {
+            return e.excluded_by == endpoint_exclusion::none &&
+                   delay(e, 0) == endpoint_exclusion::none;
+        });
+    auto const max_backlog =
+        !any && work.capacity_short ? work.prompt_tokens : 0;
+    for (auto& e : examined)
+    {
+        if (e.excluded_by == endpoint_exclusion::none)
+            e.excluded_by = delay(e, max_backlog);
+    }
+}
+
+endpoint_exclusion endpoint_selector::unusable_because(
+    endpoint_state const& endpoint, endpoint_requirements const& work,
+    steady_time now)
+{
+    if (!endpoint.accepts_requests(now))
+        return endpoint.has_left(now) ? endpoint_exclusion::left
+                                      : endpoint_exclusion::paused;
+    if (work.excluded.count(endpoint.record().id.value()) != 0)
+        return endpoint_exclusion::attempt_failed;
+    if (!work.allows(endpoint.record()))
+        return endpoint_exclusion::version;
+    // An endpoint resets connections above a limit that all gateways share.
+    if (work.connection_limit > 0 &&
+        endpoint.load.requests >= work.connection_limit)
+        return endpoint_exclusion::connections;
+    return endpoint_exclusion::none;
+}
+
+endpoint_selector::usability endpoint_selector::usability_of(
+    endpoint_state const& endpoint, steady_time now) const
+{
+    if (endpoint.leaving())
+        return usability::leaving;
+    return endpoint.suspended(now) || zones_.is_suspect(endpoint, now)
+               ? usability::suspect
+               : usability::healthy;
+}
+
+/// @param best  level of the best usable endpoint of the service
+endpoint_exclusion endpoint_selector::avoided_because(
+    endpoint_state const& endpoint, usability best, steady_time now) const
+{
+    auto const level = usability_of(endpoint, now);
+    if (level == best)
+        return endpoint_exclusion::none;
+    if (level == usability::leaving)
+        return endpoint_exclusion::leaving;
+    return endpoint.suspended(now) ? endpoint_exclusion::suspended
+                                   : endpoint_exclusion::zone_suspect;
+}
+
+/// What a prompt would wait for at the endpoint.
+/// @param load         of all gateways there
+/// @param max_backlog  prompt tokens that may wait for their prefill there
+endpoint_exclusion endpoint_selector::delayed_because(
+    endpoint_state const& endpoint, endpoint_state::workload const& load,
+    endpoint_requirements const& work, engine_spec const& engine,
+    std::uint64_t max_backlog, steady_time now)
+{
+    if (!has_capacity(load, work, engine, run_memory_fraction))
+        return load.requests >= engine.slots ? endpoint_exclusion::slots
+                                             : endpoint_exclusion::memory;
+    // One prefill at a time: a second one would delay both, and can wait in the
+    // gateway's queue in the order of its rank instead. A resumed answer does
+    // not wait.
+    bool const cached = !work.cached_endpoint.empty() &&
+                        endpoint.record().id == work.cached_endpoint;
+    return cached || work.resuming
+               ? endpoint_exclusion::none
+               : busy_because(endpoint, load, max_backlog, now);
+}
+
+endpoint_exclusion endpoint_selector::busy_because(
+    endpoint_state const& endpoint, endpoint_state::workload const& load,
+    std::uint64_t max_backlog, steady_time now)
+{
+    if (load.prefill_tokens > max_backlog)
+        return endpoint_exclusion::prefill;
+    return endpoint.reported_waiting(now) > 0 ? endpoint_exclusion::waiting
+                                              : endpoint_exclusion::none;
+}
+
 endpoint_ptr endpoint_selector::choose_standby(
     endpoint_requirements const& work, engine_spec const& engine,
     endpoint_state const& primary, steady_time now) const
--- a/src/gateway/endpoint_selector.hpp
+++ b/src/gateway/endpoint_selector.hpp
@@ -22,6 +22,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "endpoint_table.hpp"
@@ -75,6 +76,48 @@
     /// Whether the endpoint's version may serve. Endpoints of an unknown
     /// version belong to the current one.
     bool allows(endpoint_record const& endpoint) const;
+
+    /// Whether it waits while others wait, until it was sent to an endpoint. A
+    /// cached prompt takes next to no capacity.
+    bool waits_its_turn() const { return !resuming && cached_endpoint.empty(); }
+};
+
+/// What keeps a request from an endpoint now.
+enum class endpoint_exclusion
+{
+    none,
+    left,           // passed the drain bound
+    paused,         // asked for a pause
+    attempt_failed, // an attempt of this request failed there
+    version,        // its software version gets no traffic
+    connections,    // this gateway's share of its connections is in use
+    suspended,      // failed recently, and others are available
+    zone_suspect,   // its zone fails, and others are available
+    leaving,        // drains, and others are available
+    slots,          // all slots are in use
+    memory,         // the request does not fit into its memory
+    prefill,        // it processes another prompt
+    waiting,        // requests wait there, by its report
+    full            // refused a call, or runs as many as it took before that
+};
+
+/// An endpoint as the selector sees it for one request.
+struct examined_endpoint
+{
+    endpoint_ptr endpoint;
+    endpoint_exclusion excluded_by = endpoint_exclusion::none;
+    endpoint_state::workload load; // of all gateways, estimated
+    topology::distance distance = topology::distance::same_zone;
+};
+
+/// Result of a selection.
+struct endpoint_choice
+{
+    endpoint_ptr endpoint; // may be null
+
+    // Endpoints could take the request, but have less room than all gateways
+    // ask for at this moment, and others were drawn for it.
+    bool waits_for_room = false;
 };
 
 class endpoint_selector
@@ -106,6 +149,11 @@
         endpoint_requirements const& work, engine_spec const* engine,
         steady_time now) const;
 
+    /// As choose(), with the reason for none.
+    endpoint_choice select(
+        endpoint_requirements const& work, engine_spec const* engine,
+        steady_time now) const;
+
     /// Returns the endpoint for the standby copy of a run at `primary`, or
     /// null.
     endpoint_ptr choose_standby(
@@ -127,9 +175,50 @@
     endpoint_state::workload
     total_load(endpoint_state const& endpoint, steady_time now) const;
 
+    /// Returns all endpoints of the service, with what excludes each. select()
+    /// takes one that nothing excludes, if there is one and the request does
+    /// not wait for room.
+    /// @param engine  null for a service without a model engine
+    std::vector<examined_endpoint> examine(
+        endpoint_requirements const& work, engine_spec const* engine,
+        steady_time now) const;
+
+    /// See peer_loads::oldest_shares().
+    std::unordered_map<std::string, steady_time> oldest_peer_shares() const
+    {
+        return peers_.oldest_shares();
+    }
+
     topology const& location() const { return location_; }
 
 private:
+    // Endpoints of a worse level get requests only if there is no better one.
+    enum class usability
+    {
+        healthy,
+        suspect, // suspended or in a suspect zone
+        leaving
+    };
+
+    static endpoint_exclusion unusable_because(
+        endpoint_state const& endpoint, endpoint_requirements const& work,
+        steady_time now);
+    usability
+    usability_of(endpoint_state const& endpoint, steady_time now) const;
+    endpoint_exclusion avoided_because(
+        endpoint_state const& endpoint, usability best, steady_time now) const;
+    void exclude_delayed(
+        std::vector<examined_endpoint>& examined,
+        endpoint_requirements const& work, engine_spec const& engine,
+        steady_time now) const;
+    static endpoint_exclusion delayed_because(
+        endpoint_state const& endpoint, endpoint_state::workload const& load,
+        endpoint_requirements const& work, engine_spec const& engine,
+        std::uint64_t max_backlog, steady_time now);
+    static endpoint_exclusion busy_because(
+        endpoint_state const& endpoint, endpoint_state::workload const& load,
+        std::uint64_t max_backlog, steady_time now);
+
     struct candidate
     {
         endpoint_ptr endpoint;
@@ -138,6 +227,7 @@
 
     std::vector<candidate>
     usable_candidates(endpoint_requirements const& work, steady_time now) const;
+
     /// An endpoint that can take the request.
     struct option
     {
@@ -158,7 +248,7 @@
         std::vector<candidate> const& candidates,
         endpoint_requirements const& work, engine_spec const& engine,
         std::uint64_t max_backlog, steady_time now) const;
-    endpoint_ptr choose_for_prompt(
+    endpoint_choice choose_for_prompt(
         std::vector<candidate> const& candidates,
         endpoint_requirements const& work, engine_spec const& engine,
         steady_time now) const;
--- a/src/gateway/request_queue.hpp
+++ b/src/gateway/request_queue.hpp
@@ -68,6 +68,16 @@
     std::optional<duration> predicted_wait;
 };
 
+/// What a request would find if it were enqueued.
+struct queue_forecast
+{
+    std::size_t waiting = 0;      // of all ranks
+    std::size_t ahead = 0;        // of the same or a more urgent rank
+    std::optional<duration> wait; // predicted; empty: unknown
+    std::optional<refusal_reason> refused;
+    retry_range retry_after{}; // if refused
+};
+
 class request_queue
 {
 public:
@@ -100,6 +110,17 @@
     /// Removes and returns the requests that are predicted to start too late.
     std::vector<queue_refusal> remove_unservable(steady_time now);
 
+    /// What enqueue() would do with a request that arrives now, and the removal
+    /// after it. Its id must be above all others.
+    queue_forecast forecast(queued_request const& entry, steady_time now) const;
+
+    /// Range from which the Retry-After of a refused request is drawn.
+    /// @param wait  predicted for the request that its caller may send later;
+    ///              empty if unknown, as while none waits
+    static retry_range retry_range_after(
+        queued_request const& entry, std::optional<duration> wait,
+        steady_time now);
+
     std::size_t size() const { return waiting_.size(); }
 
     /// Predicted wait of a request, whether it is in the queue or not; empty if
@@ -115,6 +136,8 @@
     class snapshot;
 
     void demote_overdue(steady_time now);
+    retry_range
+    retry_range_of(queued_request const& entry, steady_time now) const;
     queue_refusal refuse(
         queued_request const& entry, refusal_reason reason,
         std::optional<duration> wait, steady_time now);
--- a/src/gateway/start_prediction.cpp
+++ b/src/gateway/start_prediction.cpp
@@ -141,9 +141,8 @@
         std::chrono::duration<double>(wait));
 }
 
-milliseconds retry_delay(
-    std::optional<duration> wait, duration max_wait, duration remaining,
-    random_source& random)
+retry_range retry_delay_range(
+    std::optional<duration> wait, duration max_wait, duration remaining)
 {
     // What the caller honours, with the resolution in which it is sent.
     auto const honoured = std::max<duration>(
@@ -156,9 +155,26 @@
     duration first = std::max<duration>(short_enough, min_retry_delay);
     if (expected > honoured || short_enough < min_retry_delay)
         first = std::min(first, last / 2);
-    auto const drawn = first + std::chrono::duration_cast<duration>(
-                                   (last - first) * random.uniform());
+    // first is after last if max_wait is negative: even an immediate start was
+    // too late.
+    auto const [shortest, longest] = std::minmax(first, last);
+    return {shortest, longest};
+}
+
+milliseconds draw_retry_delay(retry_range const& range, random_source& random)
+{
+    auto const drawn =
+        range.first + std::chrono::duration_cast<duration>(
+                          (range.last - range.first) * random.uniform());
     return std::chrono::duration_cast<milliseconds>(drawn);
 }
 
+milliseconds retry_delay(
+    std::optional<duration> wait, duration max_wait, duration remaining,
+    random_source& random)
+{
+    return draw_retry_delay(
+        retry_delay_range(wait, max_wait, remaining), random);
+}
+
 } // namespace dotterellock
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -63,7 +63,8 @@
     report_answer(endpoint_ptr const& endpoint, version_answer answer) = 0;
 
     /// Number of connections that this gateway may open to one endpoint.
-    virtual std::uint32_t connection_share(service_spec const& service) = 0;
+    virtual std::uint32_t
+    connection_share(service_spec const& service) const = 0;
 
     /// Updates the health of an endpoint and its zone after an attempt.
     virtual void
