relay: skip the choice of versions without orders

Cause: the choice is asked for several times per request, and fifty times a second per stream with a copy, also where all endpoints have one version and no order exists, which is nearly always.

Change: rollout_control answers these cases itself.

The cost was not measured.

--- a/src/relay/rollout_control.cpp
+++ b/src/relay/rollout_control.cpp
@@ -229,6 +229,8 @@
     work.versions = std::move(choice);
     work.barred_versions.clear();
     auto const& versions = versions_of(work.service, now);
+    if (orders_.empty() && versions.size() <= 1)
+        return;
     for (auto const& [version, endpoints] : versions)
     {
         // Canary traffic is allowed for its own attempt only.
@@ -243,9 +245,13 @@
 void rollout_control::choose_versions(
     endpoint_requirements& work, steady_time now) const
 {
+    auto const& versions = versions_of(work.service, now);
+    // The usual case, asked for several times per request and stream.
+    bool const alike = orders_.empty() && versions.size() <= 1;
     set_versions(
         work,
-        coordinator_.choose(work.service, versions_of(work.service, now), now),
+        alike ? version_choice{}
+              : coordinator_.choose(work.service, versions, now),
         now);
 }
 
@@ -262,6 +268,8 @@
     service_name const& service, steady_time now) const
 {
     auto const& versions = versions_of(service, now);
+    if (orders_.empty() && versions.size() <= 1)
+        return {};
     auto choice = coordinator_.choose(service, versions, now);
     if (choice.kind == version_choice::rule::any)
         return choice;
@@ -296,9 +304,10 @@
 bool rollout_control::may_resume_at(
     endpoint_record const& endpoint, steady_time now) const
 {
-    return coordinator_.allowed(
-        endpoint.service, endpoint.version, versions_of(endpoint.service, now),
-        now);
+    auto const& versions = versions_of(endpoint.service, now);
+    return (orders_.empty() && versions.size() <= 1) ||
+           coordinator_.allowed(
+               endpoint.service, endpoint.version, versions, now);
 }
 
 bool rollout_control::may_hold_copy(
