--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -342,14 +342,14 @@
             f.ahead += queue_.waiting(r);
     }
     // As enqueue(): what started before the first one waits does not count.
-    if (!waiting_.empty())
+    if (entry.too_late_at(now))
+        f.wait = duration(0);
+    else if (!waiting_.empty())
         f.wait = predicted_wait(entry, now);
     if (f.wait && entry.too_late_at(now + *f.wait))
         f.refused = refusal_reason::late_start;
     else if (!queue_.accepts(to_queue_entry(waiting)))
         f.refused = refusal_reason::queue_full;
-    else if (entry.too_late_at(now))
-        f.refused = refusal_reason::not_started;
     if (f.refused)
         f.retry_after = waiting_.empty()
                             ? retry_range_after(entry, std::nullopt, now)
