gateway: explain a late request without a queue as the queue would

The gateway answers late_start since requests that are too late are refused on arrival; the explanation said not_started where no queue existed yet. The table's row states the reason that callers get.

--- a/src/gateway/placement_explanation.cpp
+++ b/src/gateway/placement_explanation.cpp
@@ -325,11 +325,11 @@
         refuse(*result_.queue.refused, result_.queue.retry_after);
         return;
     }
-    // The next dispatch removes a request that is too late already.
+    // An empty queue refuses what is too late already, too.
     if (entry.too_late_at(now_))
     {
         refuse(
-            refusal_reason::not_started,
+            refusal_reason::late_start,
             request_queue::retry_range_after(entry, std::nullopt, now_));
         return;
     }
