--- a/src/gateway/endpoint_selector.cpp
+++ b/src/gateway/endpoint_selector.cpp
@@ -1,9 +1,11 @@
 #include "endpoint_selector.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 #include "choice/rendezvous.hpp"
+#include "choice_contention.hpp"
 
 namespace dotterellock
 {
@@ -16,11 +18,80 @@
 constexpr double run_memory_fraction = 0.85;
 
 // Runs take precedence over standby copies, which are made only while plenty of
-// memory is free.
+// memory is free. While requests wait for room, a copy takes the place of
+// another answer, so copies go only where runs leave most of the memory idle.
 constexpr double standby_memory_fraction = 0.6;
+constexpr double standby_memory_fraction_if_short = 0.25;
+
+constexpr double unreliable_failure_rate = 0.3;
+
+// Prompts that wait for their prefill are compared in steps of about half a
+// prompt, so that a few tokens more do not outweigh the number of streams.
+constexpr std::uint64_t prefill_step = 4000;
+
+// A request that did not get room is drawn anew after this time, in which the
+// choices of the others become known.
+constexpr std::chrono::milliseconds draw_interval =
+    choice_contention::unseen_time;
+
+/// Uniformly distributed in (0, 1).
+double unit_interval(std::uint64_t hash)
+{
+    return (double(hash >> 11) + 0.5) / double(std::uint64_t{1} << 53);
+}
+
+/// Whether a request is among those that get the room of all endpoints, if it
+/// is less than what all gateways ask for at this moment. The draw depends on
+/// the request and the time only, so it is the same for each call within an
+/// interval.
+/// @param share  room for each request
+bool wins_room(std::string const& key, double share, steady_time now)
+{
+    if (share >= 1)
+        return true;
+    auto const interval = now.time_since_epoch() / draw_interval;
+    return unit_interval(rendezvous_weight(key, std::to_string(interval))) <
+           share;
+}
+
+/// Applies a preferred version, and the limit on endpoints of a candidate: all
+/// gateways keep the same ones, so that these see load.
+template<typename Candidates>
+void apply_version_choice(Candidates& candidates, version_choice const& choice)
+{
+    if (choice.kind == version_choice::rule::any)
+        return;
+    auto const of_version = std::stable_partition(
+        candidates.begin(), candidates.end(),
+        [&choice](auto const& c)
+        { return c.endpoint->record().version == choice.version; });
+    if (of_version == candidates.begin())
+        return;
+    if (choice.kind == version_choice::rule::prefer)
+        candidates.erase(of_version, candidates.end());
+    if (choice.max_endpoints == 0 || candidates.size() <= choice.max_endpoints)
+        return;
+    auto const last = candidates.begin() + std::ptrdiff_t(choice.max_endpoints);
+    auto const rank = [&choice](auto const& c)
+    { return rendezvous_weight(choice.version, c.endpoint->record().address); };
+    std::partial_sort(
+        candidates.begin(), last, candidates.end(),
+        [&rank](auto const& a, auto const& b) { return rank(a) > rank(b); });
+    candidates.erase(last, candidates.end());
+}
 
 } // namespace
 
+bool endpoint_requirements::allows(endpoint_record const& endpoint) const
+{
+    if (barred_versions.count(endpoint.version) != 0)
+        return false;
+    if (versions.kind != version_choice::rule::only)
+        return true;
+    return endpoint.version == versions.version ||
+           (endpoint.version.empty() && !versions.candidate);
+}
+
 topology::distance topology::distance_to(zone_id const& other) const
 {
     if (other == zone)
@@ -40,26 +111,22 @@
     std::vector<candidate> leaving;
     for (auto const& endpoint : endpoints_.of_service(work.service))
     {
-        if (!endpoint->accepts_requests(now) ||
-            work.excluded.count(endpoint->record().id.value()) != 0)
-            continue;
-        // An endpoint resets connections above a limit that all gateways share.
-        if (work.connection_limit > 0 &&
-            endpoint->load.requests >= work.connection_limit)
+        if (unusable_because(*endpoint, work, now) != endpoint_exclusion::none)
             continue;
         candidate const c{
             endpoint,
             rendezvous_weight(work.affinity_key, endpoint->record().address)};
-        if (endpoint->leaving())
-            leaving.push_back(c);
-        else if (endpoint->suspended(now) || zones_.is_suspect(*endpoint, now))
-            suspect.push_back(c);
-        else
-            healthy.push_back(c);
+        auto const level = usability_of(*endpoint, now);
+        auto& same_level = level == usability::leaving   ? leaving
+                           : level == usability::suspect ? suspect
+                                                         : healthy;
+        same_level.push_back(c);
     }
-    if (!healthy.empty())
-        return healthy;
-    return suspect.empty() ? leaving : suspect;
+    auto& usable = !healthy.empty()  ? healthy
+                   : suspect.empty() ? leaving
+                                     : suspect;
+    apply_version_choice(usable, work.versions);
+    return std::move(usable);
 }
 
 endpoint_state::workload endpoint_selector::total_load(
@@ -77,70 +144,149 @@
 }
 
 bool endpoint_selector::has_capacity(
-    endpoint_state const& endpoint, endpoint_requirements const& work,
-    engine_spec const& engine, double memory_fraction, steady_time now) const
+    endpoint_state::workload const& load, endpoint_requirements const& work,
+    engine_spec const& engine, double memory_fraction)
 {
-    auto const load = total_load(endpoint, now);
     auto const memory = load.memory_tokens + work.memory_tokens();
     return load.requests < engine.slots &&
            (engine.memory_tokens == 0 || load.memory_tokens == 0 ||
             double(memory) <= memory_fraction * double(engine.memory_tokens));
 }
 
+/// Requests like this one that fit beside the load; at least one.
+double endpoint_selector::room_for(
+    endpoint_state::workload const& load, endpoint_requirements const& work,
+    engine_spec const& engine)
+{
+    double room = double(engine.slots) - double(load.requests);
+    if (engine.memory_tokens > 0 && work.memory_tokens() > 0)
+    {
+        double const free = run_memory_fraction * double(engine.memory_tokens) -
+                            double(load.memory_tokens);
+        room = std::min(room, free / double(work.memory_tokens()));
+    }
+    return std::max(room, 1.0);
+}
+
+/// Keeps so many options that gateways which choose at the same moment compare
+/// different ones. Options with more room are kept more often, in the order of
+/// a weighted rendezvous hash: another gateway keeps the same ones for the same
+/// prompt.
+void endpoint_selector::keep_subset(
+    std::vector<option>& options, double choosers)
+{
+    constexpr std::size_t min_options = 2; // two choices even out the load
+    auto const count = std::max(
+        min_options, std::size_t(std::ceil(double(options.size()) / choosers)));
+    if (count >= options.size())
+        return;
+    auto const rank = [](option const& o)
+    {
+        double const nearness =
+            o.distance == topology::distance::other_region ? 0.5 : 1.0;
+        return -std::log(unit_interval(o.endpoint->weight)) /
+               (o.room * nearness);
+    };
+    std::partial_sort(
+        options.begin(), options.begin() + std::ptrdiff_t(count), options.end(),
+        [&rank](option const& a, option const& b)
+        { return rank(a) < rank(b); });
+    options.resize(count);
+}
+
 endpoint_ptr endpoint_selector::choose(
     endpoint_requirements const& work, engine_spec const* engine,
     steady_time now) const
+{
+    return select(work, engine, now).endpoint;
+}
+
+endpoint_choice endpoint_selector::select(
+    endpoint_requirements const& work, engine_spec const* engine,
+    steady_time now) const
 {
     auto const candidates = usable_candidates(work, now);
     if (candidates.empty())
-        return nullptr;
-    return engine != nullptr ? choose_for_prompt(candidates, work, *engine, now)
-                             : choose_for_call(candidates);
+        return {};
+    if (engine == nullptr)
+        return {choose_for_call(candidates, now), false};
+    return choose_for_prompt(candidates, work, *engine, now);
 }
 
-endpoint_ptr endpoint_selector::choose_for_prompt(
+/// @param max_backlog  prompt tokens that may wait for their prefill there
+std::vector<endpoint_selector::option> endpoint_selector::options_for_prompt(
+    std::vector<candidate> const& candidates, endpoint_requirements const& work,
+    engine_spec const& engine, std::uint64_t max_backlog, steady_time now) const
+{
+    std::vector<option> options;
+    for (auto const& c : candidates)
+    {
+        auto const load = total_load(*c.endpoint, now);
+        auto const delay =
+            delayed_because(*c.endpoint, load, work, engine, max_backlog, now);
+        if (delay != endpoint_exclusion::none)
+            continue;
+        option o;
+        o.endpoint = &c;
+        o.load = load;
+        o.room = work.resuming ? room_for(load, work, engine) : 1;
+        o.distance = location_.distance_to(c.endpoint->record().zone);
+        options.push_back(o);
+    }
+    return options;
+}
+
+endpoint_choice endpoint_selector::choose_for_prompt(
     std::vector<candidate> const& candidates, endpoint_requirements const& work,
     engine_spec const& engine, steady_time now) const
 {
+    auto options = options_for_prompt(candidates, work, engine, 0, now);
+    // While requests wait, one prompt behind another keeps the endpoint busy
+    // until the end of the prefill is known here.
+    if (options.empty() && work.capacity_short)
+        options = options_for_prompt(
+            candidates, work, engine, work.prompt_tokens, now);
+    if (options.empty())
+        return {};
+    // A cached prompt needs almost no prefill.
+    for (auto const& o : options)
+    {
+        if (!work.cached_endpoint.empty() &&
+            o.endpoint->endpoint->record().id == work.cached_endpoint)
+            return {o.endpoint->endpoint, false};
+    }
+    double room = 0;
+    for (auto const& o : options)
+        room += o.room;
+    double const asked = 1 + work.unseen_choices;
+    if (!wins_room(work.affinity_key, room / asked, now))
+        return {nullptr, true};
+    keep_subset(options, asked);
+
     // Prefill of a prompt slows every running stream of the endpoint to a
     // fraction and waits for other prefills, so the endpoint with the least of
     // both is preferred. Another zone weighs as much as one slowed stream.
-    auto const order = [this, &engine, now](candidate const& c)
+    auto const order = [&engine](option const& o)
     {
-        auto const load = total_load(*c.endpoint, now);
-        bool const unreliable = c.endpoint->failure_rate() > 0.3;
-        bool const full = load.requests * 2 > engine.slots;
-        auto const distance = location_.distance_to(c.endpoint->record().zone);
+        bool const unreliable =
+            o.endpoint->endpoint->failure_rate() > unreliable_failure_rate;
+        bool const full = o.load.requests * 2 > engine.slots;
         auto const interference =
-            load.requests +
-            (distance == topology::distance::same_zone ? 0u : 1u);
+            o.load.requests +
+            (o.distance == topology::distance::same_zone ? 0u : 1u);
         return std::make_tuple(
-            unreliable, full, interference, distance, ~c.weight);
+            unreliable, full, o.load.prefill_tokens / prefill_step,
+            interference, o.distance, ~o.endpoint->weight);
     };
-    candidate const* best = nullptr;
-    for (auto const& c : candidates)
-    {
-        if (!has_capacity(*c.endpoint, work, engine, run_memory_fraction, now))
-            continue;
-        // A cached prompt needs almost no prefill.
-        if (!work.cached_endpoint.empty() &&
-            c.endpoint->record().id == work.cached_endpoint)
-            return c.endpoint;
-        // One prefill at a time: a second one would delay both, and can wait in
-        // the gateway's queue in the order of its rank instead. A resumed
-        // answer does not wait.
-        bool const reading = total_load(*c.endpoint, now).prefill_tokens > 0 ||
-                             c.endpoint->reported_waiting(now) > 0;
-        if (reading && !work.resuming)
-            continue;
-        if (best == nullptr || order(c) < order(*best))
-            best = &c;
-    }
-    return best == nullptr ? nullptr : best->endpoint;
+    auto const best = std::min_element(
+        options.begin(), options.end(),
+        [&order](option const& a, option const& b)
+        { return order(a) < order(b); });
+    return {best->endpoint->endpoint, false};
 }
 
 endpoint_ptr endpoint_selector::choose_for_call(
-    std::vector<candidate> const& candidates) const
+    std::vector<candidate> const& candidates, steady_time now) const
 {
     auto const cost = [this](endpoint_state const& e)
     {
@@ -163,11 +309,14 @@
         }
         return us;
     };
-    return std::min_element(
-               candidates.begin(), candidates.end(),
-               [&cost](candidate const& a, candidate const& b)
-               { return cost(*a.endpoint) < cost(*b.endpoint); })
-        ->endpoint;
+    endpoint_ptr best;
+    for (auto const& c : candidates)
+    {
+        bool const better = !best || cost(*c.endpoint) < cost(*best);
+        if (better && !c.endpoint->full(now))
+            best = c.endpoint;
+    }
+    return best;
 }
 
 std::vector<endpoint_ptr> endpoint_selector::likely_caches(
@@ -181,7 +330,7 @@
     {
         auto const& record = endpoint->record();
         if (!endpoint->leaving() && !endpoint->suspended(now) &&
-            !endpoint->paused(now))
+            !endpoint->paused(now) && work.allows(record))
             ranked.push_back(
                 {{location_.distance_to(record.zone),
                   ~rendezvous_weight(work.affinity_key, record.address)},
@@ -214,6 +363,137 @@
     return earliest;
 }
 
+std::vector<examined_endpoint> endpoint_selector::examine(
+    endpoint_requirements const& work, engine_spec const* engine,
+    steady_time now) const
+{
+    std::vector<examined_endpoint> examined;
+    auto best = usability::leaving;
+    for (auto const& endpoint : endpoints_.of_service(work.service))
+    {
+        examined_endpoint e;
+        e.endpoint = endpoint;
+        e.excluded_by = unusable_because(*endpoint, work, now);
+        e.load = total_load(*endpoint, now);
+        e.distance = location_.distance_to(endpoint->record().zone);
+        if (e.excluded_by == endpoint_exclusion::none)
+            best = std::min(best, usability_of(*endpoint, now));
+        examined.push_back(std::move(e));
+    }
+    for (auto& e : examined)
+    {
+        if (e.excluded_by == endpoint_exclusion::none)
+            e.excluded_by = avoided_because(*e.endpoint, best, now);
+    }
+    if (engine != nullptr)
+    {
+        exclude_delayed(examined, work, *engine, now);
+        return examined;
+    }
+    for (auto& e : examined)
+    {
+        if (e.excluded_by == endpoint_exclusion::none && e.endpoint->full(now))
+            e.excluded_by = endpoint_exclusion::full;
+    }
+    return examined;
+}
+
+/// As choose_for_prompt(): with a backlog only if no endpoint is without one.
+void endpoint_selector::exclude_delayed(
+    std::vector<examined_endpoint>& examined, endpoint_requirements const& work,
+    engine_spec const& engine, steady_time now) const
+{
+    auto const delay = [&](examined_endpoint const& e, std::uint64_t backlog) {
+        return delayed_because(*e.endpoint, e.load, work, engine, backlog, now);
+    };
+    bool const any = std::any_of(
+        examined.begin(), examined.end(),
+        [&delay](examined_endpoint const& e)
+        {
+            return e.excluded_by == endpoint_exclusion::none &&
+                   delay(e, 0) == endpoint_exclusion::none;
+        });
+    auto const max_backlog =
+        !any && work.capacity_short ? work.prompt_tokens : 0;
+    for (auto& e : examined)
+    {
+        if (e.excluded_by == endpoint_exclusion::none)
+            e.excluded_by = delay(e, max_backlog);
+    }
+}
+
+endpoint_exclusion endpoint_selector::unusable_because(
+    endpoint_state const& endpoint, endpoint_requirements const& work,
+    steady_time now)
+{
+    if (!endpoint.accepts_requests(now))
+        return endpoint.has_left(now) ? endpoint_exclusion::left
+                                      : endpoint_exclusion::paused;
+    if (work.excluded.count(endpoint.record().id.value()) != 0)
+        return endpoint_exclusion::attempt_failed;
+    if (!work.allows(endpoint.record()))
+        return endpoint_exclusion::version;
+    // An endpoint resets connections above a limit that all gateways share.
+    if (work.connection_limit > 0 &&
+        endpoint.load.requests >= work.connection_limit)
+        return endpoint_exclusion::connections;
+    return endpoint_exclusion::none;
+}
+
+endpoint_selector::usability endpoint_selector::usability_of(
+    endpoint_state const& endpoint, steady_time now) const
+{
+    if (endpoint.leaving())
+        return usability::leaving;
+    return endpoint.suspended(now) || zones_.is_suspect(endpoint, now)
+               ? usability::suspect
+               : usability::healthy;
+}
+
+/// @param best  level of the best usable endpoint of the service
+endpoint_exclusion endpoint_selector::avoided_because(
+    endpoint_state const& endpoint, usability best, steady_time now) const
+{
+    auto const level = usability_of(endpoint, now);
+    if (level == best)
+        return endpoint_exclusion::none;
+    if (level == usability::leaving)
+        return endpoint_exclusion::leaving;
+    return endpoint.suspended(now) ? endpoint_exclusion::suspended
+                                   : endpoint_exclusion::zone_suspect;
+}
+
+/// What a prompt would wait for at the endpoint.
+/// @param load         of all gateways there
+/// @param max_backlog  prompt tokens that may wait for their prefill there
+endpoint_exclusion endpoint_selector::delayed_because(
+    endpoint_state const& endpoint, endpoint_state::workload const& load,
+    endpoint_requirements const& work, engine_spec const& engine,
+    std::uint64_t max_backlog, steady_time now)
+{
+    if (!has_capacity(load, work, engine, run_memory_fraction))
+        return load.requests >= engine.slots ? endpoint_exclusion::slots
+                                             : endpoint_exclusion::memory;
+    // One prefill at a time: a second one would delay both, and can wait in the
+    // gateway's queue in the order of its rank instead. A resumed answer does
+    // not wait.
+    bool const cached = !work.cached_endpoint.empty() &&
+                        endpoint.record().id == work.cached_endpoint;
+    return cached || work.resuming
+               ? endpoint_exclusion::none
+               : busy_because(endpoint, load, max_backlog, now);
+}
+
+endpoint_exclusion endpoint_selector::busy_because(
+    endpoint_state const& endpoint, endpoint_state::workload const& load,
+    std::uint64_t max_backlog, steady_time now)
+{
+    if (load.prefill_tokens > max_backlog)
+        return endpoint_exclusion::prefill;
+    return endpoint.reported_waiting(now) > 0 ? endpoint_exclusion::waiting
+                                              : endpoint_exclusion::none;
+}
+
 endpoint_ptr endpoint_selector::choose_standby(
     endpoint_requirements const& work, engine_spec const& engine,
     endpoint_state const& primary, steady_time now) const
@@ -233,7 +513,9 @@
         if (c.endpoint->record().zone == zone || c.endpoint->leaving() ||
             c.endpoint->suspended(now) || zones_.is_suspect(*c.endpoint, now) ||
             !has_capacity(
-                *c.endpoint, work, engine, standby_memory_fraction, now))
+                total_load(*c.endpoint, now), work, engine,
+                work.capacity_short ? standby_memory_fraction_if_short
+                                    : standby_memory_fraction))
             continue;
         if (best == nullptr || order(c) < order(*best))
             best = &c;
--- a/src/gateway/endpoint_state.hpp
+++ b/src/gateway/endpoint_state.hpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -28,6 +29,7 @@
     zone_id zone;
     std::uint64_t incarnation_start = 0; // 0: unknown
     std::uint32_t slots = 1;
+    std::string version; // of the software; empty: not known
     bool draining = false;
 };
 
@@ -160,6 +162,14 @@
     std::chrono::microseconds latency() const { return latency_; }
     bool has_latency() const { return latency_.count() > 0; }
 
+    /// Whether the endpoint has no room for another call of this gateway: it
+    /// refused one a moment ago, or as many run as it took before it refused.
+    bool full(steady_time now) const
+    {
+        return now < full_until_ ||
+               (now < limited_until_ && double(load.requests) >= call_limit_);
+    }
+
     // Work of other gateways -------------------------------------------------
 
     /// Records the endpoint's load report, which includes the work of other
@@ -230,6 +240,16 @@
     static constexpr std::chrono::milliseconds initial_suspension{400};
     static constexpr std::chrono::milliseconds max_suspension{3000};
 
+    void record_refusal(steady_time now);
+
+    // Nothing is sent for about one call after a refusal, as one of those that
+    // run has ended by then; twice as long after each further refusal.
+    static constexpr std::chrono::milliseconds min_full_time{20};
+    static constexpr std::chrono::milliseconds max_full_time{160};
+
+    // Without a further refusal in this time, the endpoint has room again.
+    static constexpr std::chrono::milliseconds limit_time{1000};
+
     // Weight of one attempt in the moving averages.
     static constexpr double rate_smoothing = 0.15;
 
@@ -242,6 +262,10 @@
     steady_time last_failure_{};
     steady_time last_activity_{};
     std::chrono::milliseconds next_suspension_ = initial_suspension;
+    steady_time full_until_{};
+    steady_time limited_until_{};
+    duration next_full_time_{};
+    double call_limit_ = std::numeric_limits<double>::infinity();
     double failure_rate_ = 0;
     double error_rate_ = 0;
     std::chrono::microseconds latency_{0};
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -11,6 +11,7 @@
 
 #include "gateway/endpoint_copy_policy.hpp"
 #include "gateway/isolated_work.hpp"
+#include "gateway/request_admission.hpp"
 #include "http/reason_phrase.hpp"
 
 namespace dotterellock
@@ -30,10 +31,6 @@
 // Interval of the cleanup of connections, request queues and tables.
 constexpr milliseconds sweep_interval{200};
 
-// An unknown key or route is answered with 401 or 404 only if the configuration
-// is newer than this, which exceeds the lag of versions; otherwise with 503.
-constexpr milliseconds max_refusal_age{3200};
-
 // Callers whose gateway failed reconnect within a few seconds.
 constexpr milliseconds caller_return_window{4000};
 
@@ -151,6 +148,14 @@
                   std::move(done));
           })
 {
+    if (settings_.rollouts.enabled)
+        make_rollout_control();
+    peer_load_sync::rollout_exchange rollouts;
+    if (rollouts_)
+        rollouts = {
+            [this] { return rollouts_->evidence(); },
+            [this](host_id const& peer, rollout_evidence const& evidence)
+            { rollouts_->on_evidence(peer, evidence); }};
     if (!settings_.peer_listen.empty())
         peer_load_sync_ = std::make_unique<peer_load_sync>(
             env_.io, settings_.host, settings_.peer_listen, peer_reader_,
@@ -159,7 +164,8 @@
             [this](load_share const& share) { on_load_share(share); },
             [this] { return prompt_crashes_.evidence(env_.clock.now()); },
             [this](host_id const& peer, crash_evidence const& evidence)
-            { prompt_crashes_.merge(peer, evidence, env_.clock.now()); });
+            { prompt_crashes_.merge(peer, evidence, env_.clock.now()); },
+            std::move(rollouts));
 }
 
 gateway::~gateway()
@@ -170,9 +176,9 @@
 void gateway::start()
 {
     open_listener(acceptor_, settings_.listen);
-    status_ = make_status_service(settings_.status_listen);
+    status_ = make_status_service(settings_.status_listen, true);
     if (!settings_.metrics_listen.empty())
-        metrics_ = make_status_service(settings_.metrics_listen);
+        metrics_ = make_status_service(settings_.metrics_listen, false);
     last_tick_ = last_sweep_ = started_ = env_.clock.now();
     configuration_watch_.poll();
     endpoint_watch_.poll();
@@ -193,13 +199,16 @@
 }
 
 std::unique_ptr<status_service>
-gateway::make_status_service(std::string const& address)
-{
+gateway::make_status_service(std::string const& address, bool explains)
+{
+    status_source source{
+        [this] { return ready(); }, [this] { return metrics(); },
+        [this] { return shutting_down_; }, nullptr};
+    if (explains)
+        source.explain = [this](std::string_view target)
+        { return explain_placement(target); };
     return std::make_unique<status_service>(
-        env_.io, env_.clock, env_.memory, address,
-        status_source{
-            [this] { return ready(); }, [this] { return metrics(); },
-            [this] { return shutting_down_; }});
+        env_.io, env_.clock, env_.memory, address, std::move(source));
 }
 
 void gateway::accept_when_ready()
@@ -348,6 +357,8 @@
         budget.set_settings(settings.retries);
     endpoints_.set_last_resort_period(
         endpoint_copy_policy::last_resort_period(settings.drain_bound));
+    if (rollouts_ && settings.rollouts.enabled)
+        rollouts_->set_settings(settings.rollouts);
 }
 
 // Admission ------------------------------------------------------------------
@@ -357,12 +368,6 @@
     return table_ ? table_->limits() : caller_limits{};
 }
 
-bool gateway::configuration_newer_than(milliseconds age) const
-{
-    auto const proven = freshness_lease_.age(env_.clock.now());
-    return proven && *proven < age;
-}
-
 void gateway::on_rejected(
     client_session const& session, unsigned status, char const* why)
 {
@@ -473,31 +478,24 @@
     auto const path = request_path(message.head.target);
     r.table = table_;
     r.route = table_->match(request_host(message.head), path);
-    if (r.route == nullptr)
+    auto const now = env_.clock.now();
+    if (auto const refusal =
+            request_admission::check_route(r.route, freshness_lease_, now))
     {
-        bool const up_to_date = configuration_newer_than(max_refusal_age);
         reject(
-            *session, id, up_to_date ? 404 : 503,
-            up_to_date ? "no_route" : "stale_configuration", std::string(path));
+            *session, id, refusal->status, refusal->reason, std::string(path));
         return;
     }
     r.rank = r.route->rank;
-    if (table_->requires_api_key() && !r.route->anonymous)
+    if (request_admission::needs_organisation(*table_, *r.route))
     {
-        if (!freshness_lease_.valid(env_.clock.now()))
-        {
-            reject(*session, id, 503, "stale_configuration", r.route->name);
-            return;
-        }
         auto const* const organisation =
             table_->organisation(r.metadata.api_key);
-        if (organisation == nullptr)
+        if (auto const refusal = request_admission::check_organisation(
+                organisation, freshness_lease_, now))
         {
-            bool const up_to_date = configuration_newer_than(max_refusal_age);
             reject(
-                *session, id, up_to_date ? 401 : 503,
-                up_to_date ? "unknown_key" : "stale_configuration",
-                r.route->name);
+                *session, id, refusal->status, refusal->reason, r.route->name);
             return;
         }
         r.organisation = organisation->name;
@@ -532,21 +530,30 @@
         ++last_exchange_number_, std::move(session), std::move(r), *this);
     exchanges_.emplace(e->number(), e);
     e->watch_caller();
-    bool const may_be_cached =
-        e->request().route->engine_prompt &&
-        (e->request().metadata.last_event_id ||
-         (!settings_.first_start &&
-          env_.clock.now() - started_ < caller_return_window));
-    if (!may_be_cached)
+    if (!may_be_cached(
+            *e->request().route, e->request().metadata.last_event_id))
     {
         e->start({});
         return;
     }
+    auto work = e->work();
+    if (rollouts_)
+        rollouts_->choose_standby_versions(work, env_.clock.now());
     cache_lookup_.find(
-        e->work(), fleet_size(),
+        work, fleet_size(),
         [e](endpoint_id const& cached_at) { e->start(cached_at); });
 }
 
+bool gateway::may_be_cached(
+    gateway_route const& route,
+    std::optional<std::uint64_t> const& last_event_id) const
+{
+    bool const just_started =
+        !settings_.first_start &&
+        env_.clock.now() - started_ < caller_return_window;
+    return route.engine_prompt && (last_event_id || just_started);
+}
+
 bool gateway::accepts_during_shutdown(
     admitted_request const& r, steady_time received) const
 {
@@ -573,28 +580,42 @@
         e.deadline() - now, std::nullopt);
 }
 
-void gateway::record_stream_duration(service_name const& service, duration took)
+void gateway::record_stream_duration(
+    service_name const& service, duration took, duration since_first_event)
 {
-    // Moving average over about the last 20 streams.
-    constexpr int samples = 20;
-    auto const found = stream_durations_.try_emplace(service, took).first;
-    found->second += (took - found->second) / samples;
+    // Moving averages over about the last 20 streams.
+    static constexpr int samples = 20;
+    auto const record = [&service](auto& averages, duration d)
+    {
+        auto& average = averages.try_emplace(service, d).first->second;
+        average += (d - average) / samples;
+    };
+    record(stream_durations_, took);
+    record(generation_durations_, since_first_event);
 }
 
 // Exchanges ------------------------------------------------------------------
 
 service_retry_budget& gateway::budget(service_name const& service)
 {
-    auto& budget =
-        budgets_
-            .try_emplace(
-                service, settings_.retries,
-                settings_.first_start ? started_
-                                      : started_ + settings_.retries.window)
-            .first->second;
+    auto found = budgets_.find(service);
+    if (found == budgets_.end())
+        found = budgets_.emplace(service, new_budget()).first;
+    update_fleet_size(found->second);
+    return found->second;
+}
+
+service_retry_budget gateway::new_budget() const
+{
+    return service_retry_budget(
+        settings_.retries,
+        settings_.first_start ? started_ : started_ + settings_.retries.window);
+}
+
+void gateway::update_fleet_size(service_retry_budget& budget) const
+{
     if (peer_load_sync_ && peer_load_sync_->fleet_size() > 0)
         budget.set_fleet_size(peer_load_sync_->fleet_size(), env_.clock.now());
-    return budget;
 }
 
 std::size_t gateway::fleet_size() const
@@ -603,7 +624,7 @@
     return known > 0 ? known : std::size_t(settings_.retries.fleet_size);
 }
 
-std::uint32_t gateway::connection_share(service_spec const& service)
+std::uint32_t gateway::connection_share(service_spec const& service) const
 {
     auto const gateways = fleet_size();
     auto const usable = std::uint64_t(service.max_connections) *
@@ -627,33 +648,65 @@
 
 // Request queues -------------------------------------------------------------
 
+std::optional<duration>
+gateway::generation_duration(service_name const& service) const
+{
+    auto const found = generation_durations_.find(service);
+    if (found == generation_durations_.end())
+        return std::nullopt;
+    return found->second;
+}
+
+request_queue& gateway::queue_of(service_name const& service)
+{
+    auto& queue = request_queues_[service];
+    if (!queue)
+        queue = std::make_unique<request_queue>(queue_policy_, env_.random);
+    return *queue;
+}
+
+double gateway::unseen_choices(service_name const& service, bool resuming)
+{
+    return contention_[service].unseen_choices(
+        fleet_size() - 1, requests_waiting(service), resuming,
+        env_.clock.now());
+}
+
+bool gateway::requests_waiting(service_name const& service) const
+{
+    auto const queue = request_queues_.find(service);
+    return queue != request_queues_.end() && queue->second->size() > 0;
+}
+
+void gateway::on_prompt_started(service_name const& service)
+{
+    contention_[service].record_start(env_.clock.now());
+}
+
+void gateway::on_answer_lost(service_name const& service)
+{
+    contention_[service].record_loss(env_.clock.now());
+}
+
 bool gateway::wait_for_capacity(std::shared_ptr<relay_exchange> const& e)
 {
     auto const& r = e->request();
-    auto& queue = request_queues_[r.service];
-    if (!queue)
-        queue = std::make_unique<request_queue>(queue_policy_);
+    auto& queue = queue_of(r.service);
     auto const now = env_.clock.now();
-    auto const first = estimate(r.service).expected(e->work().prompt_tokens);
-    auto const found = stream_durations_.find(r.service);
-    duration const whole =
-        found != stream_durations_.end() ? found->second : 2 * first;
-    queued_request entry;
+    auto entry = make_queued_request(
+        *r.route, e->work(), r.rank, e->received(), e->deadline(),
+        estimate(r.service), generation_duration(r.service), now);
     entry.id = e->number();
     entry.organisation = r.organisation;
-    entry.rank = e->work().resuming ? 0 : r.rank;
-    entry.tokens = e->work().prompt_tokens;
-    entry.target_start =
-        e->work().resuming ? now + r.route->event_gap_target
-                           : e->received() + r.route->first_byte_target - first;
-    entry.start_deadline =
-        e->work().resuming ? e->deadline() : e->deadline() - whole;
-    entry.begun = e->work().resuming;
+    bool const others_waited = queue.size() > 0;
     auto const pause_end = selection_.earliest_pause_end(r.service, now);
     if (pause_end && entry.too_late_at(*pause_end))
-        refuse_paused({entry.id, {}}, *pause_end);
-    else if (auto const refusal = queue->enqueue(entry, now))
-        refuse_waiting(*refusal);
+        refuse_paused(entry.id, *pause_end);
+    else if (auto const refusal = queue.enqueue(entry, now))
+        refuse_waiting(*refusal, to_string(refusal->reason));
+    // It was not offered to any endpoint before those that waited.
+    if (others_waited)
+        on_capacity_freed(r.service);
     return true;
 }
 
@@ -663,14 +716,38 @@
     if (found == exchanges_.end())
         return;
     auto const e = found->second;
+    auto const text = [](duration d) {
+        return std::to_string(
+            std::chrono::duration_cast<milliseconds>(d).count());
+    };
+    auto const& r = e->request();
+    env_.counters
+        .counter(
+            "queue_refusals_total",
+            "rank=\"" + std::to_string(r.rank) + "\",reason=\"" + reason + '"')
+        .add();
+    env_.log.record(
+        event_level::warn, "wait_refused",
+        {{"request", r.metadata.id.value()},
+         {"organisation", r.organisation.value()},
+         {"rank", std::to_string(r.rank)},
+         {"reason", reason},
+         {"waited_ms", text(env_.clock.now() - e->received())},
+         {"predicted_wait_ms",
+          refusal.predicted_wait ? text(*refusal.predicted_wait) : "-"},
+         {"retry_after_ms", text(refusal.retry_after)},
+         {"waiting", std::to_string(queue_of(r.service).size())}});
     e->refuse(reason, refusal.retry_after);
 }
 
 /// Refuses a request that cannot start before all endpoints end their pauses.
-void gateway::refuse_paused(queue_refusal refusal, steady_time until)
+void gateway::refuse_paused(queue_entry_id id, steady_time until)
 {
+    queue_refusal refusal;
+    refusal.id = id;
+    refusal.predicted_wait = until - env_.clock.now();
     refusal.retry_after =
-        std::chrono::ceil<milliseconds>(until - env_.clock.now());
+        std::chrono::ceil<milliseconds>(*refusal.predicted_wait);
     refuse_waiting(refusal, "endpoints_paused");
 }
 
@@ -705,11 +782,19 @@
     if (auto const pause_end = selection_.earliest_pause_end(service, now))
     {
         for (auto const& refusal : queue.remove_expired(*pause_end))
-            refuse_paused(refusal, *pause_end);
+            refuse_paused(refusal.id, *pause_end);
         return; // no endpoint takes any of the others before
     }
     for (auto const& refusal : queue.remove_expired(now))
-        refuse_waiting(refusal);
+        refuse_waiting(refusal, to_string(refusal.reason));
+    start_waiting(queue, now);
+    for (auto const& refusal : queue.remove_unservable(now))
+        refuse_waiting(refusal, to_string(refusal.reason));
+}
+
+/// Starts requests in their order until there is no capacity for the next one.
+void gateway::start_waiting(request_queue& queue, steady_time now)
+{
     for (std::size_t n = queue.size(); n > 0; --n)
     {
         auto const next = queue.pop(now);
@@ -721,9 +806,15 @@
         auto const e = found->second;
         if (!e->try_leave_queue())
         {
-            queue.requeue(*next, now);
+            queue.requeue(*next);
             return;
         }
+        env_.counters
+            .histogram(
+                "queue_wait_seconds",
+                "rank=\"" + std::to_string(next->rank) + '"')
+            .record(std::chrono::duration_cast<std::chrono::microseconds>(
+                now - next->received));
     }
 }
 
@@ -753,10 +844,13 @@
         run_step("peers", [this] { peer_load_sync_->poll(); });
     if (table_service_)
         run_step("tables", [&] { table_service_->poll(now); });
+    if (rollouts_)
+        run_step("rollouts", [&] { rollouts_->poll(now); });
     peers_.expire(now);
     check_endpoint_calls(now, paused);
     check_exchanges(now, paused);
     run_step("suspects", [&] { check_suspected_endpoints(now); });
+    run_step("queues", [this] { dispatch_waiting(); });
     if (listener_closing_)
         run_step("accept", [this] { stop_accepting(); });
     note_freshness(now);
@@ -767,7 +861,6 @@
     run_step("prompts", [&] { prompt_crashes_.remove_expired(now); });
     run_step("sweep", [&] { sweep_endpoints(now); });
     run_step("sources", [&] { update_table_sources(now); });
-    run_step("queues", [this] { dispatch_waiting(); });
     run_step("status", [&] { status_->check_timeouts(now); });
     if (metrics_)
         run_step("metrics", [&] { metrics_->check_timeouts(now); });
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -19,9 +20,12 @@
 #include <dotterellock/observability.hpp>
 #include <dotterellock/policy.hpp>
 
+#include "gateway/choice_contention.hpp"
 #include "gateway/freshness_lease.hpp"
 #include "gateway/memory_budget.hpp"
+#include "gateway/placement_explanation.hpp"
 #include "gateway/request_queue.hpp"
+#include "gateway/request_rate_limit.hpp"
 #include "gateway/shared_table.hpp"
 #include "gateway/shutdown_policy.hpp"
 #include "gateway/table_source_selector.hpp"
@@ -30,6 +34,7 @@
 #include "peer_tables.hpp"
 #include "prompt_cache_lookup.hpp"
 #include "relay_exchange.hpp"
+#include "rollout_control.hpp"
 #include "settings/gateway_settings.hpp"
 #include "status_service.hpp"
 
@@ -50,8 +55,24 @@
     /// Throws error(protocol_error) for a row that describes no endpoint.
     virtual endpoint_record read_endpoint(store_row const& row) const = 0;
 
-    virtual std::string configuration_table() const = 0;
+    /// The service whose rollout a row is about, by the row's key; no value for
+    /// other rows.
+    virtual std::optional<service_name>
+    rollout_service(store_row const& row) const = 0;
+
+    /// Throws error(protocol_error) for a malformed order. Its time is not set.
+    virtual rollout_order read_rollout_order(store_row const& row) const = 0;
+
+    /// Throws error(protocol_error) for a malformed status.
+    virtual rollout_status read_rollout_status(store_row const& row) const = 0;
+    virtual std::string
+    rollout_status_text(rollout_status const& status) const = 0;
+    virtual std::string
+    rollout_status_key(service_name const& service) const = 0;
+
+    virtual std::string configuration_table() const = 0; // and of orders
     virtual std::string endpoint_table() const = 0;
+    virtual std::string status_table() const = 0;
 };
 
 /// Dependencies of a gateway; owned by the process and outlive the gateway.
@@ -67,6 +88,7 @@
     row_reader& endpoint_reader;
     row_reader& peer_reader;
     row_writer& peer_writer;
+    row_writer& status_store; // not used without rollouts
     event_log& log;
     counter_registry& counters;
     memory_budget& memory;
@@ -107,6 +129,10 @@
     // Time in which a process without a configuration should receive one.
     static constexpr std::chrono::milliseconds unconfigured_retry_after{1000};
 
+    // An operator asks a few times; each answer takes as long as some requests.
+    static constexpr std::size_t max_explanations = 5;
+    static constexpr std::chrono::milliseconds explanation_period{1000};
+
     class configuration_sink;
     class endpoint_sink;
 
@@ -134,8 +160,13 @@
     service_retry_budget& budget(service_name const& service) override;
     first_event_estimate& estimate(service_name const& service) override;
     prompt_crash_monitor& prompt_crashes() override { return prompt_crashes_; }
+    rollout_control* rollouts() override { return rollouts_.get(); }
+    void
+    report_answer(endpoint_ptr const& endpoint, version_answer answer) override;
+    service_retry_budget new_budget() const;
+    void update_fleet_size(service_retry_budget& budget) const;
     std::size_t fleet_size() const;
-    std::uint32_t connection_share(service_spec const& service) override;
+    std::uint32_t connection_share(service_spec const& service) const override;
     void report_outcome(
         endpoint_ptr const& endpoint, attempt_outcome outcome) override;
     void check_endpoint(endpoint_ptr const& endpoint) override;
@@ -145,10 +176,15 @@
     void call(
         endpoint_ptr const& endpoint, std::chrono::milliseconds timeout,
         std::string request, bool probe, endpoint_call::handler done) override;
-    void
-    record_stream_duration(service_name const& service, duration took) override;
+    void record_stream_duration(
+        service_name const& service, duration took,
+        duration since_first_event) override;
     void on_load_changed() override;
     bool may_pass_on(relay_exchange const& e) const override;
+    double unseen_choices(service_name const& service, bool resuming) override;
+    bool requests_waiting(service_name const& service) const override;
+    void on_prompt_started(service_name const& service) override;
+    void on_answer_lost(service_name const& service) override;
     bool wait_for_capacity(std::shared_ptr<relay_exchange> const& e) override;
     void on_capacity_freed(service_name const& service) override;
     void
@@ -157,8 +193,13 @@
     void
     count_request(relay_exchange const& e, request_result const& r) override;
 
+    void publish_endpoint_loads();
     std::unique_ptr<status_service>
-    make_status_service(std::string const& address);
+    make_status_service(std::string const& address, bool explains);
+    status_page explain_placement(std::string_view target);
+    placement_state explained_state(steady_time now) const;
+    service_view
+    explained_service(service_name const& service, steady_time now) const;
     void accept_when_ready();
     void accept();
     void accept_waiting();
@@ -181,9 +222,12 @@
     void check_sessions(steady_time now);
     void dispatch_queue(service_name const& service, request_queue& queue);
     void dispatch_waiting();
-    void refuse_waiting(
-        queue_refusal const& refusal, char const* reason = "no_room");
-    void refuse_paused(queue_refusal refusal, steady_time until);
+    void start_waiting(request_queue& queue, steady_time now);
+    std::optional<duration>
+    generation_duration(service_name const& service) const;
+    request_queue& queue_of(service_name const& service);
+    void refuse_waiting(queue_refusal const& refusal, char const* reason);
+    void refuse_paused(queue_entry_id id, steady_time until);
     void log_leaving(endpoint_id const& endpoint, char const* source);
     void log_endpoint(
         std::string const& key, char const* state, std::string const& detail,
@@ -200,6 +244,7 @@
     void on_load_share(load_share const& share);
     void check_suspected_endpoints(steady_time now);
     void sweep_endpoints(steady_time now);
+    void make_rollout_control();
     std::unique_ptr<table_listener> make_configuration_sink();
     std::unique_ptr<table_listener> make_endpoint_sink();
     void update_table_sources(steady_time now);
@@ -215,7 +260,9 @@
         client_session& session, std::string const& id, unsigned status,
         char const* reason, std::string const& detail,
         std::chrono::milliseconds retry_after = unconfigured_retry_after);
-    bool configuration_newer_than(std::chrono::milliseconds age) const;
+    bool may_be_cached(
+        gateway_route const& route,
+        std::optional<std::uint64_t> const& last_event_id) const;
     void apply_configuration(
         gateway_configuration configuration, std::uint64_t revision);
 
@@ -249,10 +296,12 @@
     std::unique_ptr<peer_table_service> table_service_; // null: no peers
 
     asio::ip::tcp::acceptor acceptor_;
+    std::unique_ptr<rollout_control> rollouts_;      // null: disabled
     std::unique_ptr<peer_load_sync> peer_load_sync_; // null: no peers
     std::vector<std::pair<steady_time, endpoint_id>> recent_failures_;
     std::unique_ptr<status_service> status_;
     std::unique_ptr<status_service> metrics_;
+    request_rate_limit explanation_limit_{max_explanations, explanation_period};
     timer_id tick_timer_ = 0;
     steady_time started_{};
     bool accepting_ = false;
@@ -268,6 +317,7 @@
     std::uint64_t last_exchange_number_ = 0;
     std::map<service_name, service_retry_budget> budgets_;
     std::map<service_name, first_event_estimate> estimates_;
+    std::map<service_name, choice_contention> contention_;
     struct fixed_policy : policy_source
     {
         policy_settings settings;
@@ -280,6 +330,9 @@
     std::set<service_name> engine_services_;            // that had requests
     std::map<service_name, duration> stream_durations_; // moving averages
 
+    // From the first event to the end; moving averages.
+    std::map<service_name, duration> generation_durations_;
+
     prompt_cache_lookup cache_lookup_;
     bool shutting_down_ = false;
     bool configuration_was_fresh_ = false;
