gateway: compare endpoints of another region rarely

Cause: with many gateways only two or three endpoints are compared, and those of the other region were drawn at half of the weight: a third of the time one of them, though the own region had room.

Change: a tenth of the weight. Endpoints of the other region still take what the own one has no room for.

--- a/src/gateway/endpoint_selector.cpp
+++ b/src/gateway/endpoint_selector.cpp
@@ -29,6 +29,10 @@
 // prompt, so that a few tokens more do not outweigh the number of streams.
 constexpr std::uint64_t prefill_step = 4000;
 
+// The link between regions is slow, and its traffic is paid by volume. Where
+// the own region has no room, its endpoints are no options.
+constexpr double other_region_weight = 0.1;
+
 // A request that did not get room is drawn anew after this time, in which the
 // choices of the others become known.
 constexpr std::chrono::milliseconds draw_interval =
@@ -169,9 +173,9 @@
 }
 
 /// Keeps so many options that gateways which choose at the same moment compare
-/// different ones. Options with more room are kept more often, in the order of
-/// a weighted rendezvous hash: another gateway keeps the same ones for the same
-/// prompt.
+/// different ones. Options with more room are kept more often, and those of
+/// other regions rarely, in the order of a weighted rendezvous hash: another
+/// gateway keeps the same ones for the same prompt.
 void endpoint_selector::keep_subset(
     std::vector<option>& options, double choosers)
 {
@@ -182,8 +186,9 @@
         return;
     auto const rank = [](option const& o)
     {
-        double const nearness =
-            o.distance == topology::distance::other_region ? 0.5 : 1.0;
+        double const nearness = o.distance == topology::distance::other_region
+                                    ? other_region_weight
+                                    : 1.0;
         return -std::log(unit_interval(o.endpoint->weight)) /
                (o.room * nearness);
     };
