gateway: keep a draining endpoint so for its incarnation

Seen: no caller saw it yet. The platform's store may be restored from a backup of some seconds ago, in which a leaving endpoint is still ready; a gateway that knew of the departure would send it requests past the drain bound.

Cause: endpoint_table::put took each row for the newest state of its endpoint.

Evidence: 'no row brings a draining endpoint back' failed on in its row "same incarnation" (leaving() false after the older row).

Change: a row of the same incarnation does not revoke a departure that its registration announced. A removed row that comes back still does, as rows lapse while the store is away. Rows without an incarnation are taken as before.

--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -16,8 +16,12 @@
                           known.service == record.service;
         if (same)
         {
-            found->second->update(record);
-            if (record.draining)
+            // A row from before the departure comes from a restored store.
+            bool const left = known.draining && known.incarnation_start > 0;
+            auto current = record;
+            current.draining = record.draining || left;
+            found->second->update(current);
+            if (current.draining)
                 return found->second->set_leaving(
                     changed_at + last_resort_period_);
             found->second->clear_leaving();
--- a/tests/gateway/endpoints_test.cpp
+++ b/tests/gateway/endpoints_test.cpp
@@ -94,6 +94,37 @@
     REQUIRE_FALSE(table.find(endpoint_id("one"))->leaving());
 }
 
+// Guards against requests past the drain bound, as the store was restored from
+// a backup in which the endpoint does not leave yet.
+TEST_CASE("no row brings a draining endpoint back", "[endpoints]")
+{
+    struct row
+    {
+        char const* name;
+        std::uint64_t incarnation_before;
+        std::uint64_t incarnation_after;
+        bool leaving;
+    };
+    auto const r = GENERATE(
+        row{"same incarnation", 1000, 1000, true},
+        row{"restarted", 1000, 2000, false}, row{"not known", 0, 0, false});
+    CAPTURE(r.name);
+    endpoint_table table{milliseconds(2000)};
+    auto record = endpoint("one", "a1");
+    record.incarnation_start = r.incarnation_before;
+    record.draining = true;
+    table.put(record, at(0));
+    record.incarnation_start = r.incarnation_after;
+    record.draining = false;
+    for (int i = 0; i < 2; ++i)
+    {
+        table.put(record, at(500));
+        auto const known = table.find(record.id);
+        REQUIRE(known->leaving() == r.leaving);
+        REQUIRE(known->has_left(at(2000)) == r.leaving);
+    }
+}
+
 // A short interruption of this gateway's reading let it use a removed endpoint
 // past the drain bound: 3,972 ms after the removal, with a bound of 4,000 ms
 // and a margin of 500 ms. A long one must not take the endpoints whose rows
