rollout: go on with an order when the store is restored

Cause: an order is known by the revision of its row, which a restored store gives anew. The order began again with a new allowance for its candidate, a verdict was forgotten, and a status that the store had lost was not written again.

Change: an order with the same version and length in a later era goes on under its new revision, and its status row is read and written again. Verdicts of peers count while the two have read the order under different revisions. An order that the backup does not list is withdrawn after 3 s, as its operator writes it again.

--- a/src/gateway/rollout.cpp
+++ b/src/gateway/rollout.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "store_revision.hpp"
+
 namespace dotterellock
 {
 
@@ -34,6 +36,27 @@
 
 } // namespace
 
+bool is_restored(rollout_order const& order, rollout_order const& known)
+{
+    return store_era_of(order.revision) > store_era_of(known.revision) &&
+           order.to == known.to && order.length == known.length;
+}
+
+rollout_status
+merged_across_eras(rollout_status const& a, rollout_status const& b)
+{
+    auto merged = a;
+    bool const same_order =
+        a.order_revision != 0 && b.order_revision != 0 && a.to == b.to &&
+        store_era_of(a.order_revision) != store_era_of(b.order_revision);
+    if (same_order)
+    {
+        merged.state = std::max(a.state, b.state);
+        merged.order_revision = std::max(a.order_revision, b.order_revision);
+    }
+    return merged;
+}
+
 bool supersedes(rollout_status const& a, rollout_status const& b)
 {
     if (a.order_revision != b.order_revision)
--- a/src/gateway/rollout.hpp
+++ b/src/gateway/rollout.hpp
@@ -31,6 +31,10 @@
     steady_time not_before{};   // earliest time at which it may have been given
 };
 
+/// Whether `order` is `known`, read again from a store that was restored and
+/// has given its row another revision.
+bool is_restored(rollout_order const& order, rollout_order const& known);
+
 enum class rollout_state
 {
     running,
@@ -51,6 +55,11 @@
 /// with a state that outranks the other.
 bool supersedes(rollout_status const& a, rollout_status const& b);
 
+/// The sum of two states of one order, which has another revision in each as
+/// the store was restored; `a` if they are of different orders.
+rollout_status
+merged_across_eras(rollout_status const& a, rollout_status const& b);
+
 /// Times of an order's phases, measured from its beginning.
 struct rollout_phases
 {
--- a/src/gateway/rollout_coordinator.cpp
+++ b/src/gateway/rollout_coordinator.cpp
@@ -84,22 +84,30 @@
 
 // Orders and status rows -----------------------------------------------------
 
-void rollout_coordinator::on_order(rollout_order const& order, steady_time now)
+bool rollout_coordinator::on_order(rollout_order const& order, steady_time now)
 {
     if (!settings_.enabled)
-        return;
+        return false;
     auto& p = progress_of(order.service);
     rollout_status const status{
         order.service, order.to, rollout_state::running, order.revision};
     // A copy of the table that is behind.
     if (p.order && order.revision < p.order->revision)
-        return;
+        return false;
+    if (p.order && !p.withdrawn && is_restored(order, *p.order))
+    {
+        p.restore(order.revision);
+        record(
+            event_level::info, "rollout_restored", p.status,
+            "the store was restored");
+        return false;
+    }
     if (p.order && order.revision == p.order->revision)
     {
         // Invalid orders stay so; others come back after an incomplete listing.
         if (order.length.count() > 0 && !order.to.empty())
             p.withdrawn = false;
-        return;
+        return false;
     }
     if (p.active())
         record(event_level::info, "rollout_replaced", p.status, "new order");
@@ -108,7 +116,7 @@
     {
         p.withdrawn = true;
         record(event_level::warn, "rollout_invalid", status, "no duration");
-        return;
+        return true;
     }
     auto const phases = p.phases;
     p.canary = canary_traffic(
@@ -121,6 +129,7 @@
     record(
         event_level::info, "rollout_ordered", p.status,
         p.beginning_known ? "new order" : "found at start");
+    return true;
 }
 
 void rollout_coordinator::on_order_withdrawn(
@@ -276,7 +285,9 @@
     if (evidence.status.order_revision == p.status.order_revision &&
         evidence.status.state == rollout_state::completed)
         p.was_completed = true;
-    merge(p, evidence.status, "peer " + gateway.value(), now);
+    merge(
+        p, merged_across_eras(evidence.status, p.status),
+        "peer " + gateway.value(), now);
     if (!p.order || evidence.status.order_revision != p.order->revision)
         return;
     p.confirmed = true;
--- a/src/gateway/rollout_coordinator.hpp
+++ b/src/gateway/rollout_coordinator.hpp
@@ -77,8 +77,9 @@
 
     // From the store ---------------------------------------------------------
 
-    /// A new or changed order.
-    void on_order(rollout_order const& order, steady_time now);
+    /// An order as read from the store.
+    /// @return whether it is a new one
+    bool on_order(rollout_order const& order, steady_time now);
 
     /// The order's row was removed, or cannot be read any more.
     void on_order_withdrawn(service_name const& service, steady_time now);
--- a/src/gateway/rollout_order_progress.cpp
+++ b/src/gateway/rollout_order_progress.cpp
@@ -90,6 +90,15 @@
     warned_of_absence = false;
 }
 
+void rollout_coordinator::order_progress::restore(std::uint64_t revision)
+{
+    if (status.order_revision == order->revision)
+        status.order_revision = revision;
+    order->revision = revision;
+    withdrawn = false;
+    row.forget();
+}
+
 void rollout_coordinator::order_progress::learn_elapsed(
     milliseconds elapsed, steady_time now)
 {
--- a/src/gateway/rollout_order_progress.hpp
+++ b/src/gateway/rollout_order_progress.hpp
@@ -31,6 +31,9 @@
     /// given, as it has just started, assumes a short rest of it.
     void begin(rollout_order const& given, steady_time now);
 
+    /// Goes on with the order under the revision that a restored store gave it.
+    void restore(std::uint64_t revision);
+
     /// Takes the time of the order from a peer that knows it.
     void learn_elapsed(std::chrono::milliseconds elapsed, steady_time now);
 
--- a/src/gateway/rollout_status_row.hpp
+++ b/src/gateway/rollout_status_row.hpp
@@ -44,6 +44,9 @@
         read_at_ = now;
     }
 
+    /// The store was restored, so the row is to be read again.
+    void forget() { *this = {}; }
+
     void on_state_change(steady_time now)
     {
         changed_at_ = now;
--- a/src/relay/rollout_control.cpp
+++ b/src/relay/rollout_control.cpp
@@ -6,6 +6,7 @@
 
 #include "gateway.hpp"
 #include "gateway/isolated_work.hpp"
+#include "gateway/store_revision.hpp"
 
 namespace dotterellock
 {
@@ -26,6 +27,10 @@
 // a second of the store's return.
 constexpr milliseconds store_retry_interval{200};
 
+// Writers repeat at once what a restored store lost; registrations take up to
+// two seconds.
+constexpr milliseconds rewrite_time{3000};
+
 constexpr std::size_t max_logged_key_bytes = 200;
 
 answer_counts sum_of(std::map<std::string, answer_counts> const& routes)
@@ -80,8 +85,10 @@
     // The first listing has orders that were given at any time before.
     bool const known = std::exchange(listed_, true);
     std::set<service_name> listed;
+    std::uint64_t era = 0;
     for (auto const& row : rows)
     {
+        era = std::max(era, store_era_of(row.revision));
         if (auto const service = codec_.rollout_service(row))
         {
             listed.insert(*service);
@@ -90,9 +97,13 @@
         }
     }
     std::vector<service_name> removed;
-    for (auto const& [service, order] : orders_)
+    for (auto& [service, order] : orders_)
     {
-        if (listed.count(service) == 0)
+        if (listed.count(service) != 0)
+            continue;
+        if (store_era_of(order.revision) < era)
+            order.missing_since = clock_.now();
+        else
             removed.push_back(service);
     }
     for (auto const& service : removed)
@@ -112,8 +123,12 @@
         return;
     }
     auto const known = orders_.find(*service);
-    if (known != orders_.end() && known->second.revision == row.revision)
-        return; // listed again
+    if (known != orders_.end())
+    {
+        known->second.missing_since.reset();
+        if (known->second.revision == row.revision)
+            return; // listed again
+    }
     run_isolated(
         [&]
         {
@@ -159,13 +174,28 @@
 
 void rollout_control::give(known_order& known, rollout_order const& order)
 {
-    known.given = true;
     known.held.reset();
-    known.reached = phase::none;
-    known.requests = 0;
     // The gateway's part of the allowance depends on it.
     coordinator_.set_fleet_size(gateway_.fleet_size());
-    coordinator_.on_order(order, clock_.now());
+    bool const begun = coordinator_.on_order(order, clock_.now());
+    if (begun || !known.given)
+    {
+        known.reached = phase::none;
+        known.requests = 0;
+    }
+    known.given = true;
+}
+
+void rollout_control::withdraw_missing(steady_time now)
+{
+    std::vector<service_name> missing;
+    for (auto const& [service, known] : orders_)
+    {
+        if (known.missing_since && now - *known.missing_since >= rewrite_time)
+            missing.push_back(service);
+    }
+    for (auto const& service : missing)
+        withdraw(service);
 }
 
 void rollout_control::withdraw(service_name const& service)
@@ -358,6 +388,7 @@
     if (now - updated_ >= update_interval)
     {
         updated_ = now;
+        withdraw_missing(now);
         update(now);
     }
     if (coordinator_.take_urgent())
--- a/src/relay/rollout_control.hpp
+++ b/src/relay/rollout_control.hpp
@@ -138,6 +138,10 @@
         std::uint64_t requests = 0; // for the service, since the order
         bool given = false;         // to the coordinator
 
+        // The restored store does not list the order, which may be written
+        // again.
+        std::optional<steady_time> missing_since;
+
         // Until a configuration names its service.
         std::optional<rollout_order> held;
     };
@@ -151,6 +155,7 @@
     void apply_row(store_row const& row, std::optional<steady_time> not_before);
     void give(known_order& known, rollout_order const& order);
     void withdraw(service_name const& service);
+    void withdraw_missing(steady_time now);
     void on_unreadable(
         store_row const& row, service_name const& service,
         std::string const& detail);
--- a/tests/gateway/rollout_coordinator_test.cpp
+++ b/tests/gateway/rollout_coordinator_test.cpp
@@ -7,6 +7,7 @@
 
 #include "gateway/rollout_coordinator.hpp"
 #include "gateway/rollout_peers.hpp"
+#include "gateway/store_revision.hpp"
 #include "rollout_fleet.hpp"
 
 using namespace dotterellock;
@@ -499,6 +500,56 @@
     CHECK(write->expected_revision == 3);
 }
 
+// Guards against an order that begins again, or a verdict that is forgotten,
+// when the store is restored and the order's row gets another revision there.
+TEST_CASE("an order outlasts a restoration of the store", "[rollout]")
+{
+    auto const in_era = [](std::uint64_t era, std::uint64_t version)
+    { return make_store_revision(era, version); };
+    auto const running = rollout_state::running;
+    auto const rolled_back = rollout_state::rolled_back;
+    struct row
+    {
+        char const* what;
+        rollout_state known;
+        std::optional<rollout_state> peer; // that read the restored row before
+        rollout_state expected;
+        int length_ms; // in the restored row
+        bool same_order;
+    };
+    auto const r = GENERATE_COPY(
+        row{"running", running, std::nullopt, running, 20000, true},
+        row{"ended", rolled_back, std::nullopt, rolled_back, 20000, true},
+        row{"a peer does not know", rolled_back, running, rolled_back, 20000,
+            true},
+        row{"a peer knows", running, rolled_back, rolled_back, 20000, true},
+        row{"another order", rolled_back, std::nullopt, running, 30000, false});
+    CAPTURE(r.what);
+    one_gateway g;
+    g.update(old_only, -1000);
+    g.order("v2", in_era(1, 7), 0);
+    g.c.on_status_row(
+        api, rollout_status{api, "v2", running, in_era(1, 7)}, in_era(1, 8),
+        at(0));
+    if (r.known == rolled_back)
+        g.peer(rolled_back, in_era(1, 7), 100);
+    if (r.peer)
+        g.peer(*r.peer, in_era(2, 5), 200);
+    rollout_order restored{
+        api, "v2", milliseconds(r.length_ms), in_era(2, 5), at(0)};
+    CHECK(g.c.on_order(restored, at(300)) == !r.same_order);
+    CHECK(g.c.unread_status().size() == (r.same_order ? 1 : 0));
+    g.c.on_status_row(
+        api, rollout_status{api, "v2", running, in_era(1, 7)}, in_era(2, 6),
+        at(400));
+    g.update(both, 2500);
+    auto const write = g.c.due_write(api, 0, at(2500));
+    REQUIRE(write);
+    CHECK(write->expected_revision == in_era(2, 6));
+    CHECK(write->status.order_revision == in_era(2, 5));
+    CHECK(write->status.state == r.expected);
+}
+
 TEST_CASE("disabled rollouts cost nothing", "[rollout]")
 {
     one_gateway g(false);
