soak: restore the store from a backup of up to 4 s ago

The stand-in gives versions out again; what its operator and endpoints wrote since is repeated, what gateways wrote is lost. Each answer names the era.

--- a/tests/platform/soak/fault_plan.cpp
+++ b/tests/platform/soak/fault_plan.cpp
@@ -44,6 +44,7 @@
         {"store_refuses_one", t::store, 500ms, 6000ms},
         {"store_forgets", t::store, 0ms, 0ms},
         {"store_entries_lapse", t::store, 800ms, 4000ms},
+        {"store_restored", t::store, 100ms, 1000ms},
         {"endpoint_crash", t::endpoint, 300ms, 3000ms},
         {"endpoint_same_id", t::endpoint, 50ms, 1000ms},
         {"endpoint_leaves", t::endpoint, 3500ms, 5000ms},
--- a/tests/platform/soak/soak_environment.cpp
+++ b/tests/platform/soak/soak_environment.cpp
@@ -545,6 +545,18 @@
         store_.forget_history();
         return nullptr;
     }
+    if (fault == "store_restored")
+    {
+        constexpr milliseconds max_backup_age{4000};
+        faults.down = true;
+        auto const age =
+            milliseconds(random_.below(std::uint64_t(max_backup_age.count())));
+        return [this, &faults, age]
+        {
+            faults.down = false;
+            store_.restore(age);
+        };
+    }
     // store_entries_lapse: rows are removed while the store is down and
     // registered again shortly after it recovers.
     faults.down = true;
--- a/tests/platform/soak/store_standin.cpp
+++ b/tests/platform/soak/store_standin.cpp
@@ -1,5 +1,8 @@
 #include "store_standin.hpp"
 
+#include <algorithm>
+#include <utility>
+
 #include <restinio/utils/base64.hpp>
 
 #include "platform/json_fields.hpp"
@@ -38,19 +41,58 @@
 void store_standin::put(
     std::string const& table, std::string const& key, std::string const& value)
 {
-    tables_[table][key] = {value, ++version_, false};
-    answer_polls();
+    write(table, key, {value, 0, false}, true);
 }
 
 void store_standin::remove(std::string const& table, std::string const& key)
+{
+    remove_row(table, key, true);
+}
+
+void store_standin::remove_row(
+    std::string const& table, std::string const& key, bool repeated)
 {
     auto const found = tables_[table].find(key);
-    if (found == tables_[table].end() || found->second.deleted)
-        return;
-    found->second = {"", ++version_, true};
+    if (found != tables_[table].end() && !found->second.deleted)
+        write(table, key, {"", 0, true}, repeated);
+}
+
+void store_standin::write(
+    std::string const& table, std::string const& key, row written,
+    bool repeated)
+{
+    written.version = ++version_;
+    tables_[table][key] = written;
+    changes_.push_back(
+        {std::chrono::steady_clock::now(), table, key, written, repeated});
     answer_polls();
 }
 
+void store_standin::restore(std::chrono::milliseconds age)
+{
+    auto const taken = std::chrono::steady_clock::now() - age;
+    auto const first_lost = std::find_if(
+        changes_.begin(), changes_.end(),
+        [taken](change const& c) { return c.at > taken; });
+    std::vector<change> const lost(first_lost, changes_.end());
+    changes_.erase(first_lost, changes_.end());
+    tables_.clear();
+    version_ = 1;
+    ++era_;
+    for (auto const& c : changes_)
+    {
+        tables_[c.table][c.key] = c.after;
+        version_ = c.after.version;
+    }
+    for (auto const& [number, poll] : std::exchange(pending_polls_, {}))
+        answer(poll.connection, 410, "{}");
+    for (auto const& c : lost)
+    {
+        if (c.repeated)
+            write(c.table, c.key, c.after, true);
+    }
+}
+
 void store_standin::handle(
     std::size_t gateway, std::shared_ptr<raw_http_connection> const& c,
     raw_http_request const& r)
@@ -85,8 +127,11 @@
 {
     if (faults.silent || random_.uniform() < faults.lost_response_share)
         return; // later requests on this connection are not read
-    c->send(
-        encode_response(status, "Content-Type: application/json\r\n", body));
+    c->send(encode_response(
+        status,
+        "Content-Type: application/json\r\nStore-Era: " + std::to_string(era_) +
+            "\r\n",
+        body));
     c->finish_request();
 }
 
@@ -137,7 +182,7 @@
 {
     pending_poll const f{
         gateway, c, r.parameter("table"), std::stoull(r.parameter("afterRev"))};
-    if (f.after < history_from_)
+    if (f.after < history_from_ || f.after > version_)
     {
         answer(c, 410, "{}");
         return;
@@ -220,10 +265,12 @@
     {
         auto const value =
             base64::try_decode(row.at("value").get<std::string>());
-        put(row.at("table"), row.at("key"), value ? *value : std::string());
+        write(
+            row.at("table"), row.at("key"),
+            {value ? *value : std::string(), 0, false}, false);
     }
     for (auto const& row : body.value("deletes", json::array()))
-        remove(row.at("table"), row.at("key"));
+        remove_row(row.at("table"), row.at("key"), false);
     answer(c, 200, json{{"ver", version_}}.dump());
 }
 
--- a/tests/platform/soak/store_standin.hpp
+++ b/tests/platform/soak/store_standin.hpp
@@ -48,6 +48,11 @@
         return find(table, key).value;
     }
 
+    /// Goes back to the state of some time ago. Versions are given out again.
+    /// The operator and the endpoints repeat what they wrote since, gateways do
+    /// not.
+    void restore(std::chrono::milliseconds age);
+
     /// Discards the change history: polls from older versions are answered 410.
     void forget_history() { history_from_ = version_; }
 
@@ -66,6 +71,15 @@
     };
     using table = std::map<std::string, row>;
 
+    struct change
+    {
+        std::chrono::steady_clock::time_point at;
+        std::string table;
+        std::string key;
+        row after;
+        bool repeated = false; // by its writer, if a restoration loses it
+    };
+
     struct pending_poll
     {
         std::size_t gateway;
@@ -87,6 +101,11 @@
         std::shared_ptr<raw_http_connection> const& c,
         raw_http_request const& r);
     row find(std::string const& table, std::string const& key) const;
+    void write(
+        std::string const& table, std::string const& key, row written,
+        bool repeated);
+    void
+    remove_row(std::string const& table, std::string const& key, bool repeated);
     bool serves(std::size_t gateway) const
     {
         return available() && faults.refused_gateways.count(gateway) == 0;
@@ -103,6 +122,8 @@
     std::map<std::string, table> tables_;
     std::uint64_t version_ = 1;
     std::uint64_t history_from_ = 0;
+    std::uint64_t era_ = 1;
+    std::vector<change> changes_;
     std::map<std::uint64_t, pending_poll> pending_polls_;
     std::uint64_t last_poll_ = 0;
 };
