selection: weigh endpoints by the speed of their engines

Seen: on a fleet whose endpoints differ in speed by 2.2, as many answers ran at the slow ones as at the fast ones (untouched code: 269 at 30 fast endpoints, 483 at 88 slow ones, medians of 22 and 54 ms per event).

Cause: the choice counts streams, not the time that they take.

Change: gateways measure the time per event of the streams that they relay, keep a low quantile of it for each endpoint and tell it with the shares that they send anyway (a fifth number per endpoint; earlier builds ignore it). A prompt goes where its own answer and the delay of the streams beside it take least. Differences below 1.6 do not count, as load explains them; fast endpoints of another region are not preferred.

--- a/src/gateway/endpoint_selector.cpp
+++ b/src/gateway/endpoint_selector.cpp
@@ -29,6 +29,15 @@
 // prompt, so that a few tokens more do not outweigh the number of streams.
 constexpr std::uint64_t prefill_step = 4000;
 
+// Load makes the measured pace of an endpoint longer by up to a half, so
+// smaller differences say nothing about its speed.
+constexpr double min_speed_ratio = 1.6;
+constexpr double max_speed_ratio = 4;
+
+// A prompt costs its own answer's time, about as long as this many prompts are
+// processed, and delays each running stream by the processing of one.
+constexpr double answer_cost = 5;
+
 // The link between regions is slow, and its traffic is paid by volume. Where
 // the own region has no room, its endpoints are no options.
 constexpr double other_region_weight = 0.1;
@@ -172,10 +181,42 @@
     return std::max(room, 1.0);
 }
 
+/// An endpoint whose speed is not known counts as one of the median speed. A
+/// fast one of another region does not: the link there costs more than it
+/// saves.
+void endpoint_selector::set_slowness(
+    std::vector<option>& options, steady_time now)
+{
+    std::vector<duration> known;
+    for (auto const& o : options)
+    {
+        if (auto const pace = o.endpoint->endpoint->pace.value(now))
+            known.push_back(*pace);
+    }
+    if (known.size() < 2)
+        return;
+    auto const middle = known.begin() + std::ptrdiff_t((known.size() - 1) / 2);
+    std::nth_element(known.begin(), middle, known.end());
+    for (auto& o : options)
+    {
+        auto const pace = o.endpoint->endpoint->pace.value(now);
+        if (!pace || middle->count() <= 0)
+            continue;
+        double const ratio = double(pace->count()) / double(middle->count());
+        bool const differs =
+            ratio >= min_speed_ratio || ratio <= 1 / min_speed_ratio;
+        if (differs)
+            o.slowness =
+                std::clamp(ratio, 1 / max_speed_ratio, max_speed_ratio);
+        if (o.distance == topology::distance::other_region)
+            o.slowness = std::max(o.slowness, 1.0);
+    }
+}
+
 /// Keeps so many options that gateways which choose at the same moment compare
-/// different ones. Options with more room are kept more often, and those of
-/// other regions rarely, in the order of a weighted rendezvous hash: another
-/// gateway keeps the same ones for the same prompt.
+/// different ones. Options with more room are kept more often, and slow ones
+/// and those of other regions rarely, in the order of a weighted rendezvous
+/// hash: another gateway keeps the same ones for the same prompt.
 void endpoint_selector::keep_subset(
     std::vector<option>& options, double choosers)
 {
@@ -189,8 +230,8 @@
         double const nearness = o.distance == topology::distance::other_region
                                     ? other_region_weight
                                     : 1.0;
-        return -std::log(unit_interval(o.endpoint->weight)) /
-               (o.room * nearness);
+        return -std::log(unit_interval(o.endpoint->weight)) * o.slowness *
+               o.slowness / (o.room * nearness);
     };
     std::partial_sort(
         options.begin(), options.begin() + std::ptrdiff_t(count), options.end(),
@@ -266,11 +307,13 @@
     double const asked = 1 + work.unseen_choices;
     if (!wins_room(work.affinity_key, room / asked, now))
         return {nullptr, true};
+    set_slowness(options, now);
     keep_subset(options, asked);
 
     // Prefill of a prompt slows every running stream of the endpoint to a
     // fraction and waits for other prefills, so the endpoint with the least of
-    // both is preferred. Another zone weighs as much as one slowed stream.
+    // both is preferred, by the time that each takes there. Another zone weighs
+    // as much as one slowed stream.
     auto const order = [&engine](option const& o)
     {
         bool const unreliable =
@@ -281,7 +324,8 @@
             (o.distance == topology::distance::same_zone ? 0u : 1u);
         return std::make_tuple(
             unreliable, full, o.load.prefill_tokens / prefill_step,
-            interference, o.distance, ~o.endpoint->weight);
+            o.slowness * (answer_cost + interference), o.distance,
+            ~o.endpoint->weight);
     };
     auto const best = std::min_element(
         options.begin(), options.end(),
--- a/src/gateway/endpoint_selector.hpp
+++ b/src/gateway/endpoint_selector.hpp
@@ -233,7 +233,8 @@
     {
         candidate const* endpoint = nullptr;
         endpoint_state::workload load;
-        double room = 1; // requests of this size
+        double room = 1;     // requests of this size
+        double slowness = 1; // against the median endpoint
         topology::distance distance = topology::distance::same_zone;
     };
 
@@ -243,6 +244,7 @@
     static double room_for(
         endpoint_state::workload const& load, endpoint_requirements const& work,
         engine_spec const& engine);
+    static void set_slowness(std::vector<option>& options, steady_time now);
     static void keep_subset(std::vector<option>& options, double choosers);
     std::vector<option> options_for_prompt(
         std::vector<candidate> const& candidates,
--- a/src/gateway/endpoint_state.hpp
+++ b/src/gateway/endpoint_state.hpp
@@ -17,6 +17,8 @@
 #include <dotterellock/runtime.hpp>
 #include <dotterellock/types.hpp>
 
+#include "event_pace.hpp"
+
 namespace dotterellock
 {
 
@@ -170,6 +172,8 @@
                (now < limited_until_ && double(load.requests) >= call_limit_);
     }
 
+    event_pace pace; // of the streams there
+
     // Work of other gateways -------------------------------------------------
 
     /// Records the endpoint's load report, which includes the work of other
--- a/src/gateway/peer_loads.cpp
+++ b/src/gateway/peer_loads.cpp
@@ -61,7 +61,7 @@
 
 void peer_loads::add(load_share const& share)
 {
-    for (auto const& [endpoint, load] : share.loads)
+    for (auto const& [endpoint, load, pace] : share.loads)
     {
         auto& sum = sums_[endpoint.value()];
         sum.requests += load.requests;
@@ -72,7 +72,7 @@
 
 void peer_loads::subtract(load_share const& share)
 {
-    for (auto const& [endpoint, load] : share.loads)
+    for (auto const& [endpoint, load, pace] : share.loads)
     {
         auto const found = sums_.find(endpoint.value());
         auto& sum = found->second;
--- a/src/gateway/peer_loads.hpp
+++ b/src/gateway/peer_loads.hpp
@@ -24,6 +24,9 @@
     {
         endpoint_id endpoint;
         endpoint_state::workload load;
+
+        // Time per event of the gateway's streams there; 0: not known.
+        std::chrono::microseconds pace{0};
     };
 
     /// What an endpoint reported to this gateway, which asks it for its zone.
--- a/src/relay/gateway_endpoints.cpp
+++ b/src/relay/gateway_endpoints.cpp
@@ -182,6 +182,18 @@
         peer_load_sync_->request_send();
 }
 
+namespace
+{
+
+std::chrono::microseconds
+own_pace(endpoint_state const& endpoint, steady_time now)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+        endpoint.pace.own(now).value_or(duration{0}));
+}
+
+} // namespace
+
 load_share gateway::local_load_share()
 {
     auto const now = env_.clock.now();
@@ -196,7 +208,7 @@
             auto const& id = endpoint->record().id;
             auto const& load = endpoint->load;
             if (load.requests > 0 || load.memory_tokens > 0)
-                share.loads.push_back({id, load});
+                share.loads.push_back({id, load, own_pace(*endpoint, now)});
             auto const report = endpoint->recent_report(now);
             if (report && reports_for_zone(*endpoint))
                 share.reports.push_back(
@@ -218,6 +230,12 @@
     auto const now = env_.clock.now();
     if (!peers_.put(share, now))
         return;
+    for (auto const& shared : share.loads)
+    {
+        auto const endpoint = endpoints_.find(shared.endpoint);
+        if (endpoint && shared.pace.count() > 0)
+            endpoint->pace.record_peer(shared.pace, now);
+    }
     for (auto const& shared : share.reports)
     {
         if (auto const endpoint = endpoints_.find(shared.endpoint))
--- a/src/relay/load_share_codec.cpp
+++ b/src/relay/load_share_codec.cpp
@@ -42,13 +42,31 @@
     return shared;
 }
 
+load_share::endpoint_load decode_load(json const& item)
+{
+    load_share::endpoint_load decoded;
+    decoded.endpoint = endpoint_id(item.at(0).get<std::string>());
+    decoded.load.requests = number<std::uint32_t>(item.at(1));
+    decoded.load.memory_tokens = number<std::uint64_t>(item.at(2));
+    decoded.load.prefill_tokens = number<std::uint64_t>(item.at(3));
+    if (item.size() > 4) // not known, or absent in earlier versions
+        decoded.pace =
+            std::chrono::microseconds(number<std::uint32_t>(item.at(4)));
+    return decoded;
+}
+
 std::string to_msgpack(load_share const& share)
 {
     json loads = json::array();
-    for (auto const& [endpoint, load] : share.loads)
-        loads.push_back(json::array(
+    for (auto const& [endpoint, load, pace] : share.loads)
+    {
+        auto item = json::array(
             {endpoint.value(), load.requests, load.memory_tokens,
-             load.prefill_tokens}));
+             load.prefill_tokens});
+        if (pace.count() > 0)
+            item.push_back(std::uint64_t(pace.count()));
+        loads.push_back(std::move(item));
+    }
     json failed = json::array();
     for (auto const& endpoint : share.failed)
         failed.push_back(endpoint.value());
@@ -95,11 +113,7 @@
         share.incarnation = number<std::uint64_t>(a.at(2));
         share.sequence = number<std::uint64_t>(a.at(3));
         for (auto const& item : a.at(4))
-            share.loads.push_back(
-                {endpoint_id(item.at(0).get<std::string>()),
-                 {number<std::uint32_t>(item.at(1)),
-                  number<std::uint64_t>(item.at(2)),
-                  number<std::uint64_t>(item.at(3))}});
+            share.loads.push_back(decode_load(item));
         for (auto const& item : a.at(5))
             share.failed.emplace_back(item.get<std::string>());
         if (a.size() > 6) // absent in earlier versions
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -260,6 +260,7 @@
     events_ = {};
     account_.hold(0);
     events_in_attempt_ = 0;
+    pace_meter_ = {};
     bytes_without_content_ = 0;
     attempt_is_stream_ = false;
     boundary_ = {};
@@ -737,6 +738,7 @@
 {
     auto const now = context_.clock().now();
     bool progress = false;
+    auto const events_before = events_in_attempt_;
     std::string out;
     while (auto const event = events_.next())
     {
@@ -758,6 +760,9 @@
                                : bytes_without_content_ + event->bytes.size();
         progress = progress || event->has_content;
     }
+    if (auto const pace =
+            pace_meter_.record(events_in_attempt_ - events_before, now))
+        endpoint_->pace.record(*pace, now);
     if (out.empty())
         return;
     // Parts of an event and comments are no progress: a stalled endpoint may
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -348,6 +348,7 @@
     memory_account account_;    // of held_bytes()
     event_splitter events_;
     std::uint64_t events_in_attempt_ = 0;
+    event_pace_meter pace_meter_;           // of the current attempt
     std::size_t bytes_without_content_ = 0; // of events since the last data
     bool attempt_is_stream_ = false;
     answer_boundary boundary_;
--- a/tests/relay/load_share_test.cpp
+++ b/tests/relay/load_share_test.cpp
@@ -20,6 +20,8 @@
     for (std::size_t i = 0; i < endpoint_count; ++i)
         share.loads.push_back(
             {endpoint_id("i-" + std::to_string(i)), {1, 8650, 8000}});
+    if (endpoint_count > 0)
+        share.loads[0].pace = std::chrono::microseconds(14250);
     share.failed = {endpoint_id("i-1")};
     share.zone = zone_id("a1");
     endpoint_report report;
@@ -41,6 +43,8 @@
     REQUIRE(share.sequence == 9);
     REQUIRE(share.loads.size() == 3);
     REQUIRE(share.loads[2].load.memory_tokens == 8650);
+    REQUIRE(share.loads[0].pace == std::chrono::microseconds(14250));
+    REQUIRE(share.loads[2].pace == std::chrono::microseconds(0));
     REQUIRE(share.failed.at(0).value() == "i-1");
     REQUIRE(share.zone.value() == "a1");
     auto const& shared = share.reports.at(0);
