standby copies: wait for a copy until it is made

Cause: the call is answered when the copy is complete. Copies queue on both links after a zone was lost, and the time limit of 400 ms is that of a report.

Change: such a call has 2 s.

'a stream resumes from the copy that replaced a lost one' failed before for a copy that takes 1.5 s.

--- a/src/relay/standby_copies.cpp
+++ b/src/relay/standby_copies.cpp
@@ -24,6 +24,10 @@
 constexpr milliseconds retry_interval{500};
 constexpr milliseconds call_timeout{400};
 
+// A copy is answered when it is complete, and waits for others on both links
+// after a zone was lost. One that is given up would still take memory there.
+constexpr milliseconds copy_timeout{2000};
+
 } // namespace
 
 void standby_copies::begin(
@@ -105,7 +109,7 @@
     if (!pending_copy_)
         return;
     context_.call(
-        source_, call_timeout,
+        source_, copy_timeout,
         context_.protocol().copy_request(
             run_, pending_copy_->standby->record().address),
         // On a reused connection, a late answer to the call for another run
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -455,9 +455,12 @@
 
 // Guards against processing a prompt again although a copy of its memory
 // exists. A copy made on demand is addressed by the handle that its endpoint
-// returned.
+// returned, which takes a second or more while many are made: after 400 ms the
+// call was given up, and the copy stayed unused in memory.
 TEST_CASE("a stream resumes from the copy that replaced a lost one", "[relay]")
 {
+    auto const copy_takes = GENERATE(milliseconds(0), milliseconds(1500));
+    CAPTURE(copy_takes.count());
     relay_fixture fixture;
     fixture.settings.first_start = true; // no endpoint caches a prompt
     fixture.start();
@@ -483,6 +486,10 @@
     auto& copy = *primary.connections[1];
     REQUIRE(fixture.run_until([&] { return copy.has("\"to\""); }));
     REQUIRE(copy.has(fixture.endpoints[second]->address()));
+    fixture.clock.stop();
+    int last = 1;
+    fixture.advance(copy_takes, [&] { stream.send(chunk(event(++last))); });
+    REQUIRE(fixture.run_until([&] { return caller->has(event(last)); }));
     copy.send("HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n"
               "{\"handle\":\"c7\",\"created\":1}");
     fixture.clock.offset += milliseconds(200);
@@ -492,7 +499,7 @@
         [&] { return fixture.endpoints[second]->request_count() == 1; }));
     auto& resumed = *fixture.endpoints[second]->connections[0];
     REQUIRE(resumed.has("Kv-From: " + primary.address() + "/c7\r\n"));
-    REQUIRE(resumed.has("Last-Event-Id: 1\r\n"));
+    REQUIRE(resumed.has("Last-Event-Id: " + std::to_string(last) + "\r\n"));
 }
 
 // Callers --------------------------------------------------------------------
