admission: scale the rest of an answer by its length

Cause: the average of a service stood for each of its answers.

Change: the average is kept with the average limit of tokens. A request with a lower limit counts with its part; a higher one as before, as an answer may be shorter than its limit.

where and dispatch also show the time per event of endpoints (event_pace_us, pace_us).

--- a/src/ctl/placement_command.cpp
+++ b/src/ctl/placement_command.cpp
@@ -239,7 +239,8 @@
         return;
     std::vector<table_row> rows{
         {"endpoint", "zone", "requests", "own", "memory", "prefill", "waiting",
-         "report ms", "peers ms", "failures", "latency us", "excluded by"}};
+         "report ms", "peers ms", "failures", "latency us", "pace us",
+         "excluded by"}};
     for (auto const& c : candidates)
     {
         auto const& load = c.at("load");
@@ -252,6 +253,7 @@
              text_of(c.at("reported_waiting")), text_of(c.at("report_age_ms")),
              text_of(c.at("peer_share_age_ms")), text_of(c.at("failure_rate")),
              c.contains("latency_us") ? text_of(c["latency_us"]) : "-",
+             c.contains("event_pace_us") ? text_of(c["event_pace_us"]) : "-",
              exclusion_of(c)});
     }
     print_table(out, rows);
--- a/src/gateway/placement_explanation.cpp
+++ b/src/gateway/placement_explanation.cpp
@@ -16,11 +16,12 @@
 queued_request make_queued_request(
     gateway_route const& route, endpoint_requirements const& work,
     std::uint32_t rank, steady_time received, steady_time deadline,
-    first_event_estimate const& estimate, std::optional<duration> generation,
+    first_event_estimate const& estimate, generation_estimate const& generation,
     steady_time now)
 {
     auto const first = estimate.expected(work.prompt_tokens);
-    answer_duration const answer{first, generation.value_or(first)};
+    answer_duration const answer{
+        first, generation.expected(work.output_tokens).value_or(first)};
     answer_limits const limits{
         received, deadline, route.first_byte_target, route.event_gap_target,
         route.event_stream};
@@ -303,7 +304,7 @@
 {
     auto entry = make_queued_request(
         *route_, work_, result_.rank, now_, deadline(), service_.first_event,
-        service_.generation_duration, now_);
+        service_.generation, now_);
     entry.id = std::numeric_limits<queue_entry_id>::max(); // the newest
     entry.organisation = result_.organisation;
     result_.latest_start = entry.start_deadline - now_;
@@ -369,6 +370,7 @@
     c.error_rate = endpoint.error_rate();
     if (endpoint.has_latency())
         c.latency = endpoint.latency();
+    c.event_pace = endpoint.pace.value(now);
     return c;
 }
 
--- a/src/gateway/placement_explanation.hpp
+++ b/src/gateway/placement_explanation.hpp
@@ -19,6 +19,7 @@
 
 #include "endpoint_selector.hpp"
 #include "freshness_lease.hpp"
+#include "generation_estimate.hpp"
 #include "liveness.hpp"
 #include "request_queue.hpp"
 #include "routing_table.hpp"
@@ -48,8 +49,8 @@
     request_queue const* queue = nullptr; // null: nothing has waited yet
     std::optional<std::uint32_t> connection_limit;
     first_event_estimate first_event;
-    std::optional<duration> stream_duration;     // of recent streams
-    std::optional<duration> generation_duration; // after their first event
+    std::optional<duration> stream_duration; // of recent streams
+    generation_estimate generation;          // after their first event
     double unseen_choices = 0;    // see choice_contention, for a new request
     bool retry_available = false; // by the retry budget
 };
@@ -137,6 +138,7 @@
     double failure_rate = 0;
     double error_rate = 0;
     std::optional<std::chrono::microseconds> latency;
+    std::optional<duration> event_pace; // none: not known
 };
 
 struct placement_explanation
@@ -198,11 +200,11 @@
 /// Times of a request in the queue of its service.
 /// @param received    its arrival
 /// @param deadline    of the request
-/// @param generation  expected from the first event to the end, if known
+/// @param generation  of the answers of its service
 queued_request make_queued_request(
     gateway_route const& route, endpoint_requirements const& work,
     std::uint32_t rank, steady_time received, steady_time deadline,
-    first_event_estimate const& estimate, std::optional<duration> generation,
+    first_event_estimate const& estimate, generation_estimate const& generation,
     steady_time now);
 
 } // namespace dotterellock
--- a/src/gateway/rollout_order_progress.hpp
+++ b/src/gateway/rollout_order_progress.hpp
@@ -90,7 +90,8 @@
     /// Compares the versions by the answers since the order and by later ones.
     version_verdict judge(std::string* reason, steady_time now);
 
-    /// As judge(), by the evidence that is enough where waiting is not possible.
+    /// As judge(), by the evidence that is enough where waiting is not
+    /// possible.
     version_verdict judge_at_end(std::string* reason) const
     {
         return compare_versions(all_counts(), reason, final_alpha_share);
--- a/src/gateway/version_comparison.hpp
+++ b/src/gateway/version_comparison.hpp
@@ -61,9 +61,9 @@
     bad
 };
 
-/// For the decision at the end of an order. Completing a bad version and rolling
-/// back a good one are as bad, so less evidence decides than during the order,
-/// when waiting is possible.
+/// For the decision at the end of an order. Completing a bad version and
+/// rolling back a good one are as bad, so less evidence decides than during the
+/// order, when waiting is possible.
 constexpr double final_alpha_share = 40;
 
 /// @param reason       receives which route and measure decided
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -581,17 +581,12 @@
 }
 
 void gateway::record_stream_duration(
-    service_name const& service, duration took, duration since_first_event)
+    service_name const& service, std::uint64_t max_tokens, duration took,
+    duration since_first_event)
 {
-    // Moving averages over about the last 20 streams.
-    static constexpr int samples = 20;
-    auto const record = [&service](auto& averages, duration d)
-    {
-        auto& average = averages.try_emplace(service, d).first->second;
-        average += (d - average) / samples;
-    };
-    record(stream_durations_, took);
-    record(generation_durations_, since_first_event);
+    auto& average = stream_durations_.try_emplace(service, took).first->second;
+    average += (took - average) / generation_estimate::samples;
+    generation_estimates_[service].record(max_tokens, since_first_event);
 }
 
 // Exchanges ------------------------------------------------------------------
@@ -648,15 +643,6 @@
 
 // Request queues -------------------------------------------------------------
 
-std::optional<duration>
-gateway::generation_duration(service_name const& service) const
-{
-    auto const found = generation_durations_.find(service);
-    if (found == generation_durations_.end())
-        return std::nullopt;
-    return found->second;
-}
-
 request_queue& gateway::queue_of(service_name const& service)
 {
     auto& queue = request_queues_[service];
@@ -695,7 +681,7 @@
     auto const now = env_.clock.now();
     auto entry = make_queued_request(
         *r.route, e->work(), r.rank, e->received(), e->deadline(),
-        estimate(r.service), generation_duration(r.service), now);
+        estimate(r.service), generation_estimates_[r.service], now);
     entry.id = e->number();
     entry.organisation = r.organisation;
     bool const others_waited = queue.size() > 0;
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -22,6 +22,7 @@
 
 #include "gateway/choice_contention.hpp"
 #include "gateway/freshness_lease.hpp"
+#include "gateway/generation_estimate.hpp"
 #include "gateway/memory_budget.hpp"
 #include "gateway/placement_explanation.hpp"
 #include "gateway/request_queue.hpp"
@@ -177,7 +178,7 @@
         endpoint_ptr const& endpoint, std::chrono::milliseconds timeout,
         std::string request, bool probe, endpoint_call::handler done) override;
     void record_stream_duration(
-        service_name const& service, duration took,
+        service_name const& service, std::uint64_t max_tokens, duration took,
         duration since_first_event) override;
     void on_load_changed() override;
     bool may_pass_on(relay_exchange const& e) const override;
@@ -223,8 +224,6 @@
     void dispatch_queue(service_name const& service, request_queue& queue);
     void dispatch_waiting();
     void start_waiting(request_queue& queue, steady_time now);
-    std::optional<duration>
-    generation_duration(service_name const& service) const;
     request_queue& queue_of(service_name const& service);
     void refuse_waiting(queue_refusal const& refusal, char const* reason);
     void refuse_paused(queue_entry_id id, steady_time until);
@@ -331,7 +330,7 @@
     std::map<service_name, duration> stream_durations_; // moving averages
 
     // From the first event to the end; moving averages.
-    std::map<service_name, duration> generation_durations_;
+    std::map<service_name, generation_estimate> generation_estimates_;
 
     prompt_cache_lookup cache_lookup_;
     bool shutting_down_ = false;
--- a/src/relay/gateway_placement.cpp
+++ b/src/relay/gateway_placement.cpp
@@ -98,7 +98,9 @@
     auto const stream = stream_durations_.find(service);
     if (stream != stream_durations_.end())
         view.stream_duration = stream->second;
-    view.generation_duration = generation_duration(service);
+    auto const generation = generation_estimates_.find(service);
+    if (generation != generation_estimates_.end())
+        view.generation = generation->second;
     // Copies, as asking them removes what has expired.
     auto const contention = contention_.find(service);
     auto choices = contention != contention_.end() ? contention->second
--- a/src/relay/placement_query_codec.cpp
+++ b/src/relay/placement_query_codec.cpp
@@ -356,6 +356,10 @@
         j["excluded_for_ms"] = to_json(*c.excluded_for);
     if (c.latency)
         j["latency_us"] = c.latency->count();
+    if (c.event_pace)
+        j["event_pace_us"] =
+            std::chrono::duration_cast<std::chrono::microseconds>(*c.event_pace)
+                .count();
     return j;
 }
 
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -286,6 +286,12 @@
         {"after_event", last_event_id_ ? std::to_string(*last_event_id_) : "-"},
         {"runs", std::to_string(history_.runs)},
         {"left_ms", milliseconds_text(deadline_ - now)}};
+    if (auto const pace = endpoint_->pace.value(now))
+        fields.emplace_back(
+            "pace_us",
+            std::to_string(
+                std::chrono::duration_cast<std::chrono::microseconds>(*pace)
+                    .count()));
     if (auto* const rollouts = context_.rollouts())
     {
         fields.emplace_back(
@@ -1003,7 +1009,7 @@
         report_proof();
     auto const now = context_.clock().now();
     context_.record_stream_duration(
-        request_.service, now - request_.message.received,
+        request_.service, work_.output_tokens, now - request_.message.received,
         now - first_byte_at_.value_or(now));
     if (!response_begun_)
         begin_response();
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -85,8 +85,9 @@
         std::string request, bool probe, endpoint_call::handler done) = 0;
 
     /// Records the duration of a complete stream.
+    /// @param max_tokens  limit of its length; 0: not known
     virtual void record_stream_duration(
-        service_name const& service, duration took,
+        service_name const& service, std::uint64_t max_tokens, duration took,
         duration since_first_event) = 0;
 
     /// False if a planned stop could cut the request off after it was passed
--- a/tests/gateway/version_comparison_test.cpp
+++ b/tests/gateway/version_comparison_test.cpp
@@ -92,9 +92,8 @@
         return r;
     }
     r.at_s = length_s;
-    r.bad_at_end =
-        compare_versions(counts, nullptr, final_alpha_share) ==
-        version_verdict::bad;
+    r.bad_at_end = compare_versions(counts, nullptr, final_alpha_share) ==
+                   version_verdict::bad;
     return r;
 }
 
