selection: weigh an own answer as one stream

Cause: the own answer weighed as five streams, so an endpoint known as fast was preferred to an idle one until six streams ran there; most endpoints are not known to anybody there.

Change: it weighs as one.

--- a/src/gateway/endpoint_selector.cpp
+++ b/src/gateway/endpoint_selector.cpp
@@ -34,9 +34,10 @@
 constexpr double min_speed_ratio = 1.6;
 constexpr double max_speed_ratio = 4;
 
-// A prompt costs its own answer's time, about as long as this many prompts are
-// processed, and delays each running stream by the processing of one.
-constexpr double answer_cost = 5;
+// The prompt's own answer weighs as much as one stream beside it. By its time
+// it would weigh several, but then few endpoints known as fast are filled while
+// idle ones are not tried.
+constexpr double answer_cost = 1;
 
 // The link between regions is slow, and its traffic is paid by volume. Where
 // the own region has no room, its endpoints are no options.
