--- a/review/common-2/run-case.sh
+++ b/review/common-2/run-case.sh
@@ -8,7 +8,7 @@
   echo "build by deploy/system.toml and with review/build-2.sh first" >&2
   exit 2
 fi
-timeout --kill-after=2 115 "$program" "$repository" "$folder/record.txt"
+timeout --kill-after=1 118 "$program" "$repository" "$folder/record.txt"
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
