Treat an early answer that is reset as broken off

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: Linux returns the error of a socket to one call only. The write of the request got it, http_connection ignored it, and the next read returned the end of the stream, which completes an answer without a length. A write that timed out, as the peer had lost power, had the same effect.

Change: http_connection writes from its own handler, as it reads, so that the order of the errors is that of the system calls. After a write error other than EPIPE the end of the stream counts as a reset. EPIPE means that the peer had ended its direction before it reset the connection, so the answer is whole. A connection that is closed lets go of the request's body. All answers of endpoints, store and other gateways are read by this class.

Result: on the code before, "an early answer that is reset is not whole" failed in 24 of 24 rows (safe, unsafe, stream; linger 0 or unread input; answer read before the reset or not), now all pass. "an early answer to a call that is reset is not whole" fails when the error is ignored in on_read_end(), and passes. "an early answer that ends in order is whole" (read on, reset or closed after the end; 9 rows) passed before and passes now. strace of the tests on the new code: the 24 resets were returned by sendmsg as ECONNRESET, then recvfrom returned the data and 0; the 6 after an orderly end were EPIPE. Run on arm64.

--- a/src/relay/http_connection.cpp
+++ b/src/relay/http_connection.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include <asio/buffer.hpp>
-#include <asio/write.hpp>
 
 #include "read_buffer.hpp"
 #include "socket_options.hpp"
@@ -69,12 +68,13 @@
     surplus_ = {};
     ++requests_sent_;
     last_used_ = clock_.now();
+    outgoing_ = std::move(request);
+    written_ = 0;
     if (connected_)
     {
-        write(std::move(request));
+        write();
         return;
     }
-    outgoing_ = std::move(request);
     auto self = shared_from_this();
     socket_.async_connect(
         peer,
@@ -92,7 +92,7 @@
             if (handler_ == nullptr)
                 return;
             read();
-            write(std::move(outgoing_));
+            write();
         });
 }
 
@@ -124,21 +124,40 @@
     local_port_ = socket_.local_endpoint(ignored).port();
 }
 
-void http_connection::write(outgoing_request request)
+/// Writes what the socket takes, then waits. Like read(), it makes its system
+/// calls in its handler, so that errors are seen in the order in which the
+/// calls returned them.
+void http_connection::write()
 {
+    auto const& head = outgoing_.head;
+    auto const body =
+        outgoing_.body ? asio::buffer(*outgoing_.body) : asio::const_buffer();
+    auto const body_written = written_ - std::min(written_, head.size());
+    std::array<asio::const_buffer, 2> const rest{
+        asio::buffer(head) + written_, body + body_written};
+    asio::error_code e;
+    written_ += socket_.write_some(rest, e);
+    if (e && e != asio::error::would_block)
+    {
+        // The read ends as well, after what the peer sent before. A broken
+        // pipe means that the peer had ended its direction in order by then.
+        reset_ = e != asio::error::broken_pipe;
+        outgoing_ = {};
+        return;
+    }
+    if (written_ == head.size() + body.size())
+    {
+        outgoing_ = {};
+        request_written_ = true;
+        return;
+    }
     auto self = shared_from_this();
-    auto const sent = std::make_shared<outgoing_request>(std::move(request));
-    std::array<asio::const_buffer, 2> const buffers{
-        asio::buffer(sent->head),
-        sent->body ? asio::buffer(*sent->body) : asio::const_buffer()};
-    asio::async_write(
-        socket_, buffers,
-        [this, self, sent](asio::error_code const& e, std::size_t)
+    socket_.async_wait(
+        asio::ip::tcp::socket::wait_write,
+        [this, self](asio::error_code const& wait_error)
         {
-            // A write error also ends the read, after any response that the
-            // peer sent before it closed.
-            if (!e)
-                request_written_ = true;
+            if (!wait_error && socket_.is_open())
+                write();
         });
 }
 
@@ -264,7 +283,9 @@
         close();
         return;
     }
-    bool const orderly = e == asio::error::eof;
+    // Linux returns an error of a socket once. After a write got a reset, reads
+    // end as they do when the peer closes in order.
+    bool const orderly = e == asio::error::eof && !reset_;
     if (orderly && parser_.in_message() && parser_.close_delimited() &&
         parser_.finish() && response_complete_)
     {
@@ -367,6 +388,7 @@
 void http_connection::close()
 {
     reusable_ = false;
+    outgoing_ = {};
     asio::error_code ignored; // the connection is discarded either way
     socket_.close(ignored);
     if (auto const ended = std::move(idle_closed_handler_))
--- a/src/relay/http_connection.hpp
+++ b/src/relay/http_connection.hpp
@@ -138,7 +138,7 @@
     static constexpr std::size_t max_interim_bytes = 64u << 10;
     static constexpr std::size_t max_preliminary_bytes = 512u << 10;
 
-    void write(outgoing_request request);
+    void write();
     bool account();
     void on_connected();
     void read();
@@ -159,11 +159,13 @@
     message_parser parser_;
     response_handler* handler_ = nullptr;
     std::function<void()> idle_closed_handler_;
-    outgoing_request outgoing_;
+    outgoing_request outgoing_; // until it is written
+    std::size_t written_ = 0;   // of its bytes
     memory_budget& memory_;
     memory_account account_; // of heads, which only this class sees
     bool connected_ = false;
     bool request_written_ = true;
+    bool reset_ = false; // as a write returned
     bool reusable_ = false;
     bool skip_response_ = false; // interim, or of another request
     bool response_complete_ = false;
--- a/tests/platform/faulty_answers_test.cpp
+++ b/tests/platform/faulty_answers_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "relay/endpoint_call.hpp"
+#include "relay/http_caller.hpp"
 #include "relay_fixture.hpp"
 
 using namespace dotterellock;
@@ -540,6 +541,92 @@
 
 // Early answers --------------------------------------------------------------
 
+namespace
+{
+
+/// A caller's long upload to an endpoint that only the test reads, so that the
+/// gateway is still writing when the endpoint answers.
+struct upload
+{
+    static constexpr std::size_t body_size = 24u << 20; // over socket buffers
+
+    explicit upload(std::string const& path)
+        : acceptor(
+              fixture.io,
+              asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        auto& limits = fixture.configuration.rows[0].value;
+        std::string const limit = R"("maxBodyBytes":10000)";
+        limits.replace(
+            limits.find(limit), limit.size(), R"("maxBodyBytes":100000000)");
+        // The row of the endpoint that is chosen first for this path.
+        auto& row = fixture.table.rows[path == "/llm/x" ? 2 : 0].value;
+        auto const address =
+            fixture.endpoints[path == "/llm/x" ? 2 : 0]->address();
+        row.replace(
+            row.find(address), address.size(),
+            "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+        accept();
+        fixture.start();
+        fixture.clock.stop();
+        text = fixture.request(
+            path, "r1",
+            "Content-Length: " + std::to_string(body_size) + "\r\n");
+        text.replace(0, 3, "POST");
+        text += std::string(body_size, 'b');
+        caller = fixture.connect_caller("");
+        asio::async_write(
+            caller->socket, asio::buffer(text),
+            [](asio::error_code const&, std::size_t) {});
+    }
+
+    void accept()
+    {
+        acceptor.async_accept(
+            [this](asio::error_code const& e, asio::ip::tcp::socket s)
+            {
+                if (e)
+                    return;
+                accepted.push_back(std::move(s));
+                accept();
+            });
+    }
+
+    /// Runs until the gateway can write no more of the request.
+    bool blocked()
+    {
+        bool const begun = fixture.run_until(
+            [&] { return !accepted.empty() && accepted[0].available() > 0; });
+        settle(fixture);
+        return begun;
+    }
+
+    /// Reads the upload up to the end of its connection.
+    std::string read_on()
+    {
+        accepted[0].non_blocking(true);
+        std::string received;
+        std::vector<char> buffer(1 << 20);
+        asio::error_code e;
+        REQUIRE(fixture.run_until(
+            [&]
+            {
+                auto const n = accepted[0].read_some(asio::buffer(buffer), e);
+                received.append(buffer.data(), n);
+                return e && e != asio::error::would_block;
+            }));
+        return received;
+    }
+
+    relay_fixture fixture;
+    asio::ip::tcp::acceptor acceptor;
+    std::vector<asio::ip::tcp::socket> accepted;
+    std::string text; // of the request
+    std::shared_ptr<test_connection> caller;
+};
+
+} // namespace
+
 // Bytes of another request were sent where the rest of a body was due that the
 // endpoint had not read when it answered.
 TEST_CASE("an early answer ends the use of its connection", "[answers]")
@@ -566,78 +653,147 @@
     auto const path = GENERATE(as<std::string>{}, "/safe/x", "/unsafe/x");
     auto const closes = GENERATE(false, true);
     CAPTURE(r.name, path, closes);
-    constexpr std::size_t body_size = 24u << 20; // more than sockets buffer
-    relay_fixture fixture;
-    auto& limits = fixture.configuration.rows[0].value;
-    std::string const limit = R"("maxBodyBytes":10000)";
-    limits.replace(
-        limits.find(limit), limit.size(), R"("maxBodyBytes":100000000)");
-    asio::ip::tcp::acceptor acceptor(
-        fixture.io,
-        asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    auto& value = fixture.table.rows[0].value;
-    auto const address = fixture.endpoints[0]->address();
-    value.replace(
-        value.find(address), address.size(),
-        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
-    std::vector<asio::ip::tcp::socket> accepted; // read by this test only
-    std::function<void()> const accept = [&]
-    {
-        acceptor.async_accept(
-            [&](asio::error_code const& e, asio::ip::tcp::socket s)
-            {
-                if (e)
-                    return;
-                accepted.push_back(std::move(s));
-                accept();
-            });
-    };
-    accept();
-    fixture.start();
-    fixture.clock.stop();
-    auto text = fixture.request(
-        path, "r1", "Content-Length: " + std::to_string(body_size) + "\r\n");
-    text.replace(0, 3, "POST");
-    text += std::string(body_size, 'b');
-    auto const caller = fixture.connect_caller("");
-    asio::async_write(
-        caller->socket, asio::buffer(text),
-        [](asio::error_code const&, std::size_t) {});
-    REQUIRE(fixture.run_until(
-        [&] { return !accepted.empty() && accepted[0].available() > 0; }));
-    settle(fixture);
-    asio::write(accepted[0], asio::buffer(r.answer));
+    upload u(path);
+    REQUIRE(u.blocked());
+    asio::write(u.accepted[0], asio::buffer(r.answer));
     if (closes)
-        accepted[0].shutdown(asio::ip::tcp::socket::shutdown_send);
+        u.accepted[0].shutdown(asio::ip::tcp::socket::shutdown_send);
     if (r.refused)
     {
-        auto const next = fixture.take_request("Request-Id: r1\r\n");
+        auto const next = u.fixture.take_request("Request-Id: r1\r\n");
         REQUIRE(next);
-        next->send(fixture.response("r1", "early"));
+        next->send(u.fixture.response("r1", "early"));
     }
-    REQUIRE(fixture.run_until([&] { return caller->has("early"); }));
-    auto const other = fixture.connect_caller(fixture.request("/open/x", "r2"));
-    auto const elsewhere = [&]
-    { return accepted.size() > 1 || requested(fixture, "Request-Id: r2\r\n"); };
-    REQUIRE(fixture.run_until(elsewhere));
+    REQUIRE(u.fixture.run_until([&] { return u.caller->has("early"); }));
+    auto const other =
+        u.fixture.connect_caller(u.fixture.request("/open/x", "r2"));
+    auto const elsewhere = [&] {
+        return u.accepted.size() > 1 ||
+               requested(u.fixture, "Request-Id: r2\r\n");
+    };
+    REQUIRE(u.fixture.run_until(elsewhere));
     // The endpoint reads on, up to the end of the connection.
-    accepted[0].non_blocking(true);
-    std::string received;
-    std::vector<char> buffer(1 << 20);
-    asio::error_code e;
-    REQUIRE(fixture.run_until(
-        [&]
-        {
-            auto const n = accepted[0].read_some(asio::buffer(buffer), e);
-            received.append(buffer.data(), n);
-            return e && e != asio::error::would_block;
-        }));
+    auto const received = u.read_on();
     auto const body = received.find("\r\n\r\n");
     REQUIRE(body != std::string::npos);
-    REQUIRE(received.size() < body_size); // the write was in progress
+    REQUIRE(received.size() < u.body_size); // the write was in progress
     REQUIRE(received.find_first_not_of('b', body + 4) == std::string::npos);
 }
 
+// An answer without a length was taken for whole although a reset had ended it:
+// the write of the request got the error, and the next read the end of the
+// stream.
+TEST_CASE("an early answer that is reset is not whole", "[answers]")
+{
+    auto const path =
+        GENERATE(as<std::string>{}, "/safe/x", "/unsafe/x", "/llm/x");
+    auto const unread_input = GENERATE(false, true); // else no linger time
+    auto const read_before = GENERATE(false, true);
+    auto const body_sent = GENERATE(as<std::size_t>{}, 0, 3000);
+    CAPTURE(path, unread_input, read_before, body_sent);
+    bool const stream = path == "/llm/x";
+    upload u(path);
+    REQUIRE(u.blocked());
+    asio::write(
+        u.accepted[0],
+        asio::buffer(
+            sealed_head +
+            (stream ? "Content-Type: text/event-stream\r\n\r\n" + event(1)
+                    : "\r\n" + std::string(body_sent, 'p'))));
+    if (read_before)
+        settle(u.fixture);
+    if (!unread_input)
+        u.accepted[0].set_option(asio::socket_base::linger(true, 0));
+    u.accepted[0].close();
+    if (path == "/unsafe/x")
+    {
+        REQUIRE(u.fixture.run_until([&] { return u.caller->has("\r\n\r\n"); }));
+        REQUIRE(u.caller->received.rfind("HTTP/1.1 502 ", 0) == 0);
+        return;
+    }
+    auto const next = u.fixture.take_request("Request-Id: r1\r\n");
+    REQUIRE(next);
+    if (!stream)
+    {
+        next->send(u.fixture.response("r1", "second"));
+        REQUIRE(u.fixture.run_until([&] { return u.caller->has("second"); }));
+        REQUIRE_FALSE(u.caller->has("ppp"));
+        return;
+    }
+    next->send(stream_head() + chunk(event(1) + event(2)) + "0\r\n\r\n");
+    REQUIRE(u.fixture.run_until(
+        [&] { return decode_chunks(u.caller->received).complete; }));
+    REQUIRE(decode_chunks(u.caller->received).text == event(1) + event(2));
+}
+
+// The same for calls to the store and to other gateways.
+TEST_CASE("an early answer to a call that is reset is not whole", "[answers]")
+{
+    relay_fixture fixture;
+    asio::ip::tcp::acceptor acceptor(
+        fixture.io,
+        asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    http_caller caller(
+        fixture.io, fixture.clock, fixture.memory, memory_use::store, 1000);
+    std::vector<http_reply> replies;
+    caller.call(
+        acceptor.local_endpoint(),
+        "PUT /row HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+            std::to_string(upload::body_size) + "\r\n\r\n" +
+            std::string(upload::body_size, 'b'),
+        std::chrono::seconds(10),
+        [&](http_reply reply) { replies.push_back(std::move(reply)); });
+    auto peer = acceptor.accept();
+    REQUIRE(fixture.run_until([&] { return peer.available() > 0; }));
+    settle(fixture);
+    asio::write(peer, asio::buffer(sealed_head + "\r\npart"));
+    peer.set_option(asio::socket_base::linger(true, 0));
+    peer.close();
+    REQUIRE(fixture.run_until([&] { return replies.size() == 1; }));
+    REQUIRE(replies[0].status == 0);
+    REQUIRE(replies[0].failure == "reset");
+}
+
+// Guards against taking each error of a write for the end of the answer: one
+// that ended in order before is whole.
+TEST_CASE("an early answer that ends in order is whole", "[answers]")
+{
+    enum class then
+    {
+        reads_on,
+        resets,
+        closes // with unread input, which is a reset as well
+    };
+    auto const path =
+        GENERATE(as<std::string>{}, "/safe/x", "/unsafe/x", "/llm/x");
+    auto const t = GENERATE(then::reads_on, then::resets, then::closes);
+    CAPTURE(path, int(t));
+    bool const stream = path == "/llm/x";
+    upload u(path);
+    REQUIRE(u.blocked());
+    asio::write(
+        u.accepted[0],
+        asio::buffer(
+            sealed_head +
+            (stream ? "Content-Type: text/event-stream\r\n\r\n" + event(1)
+                    : "\r\nearly")));
+    u.accepted[0].shutdown(asio::ip::tcp::socket::shutdown_send);
+    if (t == then::resets)
+        u.accepted[0].set_option(asio::socket_base::linger(true, 0));
+    if (t != then::reads_on)
+        u.accepted[0].close();
+    REQUIRE(u.fixture.run_until(
+        [&]
+        {
+            return stream ? decode_chunks(u.caller->received).complete
+                          : u.caller->has("early");
+        }));
+    REQUIRE(u.caller->received.rfind("HTTP/1.1 200 ", 0) == 0);
+    if (t == then::reads_on)
+        REQUIRE(u.read_on().find("\r\n\r\nbbb") != std::string::npos);
+    REQUIRE_FALSE(requested(u.fixture, "Request-Id: r1\r\n"));
+}
+
 // HEAD -----------------------------------------------------------------------
 
 // A caller that sent HEAD took the body of an error for the next answer.
