Refuse heads with malformed fields

Callers saw: an endpoint sent an answer in whose head the name of a field held a blank or a control byte. Where the blank began the line, the caller got the answer: the field above had the line added to its value, and a length or a transfer coding in the line was not applied, so the body was another one. Where such a head came inside the body of an answer that had stopped, the caller got both as one body.

Cause: http-parser, as Debian builds it, accepts obsolete line folding, control bytes in targets and reason phrases, and blanks in names; only the last were looked for. The search for other heads within a body used the same parser, and gave up on a malformed one.

Change: head_syntax checks each byte of a head by its place before http-parser gets it. The check for blanks in names and that of the last line feed, which it covers, are gone from message_parser. answer_boundary reads the fields of a head within a body leniently. The parser reads all messages of the gateway: answers of endpoints, store and other gateways, and callers' requests (400).

--- a/src/http/answer_boundary.cpp
+++ b/src/http/answer_boundary.cpp
@@ -10,31 +10,50 @@
 namespace
 {
 
-class head_reader : private message_sink
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t\r";
+    auto const begin = std::min(text.find_first_not_of(blanks), text.size());
+    auto const end = text.find_last_not_of(blanks) + 1;
+    return text.substr(begin, std::max(begin, end) - begin);
+}
+
+/// Reads fields whatever their syntax: a malformed head that is none of its own
+/// shows as well that a body was cut.
+class lenient_head
 {
 public:
-    std::optional<message_head> read(std::string_view text)
+    /// @param text  begins with a status line; the last line may be incomplete
+    explicit lenient_head(std::string_view text)
     {
-        begins_head(text);
-        return std::move(head_);
+        text.remove_prefix(std::min(text.find('\n'), text.size()));
+        while (!text.empty())
+        {
+            text.remove_prefix(1);
+            auto const end = std::min(text.find('\n'), text.size());
+            read_line(text.substr(0, end), end < text.size());
+            text.remove_prefix(end);
+        }
     }
 
-    /// Whether the text is the beginning of a head, or a whole one.
-    bool begins_head(std::string_view text)
-    {
-        message_parser parser(message_parser::kind::response, *this);
-        parser.set_max_head_bytes(answer_boundary::max_head_bytes);
-        parser.expect_no_body(true);
-        parser.feed(text);
-        return parser.error() == parse_error::none;
-    }
+    message_head const& fields() const { return head_; }
+
+    /// Whether what follows the status line may be the beginning of a head.
+    bool plausible() const { return !has_lines_ || !head_.headers.empty(); }
 
 private:
-    void on_head(message_head head) override { head_ = std::move(head); }
-    void on_body(std::string_view) override {}
-    void on_complete() override {}
+    void read_line(std::string_view line, bool complete)
+    {
+        has_lines_ = has_lines_ || complete;
+        auto const colon = line.find(':');
+        if (colon != std::string_view::npos)
+            head_.headers.emplace_back(
+                trimmed(line.substr(0, colon)),
+                trimmed(line.substr(colon + 1)));
+    }
 
-    std::optional<message_head> head_;
+    message_head head_;
+    bool has_lines_ = false; // that are complete
 };
 
 std::size_t last_status_line(std::string_view text)
@@ -57,12 +76,11 @@
             return std::nullopt;
         // A head holds no other status line than its own, so that is the last
         // one before its end. Those before it belong to the body.
+        auto const before = std::string_view(text_).substr(0, end);
+        auto const last = last_status_line(before);
         std::optional<message_head> head;
-        auto const last =
-            last_status_line(std::string_view(text_).substr(0, end));
         if (last != std::string::npos)
-            head = head_reader().read(
-                std::string_view(text_).substr(last, end - last));
+            head = lenient_head(before.substr(last)).fields();
         drop(end);
         if (head)
             return head;
@@ -75,7 +93,7 @@
     auto const last = last_status_line(text_);
     return at_status_line_ && last != std::string::npos &&
            text_.find("\r\n", last) != std::string::npos &&
-           head_reader().begins_head(std::string_view(text_).substr(last));
+           lenient_head(std::string_view(text_).substr(last)).plausible();
 }
 
 /// Makes the text begin with a status line; false if there is none.
--- a/src/http/answer_boundary.hpp
+++ b/src/http/answer_boundary.hpp
@@ -23,8 +23,9 @@
     /// Adds bytes of the body.
     void append(std::string_view bytes) { text_.append(bytes); }
 
-    /// The next complete response head inside the body, or nothing. Called
-    /// until it returns nothing after each append().
+    /// The fields of the next complete response head inside the body, or
+    /// nothing; it may be malformed. Called until it returns nothing after each
+    /// append().
     std::optional<message_head> next_head();
 
     /// Whether the body, which ended by its length, is whole although
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -96,7 +96,7 @@
 }
 
 message_parser::message_parser(kind k, message_sink& sink)
-    : kind_(k), sink_(sink)
+    : kind_(k), sink_(sink), syntax_(k)
 {
     http_parser_init(
         &parser_, k == kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
@@ -110,23 +110,20 @@
     if (head_complete_ && !complete_)
         return execute_body(bytes);
     head_ended_ = false;
-    std::size_t consumed = execute(bytes);
+    auto const valid = syntax_.valid_bytes(bytes);
+    std::size_t consumed = execute(bytes.substr(0, valid));
     if (started_ && !head_complete_)
     {
         head_bytes_ += consumed;
         if (head_bytes_ > max_head_bytes_ && error_ == parse_error::none)
             error_ = parse_error::head_too_large;
     }
+    if (valid < bytes.size() && error_ == parse_error::none)
+        error_ = parse_error::malformed;
     if (!head_ended_ || error_ != parse_error::none)
         return consumed;
-    // The parser stopped before the last line feed of the head, for which it
-    // takes any byte.
+    // The parser stopped before the last line feed of the head.
     bytes.remove_prefix(consumed);
-    if (bytes.empty() || bytes.front() != '\n')
-    {
-        error_ = parse_error::malformed;
-        return consumed;
-    }
     consumed += execute(bytes.substr(0, 1));
     if (complete_ || error_ != parse_error::none)
         return consumed;
@@ -274,6 +271,7 @@
     auto& m = parser_of(p);
     m.keep_alive_ = http_should_keep_alive(p) != 0 && !m.close_delimited_;
     m.complete_ = true;
+    m.syntax_ = head_syntax(m.kind_);
     http_parser_pause(p, 1);
     m.sink_.on_complete();
     return 0;
@@ -328,9 +326,6 @@
     std::size_t hosts = 0;
     for (auto const& [name, value] : head_.headers)
     {
-        // http-parser takes a blank before the colon as a part of the name.
-        if (name.find_first_of(" \t") != std::string::npos)
-            return false;
         if (equal_ignoring_case(name, "content-length"))
             ++lengths;
         if (equal_ignoring_case(name, "host"))
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -1,5 +1,5 @@
 // Incremental parser for relayed HTTP/1.x messages. http-parser does the
-// framing; this class adds a limit on the head size, strict line ends, and
+// framing; this class adds a limit on the head size and strict syntax, and
 // rejects messages that two parsers could frame differently (request smuggling)
 // and heads that hold the beginning of another one.
 #ifndef DOTTERELLOCK_HTTP_MESSAGE_PARSER_HPP
@@ -16,6 +16,7 @@
 #include <http_parser.h>
 
 #include "chunk_framing.hpp"
+#include "head_syntax.hpp"
 
 namespace dotterellock
 {
@@ -62,11 +63,7 @@
 class message_parser
 {
 public:
-    enum class kind
-    {
-        request,
-        response
-    };
+    using kind = message_kind;
 
     message_parser(kind k, message_sink& sink);
 
@@ -129,6 +126,7 @@
     bool started_ = false;
     bool head_complete_ = false;
     bool head_ended_ = false; // in the current call
+    head_syntax syntax_;
     bool chunked_ = false;
     chunk_framing chunks_;
     bool complete_ = false;
