Refuse answers without a valid status

Callers saw: an endpoint sent an answer whose status was 000, and the caller got it as an answer.

Cause: the parser took a status of any value and number of digits. Here, one below 100 counted as that of an interim answer, so its head was skipped and the bytes behind it were read as another answer; as they are mostly none, callers mostly got 502. 600 to 999 were passed on as they came, and 0200 as 200.

Change: head_syntax requires three digits from 100 to 599 behind one blank, in all answers that the gateway reads (endpoints, store, other gateways). Such an answer is a failed attempt (malformed) at its first wrong byte.

--- a/src/http/head_syntax.cpp
+++ b/src/http/head_syntax.cpp
@@ -6,6 +6,8 @@
 namespace
 {
 
+constexpr int status_length = 3; // digits
+
 constexpr std::string_view name_punctuation = "!#$%&'*+-.^_`|~";
 
 bool is_digit(unsigned char c)
@@ -55,8 +57,22 @@
     case state::blank_lines:
         if (c == '\r' || c == '\n')
             return true;
-        state_ = state::first_line;
+        state_ = kind_ == message_kind::response ? state::version
+                                                 : state::first_line;
+        return !is_control(c);
+    case state::version:
+        if (c == ' ')
+            state_ = state::status;
         return !is_control(c);
+    case state::status:
+        if (++status_digits_ == status_length)
+            state_ = state::status_end;
+        return status_digits_ == 1 ? c >= '1' && c <= '5' : is_digit(c);
+    case state::status_end:
+        if (accept_line_end(c))
+            return true;
+        state_ = state::first_line;
+        return c == ' ';
     case state::first_line:
         return accept_line_end(c) || !is_control(c) ||
                (c == '\t' && kind_ == message_kind::response);
--- a/src/http/head_syntax.hpp
+++ b/src/http/head_syntax.hpp
@@ -1,7 +1,7 @@
-// Checks the bytes of a message head (RFC 9112, 2 to 5; RFC 9110, 5.5).
+// Checks the bytes of a message head (RFC 9112, 2 to 5; RFC 9110, 5.5 and 15).
 // http-parser, as Debian builds it, takes a line that begins with a blank for a
-// part of the field above, and accepts blanks in names and control bytes in
-// targets and reason phrases.
+// part of the field above, and accepts blanks in names, control bytes in
+// targets and reason phrases, and statuses of any value and number of digits.
 #ifndef DOTTERELLOCK_HTTP_HEAD_SYNTAX_HPP
 #define DOTTERELLOCK_HTTP_HEAD_SYNTAX_HPP
 
@@ -32,7 +32,10 @@
     enum class state
     {
         blank_lines, // before the head
-        first_line,
+        version,     // of a response
+        status,
+        status_end,
+        first_line, // of a request; of a response, its reason phrase
         line_feed,
         name_start,
         name,
@@ -46,6 +49,7 @@
 
     message_kind kind_;
     state state_ = state::blank_lines;
+    int status_digits_ = 0;
 };
 
 } // namespace dotterellock
--- a/tests/http/head_syntax_test.cpp
+++ b/tests/http/head_syntax_test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <cstdio>
+
 #include "http/head_syntax.hpp"
 
 using namespace dotterellock;
@@ -76,6 +78,29 @@
     }
 }
 
+// Guards against an answer with a status that no answer may have, or that
+// another reader takes for another one.
+TEST_CASE("a status has three digits, from 100 to 599", "[http]")
+{
+    for (int status = 0; status <= 1100; ++status)
+    {
+        CAPTURE(status);
+        char digits[8];
+        std::snprintf(digits, sizeof digits, "%03d", status);
+        for (std::string const reason : {"", " ", " OK"})
+            CHECK(
+                valid(
+                    message_kind::response,
+                    std::string("HTTP/1.1 ") + digits + reason + "\r\n\r\n") ==
+                (status >= 100 && status <= 599));
+    }
+    auto const text = GENERATE(
+        as<std::string>{}, "", " ", "2", "20", "20 OK", "0200 OK", "-20 OK",
+        "+200 OK", " 200 OK", "2 00 OK", "200OK", "200\tOK", "2x0 OK");
+    CAPTURE(text);
+    CHECK_FALSE(valid(message_kind::response, "HTTP/1.1 " + text + "\r\n\r\n"));
+}
+
 TEST_CASE("what follows a head is not looked at", "[http]")
 {
     auto const end = GENERATE(as<std::string>{}, "\r\n\r\n", "\n\n", "\r\n\n");
--- a/tests/platform/malformed_heads_test.cpp
+++ b/tests/platform/malformed_heads_test.cpp
@@ -1,5 +1,5 @@
 // Answers whose heads break the syntax of HTTP. Index: names of fields;
-// heads within a body; calls of the gateway itself; requests.
+// statuses; heads within a body; calls of the gateway itself; requests.
 #include <catch2/catch.hpp>
 
 #include "answer_text.hpp"
@@ -75,6 +75,64 @@
                   length + "\r\nfirst");
 }
 
+// Statuses -------------------------------------------------------------------
+
+// Callers got an answer with a status that no answer may have, or with another
+// one than the endpoint wrote.
+TEST_CASE("an answer without a valid status is no answer", "[answers][heads]")
+{
+    using namespace std::string_literals;
+    auto const path =
+        GENERATE(as<std::string>{}, "/safe/x", "/unsafe/x", "/llm/x");
+    auto const line = GENERATE(
+        as<std::string>{}, "000", "000 OK", "001 OK", "099 OK", "0 OK", "20 OK",
+        "600 OK", "700 OK", "999 OK", "0200 OK", "00200 OK", "2000 OK",
+        "-200 OK", "+200 OK", "2x0 OK", "200x OK", " 200 OK", "\t200 OK", "",
+        "OK", "200 O\x01K", "200 O\0K"s, "200 O\x7fK", "200 O\rK");
+    auto const framing = GENERATE(
+        as<std::string>{}, "Content-Length: 5\r\n\r\nfirst",
+        "Content-Length: 0\r\n\r\n", "\r\nfirst", "\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n");
+    check_refused(path, "HTTP/1.1 " + line + "\r\n" + seal + framing);
+}
+
+// A status below 100 was taken for that of an interim answer, so the bytes
+// behind its head counted as another answer.
+TEST_CASE("what follows an invalid status is no answer", "[answers][heads]")
+{
+    auto const path = GENERATE(as<std::string>{}, "/safe/x", "/unsafe/x");
+    auto const status = GENERATE(as<std::string>{}, "000", "042", "099");
+    auto const length =
+        GENERATE(as<std::string>{}, "Content-Length: 400\r\n", "");
+    check_refused(
+        path, "HTTP/1.1 " + status + " OK\r\n" + seal + length + "\r\n" +
+                  relay_fixture::response("r1", "first"));
+}
+
+// Interim answers before the proper one are dropped.
+TEST_CASE("valid statuses pass", "[answers][heads]")
+{
+    auto const line = GENERATE(
+        as<std::string>{}, "200", "200 ", "200 OK", "299 Some\tthing",
+        "404 \xe9t\xe9", "599 Last");
+    auto const interim = GENERATE(
+        as<std::string>{}, "", "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n");
+    CAPTURE(line, interim);
+    relay_fixture fixture;
+    fixture.start();
+    auto const caller = fixture.connect_caller(fixture.request("/unsafe/x"));
+    auto const c = fixture.take_request("Request-Id: r1\r\n");
+    REQUIRE(c);
+    c->send(
+        interim + "HTTP/1.1 " + line + "\r\n" + seal +
+        "X-Obs: caf\xe9\tau lait\r\nContent-Length: 5\r\n\r\nfirst");
+    REQUIRE(fixture.run_until([&] { return caller->has("first"); }));
+    REQUIRE(
+        caller->received.rfind("HTTP/1.1 " + line.substr(0, 3) + ' ', 0) == 0);
+    REQUIRE(caller->has("\r\nX-Obs: caf\xe9\tau lait\r\n"));
+}
+
 // Heads within a body --------------------------------------------------------
 
 // An answer that stopped was completed by the next one of the same connection,
@@ -104,7 +162,8 @@
 TEST_CASE("a call takes no malformed answer", "[answers][heads]")
 {
     auto const head = GENERATE(
-        as<std::string>{}, "HTTP/1.1 200 OK\r\nX A: b\r\n",
+        as<std::string>{}, "HTTP/1.1 000 OK\r\n", "HTTP/1.1 700 OK\r\n",
+        "HTTP/1.1 0200 OK\r\n", "HTTP/1.1 200 OK\r\nX A: b\r\n",
         "HTTP/1.1 200 OK\r\nX-A: b\r\n Store-Era: 1\r\n",
         "HTTP/1.1 200 OK\r\nX\x01: b\r\n");
     CAPTURE(head);
