Count a request that got an invalid status as sent

Callers saw: not seen by callers; found by looking for the cause of status 000 where agents and routers read answers. A call that may not be repeated could run at a second host, and a write to the store counted as one without effect.

Cause: libcurl ends a transfer whose answer has a status below 100, or of four digits, with the same error as a URL of an unknown scheme (CURLE_UNSUPPORTED_PROTOCOL), which curl_executor took for "nothing was sent".

Change: the error counts so only if no byte of the request was written (CURLINFO_REQUEST_SIZE).

--- a/src/clients/curl_executor.cpp
+++ b/src/clients/curl_executor.cpp
@@ -371,9 +371,14 @@
 {
     http_response r;
     auto const code = static_cast<CURLcode>(curl_code);
-    bool const never_connected =
-        code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
-        code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL;
+    // Of a URL's scheme, or of an answer's status line.
+    long request_bytes = 0;
+    curl_easy_getinfo(t.easy.get(), CURLINFO_REQUEST_SIZE, &request_bytes);
+    bool const unsupported_url =
+        code == CURLE_UNSUPPORTED_PROTOCOL && request_bytes == 0;
+    bool const never_connected = code == CURLE_COULDNT_CONNECT ||
+                                 code == CURLE_COULDNT_RESOLVE_HOST ||
+                                 code == CURLE_URL_MALFORMAT || unsupported_url;
     double connect_seconds = 0;
     curl_easy_getinfo(t.easy.get(), CURLINFO_CONNECT_TIME, &connect_seconds);
     // A timeout before the connection is established also means nothing was
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -51,12 +51,29 @@
         return !failure;
     }
 
+    /// Resets the connection.
+    /// @param by_unread_input  closes it while input is unread, and else with
+    ///                         a linger time of 0
+    void reset(bool by_unread_input)
+    {
+        std::lock_guard<std::mutex> const lock(closing_);
+        asio::error_code ignored; // the socket is closed either way
+        if (!by_unread_input)
+            socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket_.close(ignored);
+    }
+
 private:
     friend class scripted_server;
 
-    void shut_down() { ::shutdown(socket_.native_handle(), SHUT_RDWR); }
+    void shut_down()
+    {
+        std::lock_guard<std::mutex> const lock(closing_);
+        ::shutdown(socket_.native_handle(), SHUT_RDWR);
+    }
 
     asio::ip::tcp::socket socket_;
+    std::mutex closing_; // shut_down() is called by another thread as well
     std::string input_;
 };
 
