Refuse malformed heads in agents and routers

Callers saw: not seen by callers; found by looking for the cause of malformed heads where agents and routers read answers.

Cause: libcurl ignores lines of a head that it does not understand, also those that hold the length, so the body was another one; it takes statuses of 600 to 999, which routers passed on.

Result: "an answer with a malformed head counts as not arrived" failed in 60 of 144 assertions on the code before (600, 999, control bytes in reason and name, blanks in names, folded lines, a line without a colon, also in an interim head) and passes, as does "an answer with a valid head arrives" (interim heads, trailers). Run on arm64.

--- a/src/clients/curl_executor.cpp
+++ b/src/clients/curl_executor.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "http/head_syntax.hpp"
+
 namespace dotterellock
 {
 
@@ -47,16 +49,20 @@
     std::size_t head_bytes = 0;              // libcurl keeps the fields
     std::string body;
     std::string refusal; // why the answer was given up
+    bool over_limit = false;
+    head_syntax syntax{message_kind::response};
     bool paused = false;
     counter* pauses = nullptr; // set when the transfer starts
     std::unique_ptr<curl_slist, header_list_deleter> headers;
     std::unique_ptr<CURL, easy_deleter> easy;
 
     static std::size_t
-    append_head(char*, std::size_t size, std::size_t count, void* self)
+    append_head(char* data, std::size_t size, std::size_t count, void* self)
     {
         auto& t = *static_cast<transfer*>(self);
-        return t.add_head_bytes(size * count) ? size * count : 0;
+        std::string_view const line(data, size * count);
+        return t.check_head(line) && t.add_head_bytes(line.size()) ? line.size()
+                                                                   : 0;
     }
 
     static std::size_t
@@ -69,6 +75,7 @@
         return t.append_body(bytes) ? bytes.size() : 0;
     }
 
+    bool check_head(std::string_view line);
     bool add_head_bytes(std::size_t n);
     bool append_body(std::string_view bytes);
     std::size_t pass_on(std::string_view bytes);
@@ -81,6 +88,7 @@
 
     bool refuse(char const* part, std::size_t limit)
     {
+        over_limit = true;
         refusal =
             std::string(part) + " exceeds " + std::to_string(limit) + " bytes";
         return false;
@@ -88,6 +96,7 @@
 
     bool refuse_for_memory()
     {
+        over_limit = true;
         refusal =
             "no memory for the answer: all answers together hold too much";
         return false;
@@ -104,6 +113,20 @@
     void prepare();
 };
 
+/// Checks a line of a head; libcurl ignores malformed ones. It passes on the
+/// heads of interim answers and trailers too, which end a complete head.
+bool curl_executor::transfer::check_head(std::string_view line)
+{
+    constexpr std::string_view status_line_start = "HTTP/";
+    if (syntax.complete() &&
+        line.substr(0, status_line_start.size()) == status_line_start)
+        syntax = head_syntax(message_kind::response);
+    if (syntax.valid_bytes(line) == line.size())
+        return true;
+    refusal = "malformed head";
+    return false;
+}
+
 bool curl_executor::transfer::add_head_bytes(std::size_t n)
 {
     // Trailers and the heads of interim answers count as well.
@@ -357,7 +380,7 @@
         auto* const t = reinterpret_cast<transfer*>(private_data);
         if (code != CURLE_OK)
             transfers_failed_.add();
-        if (!t->refusal.empty())
+        if (t->over_limit)
             answers_over_limit_.add();
         auto const on_done = std::move(t->handlers.on_done);
         http_response response = make_response(*t, code);
--- a/tests/clients/broken_answers_test.cpp
+++ b/tests/clients/broken_answers_test.cpp
@@ -61,6 +61,38 @@
     CHECK_FALSE(r.answered);
 }
 
+// libcurl ignores malformed fields and takes any status from 100 to 999.
+TEST_CASE("an answer with a malformed head counts as not arrived")
+{
+    using namespace std::string_literals;
+    auto const head = GENERATE(
+        as<std::string>{}, "HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n",
+        "HTTP/1.1 600 OK\r\n", "HTTP/1.1 999 OK\r\n", "HTTP/1.1 0200 OK\r\n",
+        "HTTP/1.1 2000 OK\r\n", "HTTP/1.1 20 OK\r\n", "HTTP/1.1 200 O\x01K\r\n",
+        "HTTP/1.1 200 OK\r\nX A: b\r\n", "HTTP/1.1 200 OK\r\nX-A : b\r\n",
+        "HTTP/1.1 200 OK\r\n X-A: b\r\n",
+        "HTTP/1.1 200 OK\r\nX-A: b\r\n Content-Length: 3\r\n",
+        "HTTP/1.1 200 OK\r\nX\x01: b\r\n", "HTTP/1.1 200 OK\r\nX\0: b\r\n"s,
+        "HTTP/1.1 200 OK\r\nX-A: b\x7f\r\n", "HTTP/1.1 200 OK\r\nX-A\r\n",
+        "HTTP/1.1 100 Continue\r\nX A: b\r\n\r\nHTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX A: b\r\n");
+    auto const framing = GENERATE(
+        as<std::string>{}, "Content-Length: 4\r\n\r\nbody",
+        "Connection: close\r\n\r\nbody");
+    CAPTURE(head, framing);
+    scripted_server server(
+        [&](scripted_connection& c)
+        {
+            c.read_request();
+            c.write(head + framing);
+        });
+    auto const r = post(server.url(), "request");
+    CHECK(r.sent);
+    CHECK_FALSE(r.answered);
+    CHECK(r.body.empty());
+    CHECK_FALSE(r.detail.empty());
+}
+
 TEST_CASE("an answer with a valid head arrives")
 {
     auto const head = GENERATE(
