--- a/src/clients/curl_executor.cpp
+++ b/src/clients/curl_executor.cpp
@@ -113,8 +113,8 @@
     void prepare();
 };
 
-/// Checks a line of a head; libcurl ignores malformed ones. It passes on the
-/// heads of interim answers and trailers too, which end a complete head.
+/// Checks a line of a head, as libcurl ignores malformed ones. The heads of
+/// interim answers come here as well, and trailers, which are not checked.
 bool curl_executor::transfer::check_head(std::string_view line)
 {
     constexpr std::string_view status_line_start = "HTTP/";
--- a/src/http/answer_boundary.cpp
+++ b/src/http/answer_boundary.cpp
@@ -18,8 +18,8 @@
     return text.substr(begin, std::max(begin, end) - begin);
 }
 
-/// Reads fields whatever their syntax: a malformed head that is none of its own
-/// shows as well that a body was cut.
+/// Reads the fields of a head that may be malformed: inside a body it shows all
+/// the same that the body was cut.
 class lenient_head
 {
 public:
@@ -39,7 +39,7 @@
     message_head const& fields() const { return head_; }
 
     /// Whether what follows the status line may be the beginning of a head.
-    bool plausible() const { return !has_lines_ || !head_.headers.empty(); }
+    bool may_be_head() const { return !has_lines_ || !head_.headers.empty(); }
 
 private:
     void read_line(std::string_view line, bool complete)
@@ -93,7 +93,7 @@
     auto const last = last_status_line(text_);
     return at_status_line_ && last != std::string::npos &&
            text_.find("\r\n", last) != std::string::npos &&
-           lenient_head(std::string_view(text_).substr(last)).plausible();
+           lenient_head(std::string_view(text_).substr(last)).may_be_head();
 }
 
 /// Makes the text begin with a status line; false if there is none.
--- a/src/relay/http_connection.hpp
+++ b/src/relay/http_connection.hpp
@@ -165,7 +165,7 @@
     memory_account account_; // of heads, which only this class sees
     bool connected_ = false;
     bool request_written_ = true;
-    bool reset_ = false; // as a write returned
+    bool reset_ = false; // by a write's error
     bool reusable_ = false;
     bool skip_response_ = false; // interim, or of another request
     bool response_complete_ = false;
