tests: a stand-in that closes with unread input waits for input

Traces of failed runs show that recvfrom returned the answer and then 0, and that no call of the client got an error: the stand-in had read all that had arrived, so its close ended the connection in order, and the answer was whole.

Change: scripted_connection::reset(true) waits until input is there to be left unread. The checks of the test are the same.

--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -52,12 +52,14 @@
     }
 
     /// Resets the connection.
-    /// @param by_unread_input  closes it while input is unread, and else with
-    ///                         a linger time of 0
+    /// @param by_unread_input  waits for input and closes it unread; else
+    ///                         closes with a linger time of 0
     void reset(bool by_unread_input)
     {
-        std::lock_guard<std::mutex> const lock(closing_);
         asio::error_code ignored; // the socket is closed either way
+        if (by_unread_input)
+            socket_.wait(asio::ip::tcp::socket::wait_read, ignored);
+        std::lock_guard<std::mutex> const lock(closing_);
         if (!by_unread_input)
             socket_.set_option(asio::socket_base::linger(true, 0), ignored);
         socket_.close(ignored);
