tables: log how much of an answer came, and the time to read a configuration

Cause: a gateway that is late with a change logs only that sources timed out. That does not tell a slow link from a silent source, an answer that grew from one that did not, or the work on a large configuration from either.

Change: table_source_failed gets the bytes received and the time since the call, table_answer is logged for answers from 64 KB on, configuration_applied gets the size of its row and the time to read it.

--- a/src/gateway/table_watcher.hpp
+++ b/src/gateway/table_watcher.hpp
@@ -50,6 +50,7 @@
     std::optional<std::chrono::milliseconds> proven_after_sending;
     std::vector<host_id> via; // gateways that passed it on, the nearest first
     std::string detail;       // reason of a failure
+    std::size_t received_bytes = 0; // also of an answer that broke off
 };
 
 /// Read access to the platform's store. One call at a time.
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -274,8 +274,8 @@
         gateway_route const& route,
         std::optional<std::uint64_t> const& last_event_id) const;
     void apply_configuration(
-        gateway_configuration configuration, std::uint64_t revision,
-        steady_time changed_after);
+        gateway_configuration configuration, store_row const& row,
+        steady_time changed_after, steady_time began);
 
     gateway_settings settings_;
     gateway_environment const env_;
--- a/src/relay/gateway_tables.cpp
+++ b/src/relay/gateway_tables.cpp
@@ -72,9 +72,10 @@
         run_isolated(
             [&]
             {
+                auto const began = owner_.env_.clock.now();
                 if (auto c = owner_.env_.codec.read_configuration(row))
                     owner_.apply_configuration(
-                        std::move(*c), row.revision, period.not_before);
+                        std::move(*c), row, period.not_before, began);
             },
             [&](std::string const& detail)
             {
@@ -167,10 +168,12 @@
 // Configuration in force -----------------------------------------------------
 
 /// @param changed_after  the change was made after it
+/// @param began          when the row began to be read
 void gateway::apply_configuration(
-    gateway_configuration configuration, std::uint64_t revision,
-    steady_time changed_after)
+    gateway_configuration configuration, store_row const& row,
+    steady_time changed_after, steady_time began)
 {
+    auto const revision = row.revision;
     auto const version = configuration.version;
     bool const older =
         table_ && (version < table_->version() || revision < table_revision_);
@@ -189,6 +192,11 @@
                              env_.clock.now() - changed_after)
                              .count())},
          {"routes", std::to_string(configuration.routes.size())},
+         {"bytes", std::to_string(row.value.size())},
+         {"read_ms",
+          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                             env_.clock.now() - began)
+                             .count())},
          {"idle_timeout_ms",
           std::to_string(configuration.limits.idle_timeout.count())}});
     if (older)
--- a/src/relay/http_caller.cpp
+++ b/src/relay/http_caller.cpp
@@ -60,6 +60,7 @@
     auto const capacity = capacity_after(reply_.body, bytes.size());
     bool const allowed = account_.may_grow(capacity);
     append_tight(reply_.body, bytes);
+    reply_.received += bytes.size();
     account_.hold(reply_.body.capacity());
     if (!allowed || reply_.body.size() > max_body_bytes_)
         fail("response is too long");
@@ -73,18 +74,22 @@
 void http_caller::on_failure(connection_failure failure)
 {
     connection_.reset();
-    shrink(reply_.body, 0);
-    reply_ = {};
-    reply_.failure = to_string(failure);
-    finish();
+    finish_without_response(to_string(failure));
 }
 
 void http_caller::fail(char const* why)
 {
     connection_->abandon();
     connection_.reset();
+    finish_without_response(why);
+}
+
+void http_caller::finish_without_response(char const* why)
+{
+    auto const received = reply_.received;
     shrink(reply_.body, 0);
     reply_ = {};
+    reply_.received = received;
     reply_.failure = why;
     finish();
 }
--- a/src/relay/http_caller.hpp
+++ b/src/relay/http_caller.hpp
@@ -22,7 +22,8 @@
     unsigned status = 0; // 0: no complete response
     header_list headers;
     std::string body;
-    std::string failure; // why there is none
+    std::string failure;      // why there is none
+    std::size_t received = 0; // bytes of the body, also without a response
 };
 
 class http_caller : private response_handler
@@ -53,6 +54,7 @@
     void on_response_complete() override;
     void on_failure(connection_failure failure) override;
     void fail(char const* why);
+    void finish_without_response(char const* why);
     void finish();
 
     asio::io_context& io_;
--- a/src/relay/peer_tables.cpp
+++ b/src/relay/peer_tables.cpp
@@ -113,7 +113,11 @@
         *peer, encode_table_call({table, after, wait}, address),
         wait + answer_timeout,
         [done = std::move(done)](http_reply const& reply)
-        { done(to_result(reply)); });
+        {
+            auto result = to_result(reply);
+            result.received_bytes = reply.received;
+            done(std::move(result));
+        });
 }
 
 } // namespace dotterellock
--- a/src/relay/shared_row_reader.cpp
+++ b/src/relay/shared_row_reader.cpp
@@ -14,6 +14,12 @@
     return source.is_store() ? "store" : source.host.value();
 }
 
+std::string milliseconds_text(duration d)
+{
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
+
 std::string path_text(std::vector<host_id> const& via)
 {
     std::string text;
@@ -37,13 +43,18 @@
     std::string const& table, std::string const& from, handler done)
 {
     ++store_calls_;
+    call_.table = table;
+    call_.sent = clock_.now();
     counters_.counter("table_calls_total", "source=\"store\"").add();
     store_.list(
         table, from,
         [this, done = std::move(done)](row_read_result answer)
         {
             if (answer.status == row_read_status::ok)
+            {
                 last_source_ = host_id();
+                note_large_answer("store", answer);
+            }
             done(std::move(answer));
         });
 }
@@ -107,6 +118,7 @@
             answer.via.insert(answer.via.begin(), source.host);
         selector_.record_success(source);
         note_source(source, answer);
+        note_large_answer(source_name(source), answer);
     }
     else
     {
@@ -115,7 +127,9 @@
             event_level::warn, "table_source_failed",
             {{"table", call_.table},
              {"source", source_name(source)},
-             {"detail", answer.detail.empty() ? "-" : answer.detail}});
+             {"detail", answer.detail.empty() ? "-" : answer.detail},
+             {"bytes", std::to_string(answer.received_bytes)},
+             {"after_ms", milliseconds_text(clock_.now() - call_.sent)}});
         call_.history_lost = call_.history_lost ||
                              answer.status == row_read_status::history_lost;
         // Only a listing of the store helps then, even if it failed before.
@@ -153,10 +167,21 @@
         {{"table", call_.table},
          {"source", source_name(source)},
          {"via", path_text(answer.via)},
-         {"age_ms",
-          std::to_string(
-              std::chrono::duration_cast<std::chrono::milliseconds>(age)
-                  .count())}});
+         {"age_ms", milliseconds_text(age)}});
+}
+
+void shared_row_reader::note_large_answer(
+    std::string const& source, row_read_result const& answer)
+{
+    if (answer.received_bytes < large_answer_bytes)
+        return;
+    log_.record(
+        event_level::info, "table_answer",
+        {{"table", call_.table},
+         {"source", source},
+         {"rows", std::to_string(answer.rows.size())},
+         {"bytes", std::to_string(answer.received_bytes)},
+         {"took_ms", milliseconds_text(clock_.now() - call_.sent)}});
 }
 
 } // namespace dotterellock
--- a/src/relay/shared_row_reader.hpp
+++ b/src/relay/shared_row_reader.hpp
@@ -61,6 +61,9 @@
     std::uint64_t store_calls() const { return store_calls_; }
 
 private:
+    // Answers from this size on are logged; they take a slow link a moment.
+    static constexpr std::size_t large_answer_bytes = 64u << 10;
+
     struct pending_call
     {
         std::string table;
@@ -76,6 +79,8 @@
     void try_next_source();
     void on_answer(table_source const& source, row_read_result answer);
     void note_source(table_source const& source, row_read_result const& answer);
+    void
+    note_large_answer(std::string const& source, row_read_result const& answer);
 
     row_reader& store_;
     peer_table_reader& peers_;
