tables: bring large configurations into force within the bound

What callers saw: with a configuration of 6,000 routes that changes every 0.6 s, gateways handled requests by a version that was replaced more than 4 s before, and answered 503 to requests with a key, until the changes ended.

Cause: an answer with a change had 800 ms (store) or 300 ms (gateway) as a whole, while its size was that of the configuration, times the changes since the copy's revision. Between regions all readers load the same megabyte over one link of 60 Mbit/s; calls that timed out had brought 278,452 of 1,553,003 bytes, and the next one began anew. Followers turned to the store as well, as their reader's copy was too old, and filled the link further; datagrams were lost on it.

Change: - A call's time limit counts until its answer begins; then bytes must keep coming (transfer_watch). - An answer holds each row once, with its last change. - Gateways pass on changes of rows from 16 KB on as differences to the caller's row, made of blocks that the content delimits. Earlier gateways get them whole. - Of rows from 64 KB on, two gateways of a region, those with the fastest links, load the changes; the others follow them. Smaller rows are read as before. - A copy whose answer is on the way is not refused to followers as stale. - Load shares announce the revision of the configuration in force. A gateway that lacks it 300 ms later asks one that has it for the difference. - Followers are answered before the gateway reads the configuration itself.

--- a/src/gateway/freshness_lease.hpp
+++ b/src/gateway/freshness_lease.hpp
@@ -57,6 +57,14 @@
                endpoint_copy_policy::call_time;
     }
 
+    /// As max_shared_age(), while an answer is on the way to the copy: until
+    /// followers could not use it any more.
+    static std::chrono::milliseconds
+    max_shared_age_receiving(std::chrono::milliseconds max_staleness)
+    {
+        return std::max(max_staleness - margin, max_shared_age(max_staleness));
+    }
+
     // Covers rounding and a clock that runs slightly slow.
     static constexpr std::chrono::milliseconds margin{250};
 
--- a/src/gateway/peer_loads.hpp
+++ b/src/gateway/peer_loads.hpp
@@ -53,6 +53,8 @@
     std::vector<shared_report> reports;
     std::vector<shared_limit> limits;
     zone_id zone; // of the gateway, if its copies of the tables are current
+    std::uint64_t configuration_revision = 0; // in force there; 0: not known
+    std::uint32_t link_mbps = 0;              // of its host; 0: not known
 };
 
 class peer_loads
--- a/src/gateway/shared_table.cpp
+++ b/src/gateway/shared_table.cpp
@@ -1,6 +1,7 @@
 #include "shared_table.hpp"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 #include "store_revision.hpp"
@@ -22,10 +23,11 @@
 } // namespace
 
 void shared_table::changes(
-    std::uint64_t after, std::chrono::milliseconds wait, handler done)
+    std::uint64_t after, std::chrono::milliseconds wait, handler done,
+    large_row_form form)
 {
     auto const now = clock_.now();
-    held_call call{after, now, now + wait, std::move(done)};
+    held_call call{after, now, now + wait, form, std::move(done)};
     if (auto result = answer(call, now))
         call.done(std::move(*result));
     else if (held_.size() >= max_held_calls)
@@ -35,7 +37,7 @@
 }
 
 std::optional<row_read_result>
-shared_table::answer(held_call const& call, steady_time now) const
+shared_table::answer(held_call const& call, steady_time now)
 {
     if (!current(now))
         return refusal("copy is stale");
@@ -45,11 +47,26 @@
         result.status = row_read_status::history_lost;
         return result;
     }
-    std::copy_if(
-        history_.begin(), history_.end(), std::back_inserter(result.rows),
-        [&call](store_row const& row) { return row.revision > call.after; });
-    if (result.rows.empty() && now < call.deadline)
+    auto const changed = changes_.lower_bound({call.after + 1, {}});
+    if (changed == changes_.end() && now < call.deadline)
         return std::nullopt;
+    for (auto at = changed; at != changes_.end(); ++at)
+    {
+        auto const& row = rows_.at(at->second);
+        bool const large = row.value.size() >= min_delta_row_bytes;
+        auto update = large && call.form != large_row_form::whole
+                          ? update_of(row, call.after)
+                          : std::nullopt;
+        if (update)
+            result.updates.push_back(std::move(*update));
+        else if (large && call.form == large_row_form::only_updates)
+            return refusal("no difference is kept");
+        else
+            result.rows.push_back(row);
+    }
+    result.changes_skipped = std::any_of(
+        gaps_.begin(), gaps_.end(),
+        [&call](history_gap const& gap) { return gap.before > call.after; });
     result.status = row_read_status::ok;
     // The caller's copy may be ahead, as the revision counts the changes of all
     // tables; then it holds at least what was proven here.
@@ -92,13 +109,15 @@
     std::vector<store_row> const& rows, change_period const& period)
 {
     listing_ = rows;
-    next_.on_listing(rows, period);
+    to_pass_on_.emplace_back([this, rows, period]
+                             { next_.on_listing(rows, period); });
 }
 
 void shared_table::on_change(store_row const& row, change_period const& period)
 {
     add_to_history(row);
-    next_.on_change(row, period);
+    to_pass_on_.emplace_back([this, row, period]
+                             { next_.on_change(row, period); });
 }
 
 void shared_table::on_current(copy_state const& state)
@@ -110,8 +129,31 @@
     proven_ = state.proven;
     via_ = state.via;
     revision_ = state.revision;
-    next_.on_current(state);
+    // Callers first: to use a large row here may take a while.
     answer_held();
+    to_pass_on_.emplace_back([this, state] { next_.on_current(state); });
+    pass_on();
+}
+
+/// Passes on what came with an answer. An error ends that part only; the first
+/// one is thrown afterwards.
+void shared_table::pass_on()
+{
+    std::exception_ptr failure;
+    for (auto const& part : std::exchange(to_pass_on_, {}))
+    {
+        try
+        {
+            part();
+        }
+        catch (...)
+        {
+            if (!failure)
+                failure = std::current_exception();
+        }
+    }
+    if (failure)
+        std::rethrow_exception(failure);
 }
 
 void shared_table::add_gap(std::uint64_t revision)
@@ -125,24 +167,109 @@
 
 void shared_table::add_to_history(store_row const& row)
 {
+    auto const known = rows_.find(row.key);
+    if (known != rows_.end())
+    {
+        if (known->second.revision >= row.revision)
+            return;
+        note_change(known->second, row);
+        changes_.erase({known->second.revision, row.key});
+        deleted_.erase({known->second.revision, row.key});
+    }
+    changes_.emplace(row.revision, row.key);
     if (row.deleted)
-        rows_.erase(row.key);
-    else
-        rows_[row.key] = row;
-    history_.push_back(row);
-    while (history_.size() > max_history_rows)
+        deleted_.emplace(row.revision, row.key);
+    rows_[row.key] = row;
+    forget_deleted();
+}
+
+void shared_table::forget_deleted()
+{
+    while (deleted_.size() > max_history_rows)
+    {
+        auto const oldest = deleted_.begin();
+        history_start_ = std::max(history_start_, oldest->first);
+        changes_.erase(*oldest);
+        rows_.erase(oldest->second);
+        deleted_.erase(oldest);
+    }
+}
+
+void shared_table::note_change(store_row const& from, store_row const& to)
+{
+    if (to.deleted || to.value.size() < min_delta_row_bytes)
     {
-        history_start_ = std::max(history_start_, history_.front().revision);
-        history_.pop_front();
+        steps_.erase(to.key);
+        return;
     }
+    auto& kept = steps_[to.key];
+    // Nobody asked for the change before, so it was not worked out.
+    if (kept.previous)
+        kept = {};
+    kept.previous = from;
+}
+
+/// Works out the last change of a large row, if it is much smaller than that.
+void shared_table::add_step(row_steps& kept, store_row const& to)
+{
+    auto const limit = to.value.size() / kept_deltas_divisor;
+    auto const from = std::move(*kept.previous);
+    kept.previous.reset();
+    auto delta = make_value_delta(from.value, to.value, limit);
+    if (!delta)
+    {
+        kept = {};
+        return;
+    }
+    kept.bytes += delta->size();
+    kept.steps.push_back({from.revision, to.revision, std::move(*delta)});
+    while (kept.bytes > limit || kept.steps.size() > max_kept_deltas)
+    {
+        kept.bytes -= kept.steps.front().delta.size();
+        kept.steps.pop_front();
+    }
+}
+
+/// The changes of a row since the one that a copy as of `after` holds, if all
+/// of them are kept.
+std::optional<row_update>
+shared_table::update_of(store_row const& row, std::uint64_t after)
+{
+    auto const kept = steps_.find(row.key);
+    if (kept == steps_.end())
+        return std::nullopt;
+    if (kept->second.previous)
+        add_step(kept->second, row);
+    auto const& steps = kept->second.steps;
+    auto const first = std::find_if(
+        steps.begin(), steps.end(),
+        [after](row_step const& step) { return step.to > after; });
+    if (first == steps.end() || first->from > after)
+        return std::nullopt;
+    row_update update;
+    update.key = row.key;
+    update.base = first->from;
+    update.revision = row.revision;
+    for (auto at = first; at != steps.end(); ++at)
+        update.steps.push_back(at->delta);
+    return update;
+}
+
+store_row const* shared_table::find(std::string const& key) const
+{
+    auto const found = rows_.find(key);
+    bool const exists = found != rows_.end() && !found->second.deleted;
+    return exists ? &found->second : nullptr;
 }
 
 void shared_table::restart_history(std::uint64_t revision)
 {
     history_start_ = revision;
-    history_.clear();
     gaps_.clear();
     rows_.clear();
+    changes_.clear();
+    deleted_.clear();
+    steps_.clear();
 }
 
 /// Turns a listing into the changes since the previous state, so that those who
@@ -154,22 +281,21 @@
     // Copies of an earlier era may hold rows that this one never had and that
     // the restored store lost.
     if (!proven_ || store_era_of(revision) != store_era_of(revision_))
-    {
         restart_history(revision);
-        for (auto const& row : listed)
-            rows_[row.key] = row;
-        return;
-    }
-    auto missing = rows_;
+    std::set<std::string> keys;
     for (auto const& row : listed)
     {
-        auto const known = rows_.find(row.key);
-        if (known == rows_.end() || known->second.revision != row.revision)
-            add_to_history(row);
-        missing.erase(row.key);
+        keys.insert(row.key);
+        add_to_history(row);
+    }
+    std::vector<store_row> missing;
+    for (auto const& [key, row] : rows_)
+    {
+        if (!row.deleted && keys.count(key) == 0)
+            missing.push_back({key, {}, revision, true});
     }
-    for (auto const& [key, row] : missing)
-        add_to_history({key, {}, revision, true});
+    for (auto const& row : missing)
+        add_to_history(row);
 }
 
 } // namespace dotterellock
--- a/src/gateway/table_source_selector.hpp
+++ b/src/gateway/table_source_selector.hpp
@@ -37,6 +37,7 @@
     std::string address;
     bool same_zone = false;
     bool same_region = false;
+    std::uint32_t link_mbps = 0; // 0: not known
 };
 
 /// The store, or the gateway at `address`.
@@ -54,6 +55,9 @@
     // The second one takes over without a pause when the first is lost.
     static constexpr std::size_t readers_per_zone = 2;
 
+    // Of those, the ones that load large rows over the region's link.
+    static constexpr std::size_t readers_per_region = 2;
+
     // A source that failed is tried again after this; doubles per failure.
     static constexpr std::chrono::milliseconds min_avoidance{1000};
     static constexpr std::chrono::milliseconds max_avoidance{8000};
@@ -65,7 +69,11 @@
     // Each further source takes time, while the copy grows old.
     static constexpr std::size_t max_sources = 3;
 
-    explicit table_source_selector(host_id self) : self_(std::move(self)) {}
+    /// @param link_mbps  of this host; 0: not known
+    explicit table_source_selector(host_id self, std::uint32_t link_mbps = 0)
+        : self_(std::move(self)), link_mbps_(link_mbps)
+    {
+    }
 
     host_id const& self() const { return self_; }
 
@@ -79,6 +87,9 @@
             { return order_of(a) < order_of(b); });
     }
 
+    /// The nearest first.
+    std::vector<table_peer> const& peers() const { return peers_; }
+
     /// Whether this gateway is one of those that read the store.
     bool reads_store() const
     {
@@ -90,6 +101,18 @@
         return std::size_t(ahead) < readers_per_zone;
     }
 
+    /// Whether this gateway is one of those that load large rows for their
+    /// region, whose link would be full if the readers of all zones did.
+    bool reads_for_region() const
+    {
+        auto const own = strength(link_mbps_, self_);
+        auto const ahead = std::count_if(
+            peers_.begin(), peers_.end(),
+            [own](table_peer const& p)
+            { return in_region(p) && strength(p.link_mbps, p.host) > own; });
+        return std::size_t(ahead) < readers_per_region;
+    }
+
     /// Whether other gateways of the zone rely on this one.
     bool serves_followers() const
     {
@@ -119,8 +142,12 @@
     }
 
     /// Sources in the order in which they are tried.
-    std::vector<table_source> sources(steady_time now) const
+    /// @param large_rows  whether the table holds large rows
+    std::vector<table_source>
+    sources(steady_time now, bool large_rows = false) const
     {
+        if (large_rows)
+            return sources_of_large_rows(now);
         std::vector<table_source> readers;
         std::vector<table_source> others;
         for (auto const& p : peers_)
@@ -176,6 +203,49 @@
         steady_time at{};
     };
 
+    static bool in_region(table_peer const& p)
+    {
+        return p.same_zone || p.same_region;
+    }
+
+    /// Order of the gateways that may load large rows: the fastest links first.
+    static std::pair<std::uint32_t, std::uint64_t>
+    strength(std::uint32_t link_mbps, host_id const& host)
+    {
+        return {link_mbps, weight(host)};
+    }
+
+    std::vector<table_source> sources_of_large_rows(steady_time now) const
+    {
+        std::vector<table_peer const*> readers;
+        for (auto const& p : peers_)
+        {
+            if (in_region(p))
+                readers.push_back(&p);
+        }
+        auto const count = std::min(readers.size(), readers_per_region);
+        std::partial_sort(
+            readers.begin(), readers.begin() + std::ptrdiff_t(count),
+            readers.end(),
+            [](table_peer const* a, table_peer const* b) {
+                return strength(a->link_mbps, a->host) >
+                       strength(b->link_mbps, b->host);
+            });
+        readers.resize(count);
+        if (count > 1 && weight(self_) % 2 == 1)
+            std::swap(readers[0], readers[1]);
+        std::vector<table_source> ordered;
+        for (auto const* const p : readers)
+            ordered.push_back({p->host, p->address});
+        ordered.insert(
+            reads_for_region() ? ordered.begin() : ordered.end(),
+            table_source{});
+        std::stable_partition(
+            ordered.begin(), ordered.end(),
+            [this, now](table_source const& s) { return !avoided(s, now); });
+        return ordered;
+    }
+
     static std::uint64_t weight(host_id const& host)
     {
         return rendezvous_weight("tables", host.value());
@@ -212,6 +282,7 @@
     }
 
     host_id const self_;
+    std::uint32_t const link_mbps_;
     std::vector<table_peer> peers_;
     std::map<host_id, failure> failures_;
 };
--- a/src/gateway/table_watcher.cpp
+++ b/src/gateway/table_watcher.cpp
@@ -175,7 +175,7 @@
             "row " + row.key.substr(0, max_logged_key_bytes),
             [&] { listener_.on_change(row, period); });
     revision_ = answer.revision;
-    on_proven(proven, !answered_by_store_, answer.via);
+    on_proven(proven, answer.changes_skipped, answer.via);
     if (!answer.rows.empty() && answered_by_store_)
         next_call_ = clock_.now() + settings_.change_batch_delay;
     poll();
--- a/src/gateway/table_watcher.hpp
+++ b/src/gateway/table_watcher.hpp
@@ -17,10 +17,28 @@
 
 #include "event_log.hpp"
 #include "store_clock.hpp"
+#include "value_delta.hpp"
 
 namespace dotterellock
 {
 
+/// How a gateway passes on changes of large rows.
+enum class large_row_form
+{
+    whole,
+    updates, // as differences where they are kept
+    only_updates
+};
+
+/// Changes of a large row, as the difference to a revision that the reader has.
+struct row_update
+{
+    std::string key;
+    std::uint64_t base = 0;     // revision of the row that is changed
+    std::uint64_t revision = 0; // of the row after the last step
+    std::vector<value_delta> steps;
+};
+
 struct store_row
 {
     std::string key;
@@ -41,8 +59,14 @@
 {
     row_read_status status = row_read_status::failed;
     std::vector<store_row> rows;
+    std::vector<row_update>
+        updates;                // of a gateway, for one that asked for them
     std::uint64_t revision = 0; // of the whole store at the time of the answer
-    bool more = false;          // the listing has further pages
+
+    // Rows that were made and deleted since the requested revision may be
+    // missing.
+    bool changes_skipped = false;
+    bool more = false; // the listing has further pages
     std::optional<std::chrono::milliseconds> store_time; // store's steady clock
 
     // Set if another gateway answered from its copy: when that was proven to be
@@ -70,6 +94,12 @@
     virtual void changes(
         std::string const& table, std::uint64_t after,
         std::chrono::milliseconds wait, handler done) = 0;
+
+    /// Size of the current call's answer, once its head has come; 0 before.
+    virtual std::size_t receiving() const { return 0; }
+
+    /// Gives up the current call; its handler is not called.
+    virtual void cancel() {}
 };
 
 /// When the changes in an answer may have been made.
@@ -85,8 +115,8 @@
     steady_time proven{};       // complete as of then
     std::uint64_t revision = 0; // and as of this revision
 
-    // Rows that changed more than once since the previous state may have come
-    // with their last change only, or not at all if they exist no more.
+    // Rows that were made and deleted since the previous state may not have
+    // come at all.
     bool changes_skipped = false;
 
     // Gateways that passed the proof on, the nearest first.
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -103,20 +103,31 @@
       freshness_lease_(settings_.key_withdrawal_bound),
       configuration_sink_(make_configuration_sink()),
       endpoint_sink_(make_endpoint_sink()),
-      table_sources_(host_id(settings_.host)),
+      table_sources_(
+          host_id(settings_.host), std::uint32_t(settings_.link_mbps)),
       shared_configuration_(
           *configuration_sink_, env_.clock,
-          freshness_lease::max_shared_age(settings_.key_withdrawal_bound)),
+          freshness_lease::max_shared_age(settings_.key_withdrawal_bound),
+          freshness_lease::max_shared_age_receiving(
+              settings_.key_withdrawal_bound)),
       shared_endpoints_(
           *endpoint_sink_, env_.clock,
           endpoint_copy_policy::max_shared_age(settings_.drain_bound)),
-      configuration_peers_(env_.io, env_.clock, env_.memory),
+      configuration_peers_(
+          env_.io, env_.clock, env_.memory, &shared_configuration_,
+          large_row_form::updates),
+      catch_up_peers_(
+          env_.io, env_.clock, env_.memory, &shared_configuration_,
+          large_row_form::only_updates),
       endpoint_peers_(env_.io, env_.clock, env_.memory),
       gateway_peers_(env_.io, env_.clock, env_.memory),
       configuration_reader_(
           env_.configuration_reader, configuration_peers_,
           freshness_lease::max_follower_wait, table_sources_, env_.clock,
           env_.log, env_.counters),
+      configuration_catch_up_(
+          configuration_reader_, catch_up_peers_, table_sources_,
+          configuration_revisions_, env_.clock, env_.log),
       endpoint_reader_(
           env_.endpoint_reader, endpoint_peers_,
           endpoint_copy_policy::follower_wait(settings_.drain_bound),
@@ -128,8 +139,8 @@
           env_.codec.configuration_table(),
           {freshness_lease::max_poll_wait(settings_.key_withdrawal_bound),
            milliseconds(0)},
-          configuration_reader_, shared_configuration_, env_.clock, env_.random,
-          env_.log),
+          configuration_catch_up_, shared_configuration_, env_.clock,
+          env_.random, env_.log),
       endpoint_watch_(
           env_.codec.endpoint_table(),
           {endpoint_copy_policy::reader_wait(settings_.drain_bound),
@@ -843,7 +854,16 @@
                                        now - last_tick_)
                                        .count())}});
     last_tick_ = now;
-    run_step("configuration", [this] { configuration_watch_.poll(); });
+    run_step(
+        "configuration",
+        [this]
+        {
+            configuration_catch_up_.poll();
+            configuration_reader_.poll();
+            shared_configuration_.set_receiving(
+                configuration_catch_up_.receiving() > 0);
+            configuration_watch_.poll();
+        });
     run_step("endpoints", [this] { endpoint_watch_.poll(); });
     run_step("accept", [this] { accept_when_ready(); });
     if (peer_load_sync_)
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -20,6 +20,8 @@
 #include <dotterellock/observability.hpp>
 #include <dotterellock/policy.hpp>
 
+#include "catch_up_reader.hpp"
+#include "gateway/announced_revisions.hpp"
 #include "gateway/choice_contention.hpp"
 #include "gateway/freshness_lease.hpp"
 #include "gateway/generation_estimate.hpp"
@@ -299,9 +301,12 @@
     shared_table shared_configuration_;
     shared_table shared_endpoints_;
     peer_table_client configuration_peers_;
+    peer_table_client catch_up_peers_;
     peer_table_client endpoint_peers_;
     peer_table_client gateway_peers_;
     shared_row_reader configuration_reader_;
+    announced_revisions configuration_revisions_;
+    catch_up_reader configuration_catch_up_;
     shared_row_reader endpoint_reader_;
     shared_row_reader peer_reader_;
     table_watcher configuration_watch_;
--- a/src/relay/gateway_endpoints.cpp
+++ b/src/relay/gateway_endpoints.cpp
@@ -205,6 +205,8 @@
     if (!shutting_down_ && shared_configuration_.current(now) &&
         shared_endpoints_.current(now))
         share.zone = zone_id(settings_.zone);
+    share.configuration_revision = table_revision_;
+    share.link_mbps = std::uint32_t(settings_.link_mbps);
     for (auto const& service : engine_services_)
     {
         for (auto const& endpoint : endpoints_.of_service(service))
@@ -235,6 +237,9 @@
     auto const now = env_.clock.now();
     if (!peers_.put(share, now))
         return;
+    if (share.configuration_revision > 0)
+        configuration_revisions_.record(
+            share.gateway, share.configuration_revision, now);
     for (auto const& shared : share.loads)
     {
         auto const endpoint = endpoints_.find(shared.endpoint);
--- a/src/relay/gateway_tables.cpp
+++ b/src/relay/gateway_tables.cpp
@@ -340,8 +340,12 @@
         peers.push_back(
             {holder.host, holder.address,
              distance == topology::distance::same_zone,
-             distance != topology::distance::other_region});
+             distance != topology::distance::other_region, holder.link_mbps});
     }
+    std::vector<host_id> hosts;
+    for (auto const& peer : peers)
+        hosts.push_back(peer.host);
+    configuration_revisions_.keep_only(hosts);
     table_sources_.set_peers(std::move(peers));
     update_poll_wait();
 }
--- a/src/relay/http_caller.cpp
+++ b/src/relay/http_caller.cpp
@@ -1,7 +1,9 @@
 #include "http_caller.hpp"
 
+#include <algorithm>
 #include <utility>
 
+#include "http/decimal.hpp"
 #include "string_growth.hpp"
 
 namespace dotterellock
@@ -27,15 +29,11 @@
 {
     done_ = std::move(done);
     reply_ = {};
+    expected_ = 0;
     account_.hold(0);
-    auto const number = ++call_number_;
-    timer_.expires_after(timeout);
-    timer_.async_wait(
-        [this, number](asio::error_code const& e)
-        {
-            if (!e && number == call_number_ && done_)
-                fail("response timed out");
-        });
+    ++call_number_;
+    watch_.start(clock_.now(), timeout);
+    check_time_later();
     bool const reusable =
         connection_ && connection_->reusable() && peer_ == peer;
     if (!reusable)
@@ -49,8 +47,42 @@
     connection_->send(peer_, {std::move(request), nullptr}, *this);
 }
 
+void http_caller::cancel()
+{
+    if (!busy())
+        return;
+    done_ = nullptr;
+    ++call_number_;
+    timer_.cancel();
+    connection_->abandon();
+    connection_.reset();
+    shrink(reply_.body, 0);
+    reply_ = {};
+    account_.hold(0);
+}
+
+void http_caller::check_time_later()
+{
+    timer_.expires_after(std::max(
+        watch_.deadline() - clock_.now(),
+        duration(std::chrono::milliseconds(1))));
+    timer_.async_wait(
+        [this, number = call_number_](asio::error_code const& e)
+        {
+            if (e || number != call_number_ || !done_)
+                return;
+            if (watch_.expired(clock_.now()))
+                fail("response timed out");
+            else
+                check_time_later();
+        });
+}
+
 void http_caller::on_response_head(message_head head)
 {
+    watch_.on_bytes(clock_.now(), 0);
+    if (auto const* const text = find_header(head.headers, "content-length"))
+        expected_ = parse_decimal(*text).value_or(0);
     reply_.status = head.status;
     reply_.headers = std::move(head.headers);
 }
@@ -61,6 +93,7 @@
     bool const allowed = account_.may_grow(capacity);
     append_tight(reply_.body, bytes);
     reply_.received += bytes.size();
+    watch_.on_bytes(clock_.now(), bytes.size());
     account_.hold(reply_.body.capacity());
     if (!allowed || reply_.body.size() > max_body_bytes_)
         fail("response is too long");
--- a/src/relay/load_share_codec.cpp
+++ b/src/relay/load_share_codec.cpp
@@ -82,8 +82,13 @@
     json items = json::array(
         {format_version, share.gateway.value(), share.incarnation,
          share.sequence, loads, failed, share.zone.value(), reports});
-    if (!share.limits.empty())
+    if (!share.limits.empty() || share.configuration_revision > 0)
         items.push_back(std::move(limits));
+    if (share.configuration_revision > 0)
+    {
+        items.push_back(share.configuration_revision);
+        items.push_back(share.link_mbps);
+    }
     std::string bytes;
     json::to_msgpack(items, bytes);
     return bytes;
@@ -135,6 +140,11 @@
             for (auto const& item : a.at(8))
                 share.limits.push_back(decode_shared_limit(item));
         }
+        if (a.size() > 10 && !share.gateway.empty())
+        {
+            share.configuration_revision = number<std::uint64_t>(a.at(9));
+            share.link_mbps = number<std::uint32_t>(a.at(10));
+        }
         return share;
     }
     catch (json::exception const& e)
--- a/src/relay/peer_load_sync.cpp
+++ b/src/relay/peer_load_sync.cpp
@@ -205,7 +205,8 @@
     {
         bool const alive = now - peer.last_heard <= peer_loads::validity;
         if (alive && !peer.zone.empty())
-            holders.push_back({host_id(host), peer.address_text, peer.zone});
+            holders.push_back(
+                {host_id(host), peer.address_text, peer.zone, peer.link_mbps});
     }
     return holders;
 }
@@ -413,6 +414,7 @@
             return;
         known->second.last_heard = clock_.now();
         known->second.zone = share.zone;
+        known->second.link_mbps = share.link_mbps;
         share_handler_(share);
     }
     catch (error const& problem)
--- a/src/relay/peer_load_sync.hpp
+++ b/src/relay/peer_load_sync.hpp
@@ -170,6 +170,7 @@
         host_id host;
         std::string address;
         zone_id zone;
+        std::uint32_t link_mbps = 0; // 0: not known
     };
 
     /// Those heard from recently.
@@ -187,7 +188,8 @@
         std::string address_text;
         asio::ip::udp::endpoint address;
         steady_time last_heard{};
-        zone_id zone;         // empty: offers no tables
+        zone_id zone; // empty: offers no tables
+        std::uint32_t link_mbps = 0;
         bool in_group = true; // shares are sent to it and expected from it
     };
 
--- a/src/relay/peer_tables.cpp
+++ b/src/relay/peer_tables.cpp
@@ -22,14 +22,15 @@
         why + '\n');
 }
 
-void respond(client_session& session, row_read_result const& result)
+void respond(
+    client_session& session, row_read_result const& result, bool updates)
 {
     switch (result.status)
     {
     case row_read_status::ok:
         session.respond(
             200, reason_phrase(200), {{"Content-Type", "application/msgpack"}},
-            encode_table_answer(result));
+            encode_table_answer(result, updates));
         break;
     case row_read_status::history_lost:
         refuse(session, 410, "history is lost");
@@ -59,6 +60,23 @@
     return result;
 }
 
+/// The row after an update, or nothing if it is not one of `base`.
+std::optional<store_row>
+updated_row(store_row const* base, row_update const& update)
+{
+    if (base == nullptr || base->revision != update.base)
+        return std::nullopt;
+    auto value = std::make_optional(base->value);
+    for (auto const& step : update.steps)
+    {
+        value =
+            apply_value_delta(*value, step, peer_table_client::max_body_bytes);
+        if (!value)
+            return std::nullopt;
+    }
+    return store_row{update.key, std::move(*value), update.revision, false};
+}
+
 } // namespace
 
 peer_table_service::peer_table_service(
@@ -91,10 +109,14 @@
     else if (stopped_ || !is_peer_(from.substr(0, from.find(':'))))
         refuse(*session, 503, stopped_ ? "stopping" : "not a gateway");
     else
+    {
+        auto const form = decode_large_row_form(message.head);
         table->second->changes(
             call->after, call->wait,
-            [session](row_read_result const& result)
-            { respond(*session, result); });
+            [session, form](row_read_result const& result)
+            { respond(*session, result, form != large_row_form::whole); },
+            form);
+    }
 }
 
 void peer_table_client::changes(
@@ -109,15 +131,39 @@
         done(std::move(result));
         return;
     }
+    auto const form =
+        std::exchange(needs_whole_rows_, false) ? large_row_form::whole : form_;
     caller_.call(
-        *peer, encode_table_call({table, after, wait}, address),
+        *peer, encode_table_call({table, after, wait, form}, address),
         wait + answer_timeout,
-        [done = std::move(done)](http_reply const& reply)
+        [this, done = std::move(done)](http_reply const& reply)
         {
             auto result = to_result(reply);
             result.received_bytes = reply.received;
+            apply_updates(result);
             done(std::move(result));
         });
 }
 
+/// Replaces differences by the rows that they lead to.
+void peer_table_client::apply_updates(row_read_result& result)
+{
+    for (auto const& update : std::exchange(result.updates, {}))
+    {
+        auto row = copy_ != nullptr
+                       ? updated_row(copy_->find(update.key), update)
+                       : std::nullopt;
+        if (!row)
+        {
+            needs_whole_rows_ = true;
+            row_read_result failed;
+            failed.received_bytes = result.received_bytes;
+            failed.detail = "a difference does not fit the copy";
+            result = std::move(failed);
+            return;
+        }
+        result.rows.push_back(std::move(*row));
+    }
+}
+
 } // namespace dotterellock
--- a/src/relay/peer_tables.hpp
+++ b/src/relay/peer_tables.hpp
@@ -61,9 +61,14 @@
     // A listing of 3,000 endpoints takes 1 MB.
     static constexpr std::size_t max_body_bytes = 8u << 20;
 
+    /// @param copy  the table that the calls are about; null: rows come whole
+    /// @param form  of large rows
     peer_table_client(
-        asio::io_context& io, clock_source const& clock, memory_budget& memory)
-        : caller_(io, clock, memory, memory_use::peers, max_body_bytes)
+        asio::io_context& io, clock_source const& clock, memory_budget& memory,
+        shared_table const* copy = nullptr,
+        large_row_form form = large_row_form::whole)
+        : caller_(io, clock, memory, memory_use::peers, max_body_bytes),
+          copy_(copy), form_(form)
     {
     }
 
@@ -71,9 +76,16 @@
         std::string const& address, std::string const& table,
         std::uint64_t after, std::chrono::milliseconds wait,
         row_reader::handler done) override;
+    std::size_t receiving() const override { return caller_.receiving(); }
+    void cancel() override { caller_.cancel(); }
 
 private:
+    void apply_updates(row_read_result& result);
+
     http_caller caller_;
+    shared_table const* const copy_;
+    large_row_form const form_;
+    bool needs_whole_rows_ = false; // in the next answer
 };
 
 } // namespace dotterellock
--- a/src/relay/shared_row_reader.cpp
+++ b/src/relay/shared_row_reader.cpp
@@ -53,6 +53,7 @@
             if (answer.status == row_read_status::ok)
             {
                 last_source_ = host_id();
+                note_row_sizes(answer.rows);
                 note_large_answer("store", answer);
             }
             done(std::move(answer));
@@ -63,21 +64,72 @@
     std::string const& table, std::uint64_t after,
     std::chrono::milliseconds wait, handler done)
 {
+    ++call_number_;
     call_ = pending_call();
     call_.table = table;
     call_.after = after;
     call_.wait = wait;
     call_.done = std::move(done);
-    call_.sources = selector_.sources(clock_.now());
+    call_.sources = selector_.sources(clock_.now(), large_row_.has_value());
     try_next_source();
 }
 
+void shared_row_reader::cancel()
+{
+    ++call_number_;
+    call_.done = nullptr;
+    store_.cancel();
+    peers_.cancel();
+}
+
+void shared_row_reader::poll()
+{
+    if (!call_.done || large_row_ || receiving() < large_answer_bytes)
+        return;
+    large_row_.emplace(); // its key is not known yet
+    auto const sources = selector_.sources(clock_.now(), true);
+    auto const& current = call_.sources[call_.next - 1];
+    bool const stays = current.is_store()
+                           ? selector_.reads_for_region()
+                           : std::any_of(
+                                 sources.begin(), sources.end(),
+                                 [&current](table_source const& s)
+                                 { return s.host == current.host; });
+    if (stays)
+        return;
+    log_.record(
+        event_level::info, "table_answer_left",
+        {{"table", call_.table},
+         {"source", source_name(current)},
+         {"bytes", std::to_string(receiving())},
+         {"after_ms", milliseconds_text(clock_.now() - call_.sent)}});
+    auto call = std::move(call_);
+    cancel();
+    changes(call.table, call.after, call.wait, std::move(call.done));
+}
+
+/// Remembers whether the table has a large row.
+void shared_row_reader::note_row_sizes(std::vector<store_row> const& rows)
+{
+    for (auto const& row : rows)
+    {
+        if (row.value.size() >= large_answer_bytes)
+            large_row_ = row.key;
+        else if (large_row_ == row.key)
+            large_row_.reset();
+    }
+}
+
 void shared_row_reader::try_next_source()
 {
     auto const source = call_.sources[call_.next++];
     call_.sent = clock_.now();
-    auto const on_done = [this, source](row_read_result answer)
-    { on_answer(source, std::move(answer)); };
+    auto const on_done =
+        [this, source, number = call_number_](row_read_result answer)
+    {
+        if (number == call_number_)
+            on_answer(source, std::move(answer));
+    };
     // A second source must answer at once, as the first one took time, and one
     // that failed before, as it may be silent still.
     auto const wait = call_.next == 1 && !selector_.failed_last(source)
@@ -118,6 +170,7 @@
             answer.via.insert(answer.via.begin(), source.host);
         selector_.record_success(source);
         note_source(source, answer);
+        note_row_sizes(answer.rows);
         note_large_answer(source_name(source), answer);
     }
     else
--- a/src/relay/shared_row_reader.hpp
+++ b/src/relay/shared_row_reader.hpp
@@ -4,6 +4,7 @@
 #ifndef DOTTERELLOCK_RELAY_SHARED_ROW_READER_HPP
 #define DOTTERELLOCK_RELAY_SHARED_ROW_READER_HPP
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -30,11 +31,19 @@
         std::string const& address, std::string const& table,
         std::uint64_t after, std::chrono::milliseconds wait,
         row_reader::handler done) = 0;
+
+    /// As those of row_reader.
+    virtual std::size_t receiving() const { return 0; }
+    virtual void cancel() {}
 };
 
 class shared_row_reader : public row_reader
 {
 public:
+    // Answers from this size on are logged. The gateways of a region do not all
+    // load rows from this size on over its link.
+    static constexpr std::size_t large_answer_bytes = 64u << 10;
+
     /// @param max_peer_wait  longest wait of a call to another gateway; short
     ///                       ones keep the copy nearly as recent as theirs
     shared_row_reader(
@@ -50,10 +59,21 @@
     void list(std::string const& table, std::string const& from, handler done)
         override;
 
+    /// Gives up a call that is not done.
     void changes(
         std::string const& table, std::uint64_t after,
         std::chrono::milliseconds wait, handler done) override;
 
+    std::size_t receiving() const override
+    {
+        return std::max(store_.receiving(), peers_.receiving());
+    }
+    void cancel() override;
+
+    /// Turns from a source that sends a large answer to the region's readers of
+    /// large rows; called many times a second.
+    void poll();
+
     /// What answered last: "store", a gateway, or "-" before the first answer.
     std::string last_source() const;
 
@@ -61,9 +81,6 @@
     std::uint64_t store_calls() const { return store_calls_; }
 
 private:
-    // Answers from this size on are logged; they take a slow link a moment.
-    static constexpr std::size_t large_answer_bytes = 64u << 10;
-
     struct pending_call
     {
         std::string table;
@@ -77,6 +94,7 @@
     };
 
     void try_next_source();
+    void note_row_sizes(std::vector<store_row> const& rows);
     void on_answer(table_source const& source, row_read_result answer);
     void note_source(table_source const& source, row_read_result const& answer);
     void
@@ -90,7 +108,9 @@
     event_log& log_;
     counter_registry& counters_;
     pending_call call_;
-    std::optional<host_id> last_source_; // empty host: the store
+    std::uint64_t call_number_ = 0; // tells answers to given up calls apart
+    std::optional<std::string> large_row_; // key of a large row in the table
+    std::optional<host_id> last_source_;   // empty host: the store
     std::uint64_t store_calls_ = 0;
 };
 
--- a/src/relay/table_share_codec.cpp
+++ b/src/relay/table_share_codec.cpp
@@ -18,7 +18,12 @@
 
 using json = nlohmann::json;
 
-constexpr std::uint32_t format_version = 1;
+constexpr std::uint32_t format_without_updates = 1;
+constexpr std::uint32_t format_with_updates = 2;
+
+constexpr char updates_header[] = "Accept-Updates";
+constexpr char updates_value[] = "yes";
+constexpr char only_updates_value[] = "only";
 
 constexpr std::string_view path_prefix = "/tables/v1/";
 
@@ -61,6 +66,55 @@
     return {bytes.begin(), bytes.end()};
 }
 
+/// Gateways of earlier versions ignore the header.
+std::string updates_line(large_row_form form)
+{
+    switch (form)
+    {
+    case large_row_form::whole:
+        break;
+    case large_row_form::updates:
+        return std::string("\r\n") + updates_header + ": " + updates_value;
+    case large_row_form::only_updates:
+        return std::string("\r\n") + updates_header + ": " + only_updates_value;
+    }
+    return {};
+}
+
+json to_json(row_update const& update)
+{
+    json steps = json::array();
+    for (auto const& step : update.steps)
+    {
+        json parts = json::array();
+        for (auto const& part : step.parts)
+            parts.push_back(
+                json::array({part.begin, part.length, to_binary(part.added)}));
+        steps.push_back(json::array({step.checksum, parts}));
+    }
+    return json::array(
+        {to_binary(update.key), update.base, update.revision, steps});
+}
+
+row_update update_of(json const& value)
+{
+    row_update update;
+    update.key = from_binary(value.at(0));
+    update.base = uint64_of(value.at(1));
+    update.revision = uint64_of(value.at(2));
+    for (auto const& item : value.at(3))
+    {
+        value_delta step;
+        step.checksum = uint64_of(item.at(0));
+        for (auto const& part : item.at(1))
+            step.parts.push_back(
+                {uint64_of(part.at(0)), uint64_of(part.at(1)),
+                 from_binary(part.at(2))});
+        update.steps.push_back(std::move(step));
+    }
+    return update;
+}
+
 } // namespace
 
 std::string
@@ -69,7 +123,16 @@
     return "GET " + std::string(path_prefix) + call.table + '/' +
            std::to_string(call.after) + '/' +
            std::to_string(call.wait.count()) + " HTTP/1.1\r\nHost: " + address +
-           "\r\n\r\n";
+           updates_line(call.form) + "\r\n\r\n";
+}
+
+large_row_form decode_large_row_form(message_head const& head)
+{
+    auto const* const text = find_header(head.headers, updates_header);
+    if (text == nullptr)
+        return large_row_form::whole;
+    return *text == only_updates_value ? large_row_form::only_updates
+                                       : large_row_form::updates;
 }
 
 std::optional<table_share_call> decode_table_call(std::string_view target)
@@ -88,7 +151,7 @@
     return call;
 }
 
-std::string encode_table_answer(row_read_result const& answer)
+std::string encode_table_answer(row_read_result const& answer, bool updates)
 {
     json rows = json::array();
     for (auto const& row : answer.rows)
@@ -100,12 +163,18 @@
         via.push_back(host.value());
     auto const proven =
         answer.proven_after_sending.value_or(std::chrono::milliseconds::min());
+    auto message = json::array(
+        {updates ? format_with_updates : format_without_updates,
+         answer.revision, std::int64_t(proven.count()), rows, via});
+    if (updates)
+    {
+        message.push_back(answer.changes_skipped);
+        message.push_back(json::array());
+        for (auto const& update : answer.updates)
+            message.back().push_back(to_json(update));
+    }
     std::string bytes;
-    json::to_msgpack(
-        json::array(
-            {format_version, answer.revision, std::int64_t(proven.count()),
-             rows, via}),
-        bytes);
+    json::to_msgpack(message, bytes);
     return bytes;
 }
 
@@ -114,7 +183,8 @@
     try
     {
         auto const a = parse_message_pack(bytes, "the table answer");
-        if (uint64_of(a.at(0)) != format_version)
+        auto const format = uint64_of(a.at(0));
+        if (format != format_without_updates && format != format_with_updates)
             throw_malformed("unsupported table answer format version");
         row_read_result answer;
         answer.status = row_read_status::ok;
@@ -142,6 +212,13 @@
             for (auto const& host : a.at(4))
                 answer.via.emplace_back(host.get<std::string>());
         }
+        answer.changes_skipped = true;
+        if (format == format_with_updates)
+        {
+            answer.changes_skipped = a.at(5).get<bool>();
+            for (auto const& update : a.at(6))
+                answer.updates.push_back(update_of(update));
+        }
         return answer;
     }
     catch (json::exception const& e)
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -71,6 +71,7 @@
     }
     root.optional(
         "memory_mb", s.memory_mb, std::size_t{16}, std::size_t{1048576});
+    root.optional("link_mbps", s.link_mbps, 0.0, 1e6);
     root.optional(
         "max_descriptors", s.max_descriptors, std::size_t{64},
         std::size_t{1048576});
@@ -121,6 +122,7 @@
         out << YAML::EndMap;
     }
     out << YAML::Key << "memory_mb" << YAML::Value << s.memory_mb;
+    out << YAML::Key << "link_mbps" << YAML::Value << s.link_mbps;
     out << YAML::Key << "max_descriptors" << YAML::Value << s.max_descriptors;
     out << YAML::Key << "log_lines_per_second" << YAML::Value
         << s.log_lines_per_second;
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -39,6 +39,7 @@
     service_retry_budget_settings retries;
     rollout_settings rollouts;   // disabled unless the key is present
     std::size_t memory_mb = 256; // memory limit of the process
+    double link_mbps = 0;        // of the host's network link; 0: not known
 
     /// Half of the limit, in bytes; the other half is for the program, its
     /// tables and the allocator.
--- a/tests/relay/load_share_test.cpp
+++ b/tests/relay/load_share_test.cpp
@@ -52,6 +52,18 @@
     REQUIRE_FALSE(got[1].per_second);
 }
 
+// Guards against a gateway that does not learn that others are ahead.
+TEST_CASE("a revision round trips through a load share", "[share][tables]")
+{
+    auto sent = make_load_share(GENERATE(0, 3, 200));
+    sent.configuration_revision = 1ull << 52;
+    sent.link_mbps = 200;
+    auto const got = decode_load_share(encode_load_share(sent));
+    REQUIRE(got.configuration_revision == 1ull << 52);
+    REQUIRE(got.link_mbps == 200);
+    REQUIRE(got.limits.empty());
+}
+
 TEST_CASE("load share round trip through its encoding", "[share]")
 {
     auto const share = decode_load_share(encode_load_share(make_load_share(3)));
--- a/tests/relay/table_share_test.cpp
+++ b/tests/relay/table_share_test.cpp
@@ -39,6 +39,30 @@
     REQUIRE(answer.via == std::vector{host_id("b"), host_id("a")});
 }
 
+// Guards against a difference that another gateway reads otherwise.
+TEST_CASE("differences round trip through a table answer", "[tables][large]")
+{
+    auto sent = make_answer();
+    value_delta const step{{{7, 9, "x\xff"}, {0, 0, ""}}, 1ull << 63};
+    sent.updates = {{"k", 11, 12, {step, step}}};
+    sent.changes_skipped = GENERATE(true, false);
+    auto const got = decode_table_answer(encode_table_answer(sent, true));
+    REQUIRE(got.rows.size() == 2);
+    REQUIRE(got.changes_skipped == sent.changes_skipped);
+    REQUIRE(got.updates.size() == 1);
+    REQUIRE(got.updates[0].key == "k");
+    REQUIRE(got.updates[0].base == 11);
+    REQUIRE(got.updates[0].revision == 12);
+    REQUIRE(got.updates[0].steps.size() == 2);
+    REQUIRE(got.updates[0].steps[1].checksum == 1ull << 63);
+    REQUIRE(got.updates[0].steps[1].parts.size() == 2);
+    REQUIRE(got.updates[0].steps[1].parts[0].begin == 7);
+    REQUIRE(got.updates[0].steps[1].parts[0].length == 9);
+    REQUIRE(got.updates[0].steps[1].parts[0].added == "x\xff");
+    // Gateways of earlier versions may skip changes without a word.
+    REQUIRE(decode_table_answer(encode_table_answer(sent)).changes_skipped);
+}
+
 // A proof without a time must count as very old, not as recent.
 TEST_CASE("an answer without proof is very old", "[tables]")
 {
