streams: go on only at the software version that began the stream

What callers saw: while endpoints of two software versions served, answers were joined from both: the first part from one version, the rest from the other, with nothing to show it. Callers that took a stream up after all gateways had been killed got such answers too, with status 200.

Cause: nothing bound a stream to the version that began it. The next endpoint within an answer and its standby were chosen regardless of version, and the caller's Resumes header was not read, so a gateway knew nothing of a stream that it had not begun itself. Class of fault: state that decides what may follow was kept by one process, or not at all.

Change: - An answer, and its standby copy, stay at the version of its first event. If no endpoint of that version is left, the answer is broken off at once. - Each service has a base version in the store's table stream_versions. A stream of another version is recorded there when it is sent to an endpoint, and its first event waits for the record. So one without a record is of the base version, also for a gateway that never saw it and after all were killed. - A request that takes a stream up is sent to that version only.

--- a/src/gateway/endpoint_selector.cpp
+++ b/src/gateway/endpoint_selector.cpp
@@ -100,6 +100,8 @@
 {
     if (barred_versions.count(endpoint.version) != 0)
         return false;
+    if (stream_version)
+        return endpoint.version == *stream_version;
     if (versions.kind != version_choice::rule::only)
         return true;
     return endpoint.version == versions.version ||
@@ -149,7 +151,8 @@
     auto& usable = !healthy.empty()  ? healthy
                    : suspect.empty() ? leaving
                                      : suspect;
-    apply_version_choice(usable, work.versions);
+    if (!work.stream_version)
+        apply_version_choice(usable, work.versions);
     return std::move(usable);
 }
 
@@ -424,6 +427,16 @@
     return likely;
 }
 
+bool endpoint_selector::version_served(
+    endpoint_requirements const& work, steady_time now) const
+{
+    auto const& endpoints = endpoints_.of_service(work.service);
+    return std::any_of(
+        endpoints.begin(), endpoints.end(),
+        [&work, now](endpoint_ptr const& e)
+        { return !e->has_left(now) && work.allows(e->record()); });
+}
+
 std::optional<steady_time> endpoint_selector::earliest_pause_end(
     service_name const& service, steady_time now) const
 {
--- a/src/gateway/endpoint_selector.hpp
+++ b/src/gateway/endpoint_selector.hpp
@@ -64,6 +64,9 @@
     version_choice versions;            // of the endpoint's software
     std::set<std::string> barred_versions; // get nothing at all
 
+    // The version that began the stream. What others write does not fit.
+    std::optional<std::string> stream_version;
+
     // Choices that other gateways are expected to make at the same moment.
     double unseen_choices = 0;
     bool capacity_short = false; // requests wait for room at an endpoint
@@ -217,6 +220,11 @@
         return peers_.oldest_shares();
     }
 
+    /// Whether an endpoint that has not left is of a version that the request
+    /// may use, whatever else keeps it from there.
+    bool
+    version_served(endpoint_requirements const& work, steady_time now) const;
+
     topology const& location() const { return location_; }
 
 private:
--- a/src/gateway/rollout_coordinator.cpp
+++ b/src/gateway/rollout_coordinator.cpp
@@ -242,6 +242,15 @@
            version == p->current_version(endpoints);
 }
 
+bool rollout_coordinator::may_continue(
+    service_name const& service, std::string const& version) const
+{
+    auto const* p = find(service);
+    return !settings_.enabled || p == nullptr ||
+           p->status.state != rollout_state::rolled_back ||
+           version != p->status.to;
+}
+
 void rollout_coordinator::on_request(service_name const& service, steady_time)
 {
     auto const found = orders_.find(service);
--- a/src/gateway/rollout_coordinator.hpp
+++ b/src/gateway/rollout_coordinator.hpp
@@ -98,6 +98,11 @@
         service_name const& service, endpoints_by_version const& endpoints,
         steady_time now) const;
 
+    /// Whether streams that a version began may go on there. Only a version
+    /// that was rolled back gets none of them.
+    bool
+    may_continue(service_name const& service, std::string const& version) const;
+
     /// Whether endpoints of this version may be used at all, for example for
     /// the standby copy of a run.
     bool allowed(
--- a/src/gateway/routing_table.cpp
+++ b/src/gateway/routing_table.cpp
@@ -98,6 +98,19 @@
         });
 }
 
+std::set<service_name> routing_table::resumable_services() const
+{
+    std::set<service_name> services;
+    for (auto const& route : configuration_.routes)
+    {
+        if (!route.event_stream || !route.resumable)
+            continue;
+        for (auto const& target : route.targets)
+            services.insert(target.service);
+    }
+    return services;
+}
+
 service_name const&
 routing_table::select_target(gateway_route const& route, std::uint64_t draw)
 {
--- a/src/gateway/routing_table.hpp
+++ b/src/gateway/routing_table.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -135,6 +136,9 @@
     /// Whether the configuration has this service, itself or as a target.
     bool names(service_name const& service) const;
 
+    /// Services that serve streams which may be resumed.
+    std::set<service_name> resumable_services() const;
+
     /// Selects a target by weight; the same draw selects the same target.
     /// @param draw  uniformly distributed over all values
     static service_name const&
--- a/src/gateway/table_source_selector.hpp
+++ b/src/gateway/table_source_selector.hpp
@@ -235,6 +235,7 @@
         if (count > 1 && weight(self_) % 2 == 1)
             std::swap(readers[0], readers[1]);
         std::vector<table_source> ordered;
+        ordered.reserve(readers.size() + 1);
         for (auto const* const p : readers)
             ordered.push_back({p->host, p->address});
         ordered.insert(
--- a/src/relay/gateway.cpp
+++ b/src/relay/gateway.cpp
@@ -147,7 +147,7 @@
            endpoint_copy_policy::change_batch_delay(settings_.drain_bound)},
           endpoint_reader_, shared_endpoints_, env_.clock, env_.random,
           env_.log),
-      acceptor_(env_.io),
+      acceptor_(env_.io), stream_versions_(host_id(settings_.host)),
       cache_lookup_(
           selection_, env_.protocol, env_.clock, env_.log,
           [this](
@@ -160,6 +160,8 @@
 {
     if (settings_.rollouts.enabled)
         make_rollout_control();
+    if (env_.stream_reader != nullptr && env_.stream_writer != nullptr)
+        make_stream_sync();
     peer_load_sync::rollout_exchange rollouts;
     if (rollouts_)
         rollouts = {
@@ -545,6 +547,17 @@
         ++last_exchange_number_, std::move(session), std::move(r), *this);
     exchanges_.emplace(e->number(), e);
     e->watch_caller();
+    bool const takes_up = e->request().route->event_stream &&
+                          e->request().route->resumable &&
+                          e->request().metadata.last_event_id;
+    if (takes_up && stream_sync_)
+        take_up(e);
+    else
+        start(e);
+}
+
+void gateway::start(std::shared_ptr<relay_exchange> const& e)
+{
     if (!may_be_cached(
             *e->request().route, e->request().metadata.last_event_id))
     {
@@ -552,7 +565,9 @@
         return;
     }
     auto work = e->work();
-    if (rollouts_)
+    if (rollouts_ && work.stream_version)
+        rollouts_->bar_from_stream(work, env_.clock.now());
+    else if (rollouts_)
         rollouts_->choose_standby_versions(work, env_.clock.now());
     cache_lookup_.find(
         work, fleet_size(),
@@ -872,6 +887,8 @@
         run_step("tables", [&] { table_service_->poll(now); });
     if (rollouts_)
         run_step("rollouts", [&] { rollouts_->poll(now); });
+    if (stream_sync_)
+        run_step("streams", [this] { stream_sync_->poll(); });
     peers_.expire(now);
     check_endpoint_calls(now, paused);
     check_exchanges(now, paused);
@@ -942,6 +959,12 @@
     return exchanges;
 }
 
+void gateway::pass_on_recorded_streams()
+{
+    for (auto const& e : exchanges())
+        run_step("request", [&] { e->on_stream_recorded(); });
+}
+
 void gateway::check_exchanges(steady_time now, bool paused)
 {
     bool const grace_over =
--- a/src/relay/gateway.hpp
+++ b/src/relay/gateway.hpp
@@ -41,6 +41,7 @@
 #include "rollout_control.hpp"
 #include "settings/gateway_settings.hpp"
 #include "status_service.hpp"
+#include "stream_version_sync.hpp"
 
 namespace dotterellock
 {
@@ -96,6 +97,10 @@
     event_log& log;
     counter_registry& counters;
     memory_budget& memory;
+
+    // For the versions of streams; null: not recorded.
+    row_reader* stream_reader = nullptr;
+    row_writer* stream_writer = nullptr;
 };
 
 class gateway : public session_handler, public exchange_context
@@ -166,6 +171,10 @@
     first_event_estimate& estimate(service_name const& service) override;
     prompt_crash_monitor& prompt_crashes() override { return prompt_crashes_; }
     rollout_control* rollouts() override { return rollouts_.get(); }
+    stream_versions* streams() override
+    {
+        return stream_sync_ ? &stream_versions_ : nullptr;
+    }
     void
     report_answer(endpoint_ptr const& endpoint, version_answer answer) override;
     service_retry_budget new_budget() const;
@@ -257,6 +266,14 @@
     void check_suspected_endpoints(steady_time now);
     void sweep_endpoints(steady_time now);
     void make_rollout_control();
+    void make_stream_sync();
+    void pass_on_recorded_streams();
+    std::map<service_name, std::map<std::string, std::size_t>>
+    resumable_services() const;
+    void take_up(std::shared_ptr<relay_exchange> const& e);
+    void on_origin(
+        std::shared_ptr<relay_exchange> const& e, stream_origin const& origin);
+    void start(std::shared_ptr<relay_exchange> const& e);
     std::unique_ptr<table_listener> make_configuration_sink();
     std::unique_ptr<table_listener> make_endpoint_sink();
     void update_table_sources(steady_time now);
@@ -314,7 +331,10 @@
     std::unique_ptr<peer_table_service> table_service_; // null: no peers
 
     asio::ip::tcp::acceptor acceptor_;
-    std::unique_ptr<rollout_control> rollouts_;      // null: disabled
+    std::unique_ptr<rollout_control> rollouts_; // null: disabled
+    stream_versions stream_versions_;
+    std::unique_ptr<stream_version_sync> stream_sync_; // null: not recorded
+    std::set<service_name> resumable_; // services whose streams may be resumed
     std::unique_ptr<peer_load_sync> peer_load_sync_; // null: no peers
     std::vector<std::pair<steady_time, endpoint_id>> recent_failures_;
     std::unique_ptr<status_service> status_;
--- a/src/relay/gateway_tables.cpp
+++ b/src/relay/gateway_tables.cpp
@@ -1,5 +1,5 @@
 // How a gateway follows the tables of the platform's store. Index: sinks;
-// configuration in force; endpoints; rollouts; sources.
+// configuration in force; endpoints; rollouts; streams; sources.
 #include "gateway.hpp"
 
 #include <algorithm>
@@ -205,6 +205,7 @@
     table_revision_ = revision;
     env_.counters.counter("configuration_version").set(version);
     put_named_endpoints();
+    resumable_ = table_->resumable_services();
     if (rollouts_)
         rollouts_->on_configuration();
 }
@@ -326,6 +327,83 @@
     rollouts_->on_answer(endpoint->record(), answer, now);
 }
 
+// Streams --------------------------------------------------------------------
+
+void gateway::make_stream_sync()
+{
+    stream_version_sync::surroundings surroundings;
+    surroundings.services = [this] { return resumable_services(); };
+    surroundings.rank = [this](service_name const& service)
+    {
+        return peer_load_sync_ ? peer_load_sync_->rank_for(service.value())
+                               : std::size_t(0);
+    };
+    surroundings.is_gateway = [this](host_id const& host)
+    { return !peer_load_sync_ || peer_load_sync_->is_known(host); };
+    surroundings.on_written = [this] { pass_on_recorded_streams(); };
+    stream_sync_ = std::make_unique<stream_version_sync>(
+        stream_versions_, host_id(settings_.host), *env_.stream_reader,
+        *env_.stream_writer, env_.clock, env_.log, env_.counters,
+        std::move(surroundings));
+}
+
+std::map<service_name, std::map<std::string, std::size_t>>
+gateway::resumable_services() const
+{
+    auto const now = env_.clock.now();
+    std::map<service_name, std::map<std::string, std::size_t>> services;
+    for (auto const& service : resumable_)
+    {
+        for (auto const& endpoint : endpoints_.of_service(service))
+        {
+            if (!endpoint->has_left(now))
+                ++services[service][endpoint->record().version];
+        }
+    }
+    return services;
+}
+
+/// Finds out which version began the stream that a request takes up.
+void gateway::take_up(std::shared_ptr<relay_exchange> const& e)
+{
+    auto const& r = e->request();
+    stream_sync_->find_origin(
+        r.service, r.metadata.resumed_request,
+        [this, e](stream_origin const& origin) { on_origin(e, origin); });
+}
+
+void gateway::on_origin(
+    std::shared_ptr<relay_exchange> const& e, stream_origin const& origin)
+{
+    if (exchanges_.count(e->number()) == 0)
+        return; // its caller disconnected
+    auto const& r = e->request();
+    bool const known = origin.source != version_source::unknown;
+    env_.counters
+        .counter(
+            "take_ups_total",
+            std::string("origin=\"") + to_string(origin.source) + '"')
+        .add();
+    env_.log.record(
+        known ? event_level::info : event_level::warn,
+        known ? "take_up" : "take_up_refused",
+        {{"request", r.metadata.id.value()},
+         {"resumes", r.metadata.resumed_request.empty()
+                         ? "-"
+                         : r.metadata.resumed_request.value()},
+         {"service", r.service.value()},
+         {"after_event", std::to_string(*r.metadata.last_event_id)},
+         {"origin", to_string(origin.source)},
+         {"version", origin.version.empty() ? "-" : origin.version}});
+    if (!known)
+    {
+        e->refuse("stream_version_unknown", unconfigured_retry_after);
+        return;
+    }
+    e->take_up_at(origin.version);
+    start(e);
+}
+
 // Sources --------------------------------------------------------------------
 
 void gateway::update_table_sources(steady_time now)
@@ -343,6 +421,7 @@
              distance != topology::distance::other_region, holder.link_mbps});
     }
     std::vector<host_id> hosts;
+    hosts.reserve(peers.size());
     for (auto const& peer : peers)
         hosts.push_back(peer.host);
     configuration_revisions_.keep_only(hosts);
--- a/src/relay/peer_load_sync.hpp
+++ b/src/relay/peer_load_sync.hpp
@@ -179,6 +179,13 @@
     /// This gateway's copy of the table of gateways.
     shared_table& gateway_table() { return gateway_table_; }
 
+    /// Whether a gateway of this name is registered, or the table of gateways
+    /// is not known yet.
+    bool is_known(host_id const& host) const
+    {
+        return !peer_watch_.listed() || peers_.count(host.value()) != 0;
+    }
+
     /// Whether a registered gateway has this IP address.
     bool is_peer(std::string const& ip) const;
 
--- a/src/relay/protocol_codec.hpp
+++ b/src/relay/protocol_codec.hpp
@@ -26,6 +26,10 @@
     std::string api_key;                               // empty: none
     std::optional<std::chrono::milliseconds> deadline; // time it will wait
     std::optional<std::uint64_t> last_event_id;        // last one it received
+
+    // The request that brought the first event of the stream that this one
+    // takes up; empty: not known.
+    request_id resumed_request;
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0; // upper limit
     std::string last_prompt_part;    // specific to this request or its session
--- a/src/relay/relay_exchange.cpp
+++ b/src/relay/relay_exchange.cpp
@@ -19,6 +19,9 @@
 
 using std::chrono::milliseconds;
 
+// A version that left the list is rarely back sooner.
+constexpr milliseconds version_gone_retry_after{5000};
+
 milliseconds to_ms(duration d)
 {
     return std::chrono::duration_cast<milliseconds>(d);
@@ -129,7 +132,7 @@
 bool relay_exchange::try_leave_queue()
 {
     if (state_ != state::waiting || refuse_if_quarantined() ||
-        refuse_if_stopping())
+        refuse_if_stopping() || end_if_version_gone())
         return true;
     auto endpoint = choose_for_attempt(context_.clock().now());
     if (!endpoint)
@@ -147,6 +150,11 @@
     auto const* const rollouts = context_.rollouts();
     if (rollouts == nullptr)
         return context_.selection().choose(work, engine(), now);
+    if (work.stream_version)
+    {
+        rollouts->bar_from_stream(work, now);
+        return context_.selection().choose(work, engine(), now);
+    }
     rollouts->choose_versions(work, now);
     auto endpoint = context_.selection().choose(work, engine(), now);
     if (!endpoint && rollouts->choose_other_versions(work, now))
@@ -156,7 +164,8 @@
 
 void relay_exchange::start_next_attempt()
 {
-    if (refuse_if_quarantined() || refuse_if_stopping())
+    if (refuse_if_quarantined() || refuse_if_stopping() ||
+        end_if_version_gone())
         return;
     auto const now = context_.clock().now();
     // Resumes a run from the copy of its memory, if there is one.
@@ -268,6 +277,12 @@
     attempt_is_stream_ = false;
     boundary_ = {};
     body_received_ = false;
+    events_held_since_.reset();
+    completion_held_ = false;
+    if (records_stream() && !response_begun_)
+        context_.streams()->on_attempt(
+            request_.service, request_.metadata.id, endpoint_->record().version,
+            deadline_, now);
 
     auto const& record = endpoint_->record();
     auto const address = parse_address(record.address);
@@ -301,6 +316,8 @@
             "version", record.version.empty() ? "-" : record.version);
         rollouts->on_attempt(record, now);
     }
+    else if (records_stream() && !record.version.empty())
+        fields.emplace_back("stream_version", record.version);
     context_.log().record(event_level::info, "dispatch", fields);
     auto const& id = request_.metadata.id.value();
     bool const head_only = request_.message.head.method == "HEAD";
@@ -745,6 +762,11 @@
 
 void relay_exchange::relay_events()
 {
+    if (awaits_record())
+    {
+        hold_events();
+        return;
+    }
     auto const now = context_.clock().now();
     bool progress = false;
     auto const events_before = events_in_attempt_;
@@ -816,6 +838,11 @@
     auto const now = context_.clock().now();
     auto const& record = endpoint_->record();
     auto const status = response_head_->status;
+    if (attempt_is_stream_ && events_held_since_)
+    {
+        completion_held_ = true;
+        return;
+    }
     note_surplus();
     if (boundary_.ends_in_head())
     {
@@ -976,6 +1003,8 @@
 void relay_exchange::begin_response()
 {
     response_begun_ = true;
+    if (attempt_is_stream_)
+        work_.stream_version = endpoint_->record().version;
     first_byte_at_ = context_.clock().now();
     last_sent_at_ = *first_byte_at_;
     session_->begin_stream(
@@ -1042,13 +1071,14 @@
     }
     bool const queued =
         state_ == state::waiting || state_ == state::awaiting_budget;
-    if (queued && refuse_if_quarantined())
+    if (queued && (refuse_if_quarantined() || end_if_version_gone()))
         return;
     if (state_ == state::awaiting_budget)
     {
         await_budget(now);
         return;
     }
+    on_stream_recorded();
     if (state_ != state::attempting)
         return;
     if (paused)
@@ -1270,6 +1300,75 @@
     }
 }
 
+/// Whether the version of this request's stream has to be known elsewhere. One
+/// that takes a stream up is known by the request that began it.
+bool relay_exchange::records_stream() const
+{
+    return streaming() && request_.route->resumable &&
+           !request_.metadata.last_event_id && context_.streams() != nullptr;
+}
+
+bool relay_exchange::awaits_record() const
+{
+    return records_stream() && !response_begun_ &&
+           !context_.streams()->may_begin(
+               request_.service, request_.metadata.id, context_.clock().now());
+}
+
+void relay_exchange::hold_events()
+{
+    connection_->pause_reading();
+    if (!events_held_since_)
+        events_held_since_ = context_.clock().now();
+}
+
+void relay_exchange::on_stream_recorded()
+{
+    if (state_ != state::attempting || !events_held_since_ || awaits_record())
+        return;
+    auto const self = shared_from_this();
+    auto const held = context_.clock().now() - *events_held_since_;
+    events_held_since_.reset();
+    context_.log().record(
+        event_level::info, "first_event_held",
+        {{"request", request_.metadata.id.value()},
+         {"version", endpoint_->record().version},
+         {"held_ms", milliseconds_text(held)}});
+    relay_events();
+    if (state_ != state::attempting)
+        return;
+    if (completion_held_)
+        on_response_complete();
+    else
+        connection_->resume_reading();
+}
+
+void relay_exchange::take_up_at(std::string const& version)
+{
+    work_.stream_version = version;
+}
+
+bool relay_exchange::end_if_version_gone()
+{
+    if (!work_.stream_version)
+        return false;
+    auto work = work_;
+    auto const now = context_.clock().now();
+    if (auto const* const rollouts = context_.rollouts())
+        rollouts->bar_from_stream(work, now);
+    if (context_.selection().version_served(work, now))
+        return false;
+    context_.log().record(
+        event_level::warn, "stream_version_gone",
+        {{"request", request_.metadata.id.value()},
+         {"service", request_.service.value()},
+         {"version", *work_.stream_version},
+         {"after_event",
+          last_event_id_ ? std::to_string(*last_event_id_) : "-"}});
+    refuse("stream_version_gone", version_gone_retry_after);
+    return true;
+}
+
 // Completion -----------------------------------------------------------------
 
 void relay_exchange::refuse(char const* reason, milliseconds retry_after)
--- a/src/relay/relay_exchange.hpp
+++ b/src/relay/relay_exchange.hpp
@@ -17,6 +17,7 @@
 #include "gateway/event_splitter.hpp"
 #include "gateway/liveness.hpp"
 #include "gateway/service_retry_budget.hpp"
+#include "gateway/stream_versions.hpp"
 #include "http/answer_boundary.hpp"
 #include "http_connection.hpp"
 #include "prompt_crash_monitor.hpp"
@@ -57,6 +58,9 @@
     /// Null if rollouts are disabled.
     virtual rollout_control* rollouts() = 0;
 
+    /// Null if the versions of streams are not recorded.
+    virtual stream_versions* streams() = 0;
+
     /// Records an attempt's answer for the comparison of versions. Its latency
     /// includes a round trip to the endpoint.
     virtual void
@@ -158,6 +162,13 @@
     /// @param cached_at  the endpoint that caches the prompt; may be empty
     void start(endpoint_id const& cached_at);
 
+    /// Restricts the request to the version that began its stream. Called
+    /// before start().
+    void take_up_at(std::string const& version);
+
+    /// Passes on the first event, if it waited for the stream's record.
+    void on_stream_recorded();
+
     /// Registers for the disconnect of the caller.
     void watch_caller();
 
@@ -275,6 +286,13 @@
                now - sent_at_ < reuse_race_window;
     }
 
+    bool records_stream() const;
+    bool awaits_record() const;
+    void hold_events();
+
+    /// Ends the request if no endpoint of its stream's version is left.
+    bool end_if_version_gone();
+
     bool quarantined() const;
 
     /// Refuses the request if its prompt is quarantined.
@@ -360,6 +378,8 @@
     bool attempt_is_stream_ = false;
     answer_boundary boundary_;
     bool body_received_ = false;
+    std::optional<steady_time> events_held_since_; // for the stream's record
+    bool completion_held_ = false;
 
     /// Connection to the endpoint that is to take over from a suspected one.
     struct next_connection
--- a/src/relay/rollout_control.cpp
+++ b/src/relay/rollout_control.cpp
@@ -331,22 +331,21 @@
     set_versions(work, standby_choice(work.service, now), now);
 }
 
-bool rollout_control::may_resume_at(
-    endpoint_record const& endpoint, steady_time now) const
+void rollout_control::bar_from_stream(
+    endpoint_requirements& work, steady_time now) const
 {
-    auto const& versions = versions_of(endpoint.service, now);
-    return (orders_.empty() && versions.size() <= 1) ||
-           coordinator_.allowed(
-               endpoint.service, endpoint.version, versions, now);
+    work.versions = {};
+    work.barred_versions.clear();
+    for (auto const& [version, endpoints] : versions_of(work.service, now))
+    {
+        if (!coordinator_.may_continue(work.service, version))
+            work.barred_versions.insert(version);
+    }
 }
 
-bool rollout_control::may_hold_copy(
-    endpoint_record const& endpoint, steady_time now) const
+bool rollout_control::may_resume_at(endpoint_record const& endpoint) const
 {
-    endpoint_requirements work;
-    work.service = endpoint.service;
-    choose_standby_versions(work, now);
-    return work.allows(endpoint);
+    return coordinator_.may_continue(endpoint.service, endpoint.version);
 }
 
 void rollout_control::on_request(service_name const& service, steady_time now)
--- a/src/relay/rollout_control.hpp
+++ b/src/relay/rollout_control.hpp
@@ -91,11 +91,11 @@
     void
     choose_standby_versions(endpoint_requirements& work, steady_time now) const;
 
-    /// Whether a run may continue at this endpoint from a copy.
-    bool may_resume_at(endpoint_record const& endpoint, steady_time now) const;
+    /// Sets the versions at which a begun stream may not go on.
+    void bar_from_stream(endpoint_requirements& work, steady_time now) const;
 
-    /// Whether copies are made there. Those elsewhere are to be replaced.
-    bool may_hold_copy(endpoint_record const& endpoint, steady_time now) const;
+    /// Whether a run may continue at this endpoint from a copy.
+    bool may_resume_at(endpoint_record const& endpoint) const;
 
     void on_request(service_name const& service, steady_time now);
 
--- a/src/relay/standby_copies.cpp
+++ b/src/relay/standby_copies.cpp
@@ -38,6 +38,7 @@
     next_call_at_ = now;
     source_ = std::move(source);
     work_ = std::move(work);
+    work_.stream_version = source_->record().version;
     engine_.reset();
     if (engine == nullptr)
         return;
@@ -52,7 +53,8 @@
     auto const* const rollouts = context_.rollouts();
     if (!copy_ || !copied || copy_->lost(now) ||
         !copy_->standby->request_limit.allows(now) ||
-        (rollouts && !rollouts->may_resume_at(copy_->standby->record(), now)))
+        !work_.allows(copy_->standby->record()) ||
+        (rollouts && !rollouts->may_resume_at(copy_->standby->record())))
         return std::nullopt;
     // A copy made on demand is identified by its name at the endpoint that
     // made it.
@@ -68,9 +70,9 @@
     memory_replica const& copy, steady_time now) const
 {
     auto const* const rollouts = context_.rollouts();
-    return !copy.lost(now) &&
+    return !copy.lost(now) && work_.allows(copy.standby->record()) &&
            (rollouts == nullptr ||
-            rollouts->may_hold_copy(copy.standby->record(), now));
+            rollouts->may_resume_at(copy.standby->record()));
 }
 
 std::optional<standby_copies::memory_replica>
@@ -81,7 +83,7 @@
     if (copy_)
         work.excluded.insert(copy_->standby->record().id.value());
     if (auto const* const rollouts = context_.rollouts())
-        rollouts->choose_standby_versions(work, now);
+        rollouts->bar_from_stream(work, now);
     auto standby =
         context_.selection().choose_standby(work, *engine_, *source_, now);
     if (!standby)
