tables: a large answer of many small rows is no large row

Cause: a gateway that turned from a large answer to the readers of its region did not know yet whether a row of it is large. If none was, it followed those readers for good.

Change: the mark ends with the next row that is small, unless a large one has been named.

--- a/src/relay/shared_row_reader.cpp
+++ b/src/relay/shared_row_reader.cpp
@@ -113,9 +113,11 @@
 {
     for (auto const& row : rows)
     {
+        // A large answer may have been one of many small rows.
+        bool const unnamed = large_row_ && large_row_->empty();
         if (row.value.size() >= large_answer_bytes)
             large_row_ = row.key;
-        else if (large_row_ == row.key)
+        else if (unnamed || large_row_ == row.key)
             large_row_.reset();
     }
 }
