streams: callers do not wait for a store that just failed

Cause: while the store is silent, each request that takes up a stream waited for a reading of its own, 0.8 s and up to twice that, before it was sent on by the only version or refused.

Change: for 1 s after a failed reading callers are answered without another one.

--- a/src/relay/stream_version_sync.cpp
+++ b/src/relay/stream_version_sync.cpp
@@ -221,6 +221,7 @@
 void stream_version_sync::on_whole_table(steady_time now)
 {
     reading_ = false;
+    last_failed_.reset();
     second_reading_done_ = versions_.read();
     last_read_ = now;
     stream_table table;
@@ -263,7 +264,8 @@
 {
     reading_ = false;
     rows_.clear();
-    next_read_ = clock_.now() + retry_interval;
+    last_failed_ = clock_.now();
+    next_read_ = *last_failed_ + retry_interval;
     log_.record(
         event_level::warn, "stream_table_unread",
         {{"detail", detail.empty() ? "-" : detail},
@@ -282,6 +284,11 @@
         caller.done(*origin);
         return;
     }
+    if (last_failed_ && clock_.now() - *last_failed_ < failure_memory)
+    {
+        caller.done(origin_after_reading(caller, false));
+        return;
+    }
     waiting_.push_back(std::move(caller));
     poll();
 }
--- a/src/relay/stream_version_sync.hpp
+++ b/src/relay/stream_version_sync.hpp
@@ -67,6 +67,9 @@
     static constexpr std::chrono::milliseconds retry_interval{200};
     static constexpr std::chrono::milliseconds observation_interval{200};
 
+    // After a reading failed, callers are answered without another one.
+    static constexpr std::chrono::milliseconds failure_memory{1000};
+
     // Until the table is read once more for a version that serves alone.
     static constexpr std::chrono::milliseconds second_reading{2000};
 
@@ -138,6 +141,7 @@
     steady_time next_write_{};
     steady_time last_read_{};
     steady_time last_observed_{};
+    std::optional<steady_time> last_failed_; // reading, unless one succeeded
     bool second_reading_done_ = false;
     std::uint64_t era_ = 0;
     std::vector<store_row> rows_; // of the reading in progress
--- a/tests/platform/stream_versions_relay_test.cpp
+++ b/tests/platform/stream_versions_relay_test.cpp
@@ -270,6 +270,15 @@
             [&] { return fixture.endpoints[first]->request_count() == 1; }));
     else
         REQUIRE(fixture.run_until([&] { return caller->has("503"); }));
+    // The next caller does not wait for a call to a store that just failed.
+    auto const calls = fixture.streams.listings;
+    fixture.clock.stop();
+    auto const next = fixture.connect_caller(fixture.take_up("r3", "r4"));
+    if (alike)
+        REQUIRE(fixture.take_request("Request-Id: r4"));
+    else
+        REQUIRE(fixture.run_until([&] { return next->has("503"); }));
+    REQUIRE(fixture.streams.listings <= calls + 1);
 }
 
 // Guards against calls that grow with the requests while one version serves.
