--- a/src/gateway/rollout_coordinator.hpp
+++ b/src/gateway/rollout_coordinator.hpp
@@ -103,8 +103,8 @@
     bool
     may_continue(service_name const& service, std::string const& version) const;
 
-    /// Whether endpoints of this version may be used at all, for example for
-    /// the standby copy of a run.
+    /// Whether endpoints of this version may be used at all for what has not
+    /// begun.
     bool allowed(
         service_name const& service, std::string const& version,
         endpoints_by_version const& endpoints, steady_time now) const;
--- a/src/gateway/table_source_selector.hpp
+++ b/src/gateway/table_source_selector.hpp
@@ -55,7 +55,7 @@
     // The second one takes over without a pause when the first is lost.
     static constexpr std::size_t readers_per_zone = 2;
 
-    // Of those, the ones that load large rows over the region's link.
+    // Gateways that load large rows over their region's link.
     static constexpr std::size_t readers_per_region = 2;
 
     // A source that failed is tried again after this; doubles per failure.
--- a/src/gateway/transfer_watch.hpp
+++ b/src/gateway/transfer_watch.hpp
@@ -17,8 +17,8 @@
 class transfer_watch
 {
 public:
-    // Each period must bring so many bytes. A tenth of what a link of 10 Mbit/s
-    // or a connection between regions carries.
+    // Each period must bring so many bytes, far fewer than a link that serves
+    // callers carries.
     static constexpr std::chrono::milliseconds progress_period{1000};
     static constexpr std::size_t min_bytes_a_period = 32u << 10;
 
